--- /dev/null
+++ b/cmd/hazelworks/main.go
@@ -0,0 +1,4 @@
+// Command hazelworks is a placeholder until its commands are added.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/settings/resolved.go
@@ -0,0 +1,201 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Resolved is a validated settings tree with every inherited value filled in.
+// It is immutable: a change produces a new value.
+type Resolved struct {
+	// Version is the offset of the newest change in it.
+	Version record.Offset
+	// Shards is the number of budget shards; it never changes for a fleet.
+	Shards   uint32
+	Accounts []Account
+	Budgets  []Budget
+	Services []Service
+
+	accountByKey  map[KeyHash]*Account
+	accountByID   map[string]*Account
+	budgetByID    map[record.BudgetID]*Budget
+	serviceByName map[string]*Service
+	serviceByMdl  map[string][]*Service
+}
+
+// KeyHash is the SHA-256 hash of an account's key.
+type KeyHash [32]byte
+
+// Account is a client account.
+type Account struct {
+	// ID has the form firm/name.
+	ID     string
+	Firm   string
+	Name   string
+	Budget record.BudgetID
+	// Keys are the hashes of the account's keys; any of them is accepted.
+	Keys []KeyHash
+	// Weight is the account's share of its firm's capacity; default 1.
+	Weight float64
+	// Services lists the services that the account may call; empty means all
+	// services of its firm.
+	Services []string
+}
+
+// Budget is a prepaid budget. Amounts are in the log, not in the settings.
+type Budget struct {
+	ID     record.BudgetID
+	Firm   string
+	Policy BudgetPolicy
+}
+
+// BudgetPolicy tunes speed and stranding of grants. It cannot cause overspend.
+type BudgetPolicy struct {
+	// Slice is the spend, expressed as time at the recent rate, that one grant covers.
+	Slice time.Duration
+	// Floor is the smallest grant that is asked for.
+	Floor record.Tokens
+	// RecallDelay is how long a grant stays unused before it is given back.
+	RecallDelay time.Duration
+	// RefusalWait is how long a request waits for a grant before it is refused.
+	RefusalWait time.Duration
+}
+
+// ServiceKind tells model services from plain ones.
+type ServiceKind string
+
+// Service kinds.
+const (
+	ServiceModel ServiceKind = "model"
+	ServicePlain ServiceKind = "plain"
+)
+
+// Service is a set of upstreams that serve the same requests.
+type Service struct {
+	// Name has the form firm/name.
+	Name   string
+	Firm   string
+	Kind   ServiceKind
+	Models []Model
+	// Repeatable is false if requests must run at most once by default.
+	Repeatable bool
+	Price      Price
+	// MaxOutput caps the output tokens of a request that names no cap.
+	MaxOutput int
+	// RequestTimeout bounds a whole request, first byte to last.
+	RequestTimeout time.Duration
+	// IdleTimeout bounds the time to the next byte or event from an upstream.
+	IdleTimeout time.Duration
+	// QueueLimit bounds the requests that wait on one host.
+	QueueLimit int
+	// QueueTimeout bounds the time that a request waits.
+	QueueTimeout time.Duration
+	// RetryShare is the largest share of requests that may be retries, 0 to 1.
+	RetryShare float64
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	Upstreams    []Upstream
+	// FirmWeights gives the members' shares of this service; missing means 1.
+	FirmWeights map[string]float64
+}
+
+// Model is a model that a service offers.
+type Model struct {
+	Name    string
+	Version string
+	// Adapters lists the adapters that may be loaded on it.
+	Adapters []string
+	// MinReplicas is the least number of upstreams that keep it loaded.
+	MinReplicas int
+}
+
+// Price converts use into budget tokens.
+type Price struct {
+	// InputMilli and OutputMilli are thousandths of a budget token for each
+	// input and output token of a model.
+	InputMilli  int64
+	OutputMilli int64
+	// PerCall is charged for each call of a plain service.
+	PerCall record.Tokens
+	// PerKiB is charged for each started KiB of a plain call's bodies.
+	PerKiB record.Tokens
+}
+
+// Upstream is one worker of a service.
+type Upstream struct {
+	ID            string
+	URL           string
+	FailureDomain string
+	// Models lists the models it serves at start; empty means all of its service.
+	Models []string
+	// Role is "any", "prefill" or "decode".
+	Role string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// ChecksFencing is true if it refuses orders with an old fencing number.
+	ChecksFencing bool
+	// Leaving is true if it must get no new work.
+	Leaving bool
+}
+
+// Index prepares the lookups. It must be called once after the fields are set.
+func (r *Resolved) Index() {
+	r.accountByKey = make(map[KeyHash]*Account)
+	r.accountByID = make(map[string]*Account, len(r.Accounts))
+	for i := range r.Accounts {
+		a := &r.Accounts[i]
+		r.accountByID[a.ID] = a
+		for _, k := range a.Keys {
+			r.accountByKey[k] = a
+		}
+	}
+	r.budgetByID = make(map[record.BudgetID]*Budget, len(r.Budgets))
+	for i := range r.Budgets {
+		r.budgetByID[r.Budgets[i].ID] = &r.Budgets[i]
+	}
+	r.serviceByName = make(map[string]*Service, len(r.Services))
+	r.serviceByMdl = make(map[string][]*Service)
+	for i := range r.Services {
+		s := &r.Services[i]
+		r.serviceByName[s.Name] = s
+		for _, m := range s.Models {
+			r.serviceByMdl[m.Name] = append(r.serviceByMdl[m.Name], s)
+		}
+	}
+}
+
+// AccountByKey returns the account whose key has the given hash.
+func (r *Resolved) AccountByKey(hash KeyHash) (*Account, bool) {
+	a, ok := r.accountByKey[hash]
+	return a, ok
+}
+
+// Account returns the account with the given ID.
+func (r *Resolved) Account(id string) (*Account, bool) {
+	a, ok := r.accountByID[id]
+	return a, ok
+}
+
+// Budget returns the budget with the given ID.
+func (r *Resolved) Budget(id record.BudgetID) (*Budget, bool) {
+	b, ok := r.budgetByID[id]
+	return b, ok
+}
+
+// Service returns the service with the given name.
+func (r *Resolved) Service(name string) (*Service, bool) {
+	s, ok := r.serviceByName[name]
+	return s, ok
+}
+
+// ServicesWithModel returns the services that offer a model.
+func (r *Resolved) ServicesWithModel(model string) []*Service {
+	return r.serviceByMdl[model]
+}
+
+// Source gives the settings in force. Implementations are safe for concurrent use.
+type Source interface {
+	// Current returns the settings in force, or nil before the first are known.
+	Current() *Resolved
+}
--- /dev/null
+++ b/fleet/bank/bank.go
@@ -0,0 +1,77 @@
+// Package bank holds the budget grants of this host. It reserves the upper
+// bound of a request's cost before the request runs and settles its real cost
+// after, through the shard owners and the log.
+package bank
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Reserver reserves budget for requests.
+type Reserver interface {
+	// Reserve sets amount aside from the budget's grant on this host, and asks
+	// for a larger grant if needed. It waits at most wait for one. A refusal is
+	// a *RefusedError; nothing stays reserved after an error.
+	Reserve(ctx context.Context, budget record.BudgetID, key record.RequestKey, amount record.Tokens, wait time.Duration) (Reservation, error)
+}
+
+// Reservation is an amount set aside for one request. Exactly one of Settle and
+// Release takes effect, the first call; later calls do nothing.
+type Reservation interface {
+	// Amount returns the amount reserved.
+	Amount() record.Tokens
+	// Settle bills cost, at most Amount, and frees the rest. The settlement is
+	// queued for the log; it is not lost while the host lives.
+	Settle(cost record.Tokens)
+	// Release frees the whole amount: the request did not run.
+	Release()
+}
+
+// Claimer decides which host may run a request that must not repeat.
+type Claimer interface {
+	// Claim appends a claim and waits until it is read back. Any error means
+	// that this host must not run the request.
+	Claim(ctx context.Context, budget record.BudgetID, key record.RequestKey) (Claim, error)
+	// Finish records the outcome of a claim that this host won.
+	Finish(budget record.BudgetID, key record.RequestKey, outcome record.Outcome, detail []byte)
+}
+
+// Claim tells who holds the right to run a request.
+type Claim struct {
+	// Won is true if this host may run the request, once.
+	Won bool
+	// By is the holder whose claim is first.
+	By record.Holder
+	// Outcome is the recorded outcome of the winner's run, or pending.
+	Outcome record.Outcome
+	Detail  []byte
+}
+
+// RefusedError reports that a budget cannot cover a request.
+type RefusedError struct {
+	Budget record.BudgetID
+	Wanted record.Tokens
+	// Available is what the budget has left to grant, as last known.
+	Available record.Tokens
+	// HeldElsewhere is granted to other hosts and could not be recalled.
+	HeldElsewhere record.Tokens
+	// Holders lists the hosts that hold it, largest first.
+	Holders []record.Holder
+	// Unreachable is true if neither the shard's owner nor the log answered.
+	Unreachable bool
+}
+
+// Error describes the refusal.
+func (e *RefusedError) Error() string {
+	if e.Unreachable {
+		return fmt.Sprintf("budget %s: no grant for %d tokens and the ledger is out of reach", e.Budget, e.Wanted)
+	}
+	if e.HeldElsewhere > 0 {
+		return fmt.Sprintf("budget %s: %d tokens wanted, %d available, %d held by other hosts", e.Budget, e.Wanted, e.Available, e.HeldElsewhere)
+	}
+	return fmt.Sprintf("budget %s: %d tokens wanted, %d available", e.Budget, e.Wanted, e.Available)
+}
