--- /dev/null
+++ b/core/findings/findings.go
@@ -0,0 +1,106 @@
+// Package findings collects the faults of a document, each with its place, so
+// that they can be reported together instead of one at a time.
+package findings
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Position is a place in a source document. The zero value means that the value
+// did not come from a file.
+type Position struct {
+	File string `json:"file,omitempty"`
+	// Line and Column count from 1; Column counts bytes.
+	Line   int32 `json:"line,omitempty"`
+	Column int32 `json:"column,omitempty"`
+}
+
+// String returns the form file:line:column, or the empty string.
+func (p Position) String() string {
+	if p.Line == 0 {
+		return p.File
+	}
+	return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column)
+}
+
+// Finding is one fault of a document.
+type Finding struct {
+	Position
+	// Path names the value within the document, with slashes between names.
+	Path    string `json:"path,omitempty"`
+	Message string `json:"message"`
+}
+
+// String returns the form file:line:column: path: message.
+func (f Finding) String() string {
+	parts := make([]string, 0, 3)
+	if place := f.Position.String(); place != "" {
+		parts = append(parts, place)
+	}
+	if f.Path != "" {
+		parts = append(parts, f.Path)
+	}
+	return strings.Join(append(parts, f.Message), ": ")
+}
+
+// List gathers findings. The zero value is ready for use.
+type List struct {
+	items []Finding
+}
+
+// Addf adds a finding.
+func (l *List) Addf(at Position, path, format string, args ...any) {
+	l.items = append(l.items, Finding{Position: at, Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+// Empty reports whether there are no findings.
+func (l *List) Empty() bool {
+	return len(l.items) == 0
+}
+
+// Sorted returns the findings ordered by place, then path, without repetitions.
+func (l *List) Sorted() []Finding {
+	sorted := slices.Clone(l.items)
+	slices.SortStableFunc(sorted, compare)
+	return slices.Compact(sorted)
+}
+
+// Err returns the findings as an [*Error], or nil if there are none.
+func (l *List) Err() error {
+	if l.Empty() {
+		return nil
+	}
+	return &Error{Findings: l.Sorted()}
+}
+
+func compare(a, b Finding) int {
+	if c := strings.Compare(a.File, b.File); c != 0 {
+		return c
+	}
+	if a.Line != b.Line {
+		return int(a.Line - b.Line)
+	}
+	if a.Column != b.Column {
+		return int(a.Column - b.Column)
+	}
+	if c := strings.Compare(a.Path, b.Path); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Message, b.Message)
+}
+
+// Error reports all findings of a document.
+type Error struct {
+	Findings []Finding
+}
+
+// Error returns the findings, one on each line.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Findings))
+	for i, f := range e.Findings {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/core/jsontree/node.go
@@ -0,0 +1,200 @@
+// Package jsontree holds JSON documents as trees whose nodes know their place
+// in the source file. It parses JSON with comments, decodes trees strictly into
+// Go values with all findings together, and compares and edits trees by path.
+package jsontree
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/hazelworks/hazelworks/core/findings"
+)
+
+// Kind is the JSON type of a node.
+type Kind uint8
+
+// Kinds of node.
+const (
+	Null Kind = iota
+	Bool
+	Number
+	String
+	Array
+	Object
+)
+
+// String returns the name used in findings.
+func (k Kind) String() string {
+	return [...]string{"null", "a boolean", "a number", "a string", "an array", "an object"}[k]
+}
+
+// Node is a value of a JSON document. Nodes are not changed once built.
+type Node struct {
+	Kind Kind
+	// Text is the value of a string, or the literal of a number or boolean.
+	Text string
+	// Members of an object, sorted by name.
+	Members []Member
+	// Elements of an array.
+	Elements []*Node
+	At       findings.Position
+}
+
+// Member is a named value of an object.
+type Member struct {
+	Name  string
+	Value *Node
+}
+
+// NewObject returns an empty object.
+func NewObject() *Node {
+	return &Node{Kind: Object}
+}
+
+func (n *Node) search(name string) (int, bool) {
+	return slices.BinarySearchFunc(n.Members, name, func(m Member, name string) int {
+		return strings.Compare(m.Name, name)
+	})
+}
+
+// Get returns the member with the given name, or nil.
+func (n *Node) Get(name string) *Node {
+	if n == nil || n.Kind != Object {
+		return nil
+	}
+	i, found := n.search(name)
+	if !found {
+		return nil
+	}
+	return n.Members[i].Value
+}
+
+// Find returns the node at a path, or nil. Names are separated by slashes; the
+// empty path is the node itself.
+func (n *Node) Find(path string) *Node {
+	for _, name := range SplitPath(path) {
+		n = n.Get(name)
+	}
+	return n
+}
+
+// SplitPath returns the names of a path.
+func SplitPath(path string) []string {
+	if path == "" {
+		return nil
+	}
+	return strings.Split(path, "/")
+}
+
+// JoinPath appends a name to a path.
+func JoinPath(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "/" + name
+}
+
+// Set returns a copy of n with the value at path replaced, or removed if value
+// is nil. Missing objects on the way are created, and n itself stays as it is.
+// An object that loses its last member stays. A value on the way that is not an
+// object is replaced by one.
+func (n *Node) Set(path string, value *Node) *Node {
+	return n.set(SplitPath(path), value)
+}
+
+func (n *Node) set(names []string, value *Node) *Node {
+	if len(names) == 0 {
+		return value
+	}
+	parent := n
+	if parent == nil || parent.Kind != Object {
+		if value == nil {
+			return n
+		}
+		parent = NewObject()
+	}
+	child := parent.Get(names[0]).set(names[1:], value)
+	return parent.withMember(names[0], child)
+}
+
+func (n *Node) withMember(name string, value *Node) *Node {
+	i, found := n.search(name)
+	copied := &Node{Kind: Object, At: n.At}
+	switch {
+	case value == nil && !found:
+		return n
+	case value == nil:
+		copied.Members = slices.Concat(n.Members[:i], n.Members[i+1:])
+	case found:
+		copied.Members = slices.Clone(n.Members)
+		copied.Members[i].Value = value
+	default:
+		copied.Members = slices.Concat(n.Members[:i], []Member{{name, value}}, n.Members[i:])
+	}
+	return copied
+}
+
+// Equal reports whether two nodes hold the same value, wherever they come from.
+func Equal(a, b *Node) bool {
+	if a == b {
+		return true
+	}
+	if a == nil || b == nil || a.Kind != b.Kind || a.Text != b.Text {
+		return false
+	}
+	sameMember := func(x, y Member) bool { return x.Name == y.Name && Equal(x.Value, y.Value) }
+	return slices.EqualFunc(a.Members, b.Members, sameMember) && slices.EqualFunc(a.Elements, b.Elements, Equal)
+}
+
+// AppendJSON appends the value as compact JSON. Equal values give equal bytes.
+func (n *Node) AppendJSON(dst []byte) []byte {
+	switch n.Kind {
+	case Null:
+		return append(dst, "null"...)
+	case String:
+		return appendString(dst, n.Text)
+	case Array:
+		return n.appendArray(dst)
+	case Object:
+		return n.appendObject(dst)
+	default:
+		return append(dst, n.Text...)
+	}
+}
+
+func (n *Node) appendArray(dst []byte) []byte {
+	dst = append(dst, '[')
+	for i, e := range n.Elements {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = e.AppendJSON(dst)
+	}
+	return append(dst, ']')
+}
+
+func (n *Node) appendObject(dst []byte) []byte {
+	dst = append(dst, '{')
+	for i, m := range n.Members {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = append(appendString(dst, m.Name), ':')
+		dst = m.Value.AppendJSON(dst)
+	}
+	return append(dst, '}')
+}
+
+func appendString(dst []byte, s string) []byte {
+	quoted, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // strings always encode
+	}
+	return append(dst, quoted...)
+}
+
+// MarshalJSON implements json.Marshaler.
+func (n *Node) MarshalJSON() ([]byte, error) {
+	return n.AppendJSON(nil), nil
+}
