--- a/core/record/record.go
+++ b/core/record/record.go
@@ -77,6 +77,9 @@
 	Detail []byte `cbor:"11,keyasint,omitempty"`
 	// Seq numbers grant requests of a holder, from 1.
 	Seq uint64 `cbor:"12,keyasint,omitempty"`
+	// Need is the least grant that serves the requests that wait for it. It
+	// guides the shard's owner; folds ignore it.
+	Need Tokens `cbor:"13,keyasint,omitempty"`
 }
 
 // Outcome is the recorded end of a claimed request.
--- a/fleet/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/fleet/peer/peerpb/peerpbconnect/peer.connect.go
@@ -40,6 +40,8 @@
 	PeerServiceSubmitProcedure = "/hazelworks.peer.v1.PeerService/Submit"
 	// PeerServiceRecallProcedure is the fully-qualified name of the PeerService's Recall RPC.
 	PeerServiceRecallProcedure = "/hazelworks.peer.v1.PeerService/Recall"
+	// PeerServiceHoldingsProcedure is the fully-qualified name of the PeerService's Holdings RPC.
+	PeerServiceHoldingsProcedure = "/hazelworks.peer.v1.PeerService/Holdings"
 	// PeerServiceShardStateProcedure is the fully-qualified name of the PeerService's ShardState RPC.
 	PeerServiceShardStateProcedure = "/hazelworks.peer.v1.PeerService/ShardState"
 	// PeerServiceSettingsProcedure is the fully-qualified name of the PeerService's Settings RPC.
@@ -58,6 +60,8 @@
 	Submit(context.Context, *connect.Request[peerpb.SubmitRequest]) (*connect.Response[peerpb.SubmitResponse], error)
 	// Recall asks a holder to report and return unused grants of a budget.
 	Recall(context.Context, *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error)
+	// Holdings returns what a host has reserved and free of its grants.
+	Holdings(context.Context, *connect.Request[peerpb.HoldingsRequest]) (*connect.Response[peerpb.HoldingsResponse], error)
 	// ShardState returns a shard's fold, for a host that starts in an outage.
 	ShardState(context.Context, *connect.Request[peerpb.ShardStateRequest]) (*connect.Response[peerpb.ShardStateResponse], error)
 	// Settings returns changes of the settings tree that the caller lacks.
@@ -97,6 +101,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Recall")),
 			connect.WithClientOptions(opts...),
 		),
+		holdings: connect.NewClient[peerpb.HoldingsRequest, peerpb.HoldingsResponse](
+			httpClient,
+			baseURL+PeerServiceHoldingsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Holdings")),
+			connect.WithClientOptions(opts...),
+		),
 		shardState: connect.NewClient[peerpb.ShardStateRequest, peerpb.ShardStateResponse](
 			httpClient,
 			baseURL+PeerServiceShardStateProcedure,
@@ -129,6 +139,7 @@
 	ping       *connect.Client[peerpb.PingRequest, peerpb.PingResponse]
 	submit     *connect.Client[peerpb.SubmitRequest, peerpb.SubmitResponse]
 	recall     *connect.Client[peerpb.RecallRequest, peerpb.RecallResponse]
+	holdings   *connect.Client[peerpb.HoldingsRequest, peerpb.HoldingsResponse]
 	shardState *connect.Client[peerpb.ShardStateRequest, peerpb.ShardStateResponse]
 	settings   *connect.Client[peerpb.SettingsRequest, peerpb.SettingsResponse]
 	answer     *connect.Client[peerpb.AnswerRequest, peerpb.AnswerEvent]
@@ -150,6 +161,11 @@
 	return c.recall.CallUnary(ctx, req)
 }
 
+// Holdings calls hazelworks.peer.v1.PeerService.Holdings.
+func (c *peerServiceClient) Holdings(ctx context.Context, req *connect.Request[peerpb.HoldingsRequest]) (*connect.Response[peerpb.HoldingsResponse], error) {
+	return c.holdings.CallUnary(ctx, req)
+}
+
 // ShardState calls hazelworks.peer.v1.PeerService.ShardState.
 func (c *peerServiceClient) ShardState(ctx context.Context, req *connect.Request[peerpb.ShardStateRequest]) (*connect.Response[peerpb.ShardStateResponse], error) {
 	return c.shardState.CallUnary(ctx, req)
@@ -178,6 +194,8 @@
 	Submit(context.Context, *connect.Request[peerpb.SubmitRequest]) (*connect.Response[peerpb.SubmitResponse], error)
 	// Recall asks a holder to report and return unused grants of a budget.
 	Recall(context.Context, *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error)
+	// Holdings returns what a host has reserved and free of its grants.
+	Holdings(context.Context, *connect.Request[peerpb.HoldingsRequest]) (*connect.Response[peerpb.HoldingsResponse], error)
 	// ShardState returns a shard's fold, for a host that starts in an outage.
 	ShardState(context.Context, *connect.Request[peerpb.ShardStateRequest]) (*connect.Response[peerpb.ShardStateResponse], error)
 	// Settings returns changes of the settings tree that the caller lacks.
@@ -213,6 +231,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Recall")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceHoldingsHandler := connect.NewUnaryHandler(
+		PeerServiceHoldingsProcedure,
+		svc.Holdings,
+		connect.WithSchema(peerServiceMethods.ByName("Holdings")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceShardStateHandler := connect.NewUnaryHandler(
 		PeerServiceShardStateProcedure,
 		svc.ShardState,
@@ -245,6 +269,8 @@
 			peerServiceSubmitHandler.ServeHTTP(w, r)
 		case PeerServiceRecallProcedure:
 			peerServiceRecallHandler.ServeHTTP(w, r)
+		case PeerServiceHoldingsProcedure:
+			peerServiceHoldingsHandler.ServeHTTP(w, r)
 		case PeerServiceShardStateProcedure:
 			peerServiceShardStateHandler.ServeHTTP(w, r)
 		case PeerServiceSettingsProcedure:
@@ -274,6 +300,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelworks.peer.v1.PeerService.Recall is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Holdings(context.Context, *connect.Request[peerpb.HoldingsRequest]) (*connect.Response[peerpb.HoldingsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelworks.peer.v1.PeerService.Holdings is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) ShardState(context.Context, *connect.Request[peerpb.ShardStateRequest]) (*connect.Response[peerpb.ShardStateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelworks.peer.v1.PeerService.ShardState is not implemented"))
 }
