--- a/core/findings/findings.go
+++ b/core/findings/findings.go
@@ -3,6 +3,7 @@
 package findings
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -55,6 +56,18 @@
 	l.items = append(l.items, Finding{Position: at, Path: path, Message: fmt.Sprintf(format, args...)})
 }
 
+// AddError adds the findings of an [*Error], or any other error as one finding
+// without a place. It does nothing if err is nil.
+func (l *List) AddError(err error) {
+	var all *Error
+	switch {
+	case errors.As(err, &all):
+		l.items = append(l.items, all.Findings...)
+	case err != nil:
+		l.items = append(l.items, Finding{Message: err.Error()})
+	}
+}
+
 // Empty reports whether there are no findings.
 func (l *List) Empty() bool {
 	return len(l.items) == 0
--- a/core/jsontree/decode.go
+++ b/core/jsontree/decode.go
@@ -3,10 +3,12 @@
 import (
 	"encoding"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/findings"
@@ -17,7 +19,8 @@
 
 // Decode stores the value in dst, a non-nil pointer, and adds every fault to
 // list: unknown names, wrong types, bad durations, values out of bounds. What is
-// correct is stored even if other parts are not.
+// correct is stored even if other parts are not. Values that the document does
+// not name stay as they are in dst; maps are merged, slices replaced.
 //
 // Struct fields are named by the json tag. Numbers and durations may carry the
 // tags min and max, strings the tag oneof with a comma-separated list. Durations
@@ -86,29 +89,45 @@
 			continue
 		}
 		memberPath := JoinPath(path, m.Name)
-		i := slices.Index(fields, m.Name)
-		if i < 0 || m.Name == "" {
+		f, ok := fields[m.Name]
+		if !ok {
 			d.list.Addf(m.Value.At, memberPath, "unknown name%s", suggest(m.Name, fields))
 			continue
 		}
-		d.value(m.Value, memberPath, dst.Field(i), dst.Type().Field(i).Tag)
+		d.value(m.Value, memberPath, dst.FieldByIndex(f.Index), f.Tag)
 	}
 }
 
-// fieldsOf returns the name of each field of a struct; empty for fields without one.
-func fieldsOf(t reflect.Type) []string {
-	names := make([]string, t.NumField())
-	for i := range names {
-		names[i], _, _ = strings.Cut(t.Field(i).Tag.Get("json"), ",")
+// fieldTable holds the fields of a struct by their names in documents.
+type fieldTable map[string]reflect.StructField
+
+var fieldTables sync.Map // of reflect.Type to fieldTable
+
+// fieldsOf returns the named fields of a struct and of the structs embedded in it.
+func fieldsOf(t reflect.Type) fieldTable {
+	if known, ok := fieldTables.Load(t); ok {
+		return known.(fieldTable)
+	}
+	table := make(fieldTable)
+	for _, f := range reflect.VisibleFields(t) {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			table[name] = f
+		}
 	}
-	return names
+	fieldTables.Store(t, table)
+	return table
 }
 
 func (d *decoder) mapping(n *Node, path string, dst reflect.Value) {
 	if !d.wants(n, path, Object) {
 		return
 	}
-	dst.Set(reflect.MakeMapWithSize(dst.Type(), len(n.Members)))
+	merged := reflect.MakeMapWithSize(dst.Type(), dst.Len()+len(n.Members))
+	for _, key := range dst.MapKeys() {
+		merged.SetMapIndex(key, dst.MapIndex(key))
+	}
+	dst.Set(merged)
 	for _, m := range n.Members {
 		if strings.HasPrefix(m.Name, ExtensionPrefix) {
 			continue
@@ -251,12 +270,15 @@
 	return value
 }
 
+// minSharedPrefix is the number of letters that a suggested name must share.
+const minSharedPrefix = 3
+
 // suggest names the known field that shares the longest prefix with name.
-func suggest(name string, fields []string) string {
-	best, bestLen := "", 3
-	for _, f := range fields {
-		if l := commonPrefix(name, f); l > bestLen {
-			best, bestLen = f, l
+func suggest(name string, fields fieldTable) string {
+	best, bestLength := "", minSharedPrefix-1
+	for _, f := range slices.Sorted(maps.Keys(fields)) {
+		if length := commonPrefix(name, f); length > bestLength {
+			best, bestLength = f, length
 		}
 	}
 	if best == "" {
--- a/core/jsontree/node.go
+++ b/core/jsontree/node.go
@@ -147,6 +147,22 @@
 	return slices.EqualFunc(a.Members, b.Members, sameMember) && slices.EqualFunc(a.Elements, b.Elements, Equal)
 }
 
+// Measure returns the bytes of all names and texts, and the levels of nesting.
+func (n *Node) Measure() (size, depth int) {
+	size = len(n.Text)
+	for _, m := range n.Members {
+		s, d := m.Value.Measure()
+		size += len(m.Name) + s
+		depth = max(depth, d)
+	}
+	for _, e := range n.Elements {
+		s, d := e.Measure()
+		size += s
+		depth = max(depth, d)
+	}
+	return size, depth + 1
+}
+
 // AppendJSON appends the value as compact JSON. Equal values give equal bytes.
 func (n *Node) AppendJSON(dst []byte) []byte {
 	switch n.Kind {
--- a/core/jsontree/parse.go
+++ b/core/jsontree/parse.go
@@ -39,6 +39,30 @@
 	return p.node(&value, "")
 }
 
+// ParsePlain reads a document whose nodes and faults have no place in a file.
+func ParsePlain(data []byte, list *findings.List) *Node {
+	var own findings.List
+	n := Parse("", data, &own)
+	for _, f := range own.Sorted() {
+		list.Addf(findings.Position{}, f.Path, "%s", f.Message)
+	}
+	n.clearPositions()
+	return n
+}
+
+func (n *Node) clearPositions() {
+	if n == nil {
+		return
+	}
+	n.At = findings.Position{}
+	for _, m := range n.Members {
+		m.Value.clearPositions()
+	}
+	for _, e := range n.Elements {
+		e.clearPositions()
+	}
+}
+
 type parser struct {
 	file  string
 	lines []int
--- /dev/null
+++ b/core/settings/change.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hazelworks/hazelworks/core/findings"
+	"github.com/hazelworks/hazelworks/core/jsontree"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// ChangeKind tells kinds of record in the settings stream apart. Readers skip
+// kinds that they don't know; a new kind is written only under a new schema.
+type ChangeKind uint8
+
+// KindEdit changes values of the tree.
+const KindEdit ChangeKind = 1
+
+// Change is a record of the settings stream. Its version is its offset.
+type Change struct {
+	Kind ChangeKind `cbor:"1,keyasint"`
+	// ID makes the change idempotent: only the first record with it counts.
+	ID string `cbor:"2,keyasint"`
+	// Base is the version that the change was made against.
+	Base record.Offset `cbor:"3,keyasint"`
+	// By names the operator.
+	By string `cbor:"4,keyasint,omitempty"`
+	// Message says why, as a commit message does.
+	Message string `cbor:"5,keyasint,omitempty"`
+	Edits   []Edit `cbor:"6,keyasint"`
+}
+
+// Edit sets or removes the value at a path.
+type Edit struct {
+	Path string `cbor:"1,keyasint" json:"path"`
+	// Value is JSON; nil removes the value at Path.
+	Value []byte `cbor:"2,keyasint,omitempty" json:"value,omitempty"`
+}
+
+// Limits of a change.
+const (
+	MaxEdits       = 10_000
+	MaxIDBytes     = 64
+	MaxTextBytes   = 1024
+	maxPathBytes   = 512
+	maxPlainRecord = 16 << 20
+)
+
+var errChange = errors.New("settings: not a change")
+
+var codec = mustCodec()
+
+func mustCodec() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 18,
+		MaxMapPairs:      1 << 8,
+		MaxNestedLevels:  8,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// EncodeChange returns the log form of c.
+func EncodeChange(c *Change) ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("settings: encode change: %w", err)
+	}
+	return pack(data)
+}
+
+// DecodeChange parses the log form of a change. Unknown fields are skipped.
+func DecodeChange(data []byte) (*Change, error) {
+	plain, err := unpack(data)
+	if err != nil {
+		return nil, err
+	}
+	var c Change
+	if err := codec.Unmarshal(plain, &c); err != nil {
+		return nil, fmt.Errorf("%w: %w", errChange, err)
+	}
+	return &c, nil
+}
+
+// parsed returns the edited values; nil stands for a removal. It adds the faults
+// of the change's own form to list.
+func (c *Change) parsed(list *findings.List) []*jsontree.Node {
+	if c.ID == "" || len(c.ID) > MaxIDBytes || len(c.By) > MaxTextBytes || len(c.Message) > MaxTextBytes {
+		list.Addf(findings.Position{}, "", "a change needs an ID of at most %d bytes, and texts of at most %d", MaxIDBytes, MaxTextBytes)
+	}
+	if len(c.Edits) == 0 || len(c.Edits) > MaxEdits {
+		list.Addf(findings.Position{}, "", "a change has 1 to %d edits, got %d", MaxEdits, len(c.Edits))
+		return nil
+	}
+	values := make([]*jsontree.Node, len(c.Edits))
+	for i, e := range c.Edits {
+		if e.Path == "" || len(e.Path) > maxPathBytes || len(jsontree.SplitPath(e.Path)) > jsontree.MaxDepth {
+			list.Addf(findings.Position{}, "", "edit %d: not a path", i)
+			continue
+		}
+		if e.Value != nil {
+			values[i] = parseValue(e, list)
+		}
+	}
+	return values
+}
+
+func parseValue(e Edit, list *findings.List) *jsontree.Node {
+	var own findings.List
+	value := jsontree.ParsePlain(e.Value, &own)
+	for _, f := range own.Sorted() {
+		list.Addf(findings.Position{}, strings.TrimSuffix(e.Path+"/"+f.Path, "/"), "%s", f.Message)
+	}
+	return value
+}
+
+// Overlap reports whether one path is the other or lies within it.
+func Overlap(a, b string) bool {
+	if len(a) > len(b) {
+		a, b = b, a
+	}
+	if b[:len(a)] != a {
+		return false
+	}
+	return len(a) == len(b) || a == "" || b[len(a)] == '/'
+}
--- /dev/null
+++ b/core/settings/explain.go
@@ -0,0 +1,109 @@
+package settings
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/hazelworks/hazelworks/core/jsontree"
+)
+
+// Origin tells which level gives a value.
+type Origin struct {
+	Path  string         `json:"path"`
+	Value *jsontree.Node `json:"value"`
+	Level string         `json:"level"`
+	// DeclaredAt is the path where the level declares it.
+	DeclaredAt string `json:"declared_at"`
+	// Overridden lists the weaker levels that give another value, strongest first.
+	Overridden []Override `json:"overridden,omitempty"`
+}
+
+// Override is a value that a stronger level replaces.
+type Override struct {
+	Level      string         `json:"level"`
+	DeclaredAt string         `json:"declared_at"`
+	Value      *jsontree.Node `json:"value"`
+}
+
+// Explain tells which level gives each value at or below a path of an entry,
+// for instance firms/a/services/s/max_output. It returns nil for a path that
+// has no value.
+func Explain(root *jsontree.Node, path string) []Origin {
+	value := Effective(root).Find(path)
+	if value == nil {
+		return nil
+	}
+	var origins []Origin
+	leaves(path, value, func(leafPath string, leaf *jsontree.Node) {
+		origins = append(origins, explainLeaf(root, leafPath, leaf))
+	})
+	return origins
+}
+
+// leaves calls visit for each value below n that is not an object with members.
+func leaves(path string, n *jsontree.Node, visit func(string, *jsontree.Node)) {
+	if n.Kind != jsontree.Object || len(n.Members) == 0 {
+		visit(path, n)
+		return
+	}
+	for _, m := range n.Members {
+		leaves(jsontree.JoinPath(path, m.Name), m.Value, visit)
+	}
+}
+
+func explainLeaf(root *jsontree.Node, path string, leaf *jsontree.Node) Origin {
+	origin := Origin{Path: path, Value: leaf}
+	for _, l := range slices.Backward(sourcesOf(root, path)) {
+		if l.node == nil {
+			continue
+		}
+		if origin.Level == "" {
+			origin.Level, origin.DeclaredAt = l.name, l.path
+			continue
+		}
+		origin.Overridden = append(origin.Overridden, Override{l.name, l.path, l.node})
+	}
+	return origin
+}
+
+// sourcesOf returns the places that may give the value at path, weakest first.
+func sourcesOf(root *jsontree.Node, path string) []level {
+	s, entry, rest, ok := splitEntry(path)
+	if !ok {
+		return []level{
+			{LevelBuiltin, path, builtin.Find(path)},
+			{LevelCooperative, path, root.Find(path)},
+		}
+	}
+	var sources []level
+	for _, l := range s.levels(root) {
+		place := joinRest(l.path, rest)
+		sources = append(sources, level{l.name, place, l.node.Find(rest)})
+	}
+	own := joinRest(s.path()+"/"+entry, rest)
+	return append(sources, level{LevelEntry, own, root.Find(own)})
+}
+
+func joinRest(path, rest string) string {
+	if rest == "" {
+		return path
+	}
+	return path + "/" + rest
+}
+
+// splitEntry splits the path of an entry's value into the entry's scope, its
+// name and the path within it.
+func splitEntry(path string) (s scope, name, rest string, ok bool) {
+	names := jsontree.SplitPath(path)
+	const firmParts, upstreamParts = 4, 6
+	if len(names) < firmParts || names[0] != "firms" {
+		return scope{}, "", "", false
+	}
+	s = scope{section: section(strings.TrimSuffix(names[2], "s")), firm: names[1]}
+	parts := firmParts
+	if s.section == sectionService && len(names) >= upstreamParts && names[4] == "upstreams" {
+		s = scope{section: sectionUpstream, firm: names[1], service: names[3]}
+		parts = upstreamParts
+	}
+	return s, names[parts-1], strings.Join(names[parts:], "/"), true
+}
--- /dev/null
+++ b/core/settings/fold.go
@@ -0,0 +1,231 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/hazelworks/hazelworks/core/findings"
+	"github.com/hazelworks/hazelworks/core/jsontree"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Errors of the fold.
+var (
+	// ErrGap means that entries before this one are missing; a snapshot is needed.
+	ErrGap = errors.New("settings: entries are missing")
+	// ErrUnsupported means that the tree has a newer schema than this program.
+	// The fold keeps its last settings.
+	ErrUnsupported = errors.New("settings: the tree needs a newer program")
+)
+
+// Fold applies the settings stream in offset order. Two folds that have applied
+// the same entries hold the same tree. It is not safe for concurrent use.
+type Fold struct {
+	// position is the offset of the last entry applied.
+	position record.Offset
+	tree     *jsontree.Node
+	resolved *Resolved
+	history  *history
+	frozen   bool
+}
+
+// NewFold returns a fold before the first entry.
+func NewFold() *Fold {
+	return &Fold{tree: jsontree.NewObject(), history: newHistory(nil, 0)}
+}
+
+// Position returns the offset of the last entry applied.
+func (f *Fold) Position() record.Offset {
+	return f.position
+}
+
+// Current returns the settings in force, or nil before the first accepted change.
+func (f *Fold) Current() *Resolved {
+	return f.resolved
+}
+
+// Version returns the version in force, zero before the first accepted change.
+func (f *Fold) Version() record.Offset {
+	if f.resolved == nil {
+		return 0
+	}
+	return f.resolved.Version
+}
+
+// Tree returns the declared tree in force. It must not be changed.
+func (f *Fold) Tree() *jsontree.Node {
+	return f.tree
+}
+
+// Judgement returns the judgement on the change with the given ID, if kept.
+func (f *Fold) Judgement(id string) (*Judgement, bool) {
+	j, ok := f.history.byID[id]
+	return j, ok
+}
+
+// History returns the newest judgements, at most limit, newest first.
+func (f *Fold) History(limit int) []*Judgement {
+	newest := f.history.items[max(0, len(f.history.items)-limit):]
+	newest = slices.Clone(newest)
+	slices.Reverse(newest)
+	return newest
+}
+
+// ChangeResult is the effect of an entry.
+type ChangeResult struct {
+	Status Status
+	// Judgement is the fold's word on the change; for a repeated change it is
+	// the one on the first record. It is nil if the entry was skipped.
+	Judgement *Judgement
+	// Err is ErrGap or ErrUnsupported if the entry was not applied.
+	Err error
+}
+
+// Apply applies the next entry of the settings stream. Entries that were applied
+// before have no effect.
+func (f *Fold) Apply(e record.Entry) ChangeResult {
+	switch {
+	case f.frozen:
+		return ChangeResult{Status: StatusUnsupported, Err: ErrUnsupported}
+	case e.Offset <= f.position:
+		return ChangeResult{Status: StatusSkipped}
+	case e.Offset > f.position+1:
+		return ChangeResult{Status: StatusSkipped, Err: fmt.Errorf("%w: %d after %d", ErrGap, e.Offset, f.position)}
+	}
+	change, err := DecodeChange(e.Data)
+	if err != nil || change.Kind != KindEdit {
+		f.position = e.Offset
+		return ChangeResult{Status: StatusSkipped}
+	}
+	return f.judge(e, change)
+}
+
+func (f *Fold) judge(e record.Entry, c *Change) ChangeResult {
+	if first, ok := f.history.byID[c.ID]; ok {
+		f.position = e.Offset
+		return ChangeResult{Status: StatusRepeated, Judgement: first}
+	}
+	j := &Judgement{
+		Offset:     e.Offset,
+		ID:         c.ID,
+		Base:       c.Base,
+		By:         c.By,
+		Message:    c.Message,
+		TimeMillis: e.TimeMillis,
+	}
+	tree, resolved, err := f.evaluate(e.Offset, c, j)
+	if errors.Is(err, ErrUnsupported) {
+		f.frozen = true
+		return ChangeResult{Status: StatusUnsupported, Err: ErrUnsupported}
+	}
+	if j.Status == StatusAccepted {
+		f.tree, f.resolved = tree, resolved
+	}
+	f.position = e.Offset
+	if c.ID != "" && len(c.ID) <= MaxIDBytes {
+		f.history.add(j)
+	}
+	return ChangeResult{Status: j.Status, Judgement: j}
+}
+
+// evaluate sets the judgement's status and returns the changed tree if it is accepted.
+func (f *Fold) evaluate(offset record.Offset, c *Change, j *Judgement) (*jsontree.Node, *Resolved, error) {
+	var list findings.List
+	values := c.parsed(&list)
+	if c.Base >= offset {
+		list.Addf(findings.Position{}, "", "the base version %d lies ahead", c.Base)
+	}
+	if !list.Empty() {
+		j.reject(list.Sorted())
+		return nil, nil, nil
+	}
+	paths := editedPaths(c.Edits)
+	if conflict := f.history.conflict(c.Base, paths); conflict != nil {
+		j.Status, j.Conflict = StatusConflict, conflict
+		return nil, nil, nil
+	}
+	tree := apply(f.tree, c.Edits, values)
+	resolved, err := f.validate(tree, offset)
+	if errors.Is(err, ErrUnsupported) {
+		return nil, nil, err
+	}
+	if err != nil {
+		list.AddError(err)
+		j.reject(list.Sorted())
+		return nil, nil, nil
+	}
+	j.Status, j.Paths = StatusAccepted, paths
+	return tree, resolved, nil
+}
+
+// validate resolves a tree that would follow the one in force.
+func (f *Fold) validate(tree *jsontree.Node, version record.Offset) (*Resolved, error) {
+	if schemaOf(tree) > SupportedSchema {
+		return nil, ErrUnsupported
+	}
+	resolved, err := Resolve(tree, version)
+	if err != nil {
+		return nil, err
+	}
+	if f.resolved != nil && f.resolved.Shards != resolved.Shards {
+		var list findings.List
+		list.Addf(findings.Position{}, "shards", "cannot change from %d: budgets would move between streams", f.resolved.Shards)
+		return nil, list.Err()
+	}
+	return resolved, nil
+}
+
+// schemaOf returns the declared schema, or 1 if there is none that can be read.
+func schemaOf(tree *jsontree.Node) int {
+	var ignored findings.List
+	schema := 1
+	if n := tree.Get("schema"); n != nil {
+		n.Decode("schema", &schema, &ignored)
+	}
+	return schema
+}
+
+func (j *Judgement) reject(faults []findings.Finding) {
+	j.Status = StatusInvalid
+	for _, f := range faults[:min(len(faults), maxKeptFindings)] {
+		j.Findings = append(j.Findings, f.String())
+	}
+}
+
+func apply(tree *jsontree.Node, edits []Edit, values []*jsontree.Node) *jsontree.Node {
+	for i, e := range edits {
+		tree = tree.Set(e.Path, values[i])
+	}
+	return tree
+}
+
+// editedPaths returns the paths of edits, or their common parent if there are
+// too many to keep.
+func editedPaths(edits []Edit) []string {
+	paths := make([]string, len(edits))
+	for i, e := range edits {
+		paths[i] = e.Path
+	}
+	if len(paths) > maxKeptPaths {
+		return []string{commonParent(paths)}
+	}
+	return paths
+}
+
+func commonParent(paths []string) string {
+	common := jsontree.SplitPath(paths[0])
+	for _, path := range paths[1:] {
+		names := jsontree.SplitPath(path)
+		i := 0
+		for i < len(common) && i < len(names) && common[i] == names[i] {
+			i++
+		}
+		common = common[:i]
+	}
+	parent := ""
+	for _, name := range common {
+		parent = jsontree.JoinPath(parent, name)
+	}
+	return parent
+}
--- /dev/null
+++ b/core/settings/history.go
@@ -0,0 +1,153 @@
+package settings
+
+import (
+	"fmt"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Status is the fold's judgement on a change.
+type Status uint8
+
+// Statuses of a change. The numbers are part of the log format.
+const (
+	StatusAccepted Status = 1
+	// StatusConflict means that an earlier change touched the same path.
+	StatusConflict Status = 2
+	// StatusInvalid means that the changed tree has faults.
+	StatusInvalid Status = 3
+	// StatusRepeated means that a change with this ID was judged before.
+	StatusRepeated Status = 4
+	// StatusSkipped means that the record is not a change known to this schema.
+	StatusSkipped Status = 5
+	// StatusUnsupported means that a newer program is needed from here on.
+	StatusUnsupported Status = 6
+)
+
+// String returns the status in lower case.
+func (s Status) String() string {
+	names := [...]string{"unknown", "accepted", "conflict", "invalid", "repeated", "skipped", "unsupported"}
+	if int(s) >= len(names) {
+		return names[0]
+	}
+	return names[s]
+}
+
+// Judgement is a judged change as the history keeps it.
+type Judgement struct {
+	Offset     record.Offset `cbor:"1,keyasint" json:"offset"`
+	ID         string        `cbor:"2,keyasint" json:"id"`
+	Status     Status        `cbor:"3,keyasint" json:"-"`
+	Base       record.Offset `cbor:"4,keyasint" json:"base"`
+	By         string        `cbor:"5,keyasint,omitempty" json:"by,omitempty"`
+	Message    string        `cbor:"6,keyasint,omitempty" json:"message,omitempty"`
+	TimeMillis int64         `cbor:"7,keyasint" json:"time_millis"`
+	// Paths are those that the change edits; kept only if it was accepted.
+	Paths []string `cbor:"8,keyasint,omitempty" json:"paths,omitempty"`
+	// Findings are the first faults of an invalid change.
+	Findings []string `cbor:"9,keyasint,omitempty" json:"findings,omitempty"`
+	// Conflict is set if Status is StatusConflict.
+	Conflict *Conflict `cbor:"10,keyasint,omitempty" json:"conflict,omitempty"`
+}
+
+// Conflict names the change that a refused one lost against.
+type Conflict struct {
+	// Path is the contested path as the winner edited it, or empty if Base is
+	// older than the history that the fold keeps.
+	Path   string        `cbor:"1,keyasint,omitempty" json:"path,omitempty"`
+	Winner record.Offset `cbor:"2,keyasint" json:"winner"`
+	ID     string        `cbor:"3,keyasint,omitempty" json:"id,omitempty"`
+	By     string        `cbor:"4,keyasint,omitempty" json:"by,omitempty"`
+}
+
+// String describes the conflict.
+func (c *Conflict) String() string {
+	if c.Path == "" {
+		return fmt.Sprintf("the base version is older than version %d, where the history begins", c.Winner)
+	}
+	return fmt.Sprintf("change %s by %s, version %d, edited %s first", c.ID, c.By, c.Winner, c.Path)
+}
+
+// Limits of the history. All hosts keep the same, so that they judge alike.
+const (
+	maxHistory      = 4096
+	maxHistoryPaths = 65_536
+	// maxKeptPaths bounds the paths of one change; more are cut to their common
+	// parent, which makes conflicts likelier and never misses one.
+	maxKeptPaths    = 256
+	maxKeptFindings = 16
+)
+
+// history holds the newest judgements in offset order.
+type history struct {
+	items []*Judgement
+	byID  map[string]*Judgement
+	paths int
+	// horizon is the offset of the newest accepted change that was dropped.
+	horizon record.Offset
+}
+
+func newHistory(items []*Judgement, horizon record.Offset) *history {
+	h := &history{byID: make(map[string]*Judgement), horizon: horizon}
+	for _, j := range items {
+		h.add(j)
+	}
+	return h
+}
+
+func (h *history) add(j *Judgement) {
+	h.items = append(h.items, j)
+	h.byID[j.ID] = j
+	h.paths += len(j.Paths)
+	for len(h.items) > maxHistory || h.paths > maxHistoryPaths {
+		h.dropOldest()
+	}
+}
+
+func (h *history) dropOldest() {
+	oldest := h.items[0]
+	h.items[0] = nil
+	h.items = h.items[1:]
+	h.paths -= len(oldest.Paths)
+	delete(h.byID, oldest.ID)
+	if oldest.Status == StatusAccepted {
+		h.horizon = oldest.Offset
+	}
+}
+
+// conflict returns the newest accepted change after base that touches one of
+// the paths, or nil.
+func (h *history) conflict(base record.Offset, paths []string) *Conflict {
+	if base < h.horizon {
+		return &Conflict{Winner: h.horizon}
+	}
+	for i := len(h.items) - 1; i >= 0 && h.items[i].Offset > base; i-- {
+		j := h.items[i]
+		if j.Status != StatusAccepted {
+			continue
+		}
+		if path, ok := firstOverlap(j.Paths, paths); ok {
+			return &Conflict{Path: shownPath(path), Winner: j.Offset, ID: j.ID, By: j.By}
+		}
+	}
+	return nil
+}
+
+// shownPath names the root of the tree by a slash.
+func shownPath(path string) string {
+	if path == "" {
+		return "/"
+	}
+	return path
+}
+
+func firstOverlap(winner, loser []string) (string, bool) {
+	for _, w := range winner {
+		for _, l := range loser {
+			if Overlap(w, l) {
+				return w, true
+			}
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/core/settings/pack.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Formats of a packed record, in its first byte.
+const (
+	formatPlain   = 1
+	formatDeflate = 2
+)
+
+// minDeflate is the size in bytes from which records are compressed.
+const minDeflate = 1024
+
+// ErrFormat is returned for records in a format that this program doesn't know.
+var ErrFormat = errors.New("settings: unknown record format")
+
+// pack returns the log form of data.
+func pack(data []byte) ([]byte, error) {
+	if len(data) > maxPlainRecord {
+		return nil, fmt.Errorf("settings: record has %d bytes, at most %d are allowed", len(data), maxPlainRecord)
+	}
+	packed := append([]byte{formatPlain}, data...)
+	if len(data) >= minDeflate {
+		packed = deflate(data)
+	}
+	if len(packed) > record.MaxBatchBytes {
+		return nil, fmt.Errorf("settings: packed record has %d bytes, at most %d are allowed", len(packed), record.MaxBatchBytes)
+	}
+	return packed, nil
+}
+
+func deflate(data []byte) []byte {
+	var buf bytes.Buffer
+	buf.WriteByte(formatDeflate)
+	w, err := flate.NewWriter(&buf, flate.DefaultCompression)
+	if err != nil {
+		panic(err) // the level is a constant
+	}
+	_, _ = w.Write(data) // a bytes.Buffer takes every write
+	_ = w.Close()
+	return buf.Bytes()
+}
+
+// unpack reverses pack.
+func unpack(packed []byte) ([]byte, error) {
+	if len(packed) == 0 {
+		return nil, ErrFormat
+	}
+	switch packed[0] {
+	case formatPlain:
+		return packed[1:], nil
+	case formatDeflate:
+		return inflate(packed[1:])
+	default:
+		return nil, fmt.Errorf("%w %d", ErrFormat, packed[0])
+	}
+}
+
+func inflate(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	plain, err := io.ReadAll(io.LimitReader(r, maxPlainRecord+1))
+	if err != nil {
+		return nil, fmt.Errorf("settings: inflate: %w", err)
+	}
+	if len(plain) > maxPlainRecord {
+		return nil, fmt.Errorf("settings: record inflates to more than %d bytes", maxPlainRecord)
+	}
+	return plain, nil
+}
--- /dev/null
+++ b/core/settings/resolve.go
@@ -0,0 +1,199 @@
+package settings
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/hazelworks/hazelworks/core/findings"
+	"github.com/hazelworks/hazelworks/core/jsontree"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Resolve validates a tree and fills in every inherited value. All faults are
+// returned together as a *findings.Error. The fold of changes uses this same
+// code, so that every host accepts or rejects a change alike.
+func Resolve(root *jsontree.Node, version record.Offset) (*Resolved, error) {
+	r := resolver{root: root, out: &Resolved{Version: version}, keys: make(map[KeyHash]string)}
+	r.limits()
+	r.header()
+	for _, m := range entries(root.Get("firms")) {
+		r.firm(m.Name, m.Value)
+	}
+	r.out.Index()
+	r.checkReferences()
+	if err := r.list.Err(); err != nil {
+		return nil, err
+	}
+	return r.out, nil
+}
+
+// resolver gathers the entries of a tree and its faults.
+type resolver struct {
+	root *jsontree.Node
+	out  *Resolved
+	list findings.List
+	// keys holds the path of the account that first declares a key's hash.
+	keys map[KeyHash]string
+}
+
+// spot is the place where an entry is declared.
+type spot struct {
+	path string
+	node *jsontree.Node
+}
+
+// addf adds a finding at the named value of the entry, or at the entry itself.
+func (r *resolver) addf(s spot, name, format string, args ...any) {
+	at := s.node.At
+	if n := s.node.Get(name); n != nil {
+		at = n.At
+	}
+	path := s.path
+	if name != "" {
+		path = jsontree.JoinPath(path, name)
+	}
+	r.list.Addf(at, path, format, args...)
+}
+
+// entries returns the members of an object that are not extensions.
+func entries(n *jsontree.Node) []jsontree.Member {
+	if n == nil {
+		return nil
+	}
+	if !slices.ContainsFunc(n.Members, isExtension) {
+		return n.Members
+	}
+	return slices.DeleteFunc(slices.Clone(n.Members), isExtension)
+}
+
+func isExtension(m jsontree.Member) bool {
+	return strings.HasPrefix(m.Name, jsontree.ExtensionPrefix)
+}
+
+// limits checks the size of the whole tree.
+func (r *resolver) limits() {
+	size, depth := r.root.Measure()
+	if size > MaxTreeBytes {
+		r.list.Addf(r.root.At, "", "the tree has %d bytes, at most %d are allowed", size, MaxTreeBytes)
+	}
+	if depth > jsontree.MaxDepth {
+		r.list.Addf(r.root.At, "", "the tree has %d levels, at most %d are allowed", depth, jsontree.MaxDepth)
+	}
+}
+
+// header checks the values above the firms and the declared forms of defaults.
+func (r *resolver) header() {
+	var ignored findings.List
+	var spec rootSpec
+	builtin.Decode("", &spec, &ignored)
+	r.root.Decode("", &spec, &r.list)
+	if spec.Schema > SupportedSchema {
+		r.addf(spot{"", r.root}, "schema", "%d is newer than %d, the newest that this program knows", spec.Schema, SupportedSchema)
+	}
+	r.out.Shards = spec.Shards
+}
+
+func (r *resolver) firm(name string, n *jsontree.Node) {
+	if !r.validName(spot{"firms/" + name, n}, name) {
+		return
+	}
+	r.budgets(name, n.Get("budgets"))
+	r.services(name, n.Get("services"))
+	r.accounts(name, n.Get("accounts"))
+}
+
+func (r *resolver) validName(s spot, name string) bool {
+	if namePattern.MatchString(name) {
+		return true
+	}
+	r.list.Addf(s.node.At, s.path, "name %q: %s", name, nameRule)
+	return false
+}
+
+// entry returns the place of an entry, or false if its name is not valid.
+func (r *resolver) entry(s scope, m jsontree.Member) (spot, bool) {
+	at := spot{jsontree.JoinPath(s.path(), m.Name), m.Value}
+	return at, r.validName(at, m.Name)
+}
+
+func (r *resolver) budgets(firm string, n *jsontree.Node) {
+	s := scope{section: sectionBudget, firm: firm}
+	var inherited budgetValues
+	s.inherit(r.root, &inherited)
+	for _, m := range entries(n) {
+		at, ok := r.entry(s, m)
+		if !ok {
+			continue
+		}
+		values := inherited
+		m.Value.Decode(at.path, &values, &r.list)
+		r.out.Budgets = append(r.out.Budgets, Budget{
+			ID:     record.BudgetID(firm + "/" + m.Name),
+			Firm:   firm,
+			Policy: BudgetPolicy(values),
+		})
+	}
+}
+
+func (r *resolver) accounts(firm string, n *jsontree.Node) {
+	s := scope{section: sectionAccount, firm: firm}
+	var inherited accountValues
+	s.inherit(r.root, &inherited)
+	for _, m := range entries(n) {
+		at, ok := r.entry(s, m)
+		if !ok {
+			continue
+		}
+		spec := accountSpec{accountValues: inherited}
+		m.Value.Decode(at.path, &spec, &r.list)
+		r.out.Accounts = append(r.out.Accounts, Account{
+			ID:       firm + "/" + m.Name,
+			Firm:     firm,
+			Name:     m.Name,
+			Budget:   r.budgetOf(at, firm, spec.Budget),
+			Keys:     r.keyHashes(at, spec.Keys),
+			Weight:   spec.Weight,
+			Services: qualify(firm, spec.Services),
+		})
+	}
+}
+
+func (r *resolver) budgetOf(at spot, firm, name string) record.BudgetID {
+	if name == "" {
+		r.addf(at, "budget", "missing: name a budget of the firm")
+		return ""
+	}
+	if r.root.Find("firms/"+firm+"/budgets/"+name) == nil {
+		r.addf(at, "budget", "firm %s has no budget %q", firm, name)
+	}
+	return record.BudgetID(firm + "/" + name)
+}
+
+func (r *resolver) keyHashes(at spot, specs []keySpec) []KeyHash {
+	hashes := make([]KeyHash, 0, len(specs))
+	for _, spec := range specs {
+		hash := KeyHash(spec)
+		if hash == (KeyHash{}) {
+			continue // its fault was reported
+		}
+		if first, taken := r.keys[hash]; taken {
+			r.addf(at, "keys", "a key is declared twice, first by %s", first)
+			continue
+		}
+		r.keys[hash] = at.path
+		hashes = append(hashes, hash)
+	}
+	return hashes
+}
+
+// qualify puts the firm before service names that have none.
+func qualify(firm string, services []string) []string {
+	qualified := make([]string, len(services))
+	for i, name := range services {
+		if !strings.Contains(name, "/") {
+			name = firm + "/" + name
+		}
+		qualified[i] = name
+	}
+	return qualified
+}
