--- /dev/null
+++ b/fleet/platformhttp/client.go
@@ -0,0 +1,169 @@
+// Package platformhttp implements the platform's interfaces over the JSON
+// dialect that docs/INTERFACES.md describes. Another dialect is another package
+// of this size.
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+const (
+	// callTimeout bounds a call beyond the time that it asks to wait.
+	callTimeout     = 10 * time.Second
+	maxReplyBytes   = 64 << 20
+	maxErrorBytes   = 4 << 10
+	contentTypeData = "application/octet-stream"
+)
+
+// Client speaks to the platform's services at one base URL.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var (
+	_ platform.Log         = (*Client)(nil)
+	_ platform.HostList    = (*Client)(nil)
+	_ platform.WeightStore = (*Client)(nil)
+)
+
+// New returns a client for a base URL such as http://10.0.0.9:7000.
+func New(base string, client *http.Client) *Client {
+	return &Client{base: strings.TrimRight(base, "/"), http: client}
+}
+
+type appendReply struct {
+	Offset record.Offset `json:"offset"`
+}
+
+type readReply struct {
+	Records []struct {
+		Offset     record.Offset `json:"offset"`
+		TimeMillis int64         `json:"time_ms"`
+		Data       []byte        `json:"data"`
+	} `json:"records"`
+}
+
+type boundsReply struct {
+	First record.Offset `json:"first"`
+	Head  record.Offset `json:"head"`
+}
+
+type acquireReply struct {
+	TransferMillis int64 `json:"transfer_ms"`
+}
+
+// Append adds one record to a stream.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (record.Offset, error) {
+	var out appendReply
+	path := "/v1/streams/" + url.PathEscape(stream) + "/records"
+	err := c.call(ctx, http.MethodPost, path, data, 0, &out)
+	return out.Offset, err
+}
+
+// Read reads records from an offset on.
+func (c *Client) Read(ctx context.Context, stream string, from record.Offset, limit int, wait time.Duration) ([]record.Entry, error) {
+	query := url.Values{}
+	query.Set("from", strconv.FormatUint(uint64(from), 10))
+	query.Set("limit", strconv.Itoa(limit))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var out readReply
+	path := "/v1/streams/" + url.PathEscape(stream) + "/records?" + query.Encode()
+	if err := c.call(ctx, http.MethodGet, path, nil, wait, &out); err != nil {
+		return nil, err
+	}
+	entries := make([]record.Entry, 0, len(out.Records))
+	for _, r := range out.Records {
+		entries = append(entries, record.Entry{Offset: r.Offset, TimeMillis: r.TimeMillis, Data: r.Data})
+	}
+	return entries, nil
+}
+
+// Bounds returns the offsets that a stream keeps.
+func (c *Client) Bounds(ctx context.Context, stream string) (platform.Bounds, error) {
+	var out boundsReply
+	err := c.call(ctx, http.MethodGet, "/v1/streams/"+url.PathEscape(stream), nil, 0, &out)
+	return platform.Bounds{First: out.First, Head: out.Head}, err
+}
+
+// Hosts returns the host list once it is newer than after.
+func (c *Client) Hosts(ctx context.Context, after uint64, wait time.Duration) (platform.Hosts, error) {
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(after, 10))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var out platform.Hosts
+	err := c.call(ctx, http.MethodGet, "/v1/hosts?"+query.Encode(), nil, wait, &out)
+	return out, err
+}
+
+// Acquire asks the weight store for permission to load a model version.
+func (c *Client) Acquire(ctx context.Context, model, version string) (time.Duration, error) {
+	path := "/v1/weights/" + url.PathEscape(model) + "/" + url.PathEscape(version) + "/acquire"
+	var out acquireReply
+	err := c.call(ctx, http.MethodPost, path, nil, 0, &out)
+	return time.Duration(out.TransferMillis) * time.Millisecond, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, wait time.Duration, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("platform: %s: %w", path, err)
+	}
+	if len(body) > 0 {
+		request.Header.Set("Content-Type", contentTypeData)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return callError(path, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return statusError(path, response)
+	}
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes))
+	if err := decoder.Decode(out); err != nil {
+		return fmt.Errorf("platform: %s: decode reply: %w", path, err)
+	}
+	return nil
+}
+
+// callError marks failures to connect as without effect. After the connection
+// is made a call may have taken effect.
+func callError(path string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %s: %w", platform.ErrUnavailable, path, err)
+	}
+	return fmt.Errorf("platform: %s: %w", path, err)
+}
+
+func statusError(path string, response *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	detail := strings.TrimSpace(string(text))
+	switch response.StatusCode {
+	case http.StatusTooManyRequests:
+		return fmt.Errorf("%w: %s: %s", platform.ErrThrottled, path, detail)
+	case http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: %s: %s", platform.ErrUnavailable, path, detail)
+	case http.StatusGone:
+		return fmt.Errorf("%w: %s: %s", platform.ErrTrimmed, path, detail)
+	default:
+		return fmt.Errorf("platform: %s: status %d: %s", path, response.StatusCode, detail)
+	}
+}
