--- /dev/null
+++ b/standin/engine/control.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Placement is what an engine serves, and an order to serve it.
+type Placement struct {
+	Models   []string `json:"models"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+	// Fencing is the offset of the epoch under which the order was given.
+	Fencing uint64 `json:"fencing,omitempty"`
+	// Loading is true until the models are ready.
+	Loading bool `json:"loading,omitempty"`
+}
+
+// LoadReport is the engine's word on its load.
+type LoadReport struct {
+	Running int      `json:"running"`
+	Waiting int      `json:"waiting"`
+	Slots   int      `json:"slots"`
+	Models  []string `json:"models"`
+	Leaving bool     `json:"leaving"`
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.setCommonHeaders(w)
+	e.mu.Lock()
+	report := LoadReport{
+		Running: e.running,
+		Waiting: e.waiting,
+		Slots:   e.opts.Slots,
+		Models:  e.placed.Models,
+		Leaving: e.leaving,
+	}
+	e.mu.Unlock()
+	writeJSON(w, report)
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	e.mu.Lock()
+	events := e.cache.since(after)
+	e.mu.Unlock()
+	writeJSON(w, events)
+}
+
+func (e *Engine) place(w http.ResponseWriter, r *http.Request) {
+	e.setCommonHeaders(w)
+	var order Placement
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&order); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opts.ChecksFencing && order.Fencing < e.fencing {
+		refuse(w, http.StatusConflict, "old fencing number")
+		return
+	}
+	e.fencing = max(e.fencing, order.Fencing)
+	e.placed = order
+	e.orders = append(e.orders, order)
+	e.loadDone = time.Now().Add(e.opts.LoadTime)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *Engine) placement(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	placed := e.placed
+	placed.Loading = time.Now().Before(e.loadDone)
+	e.mu.Unlock()
+	writeJSON(w, placed)
+}
+
+// Orders returns the placement orders that it took.
+func (e *Engine) Orders() []Placement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Placement(nil), e.orders...)
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
