--- /dev/null
+++ b/fleet/admin/admin.go
@@ -0,0 +1,102 @@
+// Package admin serves the operators' address of a host: health, readiness,
+// metrics and the operators' API. All but health and readiness need the
+// operator secret.
+package admin
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Registrar adds its endpoints to the operators' API.
+type Registrar interface {
+	Register(mux *http.ServeMux)
+}
+
+// Check reports why a host is not ready, or nil.
+type Check func() error
+
+// Server is the operators' API of a host.
+type Server struct {
+	secret   []byte
+	registry metrics.Registry
+	check    atomic.Pointer[Check]
+	api      *http.ServeMux
+}
+
+// New returns a server that is not ready until SetCheck is called.
+func New(secret string, registry metrics.Registry, parts ...Registrar) *Server {
+	s := &Server{
+		secret:   []byte("Bearer " + secret),
+		registry: registry,
+		api:      http.NewServeMux(),
+	}
+	for _, part := range parts {
+		part.Register(s.api)
+	}
+	return s
+}
+
+// SetCheck sets the readiness check.
+func (s *Server) SetCheck(check Check) {
+	s.check.Store(&check)
+}
+
+// Handler returns the HTTP handler of the admin address.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", s.health)
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.Handle("GET /metrics", s.authenticated(http.HandlerFunc(s.prometheus)))
+	mux.Handle("GET /metrics.json", s.authenticated(http.HandlerFunc(s.metricsJSON)))
+	mux.Handle("/v1/", s.authenticated(s.api))
+	return mux
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	writeText(w, http.StatusOK, "ok")
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	check := s.check.Load()
+	if check == nil {
+		writeText(w, http.StatusServiceUnavailable, "starting")
+		return
+	}
+	if err := (*check)(); err != nil {
+		writeText(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeText(w, http.StatusOK, "ready")
+}
+
+func (s *Server) metricsJSON(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.registry.GetAll())
+}
+
+func (s *Server) prometheus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	WritePrometheus(w, s.registry)
+}
+
+func (s *Server) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(got, s.secret) != 1 {
+			writeText(w, http.StatusUnauthorized, "the operator secret is missing or wrong")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
--- /dev/null
+++ b/fleet/peer/server.go
@@ -0,0 +1,118 @@
+// Package peer carries calls between the hosts of a fleet: the service that
+// each host offers on its peer address and the HTTP client that reaches it.
+// Both sides know a secret that all hosts share.
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb/peerpbconnect"
+)
+
+// maxMessageBytes bounds a message between hosts.
+const maxMessageBytes = 64 << 20
+
+// Pinger answers probes. Package member implements it.
+type Pinger interface {
+	Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error)
+}
+
+// ShardServer answers for shards. Package shard implements it.
+type ShardServer interface {
+	Submit(context.Context, *connect.Request[peerpb.SubmitRequest]) (*connect.Response[peerpb.SubmitResponse], error)
+	ShardState(context.Context, *connect.Request[peerpb.ShardStateRequest]) (*connect.Response[peerpb.ShardStateResponse], error)
+}
+
+// GrantServer answers for the grants of this host. Package bank implements it.
+type GrantServer interface {
+	Recall(context.Context, *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error)
+	Holdings(context.Context, *connect.Request[peerpb.HoldingsRequest]) (*connect.Response[peerpb.HoldingsResponse], error)
+}
+
+// SettingsServer passes on settings. Package settingswatch implements it.
+type SettingsServer interface {
+	Settings(context.Context, *connect.Request[peerpb.SettingsRequest]) (*connect.Response[peerpb.SettingsResponse], error)
+}
+
+// AnswerServer serves kept answers. Package gateway implements it.
+type AnswerServer interface {
+	Answer(context.Context, *connect.Request[peerpb.AnswerRequest], *connect.ServerStream[peerpb.AnswerEvent]) error
+}
+
+// Services are the parts of a host that answer its peers.
+type Services struct {
+	Pinger
+	ShardServer
+	GrantServer
+	SettingsServer
+	AnswerServer
+}
+
+type server struct {
+	peerpbconnect.UnimplementedPeerServiceHandler
+	Services
+}
+
+// Ping answers a probe.
+func (s server) Ping(ctx context.Context, r *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	return s.Pinger.Ping(ctx, r)
+}
+
+// Submit hands operations to the owner of a shard.
+func (s server) Submit(ctx context.Context, r *connect.Request[peerpb.SubmitRequest]) (*connect.Response[peerpb.SubmitResponse], error) {
+	return s.ShardServer.Submit(ctx, r)
+}
+
+// ShardState returns a shard's fold.
+func (s server) ShardState(ctx context.Context, r *connect.Request[peerpb.ShardStateRequest]) (*connect.Response[peerpb.ShardStateResponse], error) {
+	return s.ShardServer.ShardState(ctx, r)
+}
+
+// Recall asks for unused grants.
+func (s server) Recall(ctx context.Context, r *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
+	return s.GrantServer.Recall(ctx, r)
+}
+
+// Holdings returns what this host holds.
+func (s server) Holdings(ctx context.Context, r *connect.Request[peerpb.HoldingsRequest]) (*connect.Response[peerpb.HoldingsResponse], error) {
+	return s.GrantServer.Holdings(ctx, r)
+}
+
+// Settings returns newer settings.
+func (s server) Settings(ctx context.Context, r *connect.Request[peerpb.SettingsRequest]) (*connect.Response[peerpb.SettingsResponse], error) {
+	return s.SettingsServer.Settings(ctx, r)
+}
+
+// Answer streams a kept answer.
+func (s server) Answer(ctx context.Context, r *connect.Request[peerpb.AnswerRequest], out *connect.ServerStream[peerpb.AnswerEvent]) error {
+	return s.AnswerServer.Answer(ctx, r, out)
+}
+
+// NewHandler returns the HTTP handler of a host's peer address. Calls without
+// the secret get status 401.
+func NewHandler(services Services, secret string) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerpbconnect.NewPeerServiceHandler(server{Services: services}, connect.WithReadMaxBytes(maxMessageBytes)))
+	return requireSecret(mux, secret)
+}
+
+func requireSecret(next http.Handler, secret string) http.Handler {
+	want := []byte(bearer(secret))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(got, want) != 1 {
+			http.Error(w, "the peer secret is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func bearer(secret string) string {
+	return "Bearer " + secret
+}
