Route requests to upstreams through a fair queue

Cause: the gateway needs upstreams that are able, free and not leaving. Change: core/route decides (subset, prefix affinity with bounded load, better of two, slow start, ejection); core/admission queues fairly, limits concurrency and retries; fleet/upstream leases upstreams, polls load and follows the settings, the upstreams' own word and drains.

--- /dev/null
+++ b/core/route/hints.go
@@ -0,0 +1,56 @@
+package route
+
+// CacheEvent tells of blocks that an upstream has added to or removed from its
+// prompt cache. Events of one epoch are numbered from 1 without gaps; a new
+// epoch begins with an empty cache.
+type CacheEvent struct {
+	Epoch   uint64   `json:"epoch"`
+	Seq     uint64   `json:"seq"`
+	Added   []uint64 `json:"added,omitempty"`
+	Removed []uint64 `json:"removed,omitempty"`
+	Cleared bool     `json:"cleared,omitempty"`
+}
+
+// hintSet remembers which blocks an upstream is believed to have cached.
+type hintSet struct {
+	epoch  uint64
+	seq    uint64
+	blocks map[uint64]struct{}
+}
+
+// apply takes an event in. Repeated and older events are dropped. After a gap
+// nothing that was known before can be trusted, so it is forgotten.
+func (h *hintSet) apply(e CacheEvent, limit int) {
+	if e.Epoch < h.epoch || (e.Epoch == h.epoch && e.Seq <= h.seq) {
+		return
+	}
+	if e.Epoch != h.epoch || e.Seq != h.seq+1 || e.Cleared {
+		h.blocks = nil
+	}
+	h.epoch, h.seq = e.Epoch, e.Seq
+	for _, b := range e.Removed {
+		delete(h.blocks, b)
+	}
+	if len(e.Added) > 0 && h.blocks == nil {
+		h.blocks = make(map[uint64]struct{})
+	}
+	for _, b := range e.Added {
+		if len(h.blocks) >= limit {
+			return
+		}
+		h.blocks[b] = struct{}{}
+	}
+}
+
+// match returns how many leading blocks of a prompt are believed to be cached.
+func (h *hintSet) match(prefix []uint64) int {
+	if len(h.blocks) == 0 {
+		return 0
+	}
+	for n := len(prefix); n > 0; n-- {
+		if _, ok := h.blocks[prefix[n-1]]; ok {
+			return n
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/core/route/pool.go
@@ -0,0 +1,236 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/rendezvous"
+)
+
+// Pool holds the upstreams of one service as one host sees them.
+type Pool struct {
+	cfg     Config
+	rng     *rand.Rand
+	workers map[string]*Worker
+	synced  bool
+
+	self  uint64
+	hosts []uint64
+
+	// sets caches the able subset for each need; any change of what the
+	// upstreams serve or of the hosts empties it.
+	sets map[Need][]*Worker
+
+	scratch []*Worker
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg Config, rng *rand.Rand) *Pool {
+	return &Pool{
+		cfg:     cfg.withDefaults(),
+		rng:     rng,
+		workers: make(map[string]*Worker),
+		sets:    make(map[Need][]*Worker),
+	}
+}
+
+// SetHosts gives the hosts that share the upstreams, for the choice of subsets.
+func (p *Pool) SetHosts(self string, hosts []string) {
+	hashes := make([]uint64, len(hosts))
+	for i, h := range hosts {
+		hashes[i] = rendezvous.KeyOf(h)
+	}
+	slices.Sort(hashes)
+	selfHash := rendezvous.KeyOf(self)
+	if selfHash == p.self && slices.Equal(hashes, p.hosts) {
+		return
+	}
+	p.self, p.hosts = selfHash, hashes
+	clear(p.sets)
+}
+
+// Sync replaces the set of upstreams. State of those that stay is kept; those
+// that join later than the first call begin with a slow start.
+func (p *Pool) Sync(ups []Upstream, now time.Time) {
+	seen := make(map[string]bool, len(ups))
+	for _, up := range ups {
+		seen[up.ID] = true
+		if w, ok := p.workers[up.ID]; ok {
+			w.up = up
+			continue
+		}
+		p.workers[up.ID] = newWorker(up, now, p.synced)
+	}
+	for id := range p.workers {
+		if !seen[id] {
+			delete(p.workers, id)
+		}
+	}
+	p.synced = true
+	clear(p.sets)
+}
+
+// Worker returns the upstream with the given ID.
+func (p *Pool) Worker(id string) (*Worker, bool) {
+	w, ok := p.workers[id]
+	return w, ok
+}
+
+// Workers returns all upstreams, by ID.
+func (p *Pool) Workers() []*Worker {
+	all := make([]*Worker, 0, len(p.workers))
+	for _, w := range p.workers {
+		all = append(all, w)
+	}
+	slices.SortFunc(all, func(a, b *Worker) int { return strings.Compare(a.up.ID, b.up.ID) })
+	return all
+}
+
+// Used returns the upstreams of the subsets that decisions have used since the
+// last change, by ID. Others need not be watched.
+func (p *Pool) Used() []*Worker {
+	used := make(map[*Worker]bool)
+	for _, set := range p.sets {
+		for _, w := range set {
+			used[w] = true
+		}
+	}
+	return slices.DeleteFunc(p.Workers(), func(w *Worker) bool { return !used[w] })
+}
+
+// SetLimit sets how many requests this host may have in flight at an upstream.
+func (p *Pool) SetLimit(id string, limit int) {
+	if w, ok := p.workers[id]; ok {
+		w.limit = max(1, limit)
+	}
+}
+
+// Start counts a request that is about to be sent to w.
+func (p *Pool) Start(w *Worker) {
+	w.inFlight++
+}
+
+// Outcome tells how an attempt ended.
+type Outcome uint8
+
+// Outcomes of an attempt.
+const (
+	// Neutral says nothing about the upstream.
+	Neutral Outcome = iota
+	Succeeded
+	Failed
+)
+
+// Finish counts the end of a request that was started at w. Delay is the time
+// to its first byte; zero if there was none.
+func (p *Pool) Finish(w *Worker, o Outcome, delay time.Duration, now time.Time) {
+	w.inFlight--
+	if delay > 0 {
+		w.observeDelay(delay.Seconds())
+	}
+	switch o {
+	case Succeeded:
+		w.health.succeeded(&p.cfg, now)
+	case Failed:
+		if w.health.failed(&p.cfg) && p.mayEject(w) {
+			w.health.eject(&p.cfg, now)
+		}
+	}
+}
+
+func (w *Worker) observeDelay(seconds float64) {
+	if w.delay == 0 {
+		w.delay = seconds
+		return
+	}
+	w.delay += delayWeight * (seconds - w.delay)
+}
+
+// mayEject keeps the floor: in each set that w belongs to, enough others are live.
+func (p *Pool) mayEject(w *Worker) bool {
+	if w.health.state == StateProbing {
+		return true
+	}
+	for _, set := range p.sets {
+		if slices.Contains(set, w) && !p.aboveFloor(set, w) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) aboveFloor(set []*Worker, without *Worker) bool {
+	live := 0
+	for _, w := range set {
+		if w != without && w.health.state != StateEjected {
+			live++
+		}
+	}
+	floor := max(1, int(p.cfg.FloorShare*float64(len(set))))
+	return live >= floor
+}
+
+// Observe takes in a load report. The part that this host causes itself is
+// subtracted, since the own count is never late.
+func (p *Pool) Observe(id string, r Report, now time.Time) {
+	w, ok := p.workers[id]
+	if !ok {
+		return
+	}
+	w.others = max(0, float64(r.Load-w.inFlight))
+	w.reportAt = now
+	if r.Slots > 0 {
+		w.reported = r.Slots
+	}
+}
+
+// CacheEvent takes in a hint about an upstream's prompt cache.
+func (p *Pool) CacheEvent(id string, e CacheEvent) {
+	if w, ok := p.workers[id]; ok {
+		w.hints.apply(e, p.cfg.HintsPerUpstream)
+	}
+}
+
+// ProbesDue returns the ejected upstreams whose ejection has passed.
+func (p *Pool) ProbesDue(now time.Time) []string {
+	var due []string
+	for id, w := range p.workers {
+		if w.health.state == StateEjected && !now.Before(w.health.until) {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
+// Probed applies the result of a re-entry probe.
+func (p *Pool) Probed(id string, ok bool, now time.Time) {
+	if w, known := p.workers[id]; known {
+		w.health.probed(ok, &p.cfg, now)
+	}
+}
+
+// able returns this host's subset of the upstreams that meet n.
+func (p *Pool) able(n Need) []*Worker {
+	if set, ok := p.sets[n]; ok {
+		return set
+	}
+	var all []*Worker
+	for _, w := range p.Workers() {
+		if w.able(n) {
+			all = append(all, w)
+		}
+	}
+	hashes := make([]uint64, len(all))
+	for i, w := range all {
+		hashes[i] = w.hash
+	}
+	var set []*Worker
+	for _, i := range Subset(p.self, p.hosts, hashes, p.cfg.SubsetSize) {
+		set = append(set, all[i])
+	}
+	p.sets[n] = set
+	return set
+}
--- /dev/null
+++ b/fleet/upstream/poll.go
@@ -0,0 +1,301 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/route"
+	"github.com/hazelworks/hazelworks/fleet/dispatch"
+)
+
+// PathLoad is the path on which upstreams report their load when idle.
+const PathLoad = "/v1/load"
+
+// Bounds of polling.
+const (
+	// pollAge is the age of the last word at which an upstream is polled.
+	pollAge = 5 * time.Second
+	// pollInterval paces polls: one upstream is polled in each.
+	pollInterval = 200 * time.Millisecond
+	pollTimeout  = 2 * time.Second
+	maxPollBytes = 64 << 10
+	// listWait is the long poll of the platform's list.
+	listWait = 2 * time.Second
+)
+
+// LoadAnswer is the body of a load poll.
+type LoadAnswer struct {
+	Running int     `json:"running"`
+	Waiting int     `json:"waiting"`
+	Slots   int     `json:"slots,omitempty"`
+	KVUsed  float64 `json:"kv,omitempty"`
+	Leaving bool    `json:"leaving,omitempty"`
+	// Serving lists what is loaded; it is missing from engines that do not say.
+	Serving []Serving `json:"serving,omitempty"`
+	// Cache is the newest cache event, if the engine publishes them here.
+	Cache *route.CacheEvent `json:"cache,omitempty"`
+}
+
+// Serving is a model version that an upstream has loaded.
+type Serving struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+// heard takes in what an upstream says in the headers of a response.
+func (s *service) heard(id string, h headers) {
+	now := time.Now()
+	s.mu.Lock()
+	w, ok := s.workers[id]
+	if !ok {
+		s.mu.Unlock()
+		return
+	}
+	if h.load != nil {
+		w.heardAt = now
+		s.observe(id, *h.load, now)
+	}
+	changed := h.leaving != nil && w.selfLeaving != *h.leaving
+	if changed {
+		w.selfLeaving = *h.leaving
+	}
+	s.mu.Unlock()
+	if changed {
+		s.pool.log.Info("Upstream leaving by its own word.", "service", s.name, "upstream", id, "leaving", *h.leaving)
+		s.resync()
+	}
+}
+
+// resync brings the routing state in line after a change of an upstream.
+func (s *service) resync() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.syncRouter(now)
+	s.dispatch(now)
+}
+
+// pollLoop polls upstreams, one at a time, whose last word is old.
+func (p *Pool) pollLoop(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			if s, id := p.pollTarget(now); s != nil {
+				p.metrics.polls.Inc(1)
+				wg.Go(func() { s.poll(ctx, id) })
+			}
+		}
+	}
+}
+
+// pollTarget returns the upstream that has been silent for longest, if that is
+// long enough, or an ejected one that is due for a probe.
+func (p *Pool) pollTarget(now time.Time) (*service, string) {
+	var target *service
+	var id string
+	var oldest time.Time
+	for _, s := range p.all() {
+		candidate, at := s.pollTarget(now)
+		if candidate != "" && (target == nil || at.Before(oldest)) {
+			target, id, oldest = s, candidate, at
+		}
+	}
+	if target != nil {
+		target.markPolled(id, now)
+	}
+	return target, id
+}
+
+// pollTarget returns the upstream to poll next and when it was last heard.
+func (s *service) pollTarget(now time.Time) (id string, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, due := range s.router.ProbesDue(now) {
+		if now.Sub(s.workers[due].polledAt) >= pollTimeout {
+			return due, time.Time{}
+		}
+	}
+	for _, r := range s.router.Workers() {
+		w := s.workers[r.ID()]
+		last := w.heardAt
+		if w.polledAt.After(last) {
+			last = w.polledAt
+		}
+		if now.Sub(last) >= pollAge && (id == "" || last.Before(at)) && s.watched(r) {
+			id, at = r.ID(), last
+		}
+	}
+	return id, at
+}
+
+// watched tells whether an upstream's load matters to this host.
+func (s *service) watched(r *route.Worker) bool {
+	if r.Leaving() {
+		return true
+	}
+	for _, u := range s.router.Used() {
+		if u == r {
+			return true
+		}
+	}
+	return false
+}
+
+// markPolled counts a poll as begun, so that no other begins for a while.
+func (s *service) markPolled(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w, ok := s.workers[id]; ok {
+		w.polledAt = now
+	}
+}
+
+// poll asks an upstream for its load and takes the answer in.
+func (s *service) poll(ctx context.Context, id string) {
+	s.mu.Lock()
+	w, ok := s.workers[id]
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	answer, err := fetchLoad(ctx, w)
+	if ctx.Err() != nil {
+		return
+	}
+	s.polled(id, w, answer, err)
+}
+
+func (s *service) polled(id string, w *worker, a *LoadAnswer, err error) {
+	now := time.Now()
+	s.mu.Lock()
+	before, after := route.StateLive, route.StateLive
+	if r, ok := s.router.Worker(id); ok {
+		before = r.State()
+		if before == route.StateEjected {
+			s.router.Probed(id, err == nil, now)
+		}
+		after = r.State()
+	}
+	changed := false
+	if a != nil {
+		changed = s.takeIn(id, w, a, now)
+	}
+	s.mu.Unlock()
+	if before != after {
+		s.pool.logState(s.name, id, before, after)
+	}
+	if changed || before != after {
+		s.resync()
+	}
+}
+
+// takeIn applies a load answer and tells whether it changes who is able.
+func (s *service) takeIn(id string, w *worker, a *LoadAnswer, now time.Time) bool {
+	w.heardAt = now
+	s.observe(id, dispatch.LoadReport{Running: a.Running, Waiting: a.Waiting, Slots: a.Slots}, now)
+	if a.Cache != nil {
+		s.router.CacheEvent(id, *a.Cache)
+	}
+	changed := w.selfLeaving != a.Leaving
+	w.selfLeaving = a.Leaving
+	if a.Serving == nil {
+		return changed
+	}
+	serving := make([]route.Serving, len(a.Serving))
+	for i, x := range a.Serving {
+		serving[i] = route.Serving(x)
+	}
+	if !sameServing(w.serving, serving) {
+		w.serving = serving
+		changed = true
+	}
+	return changed
+}
+
+func sameServing(a, b []route.Serving) bool {
+	if len(a) != len(b) || (a == nil) != (b == nil) {
+		return false
+	}
+	for i := range a {
+		if fmt.Sprint(a[i]) != fmt.Sprint(b[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// fetchLoad returns the load answer of an upstream, or nil without an error if
+// it answers but has none to give.
+func fetchLoad(ctx context.Context, w *worker) (*LoadAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.up.URL+PathLoad, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := w.transport.RoundTrip(req)
+	if err != nil {
+		w.transport.reset()
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPollBytes))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return nil, fmt.Errorf("load poll: status %d", resp.StatusCode)
+	}
+	var a LoadAnswer
+	if resp.StatusCode != http.StatusOK || json.Unmarshal(body, &a) != nil {
+		return nil, nil
+	}
+	return &a, nil
+}
+
+// followList takes in which upstreams the platform lists as leaving.
+func (p *Pool) followList(ctx context.Context) {
+	var version uint64
+	for ctx.Err() == nil {
+		list, err := p.opt.Workers.Hosts(ctx, version, listWait)
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(listWait / 2):
+			}
+			continue
+		}
+		version = list.Version
+		p.setListed(list)
+	}
+}
+
+func (p *Pool) setListed(list platform.Hosts) {
+	listed := make(map[string]bool)
+	for _, h := range list.Hosts {
+		if h.State == platform.HostLeaving {
+			listed[string(h.ID)] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = listed
+	if p.current != nil {
+		p.apply(time.Now())
+	}
+}
--- /dev/null
+++ b/fleet/upstream/pool.go
@@ -0,0 +1,250 @@
+// Package upstream leases upstreams to requests. It holds, for each service,
+// the fair queue, the routing state and one connection pool for each upstream,
+// and follows the settings, the upstreams' own word and the operators' drains.
+package upstream
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/route"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/fleet/member"
+)
+
+// Dialer opens connections to upstreams.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Options configure a [Pool]. Settings is required.
+type Options struct {
+	Self     record.Holder
+	Settings settings.Source
+	// View gives the hosts that share the upstreams; nil means this host alone.
+	View member.View
+	// Workers is the platform's list of upstream hosts, by upstream ID. Those
+	// that it calls leaving get no new work. It may be nil.
+	Workers platform.HostList
+	// Dial is used for all connections; nil means TCP.
+	Dial    Dialer
+	Logger  logr.Logger
+	Metrics metrics.Registry
+	// Rand is the source of randomness; nil means a random seed.
+	Rand  *rand.Rand
+	Route route.Config
+}
+
+// Pool leases the upstreams of all services. It implements dispatch.Picker.
+type Pool struct {
+	opt     Options
+	log     logr.Logger
+	metrics poolMetrics
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	services map[string]*service
+	current  *settings.Resolved
+	hosts    []string
+	// drained and listed hold the IDs of upstreams that operators drain and
+	// that the platform lists as leaving.
+	drained map[string]bool
+	listed  map[string]bool
+}
+
+// syncInterval is how often the settings and hosts are compared when no request
+// does it.
+const syncInterval = 250 * time.Millisecond
+
+// NewPool returns a pool that serves the upstreams of the settings in force.
+func NewPool(opt Options) *Pool {
+	if opt.Rand == nil {
+		opt.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if opt.Dial == nil {
+		opt.Dial = defaultDial
+	}
+	if opt.Metrics == nil {
+		opt.Metrics = metrics.NewRegistry()
+	}
+	if opt.Logger.GetSink() == nil {
+		opt.Logger = logr.Discard()
+	}
+	p := &Pool{
+		opt:      opt,
+		log:      opt.Logger.WithName("upstream"),
+		metrics:  newPoolMetrics(opt.Metrics),
+		rng:      opt.Rand,
+		services: make(map[string]*service),
+		drained:  make(map[string]bool),
+		listed:   make(map[string]bool),
+	}
+	p.sync(time.Now())
+	return p
+}
+
+// Pick implements dispatch.Picker.
+func (p *Pool) Pick(ctx context.Context, q dispatch.Query) (dispatch.Lease, error) {
+	return p.serviceOf(q.Service).pick(ctx, q)
+}
+
+// serviceOf returns the state of a service, after bringing it up to date with
+// the settings in force.
+func (p *Pool) serviceOf(svc *settings.Service) *service {
+	p.sync(time.Now())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.services[svc.Name]
+	if !ok { // A request may hold settings newer or older than those in force.
+		s = p.newService(svc)
+		p.services[svc.Name] = s
+	}
+	return s
+}
+
+// sync takes in changed settings.
+func (p *Pool) sync(now time.Time) {
+	current := p.opt.Settings.Current()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if current == nil || current == p.current {
+		return
+	}
+	if p.current != nil && current.Version < p.current.Version {
+		return
+	}
+	p.current = current
+	p.apply(now)
+}
+
+// apply brings all services in line with the settings and the known leavers.
+func (p *Pool) apply(now time.Time) {
+	seen := make(map[string]bool)
+	for i := range p.current.Services {
+		svc := &p.current.Services[i]
+		seen[svc.Name] = true
+		s, ok := p.services[svc.Name]
+		if !ok {
+			s = p.newService(svc)
+			p.services[svc.Name] = s
+			continue
+		}
+		s.apply(svc, now)
+	}
+	for name, s := range p.services {
+		if !seen[name] {
+			s.close(now)
+			delete(p.services, name)
+		}
+	}
+}
+
+func (p *Pool) newService(svc *settings.Service) *service {
+	seed := rand.NewPCG(p.rng.Uint64(), p.rng.Uint64())
+	s := newService(p, svc, rand.New(seed))
+	s.setHosts(p.hosts)
+	s.apply(svc, time.Now())
+	return s
+}
+
+// leaving tells whether an upstream is drained by an operator or listed as
+// leaving by the platform. The caller holds p.mu.
+func (p *Pool) leaving(id string) bool {
+	return p.drained[id] || p.listed[id]
+}
+
+// setHosts takes in the hosts that share the upstreams.
+func (p *Pool) setHosts() {
+	if p.opt.View == nil {
+		return
+	}
+	var ids []string
+	for _, h := range p.opt.View.Hosts() {
+		ids = append(ids, string(h.ID))
+	}
+	slices.Sort(ids)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Equal(ids, p.hosts) {
+		return
+	}
+	p.hosts = ids
+	for _, s := range p.services {
+		s.setHosts(ids)
+	}
+}
+
+// Drain stops new work to an upstream until Undrain. It returns false if no
+// service has it.
+func (p *Pool) Drain(id string) bool { return p.setDrained(id, true) }
+
+// Undrain ends a drain.
+func (p *Pool) Undrain(id string) bool { return p.setDrained(id, false) }
+
+func (p *Pool) setDrained(id string, drained bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current == nil || !p.knows(id) {
+		return false
+	}
+	if drained {
+		p.drained[id] = true
+	} else {
+		delete(p.drained, id)
+	}
+	p.apply(time.Now())
+	p.log.Info("Drain changed.", "upstream", id, "drained", drained)
+	return true
+}
+
+func (p *Pool) knows(id string) bool {
+	return slices.ContainsFunc(p.current.Services, func(s settings.Service) bool {
+		return slices.ContainsFunc(s.Upstreams, func(u settings.Upstream) bool { return u.ID == id })
+	})
+}
+
+// all returns the services, by name.
+func (p *Pool) all() []*service {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*service, 0, len(p.services))
+	for _, s := range p.services {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b *service) int { return strings.Compare(a.name, b.name) })
+	return out
+}
+
+// Run follows the settings, the hosts and the platform's list, polls idle
+// upstreams for their load and probes ejected ones. It returns when ctx ends.
+func (p *Pool) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	if p.opt.Workers != nil {
+		wg.Go(func() { p.followList(ctx) })
+	}
+	wg.Go(func() { p.pollLoop(ctx) })
+	tick := time.NewTicker(syncInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			wg.Wait()
+			return nil
+		case now := <-tick.C:
+			p.sync(now)
+			p.setHosts()
+			for _, s := range p.all() {
+				s.sweep(now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/fleet/upstream/transport.go
@@ -0,0 +1,115 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hazelworks/hazelworks/fleet/dispatch"
+)
+
+// HeaderLeaving is the response header by which an upstream says whether it is
+// leaving, "true" or "false".
+const HeaderLeaving = "Hazel-Leaving"
+
+// Time and size limits of connections to upstreams.
+const (
+	dialTimeout        = 2 * time.Second
+	tcpKeepAlive       = 5 * time.Second
+	idleConnTimeout    = 30 * time.Second
+	maxIdleConns       = 64
+	tlsTimeout         = 3 * time.Second
+	pingAfter          = 5 * time.Second
+	pingTimeout        = 3 * time.Second
+	maxResponseHeaders = 64 << 10
+)
+
+func defaultDial(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: tcpKeepAlive}
+	return d.DialContext(ctx, network, addr)
+}
+
+// headers is what an upstream says about itself in a response's headers.
+type headers struct {
+	load *dispatch.LoadReport
+	// leaving is nil if the header is missing.
+	leaving *bool
+}
+
+func readHeaders(h http.Header) headers {
+	out := headers{load: dispatch.LoadFromHeader(h)}
+	if v, err := strconv.ParseBool(h.Get(HeaderLeaving)); err == nil {
+		out.leaving = &v
+	}
+	return out
+}
+
+// transport is the connection pool of one upstream. It can be replaced while
+// requests run; those finish on the old connections.
+type transport struct {
+	dial  Dialer
+	heard func(headers)
+
+	mu   sync.Mutex
+	base *http.Transport
+}
+
+func newTransport(dial Dialer, heard func(headers)) *transport {
+	t := &transport{heard: heard}
+	t.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, addr)
+	}
+	t.base = t.newBase()
+	return t
+}
+
+func (t *transport) newBase() *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	return &http.Transport{
+		DialContext:            t.dial,
+		Protocols:              protocols,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		TLSHandshakeTimeout:    tlsTimeout,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaders,
+		DisableCompression:     true,
+	}
+}
+
+// RoundTrip sends a request and takes in what the response's headers say.
+func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	t.mu.Lock()
+	base := t.base
+	t.mu.Unlock()
+	resp, err := base.RoundTrip(req)
+	if err == nil {
+		t.heard(readHeaders(resp.Header))
+	}
+	return resp, err
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *transport) CloseIdleConnections() {
+	t.mu.Lock()
+	base := t.base
+	t.mu.Unlock()
+	base.CloseIdleConnections()
+}
+
+// reset makes all later requests use new connections.
+func (t *transport) reset() {
+	t.mu.Lock()
+	old := t.base
+	t.base = t.newBase()
+	t.mu.Unlock()
+	old.CloseIdleConnections()
+}
