Fold budgets and claims of a shard stream; interpret state charts

Cause: hosts need one verdict on grants, settlements and claims, from the offset order of the log alone.

--- /dev/null
+++ b/core/ledger/keys.go
@@ -0,0 +1,83 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// keyLog remembers the requests that a budget was billed for, by log time. New
+// keys go to a map; a full time span is sealed into a sorted slice, which costs
+// eight bytes a key.
+type keyLog struct {
+	sealed []segment
+	active map[record.RequestKey]struct{}
+	// activeFrom is the log time of the first key in active.
+	activeFrom int64
+	// forgotten is the log time up to which keys have been dropped.
+	forgotten int64
+	count     int
+}
+
+// segment holds the sorted keys billed in the log time between from and to.
+type segment struct {
+	from int64
+	to   int64
+	keys []record.RequestKey
+}
+
+func (k *keyLog) has(key record.RequestKey) bool {
+	if _, ok := k.active[key]; ok {
+		return true
+	}
+	for i := len(k.sealed) - 1; i >= 0; i-- {
+		if _, ok := slices.BinarySearch(k.sealed[i].keys, key); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *keyLog) add(key record.RequestKey, now, span int64) {
+	if len(k.active) > 0 && now-k.activeFrom >= span {
+		k.seal(now)
+	}
+	if k.active == nil {
+		k.active = make(map[record.RequestKey]struct{})
+	}
+	if len(k.active) == 0 {
+		k.activeFrom = now
+	}
+	k.active[key] = struct{}{}
+	k.count++
+}
+
+// activeKeys returns the keys of the active segment, sorted.
+func (k *keyLog) activeKeys() []record.RequestKey {
+	keys := make([]record.RequestKey, 0, len(k.active))
+	for key := range k.active {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// seal turns the active keys into a segment that ends at now.
+func (k *keyLog) seal(now int64) {
+	k.sealed = append(k.sealed, segment{from: k.activeFrom, to: now, keys: k.activeKeys()})
+	k.active = nil
+}
+
+// dropBefore forgets the sealed segments that end before horizon.
+func (k *keyLog) dropBefore(horizon int64) {
+	for len(k.sealed) > 0 && k.sealed[0].to < horizon {
+		k.dropOldest()
+	}
+}
+
+func (k *keyLog) dropOldest() {
+	oldest := k.sealed[0]
+	k.forgotten = max(k.forgotten, oldest.to)
+	k.count -= len(oldest.keys)
+	k.sealed = slices.Clone(k.sealed[1:])
+}
--- /dev/null
+++ b/core/shardfold/shardfold_test.go
@@ -0,0 +1,84 @@
+package shardfold
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+var (
+	hostA = record.Holder{Host: "a", Incarnation: 1}
+	hostB = record.Holder{Host: "b", Incarnation: 1}
+)
+
+func entry(t *testing.T, offset record.Offset, batch *record.Batch) record.Entry {
+	t.Helper()
+	data, err := record.EncodeBatch(batch)
+	require.NoError(t, err)
+	return record.Entry{Offset: offset, TimeMillis: int64(offset), Data: data}
+}
+
+func TestOneOffsetForBudgetsAndClaims(t *testing.T) {
+	claimOp := func(h record.Holder) record.Op {
+		return record.Op{Kind: record.KindClaim, Holder: &h, Key: 9, Attempt: 1, Budget: "m"}
+	}
+	f := New(Options{})
+	batches := []*record.Batch{
+		{Writer: hostA, Seq: 1, Ops: []record.Op{{Kind: record.KindEpoch}, claimOp(hostA)}},
+		{Writer: hostA, Seq: 2, Epoch: 1, Ops: []record.Op{
+			{Kind: record.KindTopUp, Budget: "m", ID: "1", Amount: 50}, claimOp(hostB), claimOp(hostA),
+			{Kind: record.KindGrant, Budget: "m", Holder: &hostA, Seq: 1, Amount: 20},
+		}},
+	}
+	res, err := f.Apply(entry(t, 1, batches[0]))
+	require.NoError(t, err)
+	require.Equal(t, ledger.ReasonStaleEpoch, res[1].Reason, "the batch does not name the epoch it opens")
+	res, err = f.Apply(entry(t, 2, batches[1]))
+	require.NoError(t, err)
+	require.True(t, res[1].Won)
+	require.False(t, res[2].Won)
+	require.Equal(t, ledger.ReasonTaken, res[2].Reason)
+	require.Equal(t, hostB, *res[2].Winner)
+	require.Equal(t, record.Tokens(20), res[3].Granted)
+
+	res, err = f.Apply(record.Entry{Offset: 3, Data: []byte("not a batch")})
+	require.NoError(t, err)
+	require.Empty(t, res)
+	require.Equal(t, uint64(1), f.Skipped())
+
+	data, err := f.Snapshot(time.UnixMilli(5))
+	require.NoError(t, err)
+	covers, err := Covers(data)
+	require.NoError(t, err)
+	require.Equal(t, record.Offset(3), covers)
+	g, err := Restore(data)
+	require.NoError(t, err)
+	again, err := g.Snapshot(time.UnixMilli(5))
+	require.NoError(t, err)
+	require.Equal(t, data, again)
+	_, err = g.Apply(entry(t, 5, batches[1]))
+	var gap *ledger.GapError
+	require.ErrorAs(t, err, &gap)
+	_, err = Restore([]byte("junk"))
+	require.ErrorIs(t, err, ErrSnapshot)
+
+	encoded, err := ledger.EncodeResult(res0(t, g))
+	require.NoError(t, err)
+	decoded, err := ledger.DecodeResult(encoded)
+	require.NoError(t, err)
+	require.Equal(t, res0(t, g).Winner, decoded.Winner)
+}
+
+// res0 folds nothing new and returns the verdict on a repeated claim.
+func res0(t *testing.T, f *Fold) ledger.Result {
+	t.Helper()
+	op := record.Op{Kind: record.KindClaim, Holder: &hostB, Key: 9, Attempt: 1}
+	res := f.Claims().Apply(&op, false)
+	require.True(t, res.Won, "the same attempt is the same claim")
+	require.False(t, res.Applied)
+	return res
+}
--- /dev/null
+++ b/core/statechart/check.go
@@ -0,0 +1,87 @@
+package statechart
+
+// check reports unknown and unreachable states, missing ends and final states
+// that can be left.
+func (l *loader) check() {
+	if len(l.states) == 0 {
+		l.report(0, "the chart has no states")
+		return
+	}
+	if len(l.final) == 0 {
+		l.report(0, "the chart has no final state")
+	}
+	l.checkKnown(l.initial, "initial state")
+	for _, f := range l.final {
+		l.checkKnown(f, "final state")
+	}
+	for _, s := range l.states {
+		for _, t := range s.transitions {
+			l.checkKnown(t.target, "target state")
+		}
+	}
+	l.checkFinal()
+	l.checkReachable()
+	l.checkEnds()
+}
+
+func (l *loader) checkKnown(n named, what string) {
+	if l.find(n.text) < 0 {
+		l.report(n.offset, "%s %q is not declared", what, n.text)
+	}
+}
+
+func (l *loader) checkFinal() {
+	for _, f := range l.final {
+		i := l.find(f.text)
+		if i >= 0 && len(l.states[i].transitions) > 0 {
+			l.report(l.states[i].name.offset, "final state %q has transitions", f.text)
+		}
+	}
+}
+
+func (l *loader) checkReachable() {
+	start := l.find(l.initial.text)
+	if start < 0 {
+		return
+	}
+	seen := make([]bool, len(l.states))
+	l.visit(start, seen)
+	for i, s := range l.states {
+		if !seen[i] {
+			l.report(s.name.offset, "state %q cannot be reached", s.name.text)
+		}
+	}
+}
+
+// checkEnds reports states from which no final state can be reached.
+func (l *loader) checkEnds() {
+	for i, s := range l.states {
+		seen := make([]bool, len(l.states))
+		l.visit(i, seen)
+		if !l.seesFinal(seen) {
+			l.report(s.name.offset, "state %q has no way to a final state", s.name.text)
+		}
+	}
+}
+
+// visit marks the states that can be reached from state i, itself included.
+func (l *loader) visit(i int, seen []bool) {
+	if seen[i] {
+		return
+	}
+	seen[i] = true
+	for _, t := range l.states[i].transitions {
+		if next := l.find(t.target.text); next >= 0 {
+			l.visit(next, seen)
+		}
+	}
+}
+
+func (l *loader) seesFinal(seen []bool) bool {
+	for _, f := range l.final {
+		if i := l.find(f.text); i >= 0 && seen[i] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/statechart/load.go
@@ -0,0 +1,196 @@
+package statechart
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/looplab/fsm"
+	"github.com/tailscale/hujson"
+)
+
+// Finding is one fault of a chart's file.
+type Finding struct {
+	Chart   string
+	Line    int
+	Column  int
+	Message string
+}
+
+// Error returns the place and the fault.
+func (f *Finding) Error() string {
+	return fmt.Sprintf("%s:%d:%d: %s", f.Chart, f.Line, f.Column, f.Message)
+}
+
+// MustLoad is Load for embedded charts. It panics on any finding.
+func MustLoad(name string, data []byte) *Chart {
+	chart, err := Load(name, data)
+	if err != nil {
+		panic(err)
+	}
+	return chart
+}
+
+// Load parses and checks a chart. The error joins a [Finding] for every fault,
+// in the order of the file.
+func Load(name string, data []byte) (*Chart, error) {
+	l := &loader{name: name, data: data}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("statechart %s: %w", name, err)
+	}
+	l.readChart(root)
+	if len(l.findings) == 0 {
+		l.check()
+	}
+	if len(l.findings) > 0 {
+		return nil, l.joined()
+	}
+	return l.chart(), nil
+}
+
+// named is a string with its place in the file.
+type named struct {
+	text   string
+	offset int
+}
+
+type transition struct {
+	event  named
+	target named
+}
+
+type stateDecl struct {
+	name        named
+	transitions []transition
+}
+
+type loader struct {
+	name     string
+	data     []byte
+	initial  named
+	final    []named
+	states   []stateDecl
+	findings []placed
+}
+
+type placed struct {
+	offset  int
+	message string
+}
+
+func (l *loader) report(offset int, format string, args ...any) {
+	l.findings = append(l.findings, placed{offset: offset, message: fmt.Sprintf(format, args...)})
+}
+
+func (l *loader) joined() error {
+	slices.SortStableFunc(l.findings, func(a, b placed) int { return a.offset - b.offset })
+	errs := make([]error, 0, len(l.findings))
+	for _, p := range l.findings {
+		before := l.data[:min(p.offset, len(l.data))]
+		errs = append(errs, &Finding{
+			Chart: l.name, Line: 1 + bytes.Count(before, []byte("\n")),
+			Column: len(before) - bytes.LastIndexByte(before, '\n'), Message: p.message,
+		})
+	}
+	return errors.Join(errs...)
+}
+
+func (l *loader) readChart(root hujson.Value) {
+	for _, m := range l.members(root, "the chart") {
+		name := l.memberName(m)
+		switch name.text {
+		case "initial":
+			l.initial = l.str(m.Value, "initial")
+		case "final":
+			l.readFinal(m.Value)
+		case "states":
+			l.readStates(m.Value)
+		default:
+			l.report(name.offset, "unknown field %q", name.text)
+		}
+	}
+}
+
+func (l *loader) members(v hujson.Value, what string) []hujson.ObjectMember {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		l.report(v.StartOffset, "%s must be an object", what)
+		return nil
+	}
+	return obj.Members
+}
+
+func (l *loader) memberName(m hujson.ObjectMember) named {
+	return l.str(m.Name, "a name")
+}
+
+func (l *loader) str(v hujson.Value, what string) named {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() != '"' {
+		l.report(v.StartOffset, "%s must be a string", what)
+		return named{offset: v.StartOffset}
+	}
+	return named{text: lit.String(), offset: v.StartOffset}
+}
+
+func (l *loader) readFinal(v hujson.Value) {
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		l.report(v.StartOffset, "final must be a list of states")
+		return
+	}
+	for _, e := range arr.Elements {
+		l.final = append(l.final, l.str(e, "a final state"))
+	}
+}
+
+func (l *loader) readStates(v hujson.Value) {
+	for _, m := range l.members(v, "states") {
+		decl := stateDecl{name: l.memberName(m)}
+		if l.find(decl.name.text) >= 0 {
+			l.report(decl.name.offset, "state %q stands twice", decl.name.text)
+		}
+		for _, field := range l.members(m.Value, "a state") {
+			name := l.memberName(field)
+			if name.text != "on" {
+				l.report(name.offset, "unknown field %q", name.text)
+				continue
+			}
+			decl.transitions = append(decl.transitions, l.readTransitions(field.Value)...)
+		}
+		l.states = append(l.states, decl)
+	}
+}
+
+func (l *loader) readTransitions(v hujson.Value) []transition {
+	var list []transition
+	for _, m := range l.members(v, "on") {
+		t := transition{event: l.memberName(m), target: l.str(m.Value, "a target state")}
+		if slices.ContainsFunc(list, func(o transition) bool { return o.event.text == t.event.text }) {
+			l.report(t.event.offset, "event %q stands twice", t.event.text)
+		}
+		list = append(list, t)
+	}
+	return list
+}
+
+// find returns the index of a state, or -1.
+func (l *loader) find(name string) int {
+	return slices.IndexFunc(l.states, func(s stateDecl) bool { return s.name.text == name })
+}
+
+func (l *loader) chart() *Chart {
+	c := &Chart{name: l.name, initial: State(l.initial.text)}
+	for _, f := range l.final {
+		c.final = append(c.final, State(f.text))
+	}
+	for _, s := range l.states {
+		c.states = append(c.states, State(s.name.text))
+		for _, t := range s.transitions {
+			c.events = append(c.events, fsm.EventDesc{Name: t.event.text, Src: []string{s.name.text}, Dst: t.target.text})
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/core/statechart/statechart.go
@@ -0,0 +1,94 @@
+// Package statechart loads state charts from JSON with comments and runs them.
+//
+// A chart names its initial state, its final states and the transitions:
+//
+//	{
+//	    "initial": "queued",
+//	    "final": ["done"],
+//	    "states": {
+//	        "queued":  {"on": {"start": "running", "cancel": "done"}},
+//	        "running": {"on": {"finish": "done"}},
+//	        "done":    {},
+//	    },
+//	}
+//
+// Every state must be reachable from the initial state, and a final state must
+// be reachable from every state.
+package statechart
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/looplab/fsm"
+)
+
+// State names a state of a chart.
+type State string
+
+// Event names an event of a chart.
+type Event string
+
+// Chart is a checked state chart. It is immutable and safe for concurrent use.
+type Chart struct {
+	name    string
+	initial State
+	final   []State
+	states  []State
+	events  []fsm.EventDesc
+}
+
+// Name returns the name that the chart was loaded under.
+func (c *Chart) Name() string { return c.name }
+
+// States returns the chart's states in the order of the file.
+func (c *Chart) States() []State { return slices.Clone(c.states) }
+
+// Final reports whether a state is final.
+func (c *Chart) Final(s State) bool { return slices.Contains(c.final, s) }
+
+// Start returns a new machine in the initial state.
+func (c *Chart) Start() *Machine {
+	return &Machine{chart: c, fsm: fsm.NewFSM(string(c.initial), c.events, nil)}
+}
+
+// Machine is one run of a chart. It is safe for concurrent use.
+type Machine struct {
+	chart *Chart
+	fsm   *fsm.FSM
+}
+
+// EventError reports an event that the current state does not accept.
+type EventError struct {
+	Chart string
+	State State
+	Event Event
+}
+
+// Error describes the refused event.
+func (e *EventError) Error() string {
+	return fmt.Sprintf("statechart %s: state %q does not accept event %q", e.Chart, e.State, e.Event)
+}
+
+// Fire takes the transition of an event. It returns an [EventError] and stays
+// in its state if the current state does not accept the event.
+func (m *Machine) Fire(event Event) error {
+	state := m.State()
+	err := m.fsm.Event(context.Background(), string(event))
+	var same fsm.NoTransitionError
+	if err == nil || errors.As(err, &same) {
+		return nil
+	}
+	return &EventError{Chart: m.chart.name, State: state, Event: event}
+}
+
+// Can reports whether the current state accepts an event.
+func (m *Machine) Can(event Event) bool { return m.fsm.Can(string(event)) }
+
+// State returns the current state.
+func (m *Machine) State() State { return State(m.fsm.Current()) }
+
+// Done reports whether the current state is final.
+func (m *Machine) Done() bool { return m.chart.Final(m.State()) }
