Bill holders of a ledger that has forgotten no request yet

Cause: with nothing forgotten, a holder's position near time zero was taken for one that had fallen behind, and it was not billed. Change: only a ledger that has dropped keys can fall behind. Conclusion: shown by TestReportsApplyOnceAndInOrder.

--- a/core/ledger/window.go
+++ b/core/ledger/window.go
@@ -57,7 +57,7 @@
 // unverifiable reports whether keys were dropped that the holder of l may
 // report again.
 func (f *Fold) unverifiable(b *budget, l *line) bool {
-	return b.keys.forgotten > f.position(l)-f.window()/2
+	return b.keys.forgotten > 0 && b.keys.forgotten > f.position(l)-f.window()/2
 }
 
 // sweep drops old keys and holders once for each key segment's time span.
