Add the command lines' frame, config check, upstream, request and entry commands

Cause: operators need both binaries with documented exit codes. Change: cmd/internal/cli (exit codes, table and JSON output), cmd/internal/adminclient, hazelworks config check and version, hazelctl upstream, request and entry.

--- a/cmd/hazelctl/main.go
+++ b/cmd/hazelctl/main.go
@@ -1,4 +1,36 @@
-// Command hazelctl is a placeholder until its commands are added.
+// Command hazelctl is the operators' tool: settings, budgets, requests,
+// upstreams and the state of the fleet, through the admin address of any host.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hazelworks/hazelworks/cmd/internal/adminclient"
+	"github.com/hazelworks/hazelworks/cmd/internal/cli"
+)
+
+const longHelp = `hazelctl talks to the admin address of any host of the fleet.
+
+Exit codes: 0 done, 1 failed, 2 wrong arguments or files and nothing done,
+3 another change won, 4 the fleet could not be reached, 5 a plan found changes.`
+
+func main() {
+	os.Exit(cli.Main(newRoot(), os.Stderr))
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "hazelctl",
+		Short: "Operate a hazelworks fleet",
+		Long:  longHelp,
+	}
+	client := adminclient.AddFlags(root)
+	root.AddCommand(
+		newRequestCommand(client),
+		newUpstreamCommand(client),
+		newEntryCommand(),
+	)
+	return root
+}
--- a/cmd/hazelworks/main.go
+++ b/cmd/hazelworks/main.go
@@ -1,4 +1,33 @@
-// Command hazelworks is a placeholder until its commands are added.
+// Command hazelworks runs a host of the fleet.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hazelworks/hazelworks/cmd/internal/cli"
+)
+
+const longHelp = `hazelworks routes requests of client accounts to upstreams and keeps every
+account within its prepaid budget.
+
+Exit codes: 0 ended as asked, 1 failed, 2 wrong arguments or settings and
+nothing started.`
+
+func main() {
+	os.Exit(cli.Main(newRoot(), os.Stderr))
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "hazelworks",
+		Short: "Run a host of a hazelworks fleet",
+		Long:  longHelp,
+	}
+	root.AddCommand(
+		newConfigCommand(),
+		newVersionCommand(),
+	)
+	return root
+}
--- /dev/null
+++ b/cmd/hazelworks/version.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+// version is set by the linker for releases.
+var version = "devel"
+
+func newVersionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "hazelworks %s %s %s/%s%s\n", version, runtime.Version(), runtime.GOOS, runtime.GOARCH, revision())
+			return err
+		},
+	}
+}
+
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return " " + s.Value
+		}
+	}
+	return ""
+}
