--- a/core/settings/change.go
+++ b/core/settings/change.go
@@ -87,6 +87,17 @@
 	return &c, nil
 }
 
+// Validate checks the change's own form, without the tree that it changes. Its
+// faults are returned together as a *findings.Error.
+func (c *Change) Validate() error {
+	var list findings.List
+	if c.Kind != KindEdit {
+		list.Addf(findings.Position{}, "", "change kind %d is not known", c.Kind)
+	}
+	c.parsed(&list)
+	return list.Err()
+}
+
 // parsed returns the edited values; nil stands for a removal. It adds the faults
 // of the change's own form to list.
 func (c *Change) parsed(list *findings.List) []*jsontree.Node {
--- /dev/null
+++ b/fleet/settingswatch/fixture_test.go
@@ -0,0 +1,185 @@
+package settingswatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/member"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb/peerpbconnect"
+	"github.com/hazelworks/hazelworks/standin/memlog"
+)
+
+// cluster is a set of watchers that share a log and see each other's versions.
+type cluster struct {
+	t       *testing.T
+	log     *memlog.Log
+	latency time.Duration
+
+	mu    sync.Mutex
+	nodes map[record.HostID]*node
+}
+
+// node is a host of a cluster; it implements member.View.
+type node struct {
+	cluster *cluster
+	id      record.HostID
+	link    *memlog.Link
+	watcher *Watcher
+	stop    context.CancelFunc
+	// isolated hosts can neither call others nor be called.
+	isolated bool
+}
+
+func newCluster(t *testing.T, opts memlog.Options, hosts int) *cluster {
+	c := &cluster{t: t, log: memlog.New(opts), latency: time.Millisecond, nodes: make(map[record.HostID]*node)}
+	for i := range hosts {
+		c.start(record.HostID(fmt.Sprintf("h%03d", i)))
+	}
+	t.Cleanup(c.stopAll)
+	return c
+}
+
+func (c *cluster) start(id record.HostID) *node {
+	n := &node{cluster: c, id: id, link: memlog.NewLink(c.log)}
+	return c.run(n)
+}
+
+func (c *cluster) run(n *node) *node {
+	ctx, cancel := context.WithCancel(c.t.Context())
+	n.stop = cancel
+	n.watcher = New(Options{
+		Log:    n.link,
+		View:   n,
+		Logger: logr.Discard(),
+		Rand:   rand.New(rand.NewPCG(1, uint64(len(n.id)))),
+	})
+	c.mu.Lock()
+	c.nodes[n.id] = n
+	c.mu.Unlock()
+	go func() { _ = n.watcher.Run(ctx) }()
+	return n
+}
+
+func (c *cluster) stopAll() {
+	for _, n := range c.all() {
+		n.stop()
+	}
+}
+
+func (c *cluster) all() []*node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	nodes := make([]*node, 0, len(c.nodes))
+	for _, n := range c.nodes {
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+func (c *cluster) node(i int) *node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[record.HostID(fmt.Sprintf("h%03d", i))]
+}
+
+// inForce returns how many hosts have at least the version in force.
+func (c *cluster) inForce(version record.Offset) int {
+	count := 0
+	for _, n := range c.all() {
+		if n.watcher.Version() >= version {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *node) Self() record.Holder { return record.Holder{Host: n.id, Incarnation: 1} }
+
+func (n *node) Hosts() []member.Host {
+	var hosts []member.Host
+	for _, other := range n.cluster.all() {
+		h := member.Host{Host: platform.Host{ID: other.id}, Belief: member.StateLive}
+		if !n.isolated && !other.isolated {
+			h.SettingsVersion = other.watcher.Version()
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+func (n *node) Client(id record.HostID) (peerpbconnect.PeerServiceClient, bool) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	other, ok := n.cluster.nodes[id]
+	return &peerClient{from: n, to: other}, ok
+}
+
+type peerClient struct {
+	peerpbconnect.PeerServiceClient
+	from, to *node
+}
+
+func (p *peerClient) Settings(ctx context.Context, r *connect.Request[peerpb.SettingsRequest]) (*connect.Response[peerpb.SettingsResponse], error) {
+	if p.from.isolated || p.to.isolated {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(2 * p.from.cluster.latency)
+	return p.to.watcher.Settings(ctx, r)
+}
+
+func change(id string, base record.Offset, path, value string) *settings.Change {
+	e := settings.Edit{Path: path}
+	if value != "" {
+		e.Value = []byte(value)
+	}
+	return &settings.Change{Kind: settings.KindEdit, ID: id, Base: base, By: "tester", Edits: []settings.Edit{e}}
+}
+
+// publish appends a change through a host and returns its version.
+func (n *node) publish(c *settings.Change) record.Offset {
+	n.cluster.t.Helper()
+	ctx, cancel := context.WithTimeout(n.cluster.t.Context(), time.Minute)
+	defer cancel()
+	j, err := n.watcher.Publish(ctx, c)
+	require.NoError(n.cluster.t, err)
+	return j.Offset
+}
+
+const seedFirms = `{"a":{"budgets":{"b":{}},"accounts":{"x":{"budget":"b"},"y":{"budget":"b"}}}}`
+
+func (c *cluster) seed() record.Offset {
+	version := c.node(0).publish(change("seed", 0, "firms", seedFirms))
+	time.Sleep(time.Second)
+	require.Equal(c.t, len(c.all()), c.inForce(version))
+	return version
+}
+
+func (n *node) weight(account string) float64 {
+	a, ok := n.watcher.Current().Account(account)
+	require.True(n.cluster.t, ok)
+	return a.Weight
+}
+
+// run executes a test in virtual time.
+func run(t *testing.T, test func(t *testing.T)) {
+	synctest.Test(t, test)
+}
+
+var errConflict *ConflictError
+
+func isConflict(err error) bool { return errors.As(err, &errConflict) }
--- /dev/null
+++ b/fleet/settingswatch/log.go
@@ -0,0 +1,154 @@
+package settingswatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+)
+
+// maxSnapshotTries bounds the snapshots that are read when newer ones fail.
+const maxSnapshotTries = 4
+
+// followLog reads the settings stream until ctx ends.
+func (w *Watcher) followLog(ctx context.Context) error {
+	retry := backoff{jitter: &w.jitter}
+	restored := false
+	for ctx.Err() == nil {
+		err := w.readLog(ctx, &restored)
+		if ctx.Err() != nil {
+			break
+		}
+		w.noteRead(err)
+		if err == nil {
+			retry.reset()
+			continue
+		}
+		if err := retry.wait(ctx); err != nil {
+			break
+		}
+	}
+	return ctx.Err()
+}
+
+// readLog reads a snapshot if one is needed, then the next entries.
+func (w *Watcher) readLog(ctx context.Context, restored *bool) error {
+	if !*restored {
+		if err := w.restoreFromLog(ctx); err != nil {
+			return err
+		}
+		if err := w.findTarget(ctx); err != nil {
+			return err
+		}
+		*restored = true
+	}
+	w.markReached()
+	from := w.State().Position + 1
+	entries, err := w.opts.Log.Read(ctx, record.StreamSettings, from, readLimit, w.opts.Poll)
+	if errors.Is(err, platform.ErrTrimmed) {
+		*restored = false
+		return w.afterTrim(ctx, from)
+	}
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	if err := w.applyEntries(entries, "log"); err != nil {
+		*restored = false
+		return err
+	}
+	return nil
+}
+
+// findTarget notes the head of the settings stream. A host that starts brings
+// nothing into force before it has read that far, since it may have had newer
+// settings in force before its restart.
+func (w *Watcher) findTarget(ctx context.Context) error {
+	bounds, err := w.opts.Log.Bounds(ctx, record.StreamSettings)
+	if err != nil {
+		return fmt.Errorf("bounds of settings: %w", err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.target, w.targetKnown = bounds.Head, true
+	return nil
+}
+
+// markReached brings the settings into force once the target has been read.
+func (w *Watcher) markReached() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.reached && w.targetKnown && w.fold.Position() >= w.target {
+		w.reached = true
+		w.publishLocked()
+	}
+}
+
+// afterTrim takes a snapshot in place of entries that the log no longer keeps.
+func (w *Watcher) afterTrim(ctx context.Context, from record.Offset) error {
+	if err := w.restoreFromLog(ctx); err != nil {
+		return err
+	}
+	if w.State().Position < from {
+		return fmt.Errorf("settings from offset %d on are no longer kept and no snapshot covers them: %w", from, platform.ErrTrimmed)
+	}
+	return nil
+}
+
+// restoreFromLog takes the newest snapshot that can be read. The highest covered
+// offset wins, so that a late snapshot does no harm.
+func (w *Watcher) restoreFromLog(ctx context.Context) error {
+	bounds, err := w.opts.Log.Bounds(ctx, record.StreamSettingsSnapshots)
+	if err != nil {
+		return fmt.Errorf("bounds of snapshots: %w", err)
+	}
+	if bounds.Head < bounds.First {
+		return nil
+	}
+	from := bounds.First
+	if bounds.Head-bounds.First >= maxSnapshotTries {
+		from = bounds.Head - maxSnapshotTries + 1
+	}
+	entries, err := w.opts.Log.Read(ctx, record.StreamSettingsSnapshots, from, maxSnapshotTries, 0)
+	if err != nil {
+		return fmt.Errorf("read snapshots: %w", err)
+	}
+	for _, e := range entries {
+		if err := w.restoreEntry(e); err != nil {
+			w.logger.Error(err, "cannot use a snapshot", "offset", e.Offset)
+		}
+	}
+	return nil
+}
+
+func (w *Watcher) restoreEntry(e record.Entry) error {
+	snapshot, err := settings.DecodeSnapshot(e.Data)
+	if err != nil {
+		return err
+	}
+	return w.restore(snapshot, "log")
+}
+
+// noteRead keeps the log's health and logs when it changes.
+func (w *Watcher) noteRead(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err == nil {
+		if w.logErr != nil {
+			w.logger.Info("the log answers again")
+		}
+		w.lastRead, w.logErr = time.Now(), nil
+		return
+	}
+	w.meters.logErrors.Inc(1)
+	if w.logErr == nil {
+		w.logger.Error(err, "cannot follow the settings stream")
+	}
+	w.logErr = err
+}
--- /dev/null
+++ b/fleet/settingswatch/peers.go
@@ -0,0 +1,181 @@
+package settingswatch
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/member"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+)
+
+const (
+	// peerInterval is how often the versions of other hosts are compared.
+	peerInterval = time.Second
+	// peerCallTimeout bounds one call for settings.
+	peerCallTimeout = 2 * time.Second
+	// maxPeerTries bounds the hosts asked in one interval.
+	maxPeerTries = 3
+)
+
+// followPeers asks other hosts for changes that this host lacks. The log comes
+// first: a host is asked only if others were ahead for a whole interval.
+func (w *Watcher) followPeers(ctx context.Context) error {
+	ticker := time.NewTicker(peerInterval)
+	defer ticker.Stop()
+	var last record.Offset
+	wasBehind := false
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		ahead := w.hostsAhead()
+		switch {
+		case w.Current() == nil:
+			w.startFromPeers(ctx, ahead)
+		case wasBehind && len(ahead) > 0 && w.Version() == last:
+			w.askPeers(ctx, ahead)
+		}
+		wasBehind, last = len(ahead) > 0, w.Version()
+	}
+}
+
+// hostsAhead returns the hosts to ask, the newest version first. A host without
+// settings may ask any other.
+func (w *Watcher) hostsAhead() []record.HostID {
+	own := w.Version()
+	self := w.opts.View.Self().Host
+	hosts := slices.DeleteFunc(w.opts.View.Hosts(), func(h member.Host) bool {
+		return h.ID == self || (own > 0 && h.SettingsVersion <= own)
+	})
+	w.jitter.shuffle(len(hosts), func(i, k int) { hosts[i], hosts[k] = hosts[k], hosts[i] })
+	slices.SortStableFunc(hosts, func(a, b member.Host) int {
+		return cmp.Or(cmp.Compare(b.SettingsVersion, a.SettingsVersion), cmp.Compare(rank(a), rank(b)))
+	})
+	ids := make([]record.HostID, 0, maxPeerTries)
+	for _, h := range hosts[:min(len(hosts), maxPeerTries)] {
+		ids = append(ids, h.ID)
+	}
+	return ids
+}
+
+// startFromPeers serves a host that starts while the log is out of reach. It asks
+// several hosts, since one may itself be cut off, and takes the newest settings.
+func (w *Watcher) startFromPeers(ctx context.Context, hosts []record.HostID) {
+	if w.State().LogErr == nil {
+		return
+	}
+	answers := 0
+	for _, id := range hosts {
+		if err := w.askPeer(ctx, id, w.State().Position); err != nil {
+			w.notePeerError(id, err)
+			continue
+		}
+		answers++
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reached || answers == 0 || w.fold.Position() == 0 {
+		return
+	}
+	w.reached = true
+	w.publishLocked()
+	w.logger.Info("started with the settings of other hosts, the log is out of reach", "version", w.fold.Version())
+}
+
+// rank puts hosts that are believed to answer first.
+func rank(h member.Host) int {
+	if h.Belief == member.StateSuspected {
+		return 1
+	}
+	return 0
+}
+
+// askPeers asks hosts in turn until one passes something on.
+func (w *Watcher) askPeers(ctx context.Context, hosts []record.HostID) {
+	for _, id := range hosts {
+		before := w.State().Position
+		if err := w.askPeer(ctx, id, before); err != nil {
+			w.notePeerError(id, err)
+			continue
+		}
+		if w.State().Position > before {
+			w.meters.peerUpdates.Inc(1)
+			return
+		}
+	}
+}
+
+func (w *Watcher) notePeerError(id record.HostID, err error) {
+	w.meters.peerErrors.Inc(1)
+	w.logger.V(1).Info("a host gave no settings", "host", id, "error", err.Error())
+}
+
+func (w *Watcher) askPeer(ctx context.Context, id record.HostID, after record.Offset) error {
+	client, ok := w.opts.View.Client(id)
+	if !ok {
+		return fmt.Errorf("host %s is not known", id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	response, err := client.Settings(ctx, connect.NewRequest(&peerpb.SettingsRequest{After: uint64(after)}))
+	if err != nil {
+		return fmt.Errorf("ask %s for settings: %w", id, err)
+	}
+	if len(response.Msg.Snapshot) == 0 {
+		return nil
+	}
+	update, err := settings.DecodeUpdate(response.Msg.Snapshot)
+	if err != nil {
+		return fmt.Errorf("settings from %s: %w", id, err)
+	}
+	return w.applyUpdate(update, string(id))
+}
+
+func (w *Watcher) applyUpdate(update *settings.Update, from string) error {
+	if update.Snapshot != nil {
+		if err := w.restore(update.Snapshot, from); err != nil {
+			return err
+		}
+	}
+	if len(update.Entries) == 0 {
+		return nil
+	}
+	return w.applyEntries(update.Entries, from)
+}
+
+// Settings answers a host that asks for changes after an offset.
+func (w *Watcher) Settings(_ context.Context, r *connect.Request[peerpb.SettingsRequest]) (*connect.Response[peerpb.SettingsResponse], error) {
+	update, version := w.updateAfter(record.Offset(r.Msg.After))
+	out := &peerpb.SettingsResponse{Version: uint64(version)}
+	if update != nil {
+		data, err := settings.EncodeUpdate(update)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		out.Snapshot = data
+	}
+	return connect.NewResponse(out), nil
+}
+
+// updateAfter returns what a host lacks that has read up to an offset, or nil.
+func (w *Watcher) updateAfter(offset record.Offset) (*settings.Update, record.Offset) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	version := w.fold.Version()
+	if offset >= w.fold.Position() {
+		return nil, version
+	}
+	if entries, ok := w.tail.after(offset); ok {
+		return &settings.Update{Entries: entries}, version
+	}
+	return &settings.Update{Snapshot: w.fold.Snapshot()}, version
+}
--- /dev/null
+++ b/fleet/settingswatch/watcher.go
@@ -0,0 +1,251 @@
+// Package settingswatch keeps the settings tree of a host up to date. It follows
+// the settings stream of the log, takes what it lacks from other hosts while the
+// log is out of reach, and appends snapshots before the log forgets.
+package settingswatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hazelworks/hazelworks/core/jsontree"
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/member"
+)
+
+// Options configures a Watcher. Log is required.
+type Options struct {
+	Log platform.Log
+	// View gives the other hosts. Without it only the log is used, and no
+	// snapshots are appended.
+	View    member.View
+	Logger  logr.Logger
+	Metrics metrics.Registry
+	// Poll is how long a read of the log waits for news; default 20 s.
+	Poll time.Duration
+	// SnapshotRefresh is the age at which the newest snapshot is appended anew
+	// even if nothing has changed; default 5 min. It must be well under the
+	// log's retention time.
+	SnapshotRefresh time.Duration
+	// Rand spreads retries; default seeded from the process.
+	Rand *rand.Rand
+}
+
+const (
+	defaultPoll            = 20 * time.Second
+	defaultSnapshotRefresh = 5 * time.Minute
+	minBackoff             = 200 * time.Millisecond
+	maxBackoff             = 3 * time.Second
+	readLimit              = 256
+)
+
+func (o *Options) setDefaults() {
+	if o.Poll <= 0 {
+		o.Poll = defaultPoll
+	}
+	if o.SnapshotRefresh <= 0 {
+		o.SnapshotRefresh = defaultSnapshotRefresh
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+}
+
+// Watcher follows the settings tree. It implements settings.Source and is safe
+// for concurrent use.
+type Watcher struct {
+	opts    Options
+	logger  logr.Logger
+	meters  meters
+	jitter  jitter
+	current atomic.Pointer[settings.Resolved]
+
+	mu      sync.Mutex
+	fold    *settings.Fold
+	tail    tail
+	changed chan struct{}
+	// lastRead is when the log last answered.
+	lastRead time.Time
+	logErr   error
+	frozen   bool
+	// reached is set once the fold is as new as can be known at the start.
+	reached     bool
+	target      record.Offset
+	targetKnown bool
+}
+
+var _ settings.Source = (*Watcher)(nil)
+
+// New returns a watcher without settings. Run fills it.
+func New(opts Options) *Watcher {
+	opts.setDefaults()
+	return &Watcher{
+		opts:    opts,
+		logger:  opts.Logger.WithName("settings"),
+		meters:  newMeters(opts.Metrics),
+		jitter:  jitter{rand: opts.Rand},
+		fold:    settings.NewFold(),
+		changed: make(chan struct{}),
+	}
+}
+
+// Run keeps the settings up to date until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return w.followLog(ctx) })
+	if w.opts.View != nil {
+		group.Go(func() error { return w.followPeers(ctx) })
+		group.Go(func() error { return w.writeSnapshots(ctx) })
+	}
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Current returns the settings in force, or nil before the first are known.
+func (w *Watcher) Current() *settings.Resolved {
+	return w.current.Load()
+}
+
+// Version returns the version in force, or zero.
+func (w *Watcher) Version() record.Offset {
+	if current := w.current.Load(); current != nil {
+		return current.Version
+	}
+	return 0
+}
+
+// Changed returns a channel that is closed when the next entry has been judged.
+func (w *Watcher) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// State is what a watcher knows.
+type State struct {
+	// Version is the version in force, Position the last offset read.
+	Version  record.Offset
+	Position record.Offset
+	// LastRead is when the log last answered; LogErr is its last error, or nil.
+	LastRead time.Time
+	LogErr   error
+	// Unsupported is true if the tree needs a newer program.
+	Unsupported bool
+}
+
+// State returns what the watcher knows.
+func (w *Watcher) State() State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return State{
+		Version:     w.Version(),
+		Position:    w.fold.Position(),
+		LastRead:    w.lastRead,
+		LogErr:      w.logErr,
+		Unsupported: w.frozen,
+	}
+}
+
+// Tree returns the declared tree in force and its version.
+func (w *Watcher) Tree() (*jsontree.Node, record.Offset) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fold.Tree(), w.fold.Version()
+}
+
+// History returns the newest judgements, at most limit, newest first.
+func (w *Watcher) History(limit int) []*settings.Judgement {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fold.History(limit)
+}
+
+// Judgement returns the judgement on a change, if it is known.
+func (w *Watcher) Judgement(id string) (*settings.Judgement, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fold.Judgement(id)
+}
+
+// Ready returns why requests cannot be served with these settings, or nil.
+func (w *Watcher) Ready() error {
+	if w.Current() == nil {
+		return errors.New("settings are not known yet")
+	}
+	return nil
+}
+
+// applyEntries folds entries in order and wakes those who wait for changes.
+func (w *Watcher) applyEntries(entries []record.Entry, from string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var failed error
+	for _, e := range entries {
+		before := w.fold.Position()
+		result := w.fold.Apply(e)
+		if w.fold.Position() > before {
+			w.tail.add(e)
+		}
+		w.report(e.Offset, result, from)
+		if result.Err != nil {
+			failed = result.Err
+			break
+		}
+	}
+	w.publishLocked()
+	return failed
+}
+
+// restore takes over a snapshot that is ahead of the fold.
+func (w *Watcher) restore(s *settings.Snapshot, from string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.fold.Version()
+	taken, err := w.fold.Restore(s)
+	if err != nil || !taken {
+		return err
+	}
+	w.tail.reset()
+	w.frozen = false
+	w.logger.Info("took a snapshot", "from", from, "covers", s.Covers, "version", s.Version, "before", before)
+	w.publishLocked()
+	return nil
+}
+
+func (w *Watcher) publishLocked() {
+	if w.reached {
+		w.current.Store(w.fold.Current())
+		w.meters.version.Update(int64(w.fold.Version()))
+	}
+	w.meters.position.Update(int64(w.fold.Position()))
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *Watcher) report(offset record.Offset, result settings.ChangeResult, from string) {
+	if errors.Is(result.Err, settings.ErrUnsupported) && !w.frozen {
+		w.frozen = true
+		w.logger.Error(result.Err, "settings stay as they are until this host runs a newer program", "offset", offset)
+	}
+	j := result.Judgement
+	if j == nil {
+		return
+	}
+	w.meters.count(result.Status)
+	w.logger.Info("judged a change", "offset", offset, "status", result.Status.String(), "id", j.ID, "by", j.By, "from", from)
+}
