Track hosts by list, probes and witnesses' reports

The platform's list lags, so a dead host kept its traffic until the list said so. Each host is now probed by three others in other failure domains; two witnesses make it suspected everywhere, reports are pushed on at once, and a host that only one other cannot reach stays in use.

--- /dev/null
+++ b/fleet/member/fixture_test.go
@@ -0,0 +1,193 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/peer"
+	"github.com/hazelworks/hazelworks/standin/hostlist"
+	"github.com/hazelworks/hazelworks/standin/memnet"
+)
+
+const fixtureSecret = "a secret of the fleet"
+
+// fixture is a fleet of hosts on an in-memory network.
+type fixture struct {
+	t       *testing.T
+	network *memnet.Network
+	list    *hostlist.List
+	hosts   map[record.HostID]*fixtureHost
+	bytes   atomic.Int64
+	packets atomic.Int64
+}
+
+type fixtureHost struct {
+	members *Members
+	server  *http.Server
+	stop    context.CancelFunc
+	host    platform.Host
+}
+
+func newFixture(t *testing.T, hosts, domains int) *fixture {
+	f := &fixture{
+		t:       t,
+		network: memnet.New(memnet.Options{Latency: func(_, _ string) time.Duration { return 2 * time.Millisecond }}),
+		list:    hostlist.New(0),
+		hosts:   make(map[record.HostID]*fixtureHost),
+	}
+	for i := range hosts {
+		f.list.Put(f.describe(i, domains))
+	}
+	for i := range hosts {
+		f.start(f.describe(i, domains), 1)
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+func (f *fixture) describe(i, domains int) platform.Host {
+	return platform.Host{
+		ID:            hostID(i),
+		FailureDomain: fmt.Sprintf("d%d", i%domains),
+		PeerAddr:      fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250+1),
+		State:         platform.HostLive,
+	}
+}
+
+func hostID(i int) record.HostID {
+	return record.HostID(fmt.Sprintf("host-%03d", i))
+}
+
+func (f *fixture) start(host platform.Host, incarnation record.Incarnation) *fixtureHost {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	h := &fixtureHost{host: host, stop: cancel}
+	h.members = New(Options{
+		Self:       record.Holder{Host: host.ID, Incarnation: incarnation},
+		SelfHost:   host,
+		List:       f.list,
+		Dial:       f.counted(f.network.Dialer(string(host.ID))),
+		PeerSecret: fixtureSecret,
+		Logger:     logr.Discard(),
+		Rand:       rand.New(rand.NewPCG(7, uint64(len(f.hosts)))),
+	})
+	listener, err := f.network.Listen(string(host.ID), host.PeerAddr)
+	require.NoError(f.t, err)
+	h.server = peer.NewServer(peer.NewHandler(peer.Services{Pinger: h.members}, fixtureSecret), time.Second)
+	go func() { _ = h.server.Serve(listener) }()
+	go func() { _ = h.members.Run(ctx) }()
+	f.hosts[host.ID] = h
+	return h
+}
+
+// kill ends a host without a word. After a silent death nothing refuses
+// connections either, as when the machine has lost its power.
+func (f *fixture) kill(id record.HostID, silent bool) {
+	h := f.hosts[id]
+	delete(f.hosts, id)
+	h.stop()
+	if silent {
+		f.cutAll(id)
+		f.t.Cleanup(func() { _ = h.server.Close() })
+		return
+	}
+	f.network.Kill(string(id), false)
+	_ = h.server.Close()
+}
+
+// cutAll cuts the links of all other hosts towards a host.
+func (f *fixture) cutAll(id record.HostID) {
+	for other := range f.hosts {
+		f.network.Cut(string(other), string(id))
+		f.network.Cut(string(id), string(other))
+	}
+}
+
+func (f *fixture) stopAll() {
+	for _, h := range f.hosts {
+		h.stop()
+		_ = h.server.Close()
+	}
+	for _, h := range f.hosts {
+		f.network.Kill(string(h.host.ID), false)
+	}
+	time.Sleep(5 * time.Second)
+}
+
+// beliefs counts the hosts that hold a belief of a host.
+func (f *fixture) beliefs(id record.HostID, state State) int {
+	count := 0
+	for _, h := range f.hosts {
+		for _, other := range h.members.Hosts() {
+			if other.ID == id && other.Belief == state {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// known counts the hosts that have a host in view.
+func (f *fixture) known(id record.HostID) int {
+	return f.beliefs(id, StateLive) + f.beliefs(id, StateSuspected) + f.beliefs(id, StateLeaving)
+}
+
+// until waits for a condition and returns how long it took.
+func (f *fixture) until(limit time.Duration, done func() bool) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for !done() {
+		if time.Since(start) > limit {
+			require.Fail(f.t, "the condition was not met", "within %s", limit)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// countedConn counts what a host sends and receives.
+type countedConn struct {
+	net.Conn
+	f *fixture
+}
+
+func (f *fixture) counted(dial peer.DialFunc) peer.DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, f: f}, nil
+	}
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.f.bytes.Add(int64(n))
+	c.f.packets.Add(1)
+	return n, err
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.f.bytes.Add(int64(n))
+	if n > 0 {
+		c.f.packets.Add(1)
+	}
+	return n, err
+}
+
+func run(t *testing.T, test func(t *testing.T)) {
+	synctest.Test(t, test)
+}
--- /dev/null
+++ b/fleet/member/members.go
@@ -0,0 +1,283 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hazelworks/hazelworks/core/membership"
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/peer"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb/peerpbconnect"
+)
+
+// Options configures Members. Self, SelfHost, List and Dial are required.
+type Options struct {
+	Self     record.Holder
+	SelfHost platform.Host
+	List     platform.HostList
+	// Dial opens connections to peer addresses.
+	Dial       peer.DialFunc
+	PeerSecret string
+	// Version returns the settings version in force on this host; may be nil.
+	Version func() record.Offset
+	Logger  logr.Logger
+	Metrics metrics.Registry
+	// Rand spreads probes and picks hosts; default seeded from the process.
+	Rand *rand.Rand
+	// Policy tunes suspicion; the zero value stands for the default.
+	Policy membership.Policy
+}
+
+const (
+	// probeInterval is how often each target is probed.
+	probeInterval = 1400 * time.Millisecond
+	// probeTimeout bounds a probe, over both of its connections.
+	probeTimeout = 750 * time.Millisecond
+	// hedgeDelay is how long a probe waits before it tries a new connection.
+	hedgeDelay = 250 * time.Millisecond
+	// doubtDelay is hedgeDelay for a host that is already in doubt.
+	doubtDelay = 20 * time.Millisecond
+	// pauseSlack is how much longer than its timeout a probe may take before
+	// this process must have been paused.
+	pauseSlack = 250 * time.Millisecond
+	// pushDelay gathers reports before they are pushed.
+	pushDelay = 20 * time.Millisecond
+	// pushTimeout bounds the passing on of reports.
+	pushTimeout = 500 * time.Millisecond
+	// pushFanout is the number of hosts that fresh reports are pushed to.
+	pushFanout = 4
+	// maxReports bounds the reports of one message.
+	maxReports   = 64
+	tickInterval = 500 * time.Millisecond
+	listWait     = 30 * time.Second
+	listRetry    = 2 * time.Second
+)
+
+// Members tracks the hosts of the fleet. It implements [View].
+type Members struct {
+	opts   Options
+	logger logr.Logger
+	meters meters
+	push   chan struct{}
+
+	mu    sync.Mutex
+	table *membership.Table
+	peers map[record.HostID]*peerConn
+	// hosts is the view as last built, nil if it is out of date.
+	hosts []Host
+	// probing holds the hosts with a probe in progress.
+	probing map[record.HostID]bool
+	rand    *rand.Rand
+	// background is the context of Run, for probes outside its loops.
+	background context.Context
+	listErr    error
+}
+
+var _ View = (*Members)(nil)
+
+// New returns Members that know only this host. Run fills them.
+func New(opts Options) *Members {
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewRegistry()
+	}
+	if opts.Rand == nil {
+		opts.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if opts.Policy == (membership.Policy{}) {
+		opts.Policy = membership.DefaultPolicy()
+	}
+	return &Members{
+		opts:       opts,
+		logger:     opts.Logger.WithName("member"),
+		meters:     newMeters(opts.Metrics),
+		push:       make(chan struct{}, 1),
+		table:      membership.New(opts.Self, opts.SelfHost, opts.Policy),
+		peers:      make(map[record.HostID]*peerConn),
+		probing:    make(map[record.HostID]bool),
+		rand:       opts.Rand,
+		background: context.Background(),
+	}
+}
+
+// Run follows the platform's list and probes other hosts until ctx ends.
+func (m *Members) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	m.mu.Lock()
+	m.background = ctx
+	m.mu.Unlock()
+	defer m.closePeers()
+	group.Go(func() error { return m.followList(ctx) })
+	group.Go(func() error { return m.probeLoop(ctx) })
+	group.Go(func() error { return m.pushLoop(ctx) })
+	group.Go(func() error { return m.tickLoop(ctx) })
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// SetVersion sets the source of the settings version in force on this host. It
+// must be called before Run.
+func (m *Members) SetVersion(version func() record.Offset) {
+	m.opts.Version = version
+}
+
+// Self returns this host's incarnation.
+func (m *Members) Self() record.Holder {
+	return m.opts.Self
+}
+
+// Hosts returns all hosts that are not gone, this one included, by ID.
+func (m *Members) Hosts() []Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.hosts == nil {
+		m.hosts = m.buildHosts()
+	}
+	return append([]Host(nil), m.hosts...)
+}
+
+func (m *Members) buildHosts() []Host {
+	known := m.table.Hosts()
+	hosts := make([]Host, len(known))
+	for i, h := range known {
+		hosts[i] = Host{
+			Host:            h.Host,
+			Incarnation:     h.Incarnation,
+			Belief:          State(h.State),
+			SettingsVersion: h.Version,
+		}
+		if h.ID == m.opts.Self.Host {
+			hosts[i].SettingsVersion = m.version()
+		}
+	}
+	return hosts
+}
+
+func (m *Members) version() record.Offset {
+	if m.opts.Version == nil {
+		return 0
+	}
+	return m.opts.Version()
+}
+
+// Client returns a client for a host's peer address.
+func (m *Members) Client(id record.HostID) (peerpbconnect.PeerServiceClient, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	conn, ok := m.peers[id]
+	if !ok {
+		return nil, false
+	}
+	return conn.client, true
+}
+
+// SetLeaving announces that this host leaves the fleet.
+func (m *Members) SetLeaving() {
+	m.update(func(now time.Time) { m.table.SetLeaving(now) })
+	m.requestPush()
+}
+
+// ReportFailure notes that a call to a host failed. The host is probed at once;
+// only if it does not answer does the failure count.
+func (m *Members) ReportFailure(id record.HostID) {
+	m.mu.Lock()
+	ctx := m.background
+	m.mu.Unlock()
+	m.meters.failures.Inc(1)
+	go m.probe(ctx, id, doubtDelay)
+}
+
+// update changes the table and logs what follows from it.
+func (m *Members) update(change func(now time.Time)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(time.Now())
+	m.hosts = nil
+	gone := false
+	for _, t := range m.table.Transitions() {
+		gone = gone || t.To == membership.StateGone
+		m.logger.Info("host changed", "host", t.Host, "from", t.From, "to", t.To, "reason", t.Reason)
+		m.meters.transitions.Inc(1)
+	}
+	if gone {
+		m.connectLocked()
+	}
+}
+
+func (m *Members) tickLoop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			m.update(func(now time.Time) { m.table.Tick(now) })
+			m.updateMeters()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// followList keeps the platform's list. While it is out of reach the last one holds.
+func (m *Members) followList(ctx context.Context) error {
+	var version uint64
+	for ctx.Err() == nil {
+		list, err := m.opts.List.Hosts(ctx, version, listWait)
+		if ctx.Err() != nil {
+			break
+		}
+		m.noteList(err)
+		if err != nil {
+			if err := sleep(ctx, listRetry); err != nil {
+				break
+			}
+			continue
+		}
+		if list.Version == version && version > 0 {
+			continue
+		}
+		version = list.Version
+		m.takeList(list.Hosts)
+	}
+	return ctx.Err()
+}
+
+func (m *Members) noteList(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err != nil && m.listErr == nil:
+		m.logger.Error(err, "the host list is out of reach, the last one holds")
+	case err == nil && m.listErr != nil:
+		m.logger.Info("the host list answers again")
+	}
+	m.listErr = err
+}
+
+func (m *Members) takeList(hosts []platform.Host) {
+	m.update(func(now time.Time) {
+		m.table.SetList(hosts, now)
+		m.connectLocked()
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/fleet/member/members_test.go
@@ -0,0 +1,177 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+)
+
+// detectionGoal is how soon traffic must move off a dead host.
+const detectionGoal = 3 * time.Second
+
+func TestDeadHostIsSuspectedEverywhere(t *testing.T) {
+	for name, silent := range map[string]bool{"refused": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T) {
+				f := newFixture(t, 16, 4)
+				time.Sleep(10 * time.Second)
+				require.Equal(t, 16, f.beliefs(hostID(3), StateLive))
+				f.kill(hostID(3), silent)
+				took := f.until(detectionGoal, func() bool { return f.beliefs(hostID(3), StateSuspected) == 15 })
+				t.Log("suspected by all after", took)
+				time.Sleep(time.Minute)
+				for id := range f.hosts {
+					require.Equal(t, 15, f.beliefs(id, StateLive))
+				}
+				f.list.Remove(hostID(3))
+				f.until(2*time.Second, func() bool { return f.known(hostID(3)) == 0 })
+			})
+		})
+	}
+}
+
+func TestRestartClearsSuspicion(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFixture(t, 8, 4)
+		time.Sleep(5 * time.Second)
+		f.kill(hostID(2), false)
+		f.until(detectionGoal, func() bool { return f.beliefs(hostID(2), StateSuspected) == 7 })
+		f.start(f.describe(2, 4), 2)
+		f.until(5*time.Second, func() bool { return f.beliefs(hostID(2), StateLive) == 8 })
+		for _, h := range f.hosts[hostID(1)].members.Hosts() {
+			if h.ID == hostID(2) {
+				require.EqualValues(t, 2, h.Incarnation)
+			}
+		}
+	})
+}
+
+func TestWholeFailureDomainDies(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFixture(t, 20, 5)
+		time.Sleep(10 * time.Second)
+		for i := 1; i < 20; i += 5 {
+			f.kill(hostID(i), true)
+		}
+		f.until(detectionGoal, func() bool {
+			for i := 1; i < 20; i += 5 {
+				if f.beliefs(hostID(i), StateSuspected) < 16 {
+					return false
+				}
+			}
+			return true
+		})
+		time.Sleep(time.Minute)
+		require.Equal(t, 16, f.beliefs(hostID(0), StateLive))
+	})
+}
+
+// One witness is not enough: a host that a single other cannot reach stays in
+// use by all the rest.
+func TestOneWayPartitionBetweenTwoHosts(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFixture(t, 12, 4)
+		time.Sleep(5 * time.Second)
+		watcher := string(f.hosts[hostID(0)].members.table.Watchers(hostID(5))[0])
+		f.network.Cut(watcher, string(hostID(5)))
+		for range 60 {
+			time.Sleep(time.Second)
+			require.LessOrEqual(t, f.beliefs(hostID(5), StateSuspected), 1, "at most the host that is cut off")
+		}
+		f.network.Heal(watcher, string(hostID(5)))
+		f.until(10*time.Second, func() bool { return f.beliefs(hostID(5), StateLive) == 12 })
+	})
+}
+
+func TestFlappingLinksAreDamped(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFixture(t, 8, 4)
+		time.Sleep(5 * time.Second)
+		changes := func() int64 { return f.hosts[hostID(7)].members.meters.transitions.Count() }
+		for range 30 {
+			f.cutAll(hostID(3))
+			time.Sleep(4 * time.Second)
+			for id := range f.hosts {
+				f.network.Heal(string(id), string(hostID(3)))
+				f.network.Heal(string(hostID(3)), string(id))
+			}
+			time.Sleep(4 * time.Second)
+		}
+		require.LessOrEqual(t, changes(), int64(10), "30 flaps without damping are 60 changes")
+		f.until(2*time.Minute, func() bool { return f.beliefs(hostID(3), StateLive) == 8 })
+	})
+}
+
+func TestListIsWrongOrUnreachable(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFixture(t, 5, 5)
+		time.Sleep(5 * time.Second)
+		f.list.SetDown(true)
+		f.kill(hostID(1), true)
+		f.until(detectionGoal, func() bool { return f.beliefs(hostID(1), StateSuspected) == 4 })
+		time.Sleep(5 * time.Minute)
+		require.Equal(t, 4, f.beliefs(hostID(2), StateLive))
+		f.list.SetDown(false)
+
+		for i := range 5 { // the list loses every host
+			f.list.Remove(hostID(i))
+		}
+		time.Sleep(5 * time.Minute)
+		require.Equal(t, 4, f.beliefs(hostID(2), StateLive), "hosts that answer stay")
+		require.Equal(t, 0, f.known(hostID(1)))
+	})
+}
+
+func TestLeavingHostIsKnownEverywhereAtOnce(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFixture(t, 16, 4)
+		time.Sleep(5 * time.Second)
+		f.hosts[hostID(4)].members.SetLeaving()
+		f.until(detectionGoal, func() bool { return f.beliefs(hostID(4), StateLeaving) == 16 })
+		f.list.SetState(hostID(5), platform.HostLeaving)
+		f.until(detectionGoal, func() bool { return f.beliefs(hostID(5), StateLeaving) == 16 })
+		f.kill(hostID(4), false)
+		f.list.Remove(hostID(4))
+		f.until(2*time.Second, func() bool { return f.known(hostID(4)) == 0 })
+	})
+}
+
+func TestReportedFailureIsProbedFirst(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFixture(t, 16, 4)
+		time.Sleep(5 * time.Second)
+		m := f.hosts[hostID(0)].members
+		m.ReportFailure(hostID(9))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 16, f.beliefs(hostID(9), StateLive), "it answers")
+		f.network.Cut(string(hostID(0)), string(hostID(9)))
+		m.ReportFailure(hostID(9))
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 1, f.beliefs(hostID(9), StateSuspected), "only the host that cannot reach it")
+		f.network.Heal(string(hostID(0)), string(hostID(9)))
+		f.until(10*time.Second, func() bool { return f.beliefs(hostID(9), StateLive) == 16 })
+	})
+}
+
+// A connection that a device between the hosts has forgotten is replaced and
+// makes no host suspected.
+func TestSilentConnections(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFixture(t, 8, 4)
+		time.Sleep(5 * time.Second)
+		for i := range 8 {
+			for k := range i {
+				f.network.Silence(string(hostID(i)), string(hostID(k)))
+			}
+		}
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for id := range f.hosts {
+				require.Zero(t, f.beliefs(id, StateSuspected))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/fleet/member/probe.go
@@ -0,0 +1,323 @@
+package member
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/hazelworks/hazelworks/core/membership"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+)
+
+// probeLoop probes the assigned hosts in turn, spread over the interval.
+func (m *Members) probeLoop(ctx context.Context) error {
+	if err := sleep(ctx, m.randomDelay(probeInterval)); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		m.mu.Lock()
+		targets := m.table.Targets()
+		m.mu.Unlock()
+		for _, id := range targets {
+			go m.probe(ctx, id, hedgeDelay)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (m *Members) randomDelay(limit time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Duration(m.rand.Int64N(int64(limit)))
+}
+
+// probe asks a host for its word and notes the result. A new connection is tried
+// after delay, since the open one may have gone silent.
+func (m *Members) probe(ctx context.Context, id record.HostID, delay time.Duration) {
+	if !m.beginProbe(id) {
+		return
+	}
+	defer m.endProbe(id)
+	start := time.Now()
+	response, err := m.hedgedPing(ctx, id, delay)
+	if ctx.Err() != nil {
+		return
+	}
+	m.meters.probes.Inc(1)
+	if err == nil {
+		m.answered(ctx, response)
+		return
+	}
+	m.meters.probeErrors.Inc(1)
+	if time.Since(start) > probeTimeout+pauseSlack {
+		m.logger.Info("ignored a failed probe, this process was paused", "host", id)
+		return
+	}
+	m.logger.V(1).Info("a host did not answer", "host", id, "error", err.Error())
+	m.update(func(now time.Time) { m.table.Failed(id, now) })
+	m.requestPush()
+}
+
+func (m *Members) beginProbe(id record.HostID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.probing[id] {
+		return false
+	}
+	m.probing[id] = true
+	return true
+}
+
+func (m *Members) endProbe(id record.HostID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.probing, id)
+}
+
+// answered takes a host's answer.
+func (m *Members) answered(ctx context.Context, r *peerpb.PingResponse) {
+	word := membership.Word{
+		Host:        record.HostID(r.Host),
+		Incarnation: record.Incarnation(r.Incarnation),
+		Leaving:     r.Leaving,
+		Version:     record.Offset(r.SettingsVersion),
+	}
+	m.update(func(now time.Time) { m.table.Answered(word, now) })
+	m.receive(ctx, r.Suspicions)
+}
+
+// receive takes reports and acts on them: it probes the hosts in doubt that are
+// assigned to this one, and passes fresh reports on.
+func (m *Members) receive(ctx context.Context, suspicions []*peerpb.Suspicion) {
+	if len(suspicions) == 0 {
+		return
+	}
+	var doubted []record.HostID
+	fresh := false
+	m.update(func(now time.Time) {
+		doubted, fresh = m.table.Receive(reportsOf(suspicions), now)
+	})
+	for _, id := range doubted {
+		go m.probe(ctx, id, doubtDelay)
+	}
+	if fresh {
+		m.requestPush()
+	}
+}
+
+// pingResult is the result of one try.
+type pingResult struct {
+	response *peerpb.PingResponse
+	err      error
+	conn     *peerConn
+}
+
+// hedgedPing pings over the open connection and, if no answer comes within delay
+// or the try fails, over a new one as well. The first answer counts.
+func (m *Members) hedgedPing(ctx context.Context, id record.HostID, delay time.Duration) (*peerpb.PingResponse, error) {
+	open := m.conn(id)
+	if open == nil {
+		return nil, errUnknownHost
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	results := make(chan pingResult, 2)
+	go m.tryPing(ctx, open, results)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	var first pingResult
+	select {
+	case first = <-results:
+		if first.err == nil {
+			return first.response, nil
+		}
+		results <- first
+	case <-timer.C:
+	}
+	fresh := m.newPeerConn(open.addr)
+	go m.tryPing(ctx, fresh, results)
+	for range 2 {
+		first = <-results
+		if first.err == nil {
+			break
+		}
+	}
+	if first.err == nil && first.conn == fresh {
+		m.useFresh(id, open, fresh)
+		return first.response, nil
+	}
+	fresh.http.CloseIdleConnections()
+	return first.response, first.err
+}
+
+func (m *Members) tryPing(ctx context.Context, conn *peerConn, results chan<- pingResult) {
+	response, err := conn.client.Ping(ctx, connect.NewRequest(m.pingRequest()))
+	if err != nil {
+		results <- pingResult{err: err, conn: conn}
+		return
+	}
+	results <- pingResult{response: response.Msg, conn: conn}
+}
+
+func (m *Members) pingRequest() *peerpb.PingRequest {
+	word, reports := m.word()
+	return &peerpb.PingRequest{
+		Host:            string(word.Host),
+		Incarnation:     uint64(word.Incarnation),
+		SettingsVersion: uint64(word.Version),
+		Leaving:         word.Leaving,
+		Suspicions:      reports,
+	}
+}
+
+func (m *Members) word() (membership.Word, []*peerpb.Suspicion) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	word := m.table.Word()
+	word.Version = m.version()
+	return word, suspicionsOf(m.table.News(maxReports))
+}
+
+// Ping answers another host's probe.
+func (m *Members) Ping(_ context.Context, r *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	word := membership.Word{
+		Host:        record.HostID(r.Msg.Host),
+		Incarnation: record.Incarnation(r.Msg.Incarnation),
+		Leaving:     r.Msg.Leaving,
+		Version:     record.Offset(r.Msg.SettingsVersion),
+	}
+	m.update(func(now time.Time) { m.table.Heard(word, now) })
+	m.mu.Lock()
+	ctx := m.background
+	m.mu.Unlock()
+	m.receive(ctx, r.Msg.Suspicions)
+	own, reports := m.word()
+	return connect.NewResponse(&peerpb.PingResponse{
+		Host:            string(own.Host),
+		Incarnation:     uint64(own.Incarnation),
+		SettingsVersion: uint64(own.Version),
+		Leaving:         own.Leaving,
+		Suspicions:      reports,
+	}), nil
+}
+
+func reportsOf(suspicions []*peerpb.Suspicion) []membership.Report {
+	reports := make([]membership.Report, 0, min(len(suspicions), maxReports))
+	for _, s := range suspicions[:min(len(suspicions), maxReports)] {
+		reports = append(reports, membership.Report{
+			Host:        record.HostID(s.Host),
+			Incarnation: record.Incarnation(s.Incarnation),
+			By:          record.HostID(s.By),
+			Seq:         s.Seq,
+			Cleared:     s.Cleared,
+		})
+	}
+	return reports
+}
+
+func suspicionsOf(reports []membership.Report) []*peerpb.Suspicion {
+	if len(reports) == 0 {
+		return nil
+	}
+	suspicions := make([]*peerpb.Suspicion, len(reports))
+	for i, r := range reports {
+		suspicions[i] = &peerpb.Suspicion{
+			Host:        string(r.Host),
+			Incarnation: uint64(r.Incarnation),
+			By:          string(r.By),
+			Seq:         r.Seq,
+			Cleared:     r.Cleared,
+		}
+	}
+	return suspicions
+}
+
+// requestPush asks for fresh reports to be pushed soon.
+func (m *Members) requestPush() {
+	select {
+	case m.push <- struct{}{}:
+	default:
+	}
+}
+
+// pushLoop passes fresh reports on without waiting for the next probes.
+func (m *Members) pushLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-m.push:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := sleep(ctx, pushDelay); err != nil {
+			return err
+		}
+		m.pushReports(ctx)
+	}
+}
+
+func (m *Members) pushReports(ctx context.Context) {
+	m.mu.Lock()
+	reports := m.table.Peek(maxReports)
+	targets := m.pushTargets(reports)
+	m.mu.Unlock()
+	if len(reports) == 0 {
+		return
+	}
+	for _, id := range targets {
+		conn := m.conn(id)
+		if conn == nil {
+			continue
+		}
+		m.meters.pushes.Inc(1)
+		go m.pushTo(ctx, conn)
+	}
+}
+
+func (m *Members) pushTo(ctx context.Context, conn *peerConn) {
+	callCtx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	response, err := conn.client.Ping(callCtx, connect.NewRequest(m.pingRequest()))
+	if err != nil {
+		return // probes find out why
+	}
+	m.answered(ctx, response.Msg)
+}
+
+// pushTargets returns the other watchers of the hosts that this host reports,
+// which can confirm the report, and some live hosts at random.
+func (m *Members) pushTargets(reports []membership.Report) []record.HostID {
+	self := m.opts.Self.Host
+	var targets []record.HostID
+	add := func(id record.HostID) {
+		if id != self && !slices.Contains(targets, id) {
+			targets = append(targets, id)
+		}
+	}
+	for _, r := range reports {
+		if r.By != self || r.Cleared || r.Host == self {
+			continue
+		}
+		for _, w := range m.table.Watchers(r.Host) {
+			add(w)
+		}
+	}
+	hosts := m.table.Hosts()
+	m.rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	random := 0
+	for _, h := range hosts {
+		if random < pushFanout && h.State == membership.StateLive && h.ID != self {
+			add(h.ID)
+			random++
+		}
+	}
+	return targets
+}
--- a/fleet/settingswatch/fixture_test.go
+++ b/fleet/settingswatch/fixture_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,7 +42,7 @@
 	watcher *Watcher
 	stop    context.CancelFunc
 	// isolated hosts can neither call others nor be called.
-	isolated bool
+	isolated atomic.Bool
 }
 
 func newCluster(t *testing.T, opts memlog.Options, hosts int) *cluster {
@@ -113,7 +114,7 @@
 	var hosts []member.Host
 	for _, other := range n.cluster.all() {
 		h := member.Host{Host: platform.Host{ID: other.id}, Belief: member.StateLive}
-		if !n.isolated && !other.isolated {
+		if !n.isolated.Load() && !other.isolated.Load() {
 			h.SettingsVersion = other.watcher.Version()
 		}
 		hosts = append(hosts, h)
@@ -134,7 +135,7 @@
 }
 
 func (p *peerClient) Settings(ctx context.Context, r *connect.Request[peerpb.SettingsRequest]) (*connect.Response[peerpb.SettingsResponse], error) {
-	if p.from.isolated || p.to.isolated {
+	if p.from.isolated.Load() || p.to.isolated.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- a/fleet/settingswatch/watcher_test.go
+++ b/fleet/settingswatch/watcher_test.go
@@ -113,11 +113,11 @@
 		require.Equal(t, 4, c.inForce(base))
 		require.EqualValues(t, 400, c.node(3).weight("a/x"))
 
-		c.node(3).isolated = true
+		c.node(3).isolated.Store(true)
 		c.node(0).publish(change("last", base, "firms/a/accounts/x/weight", "7"))
 		time.Sleep(time.Hour)
 		require.EqualValues(t, 400, c.node(3).weight("a/x"), "cut off from both: keeps what it has")
-		c.node(3).isolated = false
+		c.node(3).isolated.Store(false)
 		time.Sleep(5 * time.Second)
 		require.EqualValues(t, 7, c.node(3).weight("a/x"))
 	})
@@ -194,11 +194,12 @@
 		old := c.node(1)
 		old.stop()
 
-		again := &node{cluster: c, id: old.id, link: memlog.NewLink(&unreadable{Log: c.log, stream: record.StreamSettings}), isolated: true}
+		again := &node{cluster: c, id: old.id, link: memlog.NewLink(&unreadable{Log: c.log, stream: record.StreamSettings})}
+		again.isolated.Store(true)
 		c.run(again)
 		time.Sleep(time.Minute)
 		require.Nil(t, again.watcher.Current(), "the snapshot alone is older")
-		again.isolated = false
+		again.isolated.Store(false)
 		time.Sleep(time.Minute)
 		require.EqualValues(t, 2, again.weight("a/x"))
 	})
