Answer callers with an ordered list of hosts

Cause: no balancer stands before the fleet; callers ask which hosts to use. Routing: upstream health runs a state chart, subsets spread evenly, decisions are faster. Also mended: an adaptive limit between whole numbers could stay there for good, since the use was compared with the fractional limit (TestLimiterFollowsTheDelay).

--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,219 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func item(firm, account string) *Item {
+	return &Item{Firm: firm, Account: account, Class: "m"}
+}
+
+func always(*Item) bool { return true }
+
+func push(t *testing.T, q *Queue, it *Item) {
+	t.Helper()
+	_, ok := q.Push(it)
+	require.True(t, ok)
+}
+
+func TestFirmsShareByWeight(t *testing.T) {
+	q := NewQueue(1000)
+	for i := range 100 {
+		a := item("a", fmt.Sprint("x", i%3))
+		a.FirmWeight = 3
+		push(t, q, a)
+		push(t, q, item("b", "y"))
+	}
+	counts := make(map[string]int)
+	for range 80 {
+		counts[q.Pop(always).Firm]++
+	}
+	require.Equal(t, map[string]int{"a": 60, "b": 20}, counts)
+}
+
+func TestAccountsShareWhatTheirFirmGets(t *testing.T) {
+	q := NewQueue(1000)
+	for range 100 {
+		push(t, q, item("a", "many"))
+	}
+	for range 20 {
+		push(t, q, item("a", "few"))
+		push(t, q, item("b", "other"))
+	}
+	counts := make(map[string]int)
+	for range 40 {
+		counts[q.Pop(always).Account]++
+	}
+	require.Equal(t, map[string]int{"many": 10, "few": 10, "other": 20}, counts)
+}
+
+func TestPriorityThenArrivalWithinAnAccount(t *testing.T) {
+	q := NewQueue(10)
+	first, second, urgent := item("a", "x"), item("a", "x"), item("a", "x")
+	urgent.Priority = 5
+	for _, it := range []*Item{first, second, urgent} {
+		push(t, q, it)
+	}
+	for _, want := range []*Item{urgent, first, second} {
+		require.Same(t, want, q.Pop(always))
+	}
+	require.Nil(t, q.Pop(always))
+}
+
+func TestPopSkipsClassesWithoutAFreeUpstream(t *testing.T) {
+	q := NewQueue(10)
+	blocked, free := item("a", "x"), item("b", "y")
+	blocked.Class = "busy"
+	push(t, q, blocked)
+	push(t, q, free)
+	fit := func(it *Item) bool { return it.Class != "busy" }
+	require.Same(t, free, q.Pop(fit))
+	require.Nil(t, q.Pop(fit))
+	require.Equal(t, 1, q.Len())
+}
+
+func TestFullQueueEvictsFromTheLongest(t *testing.T) {
+	q := NewQueue(4)
+	push(t, q, item("heavy", "x"))
+	push(t, q, item("heavy", "x"))
+	push(t, q, item("heavy", "y"))
+	last := item("heavy", "y")
+	push(t, q, last)
+	_, ok := q.Push(item("heavy", "z"))
+	require.False(t, ok, "its own firm has filled the queue")
+	evicted, ok := q.Push(item("light", "z"))
+	require.True(t, ok)
+	require.Equal(t, "heavy", evicted.Firm)
+	require.False(t, q.Remove(evicted))
+	require.Equal(t, 4, q.Len())
+}
+
+func TestOneAccountCannotFillTheQueue(t *testing.T) {
+	q := NewQueue(10)
+	for range 5 {
+		push(t, q, item("a", "x"))
+	}
+	_, ok := q.Push(item("a", "x"))
+	require.False(t, ok)
+	push(t, q, item("a", "y"))
+}
+
+// TestQueueHistories checks bounds and completeness over random histories: each
+// request taken in leaves exactly once.
+func TestQueueHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limit := rapid.IntRange(1, 12).Draw(rt, "limit")
+		q := NewQueue(limit)
+		inside := make(map[*Item]bool)
+		leave := func(it *Item) {
+			require.True(rt, inside[it])
+			delete(inside, it)
+		}
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0, 1:
+				it := item(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "firm"), rapid.SampledFrom([]string{"x", "y"}).Draw(rt, "account"))
+				it.Priority = rapid.IntRange(0, 2).Draw(rt, "priority")
+				evicted, ok := q.Push(it)
+				if evicted != nil {
+					leave(evicted)
+				}
+				if ok {
+					inside[it] = true
+				}
+			case 2:
+				if it := q.Pop(always); it != nil {
+					leave(it)
+				} else {
+					require.Empty(rt, inside)
+				}
+			case 3:
+				for it := range inside {
+					require.True(rt, q.Remove(it))
+					delete(inside, it)
+					break
+				}
+			}
+			require.Len(rt, q.Waiting(), len(inside))
+			require.Equal(rt, len(inside), q.Len())
+			require.LessOrEqual(rt, q.Len(), limit)
+		}
+	})
+}
+
+func TestPlaceInTheFairOrder(t *testing.T) {
+	q := NewQueue(100)
+	for range 40 {
+		push(t, q, item("heavy", "x"))
+	}
+	require.Equal(t, 41, q.Ahead(item("heavy", "x")))
+	require.Equal(t, 2, q.Ahead(item("heavy", "y")))
+	require.Equal(t, 2, q.Ahead(item("light", "z")))
+}
+
+func TestRetryBudgetIsAShareOfAttempts(t *testing.T) {
+	b := NewRetryBudget(0.1)
+	allowed := 0
+	for range 1000 {
+		b.Attempt()
+		for range 3 {
+			if b.Retry() {
+				allowed++
+			}
+		}
+	}
+	require.InDelta(t, 100, allowed, 2)
+	require.False(t, NewRetryBudget(0).Retry())
+}
+
+func TestLimiterFollowsTheDelay(t *testing.T) {
+	l := NewLimiter(LimiterConfig{Initial: 8, Max: 16})
+	now := time.Unix(1000, 0)
+	observe := func(n int, delay time.Duration) {
+		for range n {
+			now = now.Add(delay)
+			l.Observe(delay, l.Limit(), now)
+		}
+	}
+	observe(300, 100*time.Millisecond)
+	require.Equal(t, 16, l.Limit())
+	observe(30, 500*time.Millisecond)
+	low := l.Limit()
+	require.LessOrEqual(t, low, 4)
+	observe(600, 100*time.Millisecond)
+	require.Greater(t, l.Limit(), low)
+	before := l.Limit()
+	l.Overloaded(now.Add(time.Minute))
+	require.Less(t, l.Limit(), before)
+}
+
+func TestLimiterDoesNotGrowUnused(t *testing.T) {
+	l := NewLimiter(LimiterConfig{Initial: 8, Max: 16})
+	now := time.Unix(1000, 0)
+	for range 100 {
+		now = now.Add(time.Second)
+		l.Observe(100*time.Millisecond, 2, now)
+	}
+	require.Equal(t, 8, l.Limit())
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	for _, waiting := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			q := NewQueue(2 * waiting)
+			for i := range waiting {
+				q.Push(item(fmt.Sprint("f", i%4), fmt.Sprint("a", i%40)))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				it := q.Pop(always)
+				q.Push(it)
+			}
+		})
+	}
+}
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -64,7 +64,7 @@
 		l.cut(now)
 		return
 	}
-	if float64(inFlight) >= utilisation*l.limit {
+	if float64(inFlight) >= utilisation*float64(l.Limit()) {
 		l.limit = min(l.limit+1/l.limit, float64(l.cfg.Max))
 	}
 }
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -221,12 +221,11 @@
 	f := q.firm(it)
 	a := f.account(it)
 	inAccount := float64(a.length + 1)
-	inFirm := 0.0
+	inFirm := inAccount
 	for _, other := range f.accounts.flows {
-		inFirm += min(float64(other.length), inAccount*other.weight/a.weight)
-	}
-	if a.length == 0 {
-		inFirm++
+		if other != a {
+			inFirm += min(float64(other.length), inAccount*other.weight/a.weight)
+		}
 	}
 	total := 0.0
 	for _, other := range q.firms.flows {
--- a/core/route/decide.go
+++ b/core/route/decide.go
@@ -52,81 +52,84 @@
 	if len(set) == 0 {
 		return Decision{Reason: ReasonNoneAble}
 	}
-	pool := p.usable(set, q.Exclude)
-	mean := p.meanOthers(pool, now)
-	free, load, slots := p.freeOf(pool, mean, now)
+	pool, mean := p.usable(set, q.Exclude, now)
+	free, perSlot := p.freeOf(pool, mean, now)
 	if len(free) == 0 {
 		return Decision{Candidates: len(set), Reason: ReasonBusy}
 	}
 	d := Decision{Candidates: len(set)}
-	d.Chosen, d.Reason = p.choose(q, free, mean, load/slots, now)
+	d.Chosen, d.Reason = p.choose(q, free, perSlot)
 	return d
 }
 
 // usable returns the candidates that are neither ejected nor excluded. If that
-// leaves none, excluded ones are used, and ejected ones last.
-func (p *Pool) usable(set []*Worker, exclude []string) []*Worker {
+// leaves none, excluded ones are used, and ejected ones last. It also returns
+// the mean load by other hosts, over the reports that still count.
+func (p *Pool) usable(set []*Worker, exclude []string, now time.Time) ([]*Worker, float64) {
 	out := p.scratch[:0]
 	for _, w := range set {
-		if w.health.state != StateEjected && !slices.Contains(exclude, w.up.ID) {
+		if !w.health.ejected && (len(exclude) == 0 || !slices.Contains(exclude, w.up.ID)) {
 			out = append(out, w)
 		}
 	}
-	p.scratch = out
-	if len(out) > 0 {
-		return out
-	}
-	for _, w := range set {
-		if w.health.state != StateEjected {
-			out = append(out, w)
+	if len(out) == 0 {
+		for _, w := range set {
+			if !w.health.ejected {
+				out = append(out, w)
+			}
 		}
 	}
 	if len(out) == 0 {
 		out = append(out, set...)
 	}
 	p.scratch = out
-	return out
+	return out, p.weigh(out, now)
 }
 
-// meanOthers is the mean load by other hosts over the reports that count.
-func (p *Pool) meanOthers(pool []*Worker, now time.Time) float64 {
-	sum, weight := 0.0, 0.0
+// weigh sets the weight of each upstream's report, which falls with its age,
+// and returns the weighted mean of the load by other hosts.
+func (p *Pool) weigh(pool []*Worker, now time.Time) float64 {
+	nanos, ttl := now.UnixNano(), int64(p.cfg.ReportTTL)
+	sum, total := 0.0, 0.0
 	for _, w := range pool {
-		x := w.reportWeight(now, p.cfg.ReportTTL)
-		sum += x * w.others
-		weight += x
+		w.weight = w.reportWeight(nanos, ttl)
+		sum += w.weight * w.others
+		total += w.weight
 	}
-	if weight == 0 {
+	if total == 0 {
 		return 0
 	}
-	return sum / weight
-}
-
-// load estimates the requests at w: the own ones, plus those of other hosts by
-// a report whose weight falls with its age in favour of the mean.
-func (p *Pool) load(w *Worker, mean float64, now time.Time) float64 {
-	x := w.reportWeight(now, p.cfg.ReportTTL)
-	return float64(w.inFlight) + x*w.others + (1-x)*mean
+	return sum / total
 }
 
 // freeOf narrows pool, in place, to those with a free slot. It also returns the
-// load and the slots of the whole pool.
-func (p *Pool) freeOf(pool []*Worker, mean float64, now time.Time) (free []*Worker, load, slots float64) {
+// load for each slot of the whole pool. The load of an upstream is taken to be
+// the own requests, plus those of other hosts by its report, so far as that
+// still counts, and by the mean for the rest.
+func (p *Pool) freeOf(pool []*Worker, mean float64, now time.Time) (free []*Worker, perSlot float64) {
+	nanos, slowStart := now.UnixNano(), int64(p.cfg.SlowStart)
+	load, slots := 0.0, 0.0
 	free = pool[:0]
 	for _, w := range pool {
-		load += p.load(w, mean, now)
-		slots += float64(w.slots())
-		if w.free(now, p.cfg.SlowStart) {
+		ramp := 1.0
+		if w.health.rampFrom != 0 {
+			ramp = w.health.ramp(nanos, slowStart)
+		}
+		w.slots = w.capacity * ramp
+		w.current = float64(w.inFlight) + w.weight*w.others + (1-w.weight)*mean
+		load += w.current
+		slots += w.slots
+		if w.free(ramp) {
 			free = append(free, w)
 		}
 	}
-	return free, load, slots
+	return free, load / slots
 }
 
-func (p *Pool) choose(q *Query, free []*Worker, mean, perSlot float64, now time.Time) (*Worker, Reason) {
+func (p *Pool) choose(q *Query, free []*Worker, perSlot float64) (*Worker, Reason) {
 	if !q.NoProbe {
 		for _, w := range free {
-			if w.health.state == StateProbing {
+			if w.health.probing {
 				return w, ReasonProbe
 			}
 		}
@@ -135,23 +138,23 @@
 		return free[0], ReasonOnly
 	}
 	if len(q.Prefix) > 0 {
-		if w, reason := p.byPrefix(q, free, mean, perSlot, now); w != nil {
+		if w, reason := p.byPrefix(q, free, perSlot); w != nil {
 			return w, reason
 		}
 	}
-	return p.betterOfTwo(free, mean, now), ReasonLeastLoaded
+	return p.betterOfTwo(free), ReasonLeastLoaded
 }
 
 // byPrefix chooses the upstream with the longest prefix by cache events, else
 // the first in rendezvous order of the leading blocks, among those within the
 // load bound.
-func (p *Pool) byPrefix(q *Query, free []*Worker, mean, perSlot float64, now time.Time) (*Worker, Reason) {
+func (p *Pool) byPrefix(q *Query, free []*Worker, perSlot float64) (*Worker, Reason) {
 	key := q.Prefix[min(len(q.Prefix), p.cfg.PrefixBlocks)-1]
 	var hashed, hinted *Worker
 	var top uint64
 	longest := 0
 	for _, w := range free {
-		if !p.withinBound(w, mean, perSlot, now) {
+		if !p.withinBound(w, perSlot) {
 			continue
 		}
 		if s := rendezvous.Mix(key, w.hash); hashed == nil || s > top {
@@ -168,28 +171,25 @@
 }
 
 // withinBound tells whether one more request keeps w below the load bound.
-func (p *Pool) withinBound(w *Worker, mean, perSlot float64, now time.Time) bool {
-	slots := float64(w.slots()) * w.health.ramp(now, p.cfg.SlowStart)
-	bound := math.Ceil(p.cfg.LoadBound * perSlot * slots)
-	return p.load(w, mean, now)+1 <= max(bound, 1)
+func (p *Pool) withinBound(w *Worker, perSlot float64) bool {
+	bound := math.Ceil(p.cfg.LoadBound * perSlot * w.slots)
+	return w.current+1 <= max(bound, 1)
 }
 
-func (p *Pool) betterOfTwo(free []*Worker, mean float64, now time.Time) *Worker {
+func (p *Pool) betterOfTwo(free []*Worker) *Worker {
 	i := p.rng.IntN(len(free))
 	j := p.rng.IntN(len(free) - 1)
 	if j >= i {
 		j++
 	}
 	a, b := free[i], free[j]
-	if p.cost(b, mean, now) < p.cost(a, mean, now) {
+	if b.cost() < a.cost() {
 		return b
 	}
 	return a
 }
 
-// cost is the load per slot after one more request, in proportion to the delay
-// that the upstream has shown.
-func (p *Pool) cost(w *Worker, mean float64, now time.Time) float64 {
-	slots := float64(w.slots()) * w.health.ramp(now, p.cfg.SlowStart)
-	return (p.load(w, mean, now) + 1) / slots
+// cost is the load for each slot after one more request.
+func (w *Worker) cost() float64 {
+	return (w.current + 1) / w.slots
 }
--- a/core/route/health.go
+++ b/core/route/health.go
@@ -1,27 +1,40 @@
 package route
 
-import "time"
+import (
+	_ "embed" // for the state chart
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/statechart"
+)
+
+//go:embed upstream.hujson
+var chartFile []byte
+
+var chart = statechart.MustLoad("upstream.hujson", chartFile)
 
 // State is the health of an upstream as this host sees it.
-type State string
+type State = statechart.State
 
-// Health states.
+// States of the chart in upstream.hujson.
 const (
-	// StateLive upstreams get work; new ones within the slow start.
-	StateLive State = "live"
-	// StateEjected upstreams get no work until their ejection has passed and a
-	// probe has succeeded.
+	StateLive    State = "live"
 	StateEjected State = "ejected"
-	// StateProbing upstreams get one request at a time.
 	StateProbing State = "probing"
+	StateGone    State = "gone"
 )
 
-// Weights of the moving means.
+// Events of the chart in upstream.hujson.
 const (
-	failureWeight = 0.1
-	delayWeight   = 0.2
+	eventEject          statechart.Event = "eject"
+	eventProbeSucceeded statechart.Event = "probe-succeeded"
+	eventProbeFailed    statechart.Event = "probe-failed"
+	eventRecover        statechart.Event = "recover"
+	eventRemove         statechart.Event = "remove"
 )
 
+// failureWeight is the weight of the newest outcome in the failure rate.
+const failureWeight = 0.1
+
 // rateMinimum is the number of outcomes before the failure rate counts.
 const rateMinimum = 10
 
@@ -30,26 +43,37 @@
 
 // health tracks failures, ejection and slow start of one upstream.
 type health struct {
-	state     State
+	// rampFrom is the begin of the slow start in nanoseconds since the Unix
+	// epoch; zero if it has passed.
+	rampFrom int64
+	// The state of the machine, kept for speed.
+	ejected bool
+	probing bool
+	state   State
+
+	machine   *statechart.Machine
 	failures  int // consecutive
 	outcomes  int // since the last change of state
 	rate      float64
 	ejections int
 	until     time.Time
 	successes int // in the probing state
-	rampFrom  time.Time
 }
 
-func (h *health) ramp(now time.Time, slowStart time.Duration) float64 {
-	if h.rampFrom.IsZero() {
-		return 1
-	}
-	age := now.Sub(h.rampFrom)
+func newHealth() health {
+	m := chart.Start()
+	return health{machine: m, state: m.State()}
+}
+
+// ramp returns the share of its slots that the upstream gets, and ends a slow
+// start that has passed. Times are in nanoseconds.
+func (h *health) ramp(now, slowStart int64) float64 {
+	age := now - h.rampFrom
 	if age >= slowStart {
-		h.rampFrom = time.Time{}
+		h.rampFrom = 0
 		return 1
 	}
-	return rampStart + (1-rampStart)*float64(age)/float64(slowStart)
+	return rampStart + (1-rampStart)*float64(max(age, 0))/float64(slowStart)
 }
 
 func (h *health) succeeded(c *Config, now time.Time) {
@@ -62,8 +86,8 @@
 	}
 	h.successes++
 	if h.successes >= c.ProbeSuccesses {
-		h.enter(StateLive)
-		h.rampFrom = now
+		h.fire(eventRecover)
+		h.rampFrom = now.UnixNano()
 	}
 }
 
@@ -92,22 +116,31 @@
 	return h.outcomes >= rateMinimum && h.rate > c.EjectRate
 }
 
-func (h *health) eject(c *Config, now time.Time) {
+func (h *health) eject(event statechart.Event, c *Config, now time.Time) {
 	length := c.EjectTime << min(h.ejections, 16)
 	if length > c.EjectTimeMax || length <= 0 {
 		length = c.EjectTimeMax
 	}
-	h.ejections++
-	h.enter(StateEjected)
-	h.until = now.Add(length)
+	if h.fire(event) {
+		h.ejections++
+		h.until = now.Add(length)
+	}
 }
 
-func (h *health) enter(s State) {
-	h.state = s
+// fire takes the transition of an event and resets the counts of the state.
+// Events that the state does not accept have no effect.
+func (h *health) fire(event statechart.Event) bool {
+	if err := h.machine.Fire(event); err != nil {
+		return false
+	}
+	h.state = h.machine.State()
+	h.ejected = h.state == StateEjected
+	h.probing = h.state == StateProbing
 	h.failures = 0
 	h.outcomes = 0
 	h.successes = 0
 	h.rate = 0
+	return true
 }
 
 // probed applies the result of a re-entry probe.
@@ -116,8 +149,8 @@
 		return
 	}
 	if ok {
-		h.enter(StateProbing)
+		h.fire(eventProbeSucceeded)
 		return
 	}
-	h.eject(c, now)
+	h.eject(eventProbeFailed, c, now)
 }
--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -54,22 +54,30 @@
 // Sync replaces the set of upstreams. State of those that stay is kept; those
 // that join later than the first call begin with a slow start.
 func (p *Pool) Sync(ups []Upstream, now time.Time) {
+	changed := false
 	seen := make(map[string]bool, len(ups))
 	for _, up := range ups {
 		seen[up.ID] = true
-		if w, ok := p.workers[up.ID]; ok {
-			w.up = up
+		w, ok := p.workers[up.ID]
+		if !ok {
+			p.workers[up.ID] = newWorker(up, now, p.synced)
+			changed = true
 			continue
 		}
-		p.workers[up.ID] = newWorker(up, now, p.synced)
+		changed = changed || !w.up.equal(up)
+		w.update(up)
 	}
-	for id := range p.workers {
+	for id, w := range p.workers {
 		if !seen[id] {
+			w.health.fire(eventRemove)
 			delete(p.workers, id)
+			changed = true
 		}
 	}
 	p.synced = true
-	clear(p.sets)
+	if changed {
+		clear(p.sets)
+	}
 }
 
 // Worker returns the upstream with the given ID.
@@ -123,31 +131,19 @@
 	Failed
 )
 
-// Finish counts the end of a request that was started at w. Delay is the time
-// to its first byte; zero if there was none.
-func (p *Pool) Finish(w *Worker, o Outcome, delay time.Duration, now time.Time) {
+// Finish counts the end of a request that was started at w.
+func (p *Pool) Finish(w *Worker, o Outcome, now time.Time) {
 	w.inFlight--
-	if delay > 0 {
-		w.observeDelay(delay.Seconds())
-	}
 	switch o {
 	case Succeeded:
 		w.health.succeeded(&p.cfg, now)
 	case Failed:
 		if w.health.failed(&p.cfg) && p.mayEject(w) {
-			w.health.eject(&p.cfg, now)
+			w.health.eject(eventEject, &p.cfg, now)
 		}
 	}
 }
 
-func (w *Worker) observeDelay(seconds float64) {
-	if w.delay == 0 {
-		w.delay = seconds
-		return
-	}
-	w.delay += delayWeight * (seconds - w.delay)
-}
-
 // mayEject keeps the floor: in each set that w belongs to, enough others are live.
 func (p *Pool) mayEject(w *Worker) bool {
 	if w.health.state == StateProbing {
@@ -180,9 +176,10 @@
 		return
 	}
 	w.others = max(0, float64(r.Load-w.inFlight))
-	w.reportAt = now
+	w.reportAt = now.UnixNano()
 	if r.Slots > 0 {
 		w.reported = r.Slots
+		w.update(w.up)
 	}
 }
 
--- a/core/route/subset.go
+++ b/core/route/subset.go
@@ -23,12 +23,7 @@
 	if !slices.Contains(ordered, host) {
 		return bestOf(host, upstreams, size, nil)
 	}
-	// An upstream may be taken by this many hosts.
-	quota := (len(ordered)*size + len(upstreams) - 1) / len(upstreams)
-	left := make([]int, len(upstreams))
-	for i := range left {
-		left[i] = quota
-	}
+	left := quotas(len(ordered)*size, upstreams)
 	for _, h := range ordered {
 		taken := bestOf(h, upstreams, size, left)
 		if h == host {
@@ -41,6 +36,21 @@
 	return nil
 }
 
+// quotas spreads a number of uses over upstreams, so that no two differ by more
+// than one.
+func quotas(uses int, upstreams []uint64) []int {
+	order := allIndexes(len(upstreams))
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(upstreams[a], upstreams[b]) })
+	left := make([]int, len(upstreams))
+	for rank, i := range order {
+		left[i] = uses / len(upstreams)
+		if rank < uses%len(upstreams) {
+			left[i]++
+		}
+	}
+	return left
+}
+
 func allIndexes(n int) []int {
 	all := make([]int, n)
 	for i := range all {
@@ -51,21 +61,30 @@
 
 // bestOf returns the size best upstreams for a host, those with quota left first.
 func bestOf(host uint64, upstreams []uint64, size int, left []int) []int {
-	order := allIndexes(len(upstreams))
-	scores := make([]uint64, len(upstreams))
-	for i, u := range upstreams {
-		scores[i] = rendezvous.Mix(host, u)
+	type scored struct {
+		score uint64
+		index int
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		if left != nil && (left[a] > 0) != (left[b] > 0) {
-			if left[a] > 0 {
-				return -1
-			}
-			return 1
+	best := make([]scored, 0, size+1)
+	for i, u := range upstreams {
+		score := rendezvous.Mix(host, u) >> 1
+		if left == nil || left[i] > 0 {
+			score |= 1 << 63
+		}
+		if len(best) == size && score <= best[size-1].score {
+			continue
 		}
-		return cmp.Compare(scores[b], scores[a])
-	})
-	best := order[:size]
-	slices.Sort(best)
-	return best
+		at := len(best)
+		for at > 0 && best[at-1].score < score {
+			at--
+		}
+		best = slices.Insert(best, at, scored{score: score, index: i})
+		best = best[:min(len(best), size)]
+	}
+	indexes := make([]int, len(best))
+	for i, b := range best {
+		indexes[i] = b.index
+	}
+	slices.Sort(indexes)
+	return indexes
 }
--- a/core/route/worker.go
+++ b/core/route/worker.go
@@ -25,6 +25,11 @@
 	Leaving bool
 }
 
+func (u Upstream) equal(o Upstream) bool {
+	return u.ID == o.ID && u.Role == o.Role && u.Slots == o.Slots && u.Leaving == o.Leaving &&
+		slices.EqualFunc(u.Serves, o.Serves, Serving.equal)
+}
+
 // Serving is a model version that an upstream has loaded.
 type Serving struct {
 	Model    string
@@ -49,24 +54,31 @@
 	Slots int
 }
 
-// Worker is the state of one upstream in a [Pool].
+// Worker is the state of one upstream in a [Pool]. The fields that each decision
+// reads come first, so that they share cache lines.
 type Worker struct {
-	up     Upstream
-	hash   uint64
-	health health
-	hints  hintSet
-
+	hash     uint64
 	inFlight int
 	limit    int
+	// capacity is the number of slots that is assumed.
+	capacity float64
 
-	// others is the load by other hosts in the last report, taken at reportAt.
+	// others is the load by other hosts in the last report, taken at reportAt,
+	// in nanoseconds since the Unix epoch.
 	others   float64
-	reportAt time.Time
+	reportAt int64
+
+	// Scratch values of the decision that is being made: the weight of the
+	// report, and the slots and the load that are assumed.
+	weight  float64
+	slots   float64
+	current float64
+
+	health health
+	hints  hintSet
+	up     Upstream
 	// reported is the number of slots in the last report that named them.
 	reported int
-
-	// delay is the moving mean of the time to the first byte, in seconds.
-	delay float64
 }
 
 // ID returns the upstream's ID.
@@ -85,22 +97,24 @@
 func (w *Worker) Limit() int { return w.limit }
 
 func newWorker(up Upstream, now time.Time, fresh bool) *Worker {
-	w := &Worker{up: up, hash: rendezvous.KeyOf(up.ID), health: health{state: StateLive}}
-	w.limit = w.slots()
+	w := &Worker{hash: rendezvous.KeyOf(up.ID), health: newHealth()}
+	w.update(up)
+	w.limit = int(w.capacity)
 	if fresh {
-		w.health.rampFrom = now
+		w.health.rampFrom = now.UnixNano()
 	}
 	return w
 }
 
-func (w *Worker) slots() int {
+func (w *Worker) update(up Upstream) {
+	w.up = up
+	w.capacity = slotsUnknown
 	switch {
-	case w.up.Slots > 0:
-		return w.up.Slots
+	case up.Slots > 0:
+		w.capacity = float64(up.Slots)
 	case w.reported > 0:
-		return w.reported
+		w.capacity = float64(w.reported)
 	}
-	return slotsUnknown
 }
 
 func (w *Worker) able(n Need) bool {
@@ -121,6 +135,10 @@
 	return slices.ContainsFunc(w.up.Serves, func(s Serving) bool { return s.meets(n) })
 }
 
+func (s Serving) equal(o Serving) bool {
+	return s.Model == o.Model && s.Version == o.Version && slices.Equal(s.Adapters, o.Adapters)
+}
+
 func (s Serving) meets(n Need) bool {
 	if s.Model != n.Model {
 		return false
@@ -131,24 +149,22 @@
 	return n.Adapter == "" || slices.Contains(s.Adapters, n.Adapter)
 }
 
-// free tells whether this host may send one more request.
-func (w *Worker) free(now time.Time, slowStart time.Duration) bool {
+// free tells whether this host may send one more request. Ramp is the share of
+// the limit that the slow start allows.
+func (w *Worker) free(ramp float64) bool {
 	limit := w.limit
-	if w.health.state == StateProbing {
+	if w.health.probing {
 		limit = 1
-	} else if r := w.health.ramp(now, slowStart); r < 1 {
-		limit = max(1, int(r*float64(limit)))
+	} else if ramp < 1 {
+		limit = max(1, int(ramp*float64(limit)))
 	}
 	return w.inFlight < limit
 }
 
 // reportWeight returns how far the last report still counts, 0 to 1.
-func (w *Worker) reportWeight(now time.Time, ttl time.Duration) float64 {
-	if w.reportAt.IsZero() {
-		return 0
-	}
-	age := now.Sub(w.reportAt)
-	if age >= ttl {
+func (w *Worker) reportWeight(now, ttl int64) float64 {
+	age := now - w.reportAt
+	if w.reportAt == 0 || age >= ttl {
 		return 0
 	}
 	return 1 - float64(max(age, 0))/float64(ttl)
--- /dev/null
+++ b/fleet/entry/entry.go
@@ -0,0 +1,240 @@
+// Package entry answers callers that ask which hosts they should connect to.
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/entry"
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/member"
+)
+
+// Path is where callers ask.
+const Path = "/v1/entry"
+
+// Limits of answers.
+const (
+	defaultTTL = 30 * time.Second
+	maxHosts   = 4
+	// leaveDelay bounds the time until other hosts have heard that this host
+	// leaves and no longer name it.
+	leaveDelay = 5 * time.Second
+	// transitSlack allows for the time that an answer is under way.
+	transitSlack = 2 * time.Second
+	retryAfter   = "1"
+)
+
+// Options configure a [Handler]. Self and Settings are required.
+type Options struct {
+	// Self is this host as the list should show it. It is the answer when the
+	// list is empty.
+	Self     platform.Host
+	Settings settings.Source
+	// View gives the other hosts; nil means none.
+	View member.View
+	// TTL is how long callers keep an answer; zero means 30 s.
+	TTL     time.Duration
+	Logger  logr.Logger
+	Metrics metrics.Registry
+}
+
+// Handler serves entry answers.
+type Handler struct {
+	opt     Options
+	log     logr.Logger
+	answers metrics.Counter
+
+	mu   sync.Mutex
+	plan *entry.Plan
+	// The inputs that plan was made of.
+	version record.Offset
+	ids     []string
+	// namedUntil is when the last answer of this host that names it lapses.
+	namedUntil time.Time
+	// leftAt is zero until Leave.
+	leftAt time.Time
+}
+
+// Answer is the body of an answer.
+type Answer struct {
+	Account    string `json:"account"`
+	Hosts      []Host `json:"hosts"`
+	TTLSeconds int    `json:"ttl_seconds"`
+}
+
+// Host is an address in an answer, best first.
+type Host struct {
+	ID            record.HostID `json:"id"`
+	Address       string        `json:"address"`
+	FailureDomain string        `json:"failure_domain"`
+}
+
+// NewHandler returns a handler.
+func NewHandler(opt Options) *Handler {
+	if opt.TTL <= 0 {
+		opt.TTL = defaultTTL
+	}
+	if opt.Metrics == nil {
+		opt.Metrics = metrics.NewRegistry()
+	}
+	if opt.Logger.GetSink() == nil {
+		opt.Logger = logr.Discard()
+	}
+	return &Handler{
+		opt:     opt,
+		log:     opt.Logger.WithName("entry"),
+		answers: metrics.GetOrRegisterCounter("entry.answers", opt.Metrics),
+	}
+}
+
+// Register adds the route to mux.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.Handle("GET "+Path, h)
+}
+
+// ServeHTTP answers the account whose key the request carries.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	current := h.opt.Settings.Current()
+	if current == nil {
+		w.Header().Set("Retry-After", retryAfter)
+		problem(w, http.StatusServiceUnavailable, "the settings are not known yet")
+		return
+	}
+	account, ok := authenticate(current, r)
+	if !ok {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		problem(w, http.StatusUnauthorized, "the account key is missing or not known")
+		return
+	}
+	answer := h.Answer(current, account.ID)
+	h.answers.Inc(1)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", fmt.Sprintf("private, max-age=%d", answer.TTLSeconds))
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// authenticate looks the key's hash up, so that no comparison of keys takes a
+// time that depends on how much of a key is right.
+func authenticate(current *settings.Resolved, r *http.Request) (*settings.Account, bool) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return nil, false
+	}
+	return current.AccountByKey(sha256.Sum256([]byte(key)))
+}
+
+func problem(w http.ResponseWriter, status int, detail string) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(struct {
+		Title  string `json:"title"`
+		Status int    `json:"status"`
+		Detail string `json:"detail"`
+	}{http.StatusText(status), status, detail})
+}
+
+// Answer returns the hosts that an account is told.
+func (h *Handler) Answer(current *settings.Resolved, account string) Answer {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known := h.known()
+	h.replan(current, known)
+	answer := Answer{Account: account, TTLSeconds: int(h.opt.TTL / time.Second)}
+	for _, x := range h.plan.Order(account, h.opt.Self.Region, known, maxHosts) {
+		answer.Hosts = append(answer.Hosts, Host{
+			ID: record.HostID(x.ID), Address: x.Address, FailureDomain: x.FailureDomain,
+		})
+		if x.ID == string(h.opt.Self.ID) {
+			h.namedUntil = now.Add(h.opt.TTL + transitSlack)
+		}
+	}
+	return answer
+}
+
+// known returns the hosts as they are seen now; this host is always among them.
+func (h *Handler) known() []entry.Host {
+	var out []entry.Host
+	if h.opt.View != nil {
+		for _, x := range h.opt.View.Hosts() {
+			if x.ID != h.opt.Self.ID && x.CallerAddr != "" {
+				out = append(out, fromMember(x))
+			}
+		}
+	}
+	self := fromMember(member.Host{Host: h.opt.Self, Belief: member.StateLive})
+	self.Leaving = !h.leftAt.IsZero()
+	out = append(out, self)
+	slices.SortFunc(out, func(a, b entry.Host) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+func fromMember(x member.Host) entry.Host {
+	return entry.Host{
+		ID:            string(x.ID),
+		Address:       x.CallerAddr,
+		FailureDomain: x.FailureDomain,
+		Region:        x.Region,
+		Suspected:     x.Belief == member.StateSuspected,
+		Leaving:       x.Belief == member.StateLeaving || x.State == platform.HostLeaving,
+	}
+}
+
+// replan makes a new plan if the accounts or the hosts have changed. Hosts of
+// other regions are no one's first address here.
+func (h *Handler) replan(current *settings.Resolved, known []entry.Host) {
+	var near []entry.Host
+	var ids []string
+	for _, x := range known {
+		if x.Region == h.opt.Self.Region {
+			near = append(near, x)
+			ids = append(ids, x.ID)
+		}
+	}
+	if h.plan != nil && h.version == current.Version && slices.Equal(h.ids, ids) {
+		return
+	}
+	accounts := make([]string, len(current.Accounts))
+	for i := range current.Accounts {
+		accounts[i] = current.Accounts[i].ID
+	}
+	h.plan = entry.NewPlan(accounts, near)
+	h.version, h.ids = current.Version, ids
+}
+
+// Leave makes later answers leave this host out while there are others.
+func (h *Handler) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leftAt.IsZero() {
+		h.leftAt = time.Now()
+		h.log.Info("No longer given out.")
+	}
+}
+
+// Lapse returns when the answers that named this host have lapsed: its own, and
+// after Leave those of other hosts too, which hear of it within a bounded time.
+func (h *Handler) Lapse() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leftAt.IsZero() {
+		return h.namedUntil
+	}
+	others := h.leftAt.Add(leaveDelay + h.opt.TTL + transitSlack)
+	if others.After(h.namedUntil) {
+		return others
+	}
+	return h.namedUntil
+}
--- a/fleet/upstream/lease.go
+++ b/fleet/upstream/lease.go
@@ -47,7 +47,7 @@
 	defer s.mu.Unlock()
 	inFlight := l.routed.InFlight()
 	before := l.routed.State()
-	s.router.Finish(l.routed, outcomeOf(r), r.FirstByte, now)
+	s.router.Finish(l.routed, outcomeOf(r), now)
 	if r.Load != nil {
 		s.observe(l.up.ID, *r.Load, now)
 	}
