--- /dev/null
+++ b/fleet/gateway/fetch.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+	"github.com/hazelworks/hazelworks/fleet/request"
+	"github.com/hazelworks/hazelworks/fleet/stream"
+)
+
+// Bounds of the search for an answer among the hosts.
+const (
+	askedAtOnce = 8
+	askedInAll  = 24
+)
+
+var errPeerSilent = errors.New("the peer fell silent")
+
+// remote is an answer at another host.
+type remote struct {
+	host   record.HostID
+	events *connect.ServerStreamForClient[peerpb.AnswerEvent]
+	watch  *watch
+	cancel context.CancelCauseFunc
+}
+
+func (r *remote) close() {
+	r.watch.stop()
+	r.cancel(nil)
+	_ = r.events.Close()
+}
+
+// open asks a host for an answer from an event on. It returns false if the host
+// does not have it or does not say so in time.
+func (g *Gateway) open(ctx context.Context, host record.HostID, account, id string, from uint64) (*remote, bool) {
+	if g.opts.View == nil {
+		return nil, false
+	}
+	client, ok := g.opts.View.Client(host)
+	if !ok {
+		return nil, false
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := newWatch(g.limits.PeerTimeout, func() { cancel(errPeerSilent) })
+	events, err := client.Answer(ctx, connect.NewRequest(&peerpb.AnswerRequest{Account: account, RequestId: id, From: from}))
+	if err != nil {
+		w.stop()
+		cancel(nil)
+		return nil, false
+	}
+	r := &remote{host: host, events: events, watch: w, cancel: cancel}
+	if !events.Receive() {
+		r.close()
+		return nil, false
+	}
+	w.idle = silentHeartbeats * g.limits.Heartbeat
+	w.touch()
+	return r, true
+}
+
+// pump copies the answer into a buffer until its end or until the peer is lost.
+func (r *remote) pump(ctx context.Context, into *stream.Buffer) (stream.End, error) {
+	for r.events.Receive() {
+		r.watch.touch()
+		m := r.events.Msg()
+		switch {
+		case m.GetLast():
+			return endOf(m), nil
+		case m.GetStatus() != 0:
+			into.Begin(headOf(m))
+		case len(m.GetData()) > 0:
+			r.watch.pause()
+			if err := into.Append(ctx, m.GetData()); err != nil {
+				return stream.End{}, err
+			}
+			r.watch.touch()
+		}
+	}
+	if err := r.events.Err(); err != nil {
+		return stream.End{}, err
+	}
+	return stream.End{}, errPeerSilent
+}
+
+// relay passes on the answer of the host that has claimed the request. It
+// returns false if that host cannot be asked.
+func (c *call) relay(ctx context.Context, by record.Holder) (stream.End, bool) {
+	if by.Host == c.g.opts.Self.Host {
+		return stream.End{}, false
+	}
+	found := false
+	var lastErr error
+	for range c.g.limits.Resumes {
+		r, ok := c.g.open(ctx, by.Host, c.req.Account, c.req.ID, c.req.Answer.Next())
+		if !ok {
+			break
+		}
+		found = true
+		end, err := r.pump(ctx, c.req.Answer)
+		r.close()
+		if err == nil {
+			return end, true
+		}
+		lastErr = err
+	}
+	if !found {
+		return stream.End{}, false
+	}
+	return lostAtPeer(lastErr), true
+}
+
+// fetch finds an answer at another host and passes it on for as long as the
+// caller stays.
+func (g *Gateway) fetch(ctx context.Context, acct *settings.Account, id string, from uint64) (*request.Request, bool) {
+	hosts := g.hostsToAsk(acct.ID)
+	for len(hosts) > 0 {
+		n := min(len(hosts), askedAtOnce)
+		if r, ok := g.askAll(ctx, hosts[:n], acct.ID, id, from); ok {
+			return g.adopt(ctx, r, acct.ID, id, from), true
+		}
+		hosts = hosts[n:]
+	}
+	return nil, false
+}
+
+// hostsToAsk lists the other hosts, those that the account's callers are sent
+// to first.
+func (g *Gateway) hostsToAsk(account string) []record.HostID {
+	var hosts []record.HostID
+	seen := map[record.HostID]bool{g.opts.Self.Host: true}
+	add := func(id record.HostID) {
+		if !seen[id] && len(hosts) < askedInAll {
+			seen[id] = true
+			hosts = append(hosts, id)
+		}
+	}
+	if g.opts.Order != nil {
+		for _, id := range g.opts.Order(account) {
+			add(id)
+		}
+	}
+	if g.opts.View != nil {
+		for _, h := range g.opts.View.Hosts() {
+			add(h.ID)
+		}
+	}
+	return hosts
+}
+
+// askAll asks several hosts at once and returns the first answer.
+func (g *Gateway) askAll(ctx context.Context, hosts []record.HostID, account, id string, from uint64) (*remote, bool) {
+	replies := make(chan *remote, len(hosts))
+	for _, host := range hosts {
+		go func() {
+			r, _ := g.open(ctx, host, account, id, from)
+			replies <- r
+		}()
+	}
+	for i := range hosts {
+		if r := <-replies; r != nil {
+			go closeRest(replies, len(hosts)-i-1)
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+func closeRest(replies <-chan *remote, n int) {
+	for range n {
+		if r := <-replies; r != nil {
+			r.close()
+		}
+	}
+}
+
+// adopt returns a request that stands for one at another host.
+func (g *Gateway) adopt(ctx context.Context, r *remote, account, id string, from uint64) *request.Request {
+	req := request.New(request.Spec{ID: id, Account: account}, g.limits.AnswerBytes, func(error) {})
+	req.Answer = stream.NewBuffer(g.limits.AnswerBytes, from)
+	g.log.Info("Answer fetched.", "request", id, "account", account, "host", r.host, "from", from)
+	go func() {
+		defer r.close()
+		started := time.Now()
+		end, err := r.pump(ctx, req.Answer)
+		if err != nil {
+			end = lostAtPeer(err)
+			g.log.Info("Answer lost.", "request", id, "host", r.host, "after", time.Since(started), "error", err.Error())
+		}
+		req.Answer.Finish(end)
+	}()
+	return req
+}
--- /dev/null
+++ b/fleet/gateway/handlers.go
@@ -0,0 +1,352 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/request"
+)
+
+// maxPriority bounds the priorities of callers, both ways.
+const maxPriority = 10
+
+// incoming is what a request says about itself besides its body.
+type incoming struct {
+	id         string
+	chosen     bool // the caller chose the ID
+	repeatable bool
+	priority   int
+	timeout    time.Duration
+}
+
+func readIncoming(r *http.Request, svc *settings.Service) (incoming, *problem.Problem) {
+	in := incoming{repeatable: svc.Repeatable, timeout: orDefault(svc.RequestTimeout, defaultRequestTimeout)}
+	if p := in.readID(r); p != nil {
+		return in, p
+	}
+	switch value := r.Header.Get(HeaderRepeatable); strings.ToLower(value) {
+	case "", "true": // a caller cannot make a service's requests repeatable
+	case "false":
+		in.repeatable = false
+	default:
+		return in, badRequest("%s is true or false, not %q", HeaderRepeatable, value)
+	}
+	if value := r.Header.Get(HeaderPriority); value != "" {
+		n, err := strconv.Atoi(value)
+		if err != nil || n < -maxPriority || n > maxPriority {
+			return in, badRequest("%s is a whole number from %d to %d", HeaderPriority, -maxPriority, maxPriority)
+		}
+		in.priority = n
+	}
+	if value := r.Header.Get(HeaderDeadline); value != "" {
+		ms, err := strconv.ParseInt(value, 10, 32)
+		if err != nil || ms <= 0 {
+			return in, badRequest("%s is a number of milliseconds above zero", HeaderDeadline)
+		}
+		in.timeout = min(in.timeout, time.Duration(ms)*time.Millisecond)
+	}
+	return in, nil
+}
+
+func (in *incoming) readID(r *http.Request) *problem.Problem {
+	values := r.Header.Values(HeaderIdempotencyKey)
+	if len(values) == 0 {
+		in.id = request.NewID()
+		return nil
+	}
+	in.id, in.chosen = values[0], true
+	if err := request.CheckID(in.id); err != nil || len(values) > 1 {
+		return badRequest("%s: %v", HeaderIdempotencyKey, errors.Join(err, errOneValue(values)))
+	}
+	return nil
+}
+
+func errOneValue(values []string) error {
+	if len(values) == 1 {
+		return nil
+	}
+	return errors.New("one value is wanted")
+}
+
+func badRequest(format string, args ...any) *problem.Problem {
+	return problem.New(http.StatusBadRequest, problem.CodeBadRequest, format, args...)
+}
+
+// serveChat answers chat completions.
+func (g *Gateway) serveChat(w http.ResponseWriter, r *http.Request, c caller) {
+	if last := r.Header.Get(HeaderLastEvent); last != "" {
+		g.serveRest(w, r, c, last)
+		return
+	}
+	body, p := g.hold(w, r, g.limits.BodyBytes)
+	if p != nil {
+		g.refuse(w, r, p)
+		return
+	}
+	if p := g.chat(w, r, c, body); p != nil {
+		body.free()
+		g.refuse(w, r, p)
+	}
+}
+
+// chat starts or finds a chat completion and serves its answer. A problem is
+// returned if nothing was started.
+func (g *Gateway) chat(w http.ResponseWriter, r *http.Request, c caller, body heldBody) *problem.Problem {
+	chat, err := request.ParseChat(body.data)
+	if err != nil {
+		return badRequest("%v", err)
+	}
+	svc, p := chatService(r, c, chat)
+	if p != nil {
+		return p
+	}
+	if limit := orDefault(svc.MaxBodyBytes, defaultServiceBody); int64(len(body.data)) > limit {
+		return tooLarge(limit)
+	}
+	in, p := readIncoming(r, svc)
+	if p != nil {
+		return p
+	}
+	spec := c.spec(in, svc)
+	spec.Model = chat.Model
+	spec.Fingerprint = sha256.Sum256(append([]byte("chat\x00"+svc.Name+"\x00"), body.data...))
+	req, p := g.start(c, in, svc, spec, body.free, func(cl *call) (work, error) {
+		return newModelWork(cl, chat)
+	})
+	if p != nil {
+		return p.WithRequestID(in.id)
+	}
+	mode := modeWhole
+	if chat.Stream {
+		mode = modeEvents
+	}
+	g.serve(w, r, req, 0, mode)
+	return nil
+}
+
+// chatService finds the service of a chat completion by header or model.
+func chatService(r *http.Request, c caller, chat *request.Chat) (*settings.Service, *problem.Problem) {
+	if name := r.Header.Get(HeaderService); name != "" {
+		svc, p := serviceByName(c.settings, c.account, name)
+		if p == nil && !offers(svc, chat) {
+			p = unknownModel(chat)
+		}
+		return svc, p
+	}
+	var found *settings.Service
+	for _, svc := range c.settings.ServicesWithModel(chat.Model) {
+		if !allowed(c.account, svc) || !offers(svc, chat) {
+			continue
+		}
+		if found == nil || svc.Firm == c.account.Firm && found.Firm != c.account.Firm {
+			found = svc
+		}
+	}
+	if found == nil {
+		return nil, unknownModel(chat)
+	}
+	return found, nil
+}
+
+func unknownModel(chat *request.Chat) *problem.Problem {
+	name := chat.Model
+	if chat.Adapter != "" {
+		name += ":" + chat.Adapter
+	}
+	return problem.New(http.StatusNotFound, problem.CodeUnknownModel, "no service of this account offers model %q", name)
+}
+
+func offers(svc *settings.Service, chat *request.Chat) bool {
+	if svc.Kind != settings.ServiceModel {
+		return false
+	}
+	for _, m := range svc.Models {
+		if m.Name != chat.Model {
+			continue
+		}
+		if chat.Adapter == "" {
+			return true
+		}
+		for _, adapter := range m.Adapters {
+			if adapter == chat.Adapter {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c caller) spec(in incoming, svc *settings.Service) request.Spec {
+	return request.Spec{
+		ID:         in.id,
+		Account:    c.account.ID,
+		Firm:       c.account.Firm,
+		Budget:     c.account.Budget,
+		Service:    svc.Name,
+		Repeatable: in.repeatable,
+	}
+}
+
+// start begins the run of a request, or finds the one with its ID. Free is
+// called when its body is no longer needed, unless a problem is returned.
+func (g *Gateway) start(c caller, in incoming, svc *settings.Service, spec request.Spec, free func(), build func(*call) (work, error)) (*request.Request, *problem.Problem) {
+	if in.chosen && request.Generated(in.id) {
+		return g.find(c, in.id, free)
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, stop := context.WithTimeoutCause(ctx, in.timeout, errDeadline)
+	cl := &call{g: g, service: svc, claims: in.chosen && !in.repeatable, priority: in.priority}
+	cl.budget, _ = c.settings.Budget(spec.Budget)
+	cl.req = request.New(spec, g.limits.AnswerBytes, cancel)
+	var err error
+	if cl.work, err = build(cl); err != nil {
+		stop()
+		return nil, problem.New(http.StatusInternalServerError, problem.CodeInternal, "%v", err)
+	}
+	req, started, err := g.table.Begin(spec, func() *request.Request { return cl.req })
+	if err != nil {
+		stop()
+		return nil, beginProblem(err)
+	}
+	if !started {
+		stop()
+		free()
+		return req, nil
+	}
+	g.metrics.requests.Inc(1)
+	go func() {
+		defer free()
+		defer stop()
+		defer cancel(nil)
+		cl.run(ctx)
+	}()
+	return req, nil
+}
+
+// find returns the request with an ID that a host has made. It is not run if it
+// is not known here, since it may run where the ID was made.
+func (g *Gateway) find(c caller, id string, free func()) (*request.Request, *problem.Problem) {
+	req, ok := g.table.Lookup(c.account.ID, id)
+	if !ok {
+		p := problem.New(http.StatusConflict, problem.CodeAnswerGone, "request ID %q was made by a host and is not known here", id)
+		return nil, p.WithOutcome(outcomeUnknown)
+	}
+	free()
+	return req, nil
+}
+
+func beginProblem(err error) *problem.Problem {
+	if errors.Is(err, request.ErrIDReused) {
+		return problem.New(http.StatusUnprocessableEntity, problem.CodeIDReused, "the request ID was used for another request")
+	}
+	return problem.New(http.StatusServiceUnavailable, problem.CodeOverloaded, "%v", err).WithRetryAfter(overloadRetry)
+}
+
+// servePlain passes a call on to a plain service.
+func (g *Gateway) servePlain(w http.ResponseWriter, r *http.Request, c caller) {
+	if p := g.plain(w, r, c); p != nil {
+		g.refuse(w, r, p)
+	}
+}
+
+func (g *Gateway) plain(w http.ResponseWriter, r *http.Request, c caller) *problem.Problem {
+	svc, p := serviceByName(c.settings, c.account, r.PathValue("firm")+"/"+r.PathValue("service"))
+	if p != nil {
+		return p
+	}
+	if svc.Kind != settings.ServicePlain {
+		return problem.New(http.StatusNotFound, problem.CodeUnknownService, "service %q is not a plain service", svc.Name)
+	}
+	in, p := readIncoming(r, svc)
+	if p != nil {
+		return p
+	}
+	body, free, p := g.callBody(w, r, svc)
+	if p != nil {
+		return p
+	}
+	defer body.detach()
+	pw := &plainWork{
+		method:  r.Method,
+		target:  targetOf(r),
+		header:  towardsUpstream(r.Header),
+		body:    body,
+		timeout: orDefault(svc.IdleTimeout, defaultIdleTimeout),
+	}
+	spec := c.spec(in, svc)
+	spec.Fingerprint = pw.fingerprint()
+	req, p := g.start(c, in, svc, spec, free, func(cl *call) (work, error) {
+		pw.c = cl
+		return pw, nil
+	})
+	if p != nil {
+		free()
+		return p.WithRequestID(in.id)
+	}
+	g.serve(w, r, req, 0, modeWhole)
+	return nil
+}
+
+// fingerprint covers the method, the target, the held part of the body and its
+// length.
+func (p *plainWork) fingerprint() [sha256.Size]byte {
+	h := sha256.New()
+	_, _ = io.WriteString(h, p.method+"\x00"+p.target+"\x00"+strconv.FormatInt(p.body.length, 10)+"\x00")
+	_, _ = h.Write(p.body.held)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// targetOf returns the escaped path below the service, and the query.
+func targetOf(r *http.Request) string {
+	path := r.URL.EscapedPath()
+	for range 4 { // "", "v1", "services" and the firm
+		_, path, _ = strings.Cut(path, "/")
+	}
+	_, path, _ = strings.Cut(path, "/") // the service
+	target := "/" + path
+	if r.URL.RawQuery != "" {
+		target += "?" + r.URL.RawQuery
+	}
+	return target
+}
+
+// callBody holds the beginning of a plain call's body.
+func (g *Gateway) callBody(w http.ResponseWriter, r *http.Request, svc *settings.Service) (*callBody, func(), *problem.Problem) {
+	limit := orDefault(svc.MaxBodyBytes, defaultServiceBody)
+	if r.ContentLength > limit {
+		return nil, nil, tooLarge(limit)
+	}
+	ctrl := http.NewResponseController(w)
+	body := &callBody{length: r.ContentLength, ctrl: ctrl, timeout: g.limits.BodyTimeout}
+	if !g.bodies.TryAcquire(g.limits.ReplayBytes) {
+		p := problem.New(http.StatusServiceUnavailable, problem.CodeOverloaded, "too many request bodies are in flight")
+		return nil, nil, p.WithRetryAfter(bodiesRetry)
+	}
+	free := func() { g.bodies.Release(g.limits.ReplayBytes) }
+	source := http.MaxBytesReader(w, r.Body, limit)
+	_ = ctrl.SetReadDeadline(time.Now().Add(g.limits.BodyTimeout))
+	var held bytes.Buffer
+	n, err := io.CopyN(&held, source, g.limits.ReplayBytes)
+	body.held = held.Bytes()
+	switch {
+	case err == io.EOF:
+		body.length = n
+		_ = ctrl.SetReadDeadline(time.Time{})
+	case err != nil:
+		free()
+		return nil, nil, bodyProblem(err, limit, g.limits.BodyTimeout)
+	default:
+		_ = ctrl.EnableFullDuplex()
+		body.rest = source
+	}
+	return body, free, nil
+}
--- /dev/null
+++ b/fleet/gateway/info.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/request"
+)
+
+// BudgetReader tells the state of a budget.
+type BudgetReader interface {
+	ReadBudget(ctx context.Context, id record.BudgetID) (BudgetStatus, error)
+}
+
+// BudgetStatus is a budget as its callers see it, in budget tokens.
+type BudgetStatus struct {
+	Budget  record.BudgetID `json:"budget"`
+	Prepaid record.Tokens   `json:"prepaid"`
+	Spent   record.Tokens   `json:"spent"`
+	// Granted is set aside at hosts and not spent yet.
+	Granted   record.Tokens `json:"granted"`
+	Available record.Tokens `json:"available"`
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+	Service string `json:"hazel_service"`
+}
+
+// serveModels lists the models that the account may use, with their adapters.
+func (g *Gateway) serveModels(w http.ResponseWriter, _ *http.Request, c caller) {
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for i := range c.settings.Services {
+		svc := &c.settings.Services[i]
+		if svc.Kind != settings.ServiceModel || !allowed(c.account, svc) {
+			continue
+		}
+		for _, m := range svc.Models {
+			list.add(svc, m.Name)
+			for _, adapter := range m.Adapters {
+				list.add(svc, m.Name+":"+adapter)
+			}
+		}
+	}
+	writeJSON(w, &list)
+}
+
+func (l *modelList) add(svc *settings.Service, id string) {
+	l.Data = append(l.Data, modelInfo{ID: id, Object: "model", OwnedBy: svc.Firm, Service: svc.Name})
+}
+
+// serveBudget tells the account's own budget.
+func (g *Gateway) serveBudget(w http.ResponseWriter, r *http.Request, c caller) {
+	if g.opts.Budgets == nil {
+		serveNotFound(w, r)
+		return
+	}
+	status, err := g.opts.Budgets.ReadBudget(r.Context(), c.account.Budget)
+	if err != nil {
+		p := problem.New(http.StatusServiceUnavailable, problem.CodeBudgetUnreached, "the budget could not be read: %v", err)
+		p.WithRetryAfter(unreachableRetry).Write(w)
+		return
+	}
+	writeJSON(w, &status)
+}
+
+// Register adds the operators' interface: GET /v1/requests/{id} returns the
+// attempt logs of the requests with an ID, of all accounts.
+func (g *Gateway) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/requests/{id}", func(w http.ResponseWriter, r *http.Request) {
+		reports := []request.Report{}
+		for _, req := range g.table.Find(r.PathValue("id")) {
+			reports = append(reports, req.Report())
+		}
+		if len(reports) == 0 {
+			problem.New(http.StatusNotFound, problem.CodeNotFound, "request %q is not known here", r.PathValue("id")).
+				WithOutcome(outcomeUnknown).Write(w)
+			return
+		}
+		writeJSON(w, reports)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/fleet/gateway/model.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/request"
+	"github.com/hazelworks/hazelworks/fleet/stream"
+)
+
+const chatPath = "/v1/chat/completions"
+
+// milli converts prices, which are in thousandths of a budget token.
+const milli = 1000
+
+// modelWork is a chat completion.
+type modelWork struct {
+	c       *call
+	chat    *request.Chat
+	body    []byte
+	streams bool
+	// outputCap is the cap on the output tokens of each choice.
+	outputCap  int64
+	upstreamID string
+	timeout    time.Duration
+
+	// What the attempt in progress has brought.
+	sequence  *stream.Sequencer
+	resumable bool
+	sourceID  string
+	tokens    int64
+	usage     *stream.Usage
+	final     []byte
+	begun     bool
+	wasCut    bool
+}
+
+func newModelWork(c *call, chat *request.Chat) (*modelWork, error) {
+	m := &modelWork{c: c, chat: chat, outputCap: chat.Cap, upstreamID: request.UpstreamID(c.req.Account, c.req.ID)}
+	if m.outputCap == 0 {
+		m.outputCap = int64(orDefault(c.service.MaxOutput, defaultMaxOutput))
+	}
+	// A caller that wants a whole answer is served from a stream too, unless
+	// joining its events would lose something: a stream shows silence early.
+	m.streams = chat.Stream || chat.Plain()
+	m.timeout = orDefault(c.service.IdleTimeout, defaultIdleTimeout)
+	if !m.streams {
+		m.timeout = orDefault(c.service.RequestTimeout, defaultRequestTimeout)
+	}
+	body, err := chat.UpstreamBody(m.outputCap, m.streams)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: body for upstream: %w", err)
+	}
+	m.body = body
+	m.restart()
+	return m, nil
+}
+
+func (m *modelWork) restart() {
+	m.sequence = stream.NewSequencer(0)
+	m.resumable, m.begun = false, false
+	m.sourceID, m.final, m.usage, m.tokens = "", nil, nil, 0
+}
+
+func (m *modelWork) replayable() bool    { return true }
+func (m *modelWork) idle() time.Duration { return m.timeout }
+func (m *modelWork) cut() bool           { return m.wasCut }
+
+func (m *modelWork) query(q *dispatch.Query) {
+	q.Model, q.Adapter, q.PrefixHash = m.chat.Model, m.chat.Adapter, m.chat.PrefixHash
+}
+
+func (m *modelWork) bound() record.Tokens {
+	return price(m.c.service.Price, m.chat.PromptBound, m.maxTokens())
+}
+
+func (m *modelWork) maxTokens() int64 { return m.outputCap * m.chat.Choices }
+
+// price returns the cost of tokens, rounded up.
+func price(p settings.Price, input, output int64) record.Tokens {
+	return record.Tokens((input*p.InputMilli + output*p.OutputMilli + milli - 1) / milli)
+}
+
+// cost bills the usage that the upstream reported. Without a report, what was
+// received is billed; an answer of which nothing came costs nothing.
+func (m *modelWork) cost(record.Outcome) (record.Tokens, stream.Usage) {
+	use := stream.Usage{CompletionTokens: m.tokens}
+	if m.tokens > 0 {
+		use.PromptTokens = m.chat.PromptBound
+	}
+	if m.usage != nil {
+		use = *m.usage
+	}
+	return price(m.c.service.Price, use.PromptTokens, use.CompletionTokens), use
+}
+
+func (m *modelWork) outgoing(ctx context.Context, up settings.Upstream, _ *watch) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimSuffix(up.URL, "/")+chatPath, m.bodyReader())
+	if err != nil {
+		return nil, fmt.Errorf("gateway: upstream %s: %w", up.ID, err)
+	}
+	req.ContentLength = int64(len(m.body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(problem.HeaderRequestID, m.upstreamID)
+	if m.streams {
+		req.Header.Set("Accept", stream.ContentType)
+	}
+	if m.c.priority != 0 {
+		req.Header.Set(HeaderPriority, strconv.Itoa(m.c.priority))
+	}
+	return req, nil
+}
+
+// bodyReader hides the body's type from net/http, which would otherwise send
+// some requests again by itself after a connection is lost.
+func (m *modelWork) bodyReader() io.Reader {
+	return struct{ io.Reader }{bytes.NewReader(m.body)}
+}
+
+func (m *modelWork) resume(ctx context.Context, up settings.Upstream) (*http.Request, error) {
+	if !m.resumable || m.sequence.Next() == 0 {
+		return nil, nil
+	}
+	last := m.sequence.Next() - 1
+	m.sequence.Reset()
+	req, err := m.outgoing(ctx, up, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(HeaderLastEvent, strconv.FormatUint(last, 10))
+	return req, nil
+}
+
+func (m *modelWork) abandon(ctx context.Context, up settings.Upstream) (*http.Request, error) {
+	if !m.resumable {
+		return nil, nil
+	}
+	target := strings.TrimSuffix(up.URL, "/") + "/v1/requests/" + url.PathEscape(m.upstreamID)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: upstream %s: %w", up.ID, err)
+	}
+	return req, nil
+}
+
+func orDefault[T int | int64 | time.Duration](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/fleet/gateway/modelstream.go
@@ -0,0 +1,302 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/stream"
+)
+
+// maxWholeBytes bounds an answer of a model that does not come as a stream.
+const maxWholeBytes = 8 << 20
+
+var (
+	errGap       = errors.New("events of the upstream are missing")
+	errTooLarge  = errors.New("the upstream's answer is too large")
+	errNoEnd     = errors.New("the upstream's stream ended early")
+	errStreamEnd = errors.New("end of stream") // internal: the answer is whole
+)
+
+// chunk is what the gateway reads of an event.
+type chunk struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Delta struct {
+			Content   *string         `json:"content"`
+			Reasoning *string         `json:"reasoning_content"`
+			ToolCalls json.RawMessage `json:"tool_calls"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *stream.Usage `json:"usage"`
+}
+
+// tokens counts the choices that got text; an event has at least one token for
+// each of them.
+func (c *chunk) tokens() int64 {
+	n := int64(0)
+	for _, choice := range c.Choices {
+		d := &choice.Delta
+		if hasText(d.Content) || hasText(d.Reasoning) || len(d.ToolCalls) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func hasText(s *string) bool { return s != nil && *s != "" }
+
+// closing reports whether the event ends a choice or carries the usage.
+func (c *chunk) closing() bool {
+	for _, choice := range c.Choices {
+		if choice.FinishReason != nil {
+			return true
+		}
+	}
+	return c.Usage != nil
+}
+
+func (m *modelWork) receive(ctx context.Context, w *watch, resp *http.Response) error {
+	kind, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	if resp.StatusCode != http.StatusOK || kind != stream.ContentType {
+		return m.receiveWhole(ctx, w, resp)
+	}
+	m.resumable = resp.Header.Get(HeaderResume) == "true"
+	reader := stream.NewReader(resp.Body)
+	reader.Activity = w.touch
+	for {
+		msg, err := reader.Next()
+		if err == io.EOF {
+			err = errNoEnd
+		}
+		if err != nil {
+			return err
+		}
+		w.begin()
+		if err := m.message(ctx, w, msg); err != nil {
+			if err == errStreamEnd {
+				return m.finish(ctx, w)
+			}
+			return err
+		}
+	}
+}
+
+// message takes in one event of the upstream, in whatever order it comes.
+func (m *modelWork) message(ctx context.Context, w *watch, msg stream.Message) error {
+	if msg.Name != "" && msg.Name != "message" {
+		return nil
+	}
+	if m.foreign(msg.Data, msg.HasIndex) {
+		m.dropped(msg.Index, "foreign")
+		return nil
+	}
+	if !msg.HasIndex {
+		return m.event(ctx, w, msg.Data)
+	}
+	switch m.sequence.Offer(msg.Index, msg.Data) {
+	case stream.Duplicate:
+		m.dropped(msg.Index, "duplicate")
+		return nil
+	case stream.Held:
+		return nil
+	case stream.Gap:
+		return errGap
+	}
+	err := m.event(ctx, w, msg.Data)
+	for err == nil {
+		data, ok := m.sequence.Ready()
+		if !ok {
+			return nil
+		}
+		err = m.event(ctx, w, data)
+	}
+	return err
+}
+
+// foreign reports whether an event belongs to another request. Numbered events
+// carry the ID that the gateway sent; the others that of their first event.
+func (m *modelWork) foreign(data []byte, numbered bool) bool {
+	if string(data) == stream.Done || m.sourceID != "" && bytes.Contains(data, []byte(m.sourceID)) {
+		return false
+	}
+	var c chunk
+	if json.Unmarshal(data, &c) != nil || c.ID == "" {
+		return false // event judges it
+	}
+	if m.sourceID == "" && (!numbered || c.ID == m.upstreamID) {
+		m.sourceID = quotedID(c.ID)
+		return false
+	}
+	return quotedID(c.ID) != m.sourceID
+}
+
+func quotedID(id string) string {
+	quoted, err := json.Marshal(id)
+	if err != nil {
+		panic(err) // a string
+	}
+	return `"id":` + string(quoted)
+}
+
+func (m *modelWork) dropped(index uint64, why string) {
+	m.c.g.metrics.eventsBad.Inc(1)
+	m.c.g.log.Info("Event dropped.", "request", m.c.req.ID, "index", index, "reason", why)
+}
+
+// event takes in the next event in order.
+func (m *modelWork) event(ctx context.Context, w *watch, data []byte) error {
+	if string(data) == stream.Done {
+		return errStreamEnd
+	}
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("the upstream sent an event that is not a chunk: %w", err)
+	}
+	if !m.begun {
+		m.begun = true
+		m.c.g.metrics.firstEvent.Update(time.Since(m.c.req.Started).Microseconds())
+		m.c.req.Answer.Begin(stream.Head{Status: http.StatusOK, Events: true})
+	}
+	if c.Usage != nil {
+		m.usage = c.Usage
+	}
+	if len(c.Choices) == 0 && m.final != nil && !m.chat.IncludeUsage {
+		return nil // usage that the caller did not ask for
+	}
+	n := c.tokens()
+	if m.tokens+n > m.maxTokens() {
+		return m.cutAtCap()
+	}
+	m.tokens += n
+	if err := m.flushFinal(ctx, w); err != nil {
+		return err
+	}
+	if c.closing() {
+		// The last of these events is sent with the outcome.
+		m.final = append([]byte(nil), data...)
+		return nil
+	}
+	return m.pass(ctx, w, data)
+}
+
+// cutAtCap ends an answer whose upstream goes on beyond the cap.
+func (m *modelWork) cutAtCap() error {
+	m.wasCut = true
+	m.usage = nil
+	m.c.g.metrics.overCap.Inc(1)
+	m.c.g.log.Info("Answer cut at its cap.", "request", m.c.req.ID, "account", m.c.req.Account, "tokens", m.tokens)
+	return errStreamEnd
+}
+
+func (m *modelWork) flushFinal(ctx context.Context, w *watch) error {
+	if m.final == nil {
+		return nil
+	}
+	data := m.final
+	m.final = nil
+	return m.pass(ctx, w, data)
+}
+
+// pass appends an event to the answer. While the callers are behind, the
+// upstream is not read and its silence means nothing.
+func (m *modelWork) pass(ctx context.Context, w *watch, data []byte) error {
+	m.c.g.metrics.eventsPassed.Inc(1)
+	ok, err := m.c.req.Answer.TryAppend(data)
+	if ok || err != nil {
+		return err
+	}
+	w.pause()
+	defer w.touch()
+	return m.c.req.Answer.Append(ctx, data)
+}
+
+// Note is the "hazel" field of a stream's last event.
+type Note struct {
+	RequestID string        `json:"request_id"`
+	Outcome   string        `json:"outcome"`
+	Billed    record.Tokens `json:"billed"`
+	// Cut is true if the answer was ended at the reserved cap.
+	Cut     bool             `json:"cut,omitempty"`
+	Problem *problem.Problem `json:"problem,omitempty"`
+}
+
+// finish sends the last event, with the outcome.
+func (m *modelWork) finish(ctx context.Context, w *watch) error {
+	if m.sequence.Pending() > 0 && !m.wasCut {
+		return errGap
+	}
+	cost, _ := m.cost(record.OutcomeAnswered)
+	note := Note{RequestID: m.c.req.ID, Outcome: record.OutcomeAnswered.String(), Billed: min(cost, m.bound()), Cut: m.wasCut}
+	last := m.final
+	if last == nil || m.wasCut {
+		last = m.closingChunk()
+	}
+	if !m.begun {
+		return errNoEnd
+	}
+	data, err := withNote(last, note)
+	if err != nil {
+		return err
+	}
+	return m.pass(ctx, w, data)
+}
+
+// closingChunk returns the event that ends a stream whose upstream sent none.
+func (m *modelWork) closingChunk() []byte {
+	reason := "stop"
+	if m.wasCut {
+		reason = "length"
+	}
+	model, _ := json.Marshal(m.chat.Model)
+	id, _ := json.Marshal(m.upstreamID)
+	var choices bytes.Buffer
+	for i := range m.chat.Choices {
+		if i > 0 {
+			choices.WriteByte(',')
+		}
+		fmt.Fprintf(&choices, `{"index":%d,"delta":{},"finish_reason":%q}`, i, reason)
+	}
+	return fmt.Appendf(nil, `{"id":%s,"object":"chat.completion.chunk","created":%d,"model":%s,"choices":[%s]}`,
+		id, m.c.req.Started.Unix(), model, choices.Bytes())
+}
+
+// withNote adds the "hazel" field to a JSON object.
+func withNote(object []byte, note Note) ([]byte, error) {
+	field, err := json.Marshal(note)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: encode note: %w", err)
+	}
+	object = bytes.TrimRight(object, " \t\r\n")
+	out := append([]byte(nil), object[:len(object)-1]...)
+	out = append(out, `,"hazel":`...)
+	out = append(out, field...)
+	return append(out, '}'), nil
+}
+
+// receiveWhole takes in an answer that is not a stream.
+func (m *modelWork) receiveWhole(ctx context.Context, w *watch, resp *http.Response) error {
+	w.begin()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maxWholeBytes {
+		return errTooLarge
+	}
+	var c chunk
+	if resp.StatusCode == http.StatusOK && json.Unmarshal(body, &c) == nil {
+		m.usage = c.Usage
+	}
+	m.c.req.Answer.Begin(stream.Head{Status: resp.StatusCode, Header: endToEnd(resp.Header)})
+	return appendBody(ctx, w, m.c.req.Answer, body)
+}
--- /dev/null
+++ b/fleet/gateway/peer.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/request"
+	"github.com/hazelworks/hazelworks/fleet/stream"
+)
+
+const (
+	// eventsHeader is set in the head of an answer that is a stream of events.
+	eventsHeader = "Hazel-Events"
+	// valueSeparator joins the values of one header; no value contains it.
+	valueSeparator = "\n"
+	// silentHeartbeats is the number of heartbeats after which a peer that says
+	// nothing is given up.
+	silentHeartbeats = 3
+)
+
+// endMessage is the end of an answer between hosts.
+type endMessage struct {
+	Problem *problem.Problem `json:"problem,omitempty"`
+	Code    problem.Code     `json:"code,omitempty"`
+	Usage   stream.Usage     `json:"usage"`
+	Billed  record.Tokens    `json:"billed"`
+	Cut     bool             `json:"cut,omitempty"`
+}
+
+// Answer serves a kept answer to another host. The first message comes at once,
+// so that the caller knows that the request is here.
+func (g *Gateway) Answer(ctx context.Context, r *connect.Request[peerpb.AnswerRequest], out *connect.ServerStream[peerpb.AnswerEvent]) error {
+	req, ok := g.table.Lookup(r.Msg.GetAccount(), r.Msg.GetRequestId())
+	if !ok {
+		return connect.NewError(connect.CodeNotFound, errors.New("the request is not known here"))
+	}
+	req.CallerBack()
+	cursor := req.Answer.Attach(r.Msg.GetFrom())
+	defer func() {
+		if cursor.Close() == 0 {
+			req.CallerGone(g.limits.Grace, errCallerGone)
+		}
+	}()
+	if err := out.Send(&peerpb.AnswerEvent{Index: cursor.Index()}); err != nil {
+		return err
+	}
+	return g.sendAnswer(ctx, req, cursor, out)
+}
+
+func (g *Gateway) sendAnswer(ctx context.Context, req *request.Request, cursor *stream.Cursor, out *connect.ServerStream[peerpb.AnswerEvent]) error {
+	headSent := false
+	for {
+		if head, ok := cursor.Head(); ok && !headSent {
+			headSent = true
+			if err := out.Send(headMessage(cursor.Index(), head)); err != nil {
+				return err
+			}
+		}
+		index := cursor.Index()
+		data, status := cursor.Next(nil)
+		var err error
+		switch status {
+		case stream.Available:
+			err = out.Send(&peerpb.AnswerEvent{Index: index, Data: data})
+		case stream.Trimmed:
+			return connect.NewError(connect.CodeOutOfRange, errors.New("the event is no longer kept"))
+		case stream.Ended:
+			return out.Send(lastMessage(index, req))
+		case stream.Pending:
+			err = g.awaitChange(ctx, cursor, out)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (g *Gateway) awaitChange(ctx context.Context, cursor *stream.Cursor, out *connect.ServerStream[peerpb.AnswerEvent]) error {
+	timer := time.NewTimer(g.limits.Heartbeat)
+	defer timer.Stop()
+	select {
+	case <-cursor.Changed():
+		return nil
+	case <-timer.C:
+		return out.Send(&peerpb.AnswerEvent{Index: cursor.Index()})
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func headMessage(index uint64, head stream.Head) *peerpb.AnswerEvent {
+	m := &peerpb.AnswerEvent{Index: index, Status: int32(head.Status), Header: make(map[string]string, len(head.Header)+1)}
+	for name, values := range head.Header {
+		m.Header[name] = strings.Join(values, valueSeparator)
+	}
+	if head.Events {
+		m.Header[eventsHeader] = "true"
+	}
+	return m
+}
+
+func headOf(m *peerpb.AnswerEvent) stream.Head {
+	head := stream.Head{Status: int(m.GetStatus()), Header: make(http.Header, len(m.GetHeader()))}
+	for name, joined := range m.GetHeader() {
+		if name == eventsHeader {
+			head.Events = true
+			continue
+		}
+		head.Header[name] = strings.Split(joined, valueSeparator)
+	}
+	return head
+}
+
+func lastMessage(index uint64, req *request.Request) *peerpb.AnswerEvent {
+	end, _ := req.Answer.Ended()
+	m := endMessage{Problem: end.Problem, Usage: end.Usage, Billed: end.Billed, Cut: end.Cut}
+	if end.Problem != nil {
+		m.Code = end.Problem.Code
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // strings and integers only
+	}
+	return &peerpb.AnswerEvent{Index: index, Last: true, Outcome: end.Outcome.String(), Data: data}
+}
+
+func endOf(m *peerpb.AnswerEvent) stream.End {
+	var e endMessage
+	if err := json.Unmarshal(m.GetData(), &e); err != nil {
+		return lostAtPeer(err)
+	}
+	if e.Problem != nil {
+		e.Problem.Code = e.Code
+	}
+	return stream.End{Outcome: outcomeOf(m.GetOutcome()), Problem: e.Problem, Usage: e.Usage, Billed: e.Billed, Cut: e.Cut}
+}
+
+func outcomeOf(text string) record.Outcome {
+	for _, o := range []record.Outcome{record.OutcomeAnswered, record.OutcomeNotRun} {
+		if o.String() == text {
+			return o
+		}
+	}
+	return record.OutcomeUnknown
+}
+
+func lostAtPeer(err error) stream.End {
+	p := problem.New(http.StatusBadGateway, problem.CodeUpstreamFailed, "the host that has the answer was lost: %v", err)
+	return stream.End{Outcome: record.OutcomeUnknown, Problem: p.WithOutcome(record.OutcomeUnknown)}
+}
--- /dev/null
+++ b/fleet/gateway/plain.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/request"
+	"github.com/hazelworks/hazelworks/fleet/stream"
+)
+
+// pieceBytes is the size of the pieces in which a body is passed on.
+const pieceBytes = 8 << 10
+
+const kib = 1 << 10
+
+// plainWork is a call of a plain service.
+type plainWork struct {
+	c      *call
+	method string
+	// target is the path and query below the upstream's URL.
+	target  string
+	header  http.Header
+	body    *callBody
+	timeout time.Duration
+	// received counts the bytes of the answer's body.
+	received int64
+}
+
+func (p *plainWork) query(*dispatch.Query) {}
+func (p *plainWork) replayable() bool      { return p.body.replayable() }
+func (p *plainWork) idle() time.Duration   { return p.timeout }
+func (p *plainWork) cut() bool             { return false }
+func (p *plainWork) restart()              { p.received = 0 }
+
+func (p *plainWork) price() settings.Price { return p.c.service.Price }
+
+func (p *plainWork) maxBody() int64 {
+	return orDefault(p.c.service.MaxBodyBytes, defaultServiceBody)
+}
+
+func (p *plainWork) bound() record.Tokens {
+	size := p.body.length
+	if size < 0 {
+		size = p.maxBody()
+	}
+	return p.priceOf(size, p.maxBody())
+}
+
+func (p *plainWork) priceOf(sent, received int64) record.Tokens {
+	started := (sent+kib-1)/kib + (received+kib-1)/kib
+	return p.price().PerCall + p.price().PerKiB*record.Tokens(started)
+}
+
+// cost bills a call that ran or may have run.
+func (p *plainWork) cost(record.Outcome) (record.Tokens, stream.Usage) {
+	return p.priceOf(p.body.passed(), p.received), stream.Usage{}
+}
+
+func (p *plainWork) outgoing(ctx context.Context, up settings.Upstream, w *watch) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, p.method, strings.TrimSuffix(up.URL, "/")+p.target, nil)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: upstream %s: %w", up.ID, err)
+	}
+	req.Header = p.header.Clone()
+	req.Header.Set(problem.HeaderRequestID, request.UpstreamID(p.c.req.Account, p.c.req.ID))
+	// The body is never nil, even if it is empty: net/http sends requests
+	// without one again by itself after a connection is lost.
+	req.Body = p.body.reader(w)
+	req.ContentLength = p.body.length
+	return req, nil
+}
+
+func (p *plainWork) resume(context.Context, settings.Upstream) (*http.Request, error) {
+	return nil, nil
+}
+
+func (p *plainWork) abandon(context.Context, settings.Upstream) (*http.Request, error) {
+	return nil, nil
+}
+
+func (p *plainWork) receive(ctx context.Context, w *watch, resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return fmt.Errorf("the upstream wants to switch protocols")
+	}
+	w.begin()
+	answer := p.c.req.Answer
+	answer.Begin(stream.Head{Status: resp.StatusCode, Header: endToEnd(resp.Header)})
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := resp.Body.Read(piece)
+		w.touch()
+		p.received += int64(n)
+		if p.price().PerKiB > 0 && p.received > p.maxBody() {
+			return errTooLarge
+		}
+		if n > 0 {
+			if err := appendPiece(ctx, w, answer, piece[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// appendBody adds a body to an answer in pieces.
+func appendBody(ctx context.Context, w *watch, answer *stream.Buffer, body []byte) error {
+	for len(body) > 0 {
+		n := min(len(body), pieceBytes)
+		if err := appendPiece(ctx, w, answer, body[:n]); err != nil {
+			return err
+		}
+		body = body[n:]
+	}
+	return nil
+}
+
+func appendPiece(ctx context.Context, w *watch, answer *stream.Buffer, piece []byte) error {
+	ok, err := answer.TryAppend(piece)
+	if ok || err != nil {
+		return err
+	}
+	w.pause()
+	defer w.touch()
+	return answer.Append(ctx, piece)
+}
--- /dev/null
+++ b/fleet/request/chat.go
@@ -0,0 +1,286 @@
+package request
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/hazelworks/hazelworks/core/findings"
+)
+
+// Bounds of a chat completion.
+const (
+	maxModelBytes = 256
+	maxMessages   = 4096
+	maxChoices    = 8
+	// MaxOutputCap is the largest cap on output tokens that a caller may name.
+	MaxOutputCap = 1 << 20
+)
+
+// Upper bounds of tokens that are not bytes of the prompt.
+const (
+	// requestOverheadTokens covers the template around all messages.
+	requestOverheadTokens = 64
+	// messageOverheadTokens covers the template around one message.
+	messageOverheadTokens = 16
+	// mediaPartTokens covers one image, audio or file part of a message.
+	mediaPartTokens = 16384
+)
+
+// Names of the fields that the gateway reads or sets.
+const (
+	fieldModel         = "model"
+	fieldMessages      = "messages"
+	fieldStream        = "stream"
+	fieldStreamOptions = "stream_options"
+	fieldMaxTokens     = "max_tokens"
+	fieldMaxCompletion = "max_completion_tokens"
+	fieldChoices       = "n"
+	fieldBestOf        = "best_of"
+)
+
+// Chat is a parsed chat completion.
+type Chat struct {
+	// Model is the name without the adapter, which follows a colon in the body.
+	Model   string
+	Adapter string
+	Stream  bool
+	// IncludeUsage is true if the caller of a stream asked for its usage.
+	IncludeUsage bool
+	// Cap is the least cap on output tokens that the body names, or zero.
+	Cap int64
+	// Choices is the number of answers that are asked for.
+	Choices int64
+	// PromptBound is an upper bound of the prompt's tokens.
+	PromptBound int64
+	// PrefixHash holds a hash of each leading block of the messages.
+	PrefixHash []uint64
+
+	fields map[string]json.RawMessage
+}
+
+// ParseChat reads the body of a chat completion. Its error is a
+// *[findings.Error] that lists all faults.
+func ParseChat(body []byte) (*Chat, error) {
+	p := chatParser{chat: &Chat{Choices: 1}}
+	if err := json.Unmarshal(body, &p.chat.fields); err != nil {
+		p.fault("", "%s", describeJSON(err))
+		return nil, p.faults.Err()
+	}
+	if p.chat.fields == nil {
+		p.fault("", "an object is wanted, not null")
+		return nil, p.faults.Err()
+	}
+	p.model()
+	p.messages()
+	p.caps()
+	p.choices()
+	p.streaming()
+	p.otherFields()
+	if err := p.faults.Err(); err != nil {
+		return nil, err
+	}
+	p.chat.PrefixHash = prefixHashes(p.chat.fields[fieldModel], p.chat.fields[fieldMessages])
+	return p.chat, nil
+}
+
+// UpstreamBody returns the body for an upstream, with the cap on the output and
+// with usage reports set.
+func (c *Chat) UpstreamBody(outputCap int64, stream bool) ([]byte, error) {
+	fields := make(map[string]json.RawMessage, len(c.fields)+3)
+	for name, value := range c.fields {
+		fields[name] = value
+	}
+	limit := json.RawMessage(fmt.Sprint(outputCap))
+	if _, ok := fields[fieldMaxCompletion]; ok {
+		fields[fieldMaxCompletion] = limit
+	}
+	fields[fieldMaxTokens] = limit
+	delete(fields, fieldStreamOptions)
+	if stream {
+		fields[fieldStream] = json.RawMessage("true")
+		fields[fieldStreamOptions] = json.RawMessage(`{"include_usage":true}`)
+	} else {
+		delete(fields, fieldStream)
+	}
+	return json.Marshal(fields)
+}
+
+// Plain reports whether the answer is text only, so that the events of a stream
+// can be joined into one answer without loss.
+func (c *Chat) Plain() bool {
+	for _, name := range []string{"tools", "functions", "logprobs", "top_logprobs", "modalities", "audio", "response_format"} {
+		if _, ok := c.fields[name]; ok {
+			return false
+		}
+	}
+	return true
+}
+
+type chatParser struct {
+	chat   *Chat
+	faults findings.List
+}
+
+func (p *chatParser) fault(path, format string, args ...any) {
+	p.faults.Addf(findings.Position{}, path, format, args...)
+}
+
+// read decodes a field into dst. It returns false if the field is missing, null
+// or of another type.
+func (p *chatParser) read(name, wanted string, dst any) bool {
+	raw, ok := p.chat.fields[name]
+	if !ok || isNull(raw) {
+		return false
+	}
+	if err := json.Unmarshal(raw, dst); err != nil {
+		p.fault(name, "%s is wanted", wanted)
+		return false
+	}
+	return true
+}
+
+func (p *chatParser) model() {
+	var name string
+	if !p.read(fieldModel, "a string", &name) || name == "" {
+		if _, ok := p.chat.fields[fieldModel]; !ok || name == "" {
+			p.fault(fieldModel, "the name of a model is wanted")
+		}
+		return
+	}
+	if len(name) > maxModelBytes {
+		p.fault(fieldModel, "longer than %d bytes", maxModelBytes)
+		return
+	}
+	p.chat.Model, p.chat.Adapter, _ = strings.Cut(name, ":")
+}
+
+type message struct {
+	Role    string
+	Content json.RawMessage
+}
+
+func (p *chatParser) messages() {
+	var all []json.RawMessage
+	if !p.read(fieldMessages, "an array", &all) {
+		if _, ok := p.chat.fields[fieldMessages]; !ok {
+			p.fault(fieldMessages, "at least one message is wanted")
+		}
+		return
+	}
+	if len(all) == 0 || len(all) > maxMessages {
+		p.fault(fieldMessages, "1 to %d messages are wanted, not %d", maxMessages, len(all))
+		return
+	}
+	p.chat.PromptBound = requestOverheadTokens
+	for i, raw := range all {
+		p.message(fmt.Sprintf("%s/%d", fieldMessages, i), raw)
+	}
+}
+
+func (p *chatParser) message(path string, raw json.RawMessage) {
+	var m message
+	if isNull(raw) || json.Unmarshal(raw, &m) != nil {
+		p.fault(path, "an object with role and content is wanted")
+		return
+	}
+	if m.Role == "" {
+		p.fault(path+"/role", "a string is wanted")
+	}
+	p.chat.PromptBound += messageOverheadTokens
+	if len(m.Content) > 0 && m.Content[0] == '[' {
+		p.parts(path+"/content", raw, m.Content)
+		return
+	}
+	// The text has at most one token for each byte, and its JSON form is
+	// never shorter than the text.
+	p.chat.PromptBound += int64(len(raw))
+}
+
+type part struct {
+	Type string
+	Text json.RawMessage
+}
+
+func (p *chatParser) parts(path string, whole, content json.RawMessage) {
+	var parts []part
+	if err := json.Unmarshal(content, &parts); err != nil {
+		p.fault(path, "a string or an array of parts is wanted")
+		return
+	}
+	p.chat.PromptBound += int64(len(whole) - len(content))
+	for _, part := range parts {
+		p.chat.PromptBound += messageOverheadTokens
+		if part.Type == "text" {
+			p.chat.PromptBound += int64(len(part.Text))
+			continue
+		}
+		p.chat.PromptBound += mediaPartTokens
+	}
+}
+
+func (p *chatParser) caps() {
+	for _, name := range []string{fieldMaxTokens, fieldMaxCompletion} {
+		limit, ok := p.integer(name, 1, MaxOutputCap)
+		if ok && (p.chat.Cap == 0 || limit < p.chat.Cap) {
+			p.chat.Cap = limit
+		}
+	}
+}
+
+func (p *chatParser) choices() {
+	if n, ok := p.integer(fieldChoices, 1, maxChoices); ok {
+		p.chat.Choices = n
+	}
+	// The samples that best_of discards would use budget beyond the cap.
+	p.integer(fieldBestOf, 1, 1)
+}
+
+// integer reads a whole number between low and high.
+func (p *chatParser) integer(name string, low, high int64) (int64, bool) {
+	var f float64
+	if !p.read(name, "a number", &f) {
+		return 0, false
+	}
+	if f != math.Trunc(f) || f < float64(low) || f > float64(high) {
+		p.fault(name, "a whole number from %d to %d is wanted", low, high)
+		return 0, false
+	}
+	return int64(f), true
+}
+
+func (p *chatParser) streaming() {
+	p.read(fieldStream, "true or false", &p.chat.Stream)
+	var options struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	if p.read(fieldStreamOptions, "an object", &options) {
+		p.chat.IncludeUsage = options.IncludeUsage
+	}
+}
+
+// otherFields counts every other field as a part of the prompt, as tools and
+// schemas are.
+func (p *chatParser) otherFields() {
+	for name, raw := range p.chat.fields {
+		if name != fieldMessages {
+			p.chat.PromptBound += int64(len(raw))
+		}
+	}
+}
+
+func isNull(raw json.RawMessage) bool {
+	return bytes.Equal(raw, []byte("null"))
+}
+
+// describeJSON words a decoding error without the names of Go types.
+func describeJSON(err error) string {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return fmt.Sprintf("not JSON at byte %d: %s", syntax.Offset, syntax.Error())
+	}
+	return "an object is wanted"
+}
--- /dev/null
+++ b/fleet/request/table.go
@@ -0,0 +1,159 @@
+package request
+
+import (
+	"container/list"
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Errors of [Table.Begin].
+var (
+	// ErrIDReused reports an ID that another content was sent under.
+	ErrIDReused = errors.New("request: ID was used for another request")
+	// ErrFull reports that the host runs as many requests as it may.
+	ErrFull = errors.New("request: too many requests run")
+)
+
+// Limits bounds a table.
+type Limits struct {
+	// Running bounds the requests that run at once.
+	Running int
+	// KeepFor is how long an ended request is kept.
+	KeepFor time.Duration
+	// KeptRequests and KeptBytes bound the ended requests that are kept.
+	KeptRequests int
+	KeptBytes    int
+}
+
+type tableKey struct {
+	account string
+	id      string
+}
+
+// Table holds the requests that run on this host and those that ended lately.
+type Table struct {
+	limits Limits
+
+	mu        sync.Mutex
+	requests  map[tableKey]*Request
+	kept      *list.List // of *Request, oldest end first
+	keptBytes int
+	running   int
+	idle      chan struct{} // closed while nothing runs
+}
+
+// NewTable returns an empty table.
+func NewTable(limits Limits) *Table {
+	t := &Table{limits: limits, requests: make(map[tableKey]*Request), kept: list.New(), idle: make(chan struct{})}
+	close(t.idle)
+	return t
+}
+
+// Begin returns the request with the ID of spec if it runs or is kept. Else it
+// adds the one that create returns, and started is true.
+func (t *Table) Begin(spec Spec, create func() *Request) (r *Request, started bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(time.Now())
+	key := tableKey{spec.Account, spec.ID}
+	if old, ok := t.requests[key]; ok && old.Settled() {
+		if old.Fingerprint != spec.Fingerprint {
+			return nil, false, ErrIDReused
+		}
+		return old, false, nil
+	}
+	if t.running >= t.limits.Running {
+		return nil, false, ErrFull
+	}
+	r = create()
+	t.requests[key] = r
+	t.running++
+	if t.running == 1 {
+		t.idle = make(chan struct{})
+	}
+	return r, true, nil
+}
+
+// End keeps a request that has ended.
+func (t *Table) End(r *Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	r.mu.Lock()
+	r.ended = now
+	r.mu.Unlock()
+	r.CallerBack()
+	t.running--
+	if t.running == 0 {
+		close(t.idle)
+	}
+	t.kept.PushBack(r)
+	t.keptBytes += r.Answer.Bytes()
+	t.expire(now)
+}
+
+// expire forgets the oldest requests that are kept too long or beyond a bound.
+func (t *Table) expire(now time.Time) {
+	for t.kept.Len() > 0 {
+		oldest := t.kept.Front()
+		r := oldest.Value.(*Request)
+		over := t.kept.Len() > t.limits.KeptRequests || t.keptBytes > t.limits.KeptBytes
+		if !over && now.Sub(r.ended) < t.limits.KeepFor {
+			return
+		}
+		t.kept.Remove(oldest)
+		t.keptBytes -= r.Answer.Bytes()
+		key := tableKey{r.Account, r.ID}
+		if t.requests[key] == r {
+			delete(t.requests, key)
+		}
+	}
+}
+
+// Lookup returns a request of an account.
+func (t *Table) Lookup(account, id string) (*Request, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(time.Now())
+	r, ok := t.requests[tableKey{account, id}]
+	return r, ok
+}
+
+// Find returns the requests with an ID, of all accounts.
+func (t *Table) Find(id string) []*Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []*Request
+	for key, r := range t.requests {
+		if key.id == id {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// Running returns the number of requests that run.
+func (t *Table) Running() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running
+}
+
+// Wait waits until no request runs.
+func (t *Table) Wait(ctx context.Context) error {
+	for {
+		t.mu.Lock()
+		idle, running := t.idle, t.running
+		t.mu.Unlock()
+		if running == 0 {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/stream/buffer.go
@@ -0,0 +1,250 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/problem"
+)
+
+// ErrEnded is returned for an event that comes after the end of an answer.
+var ErrEnded = errors.New("stream: answer has ended")
+
+// Head is the start of an answer.
+type Head struct {
+	Status int
+	Header http.Header
+	// Events is true if the answer is a stream of server-sent events, false
+	// if its events are the pieces of a body.
+	Events bool
+}
+
+// Usage is what a model request used, in tokens.
+type Usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+// End is the end of an answer.
+type End struct {
+	Outcome record.Outcome
+	// Problem is nil if the answer is whole.
+	Problem *problem.Problem
+	Usage   Usage
+	// Billed is the amount that was settled.
+	Billed record.Tokens
+	// Cut is true if the answer was ended at its reserved cap.
+	Cut bool
+}
+
+// Buffer keeps the answer of one request for any number of readers. It drops
+// the oldest events above its limit, once all attached readers have them.
+type Buffer struct {
+	limit int
+
+	base uint64
+
+	mu        sync.Mutex
+	blocks    []*block
+	next      uint64
+	delivered uint64
+	head      *Head
+	end       *End
+	cursors   map[*Cursor]struct{}
+	// room is closed and cleared when a reader moves on while Append waits.
+	room chan struct{}
+}
+
+// NewBuffer returns a buffer for an answer whose first event has index base. It
+// keeps about limit bytes.
+func NewBuffer(limit int, base uint64) *Buffer {
+	return &Buffer{limit: limit, base: base, next: base, cursors: make(map[*Cursor]struct{})}
+}
+
+// Begin sets the head of the answer.
+func (b *Buffer) Begin(h Head) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.head = &h
+	b.wake()
+}
+
+// Append adds the next event. It blocks while the buffer is full of events that
+// an attached reader has not taken yet.
+func (b *Buffer) Append(ctx context.Context, data []byte) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		if b.end != nil {
+			return ErrEnded
+		}
+		if b.trim(len(data)) {
+			break
+		}
+		if err := b.waitForRoom(ctx); err != nil {
+			return err
+		}
+	}
+	b.add(data)
+	return nil
+}
+
+// TryAppend adds the next event unless the buffer is full. It returns false if
+// Append would block.
+func (b *Buffer) TryAppend(data []byte) (bool, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end != nil {
+		return false, ErrEnded
+	}
+	if !b.trim(len(data)) {
+		return false, nil
+	}
+	b.add(data)
+	return true, nil
+}
+
+func (b *Buffer) add(data []byte) {
+	last := b.lastBlock()
+	if last == nil || last.full() {
+		last = &block{base: b.next}
+		b.blocks = append(b.blocks, last)
+	}
+	last.add(data)
+	b.next++
+	b.wake()
+}
+
+func (b *Buffer) waitForRoom(ctx context.Context) error {
+	if b.room == nil {
+		b.room = make(chan struct{})
+	}
+	room := b.room
+	b.mu.Unlock()
+	defer b.mu.Lock()
+	select {
+	case <-room:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// trim drops whole blocks that all readers have passed until size more bytes
+// fit. It returns false if a reader must move on first.
+func (b *Buffer) trim(size int) bool {
+	for len(b.blocks) > 0 && b.bytes()+size > b.limit {
+		if b.slowest() < b.blocks[0].next() {
+			return false
+		}
+		b.blocks = b.blocks[1:]
+	}
+	return true
+}
+
+// slowest returns the lowest index that an attached reader still needs.
+func (b *Buffer) slowest() uint64 {
+	low := b.next
+	for c := range b.cursors {
+		low = min(low, c.next)
+	}
+	return low
+}
+
+func (b *Buffer) bytes() int {
+	n := 0
+	for _, blk := range b.blocks {
+		n += blk.size()
+	}
+	return n
+}
+
+func (b *Buffer) lastBlock() *block {
+	if len(b.blocks) == 0 {
+		return nil
+	}
+	return b.blocks[len(b.blocks)-1]
+}
+
+func (b *Buffer) firstIndex() uint64 {
+	if len(b.blocks) == 0 {
+		return b.next
+	}
+	return b.blocks[0].base
+}
+
+// Reset forgets the answer so that it can be produced anew, unless a reader has
+// taken a part of it already.
+func (b *Buffer) Reset() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.delivered > 0 || b.end != nil {
+		return false
+	}
+	b.blocks = nil
+	b.next = b.base
+	b.head = nil
+	return true
+}
+
+// Finish ends the answer. Only the first call takes effect.
+func (b *Buffer) Finish(e End) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end != nil {
+		return
+	}
+	b.end = &e
+	b.wake()
+	b.freeRoom()
+}
+
+// Ended returns the end of the answer, or false while it goes on.
+func (b *Buffer) Ended() (End, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end == nil {
+		return End{}, false
+	}
+	return *b.end, true
+}
+
+// Next returns the index of the next event to be added.
+func (b *Buffer) Next() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.next
+}
+
+// Delivered returns the number of events that a reader has taken.
+func (b *Buffer) Delivered() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.delivered
+}
+
+// Bytes returns the size of the events that are kept.
+func (b *Buffer) Bytes() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytes()
+}
+
+func (b *Buffer) wake() {
+	for c := range b.cursors {
+		select {
+		case c.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (b *Buffer) freeRoom() {
+	if b.room != nil {
+		close(b.room)
+		b.room = nil
+	}
+}
--- /dev/null
+++ b/fleet/stream/writer.go
@@ -0,0 +1,76 @@
+package stream
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ContentType is the media type of server-sent events.
+const ContentType = "text/event-stream"
+
+// Writer sends server-sent events to a caller. Each flush has a deadline, so
+// that a caller that stopped reading is noticed.
+type Writer struct {
+	w       http.ResponseWriter
+	ctrl    *http.ResponseController
+	timeout time.Duration
+	line    []byte
+}
+
+// NewWriter returns a writer whose flushes take at most timeout.
+func NewWriter(w http.ResponseWriter, timeout time.Duration) *Writer {
+	return &Writer{w: w, ctrl: http.NewResponseController(w), timeout: timeout}
+}
+
+// Event buffers an event; its index is sent as the id field.
+func (w *Writer) Event(index uint64, data []byte) error {
+	w.line = append(w.line[:0], "id: "...)
+	w.line = strconv.AppendUint(w.line, index, 10)
+	w.line = append(w.line, "\ndata: "...)
+	w.line = appendData(w.line, data)
+	w.line = append(w.line, "\n\n"...)
+	return w.write()
+}
+
+// Done buffers the event that ends a chat-completions stream.
+func (w *Writer) Done() error {
+	w.line = append(w.line[:0], "data: "+Done+"\n\n"...)
+	return w.write()
+}
+
+// Ping buffers a comment, which clients skip.
+func (w *Writer) Ping() error {
+	w.line = append(w.line[:0], ": ping\n\n"...)
+	return w.write()
+}
+
+// Flush sends what is buffered.
+func (w *Writer) Flush() error {
+	return w.ctrl.Flush()
+}
+
+// Close lifts the deadline, so that the connection can be used again.
+func (w *Writer) Close() error {
+	return w.ctrl.SetWriteDeadline(time.Time{})
+}
+
+func (w *Writer) write() error {
+	// The deadline also covers writes that fill the response's own buffer.
+	if err := w.ctrl.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+		return err
+	}
+	_, err := w.w.Write(w.line)
+	return err
+}
+
+// appendData appends data, repeating the field name on each further line.
+func appendData(dst, data []byte) []byte {
+	for _, b := range data {
+		dst = append(dst, b)
+		if b == '\n' {
+			dst = append(dst, "data: "...)
+		}
+	}
+	return dst
+}
--- a/fleet/upstream/transport.go
+++ b/fleet/upstream/transport.go
@@ -62,7 +62,7 @@
 	t.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
-		return dial(ctx, network, addr)
+		return dispatch.CountWrites(dial)(ctx, network, addr)
 	}
 	t.base = t.newBase()
 	return t
