Add the operators' settings endpoints and hazelctl's settings commands

Operators had no way to publish declared settings. Any host's admin address now takes changes, explains values and lists hosts with their versions; hazelctl has validate, plan, apply, get, history, status and key new, with exit codes and JSON output. A host that has not caught up refuses to show a tree, so that no plan is made against an empty one.

--- a/cmd/hazelctl/main.go
+++ b/cmd/hazelctl/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/hazelworks/hazelworks/cmd/internal/adminclient"
 	"github.com/hazelworks/hazelworks/cmd/internal/cli"
+	"github.com/hazelworks/hazelworks/cmd/internal/settingscmd"
 )
 
 const longHelp = `hazelctl talks to the admin address of any host of the fleet.
@@ -32,5 +33,6 @@
 		newUpstreamCommand(client),
 		newEntryCommand(),
 	)
+	root.AddCommand(settingscmd.Commands(client)...)
 	return root
 }
--- /dev/null
+++ b/fleet/settingsapi/status.go
@@ -0,0 +1,104 @@
+package settingsapi
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/member"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+)
+
+func (a *API) status(w http.ResponseWriter, r *http.Request) {
+	state := a.watcher.State()
+	self := a.view.Self()
+	answer := Status{
+		Host:        self.Host,
+		Incarnation: self.Incarnation,
+		Version:     state.Version,
+		Log: LogHealth{
+			Position:    state.Position,
+			LastRead:    state.LastRead,
+			Unsupported: state.Unsupported,
+		},
+		Figures: a.figures(),
+		Hosts:   a.askHosts(r.Context()),
+	}
+	if state.LogErr != nil {
+		answer.Log.Error = state.LogErr.Error()
+	}
+	setLag(answer.Hosts)
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// askHosts asks every host for the version that it has in force.
+func (a *API) askHosts(ctx context.Context) []HostStatus {
+	hosts := a.view.Hosts()
+	statuses := make([]HostStatus, len(hosts))
+	var group errgroup.Group
+	group.SetLimit(statusParallel)
+	for i, h := range hosts {
+		group.Go(func() error {
+			statuses[i] = a.askHost(ctx, h)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return statuses
+}
+
+func (a *API) askHost(ctx context.Context, h member.Host) HostStatus {
+	status := HostStatus{
+		ID:            h.ID,
+		FailureDomain: h.FailureDomain,
+		State:         string(h.Belief),
+		Version:       h.SettingsVersion,
+	}
+	self := a.view.Self()
+	if h.ID == self.Host {
+		status.Version, status.Answers = a.watcher.Version(), true
+		return status
+	}
+	client, ok := a.view.Client(h.ID)
+	if !ok {
+		return status
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request := &peerpb.PingRequest{
+		Host:            string(self.Host),
+		Incarnation:     uint64(self.Incarnation),
+		SettingsVersion: uint64(a.watcher.Version()),
+		Leaving:         a.leaving(),
+	}
+	response, err := client.Ping(ctx, connect.NewRequest(request))
+	if err != nil {
+		return status
+	}
+	status.Version, status.Answers = record.Offset(response.Msg.SettingsVersion), true
+	return status
+}
+
+// leaving reports whether this host leaves the fleet.
+func (a *API) leaving() bool {
+	self := a.view.Self().Host
+	for _, h := range a.view.Hosts() {
+		if h.ID == self {
+			return h.Belief == member.StateLeaving
+		}
+	}
+	return false
+}
+
+func setLag(hosts []HostStatus) {
+	var newest record.Offset
+	for _, h := range hosts {
+		newest = max(newest, h.Version)
+	}
+	for i := range hosts {
+		hosts[i].Lag = newest - hosts[i].Version
+	}
+}
--- a/fleet/settingswatch/watcher.go
+++ b/fleet/settingswatch/watcher.go
@@ -136,6 +136,14 @@
 	return w.changed
 }
 
+// CaughtUp reports whether the settings are as new as could be known when the
+// host started. It is true for a fleet without settings.
+func (w *Watcher) CaughtUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reached
+}
+
 // State is what a watcher knows.
 type State struct {
 	// Version is the version in force, Position the last offset read.
