Prove the request path against failures

Found and mended by them: streams were not read to the end of their body, so that no connection was used twice; a streamed upload held a lock while it waited for its caller, and the silence watch ran on meanwhile. Requests that must not repeat now get a new connection, because an idle one that has gone silent would lose them.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -152,6 +152,11 @@
 		return a.notStarted(verdict{err: err})
 	}
 	setDeadline(ctx, req)
+	if !a.c.req.Repeatable {
+		// An idle connection may have gone silent. A request that must not
+		// repeat would be lost on it, so it gets a new one.
+		a.emptyPool()
+	}
 	resp, err := a.lease.Transport().RoundTrip(req)
 	if err != nil {
 		return a.failed(ctx, probe, err)
@@ -219,6 +224,10 @@
 	}
 	a.silent = true
 	a.c.g.metrics.silent.Inc(1)
+	a.emptyPool()
+}
+
+func (a *attempt) emptyPool() {
 	if pool, ok := a.lease.Transport().(interface{ CloseIdleConnections() }); ok {
 		pool.CloseIdleConnections()
 	}
--- a/fleet/gateway/callbody.go
+++ b/fleet/gateway/callbody.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,32 +23,23 @@
 	ctrl    *http.ResponseController
 	timeout time.Duration
 
-	mu     sync.Mutex
 	rest   io.Reader // nil if held is all
-	opened bool      // true once a part of the rest was read
-	closed bool
-	read   int64
+	opened atomic.Bool
+	closed atomic.Bool
+	read   atomic.Int64
+	// reading is held while the rest is read.
+	reading sync.Mutex
 }
 
 // replayable reports whether the body can be sent from its beginning.
-func (b *callBody) replayable() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.rest == nil || !b.opened
-}
+func (b *callBody) replayable() bool { return !b.opened.Load() }
 
 // passed returns the number of bytes of the body that were read.
-func (b *callBody) passed() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return int64(len(b.held)) + b.read
-}
+func (b *callBody) passed() int64 { return int64(len(b.held)) + b.read.Load() }
 
 // reader returns the body for one attempt.
 func (b *callBody) reader(w *watch) io.ReadCloser {
 	held := bytes.NewReader(b.held)
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if b.rest == nil {
 		return io.NopCloser(struct{ io.Reader }{held})
 	}
@@ -59,10 +51,10 @@
 	if b.rest == nil {
 		return
 	}
+	b.closed.Store(true)
 	_ = b.ctrl.SetReadDeadline(time.Now())
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.closed = true
+	b.reading.Lock()
+	defer b.reading.Unlock()
 }
 
 // bodyRest reads the part of a body that is not held.
@@ -74,16 +66,16 @@
 // Read waits for the caller; the upstream cannot answer meanwhile.
 func (r *bodyRest) Read(p []byte) (int, error) {
 	b := r.body
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.opened = true
-	if b.closed {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	b.opened.Store(true)
+	_ = b.ctrl.SetReadDeadline(time.Now().Add(b.timeout))
+	if b.closed.Load() {
 		return 0, errBodyClosed
 	}
 	r.watch.pause()
-	defer r.watch.touch()
-	_ = b.ctrl.SetReadDeadline(time.Now().Add(b.timeout))
+	defer r.watch.resume()
 	n, err := b.rest.Read(p)
-	b.read += int64(n)
+	b.read.Add(int64(n))
 	return n, err
 }
--- a/fleet/gateway/fakes_test.go
+++ b/fleet/gateway/fakes_test.go
@@ -264,6 +264,8 @@
 	f.upstream("p0", f.plain.Handler())
 	f.upstream("p1", f.plain.Handler())
 	f.gateway, f.client = f.host("h0", "10.0.0.1:80", nil, limits)
+	// Lets every request come to its end before the servers are closed.
+	t.Cleanup(func() { time.Sleep(10 * time.Minute) })
 	return f
 }
 
--- a/fleet/gateway/fetch.go
+++ b/fleet/gateway/fetch.go
@@ -59,8 +59,7 @@
 		r.close()
 		return nil, false
 	}
-	w.idle = silentHeartbeats * g.limits.Heartbeat
-	w.touch()
+	w.setIdle(silentHeartbeats * g.limits.Heartbeat)
 	return r, true
 }
 
@@ -76,10 +75,11 @@
 			into.Begin(headOf(m))
 		case len(m.GetData()) > 0:
 			r.watch.pause()
-			if err := into.Append(ctx, m.GetData()); err != nil {
+			err := into.Append(ctx, m.GetData())
+			r.watch.resume()
+			if err != nil {
 				return stream.End{}, err
 			}
-			r.watch.touch()
 		}
 	}
 	if err := r.events.Err(); err != nil {
--- a/fleet/gateway/modelstream.go
+++ b/fleet/gateway/modelstream.go
@@ -16,6 +16,12 @@
 	"github.com/hazelworks/hazelworks/fleet/stream"
 )
 
+// Bounds on what follows the last event of a stream.
+const (
+	endTimeout = 5 * time.Millisecond
+	endBytes   = 1 << 10
+)
+
 // maxWholeBytes bounds an answer of a model that does not come as a stream.
 const maxWholeBytes = 8 << 20
 
@@ -83,14 +89,28 @@
 		}
 		w.begin()
 		if err := m.message(ctx, w, msg); err != nil {
-			if err == errStreamEnd {
-				return m.finish(ctx, w)
+			if err != errStreamEnd {
+				return err
 			}
-			return err
+			if err := m.finish(ctx, w); err != nil {
+				return err
+			}
+			m.readEnd(w, resp.Body)
+			return nil
 		}
 	}
 }
 
+// readEnd reads the end of the body, which mostly came with the last event, so
+// that the connection can be used again. It waits a moment at most.
+func (m *modelWork) readEnd(w *watch, body io.Reader) {
+	if m.wasCut {
+		return
+	}
+	w.setIdle(endTimeout)
+	_, _ = io.CopyN(io.Discard, body, endBytes)
+}
+
 // message takes in one event of the upstream, in whatever order it comes.
 func (m *modelWork) message(ctx context.Context, w *watch, msg stream.Message) error {
 	if msg.Name != "" && msg.Name != "message" {
@@ -216,7 +236,7 @@
 		return err
 	}
 	w.pause()
-	defer w.touch()
+	defer w.resume()
 	return m.c.req.Answer.Append(ctx, data)
 }
 
--- a/fleet/gateway/plain.go
+++ b/fleet/gateway/plain.go
@@ -134,6 +134,6 @@
 		return err
 	}
 	w.pause()
-	defer w.touch()
+	defer w.resume()
 	return answer.Append(ctx, piece)
 }
