--- a/fleet/settingswatch/fixture_test.go
+++ b/fleet/settingswatch/fixture_test.go
@@ -29,6 +29,11 @@
 	t       *testing.T
 	log     *memlog.Log
 	latency time.Duration
+	// wrap changes the log that each host sees.
+	wrap func(platform.Log) platform.Log
+	// neighbours limits what a host hears of others to six neighbours on a ring,
+	// once for each interval of probes.
+	neighbours bool
 
 	mu    sync.Mutex
 	nodes map[record.HostID]*node
@@ -41,6 +46,7 @@
 	link    *memlog.Link
 	watcher *Watcher
 	stop    context.CancelFunc
+	view    atomic.Pointer[[]member.Host]
 	// isolated hosts can neither call others nor be called.
 	isolated atomic.Bool
 }
@@ -62,8 +68,15 @@
 func (c *cluster) run(n *node) *node {
 	ctx, cancel := context.WithCancel(c.t.Context())
 	n.stop = cancel
+	var log platform.Log = n.link
+	if c.wrap != nil {
+		log = c.wrap(log)
+	}
+	if c.neighbours {
+		go n.hearNeighbours(ctx)
+	}
 	n.watcher = New(Options{
-		Log:    n.link,
+		Log:    log,
 		View:   n,
 		Logger: logr.Discard(),
 		Rand:   rand.New(rand.NewPCG(1, uint64(len(n.id)))),
@@ -79,6 +92,7 @@
 	for _, n := range c.all() {
 		n.stop()
 	}
+	time.Sleep(time.Second)
 }
 
 func (c *cluster) all() []*node {
@@ -110,7 +124,35 @@
 
 func (n *node) Self() record.Holder { return record.Holder{Host: n.id, Incarnation: 1} }
 
+// hearNeighbours renews the view of a host as probes would.
+func (n *node) hearNeighbours(ctx context.Context) {
+	const probeInterval = 1400 * time.Millisecond
+	var own int
+	_, _ = fmt.Sscanf(string(n.id), "h%d", &own)
+	_ = sleep(ctx, time.Duration(own*137%1400)*time.Millisecond)
+	for ctx.Err() == nil {
+		hosts := len(n.cluster.all())
+		var view []member.Host
+		for step := 1; step <= 3; step++ {
+			// Strides of different length stand for the rings.
+			stride := 1 + (step-1)*max(1, hosts/7)
+			for _, i := range []int{own + stride, own + hosts - stride%hosts} {
+				other := n.cluster.node(i % hosts)
+				view = append(view, member.Host{Host: platform.Host{ID: other.id}, Belief: member.StateLive, SettingsVersion: other.watcher.Version()})
+			}
+		}
+		n.view.Store(&view)
+		_ = sleep(ctx, probeInterval)
+	}
+}
+
 func (n *node) Hosts() []member.Host {
+	if n.cluster.neighbours {
+		if view := n.view.Load(); view != nil {
+			return append([]member.Host(nil), *view...)
+		}
+		return nil
+	}
 	var hosts []member.Host
 	for _, other := range n.cluster.all() {
 		h := member.Host{Host: platform.Host{ID: other.id}, Belief: member.StateLive}
