--- a/core/statechart/load.go
+++ b/core/statechart/load.go
@@ -186,11 +186,13 @@
 	for _, f := range l.final {
 		c.final = append(c.final, State(f.text))
 	}
+	var events []fsm.EventDesc
 	for _, s := range l.states {
 		c.states = append(c.states, State(s.name.text))
 		for _, t := range s.transitions {
-			c.events = append(c.events, fsm.EventDesc{Name: t.event.text, Src: []string{s.name.text}, Dst: t.target.text})
+			events = append(events, fsm.EventDesc{Name: t.event.text, Src: []string{s.name.text}, Dst: t.target.text})
 		}
 	}
+	c.fsm = fsm.NewFSM(string(c.initial), events, nil)
 	return c
 }
--- a/core/statechart/statechart.go
+++ b/core/statechart/statechart.go
@@ -21,6 +21,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 
 	"github.com/looplab/fsm"
 )
@@ -31,13 +32,15 @@
 // Event names an event of a chart.
 type Event string
 
-// Chart is a checked state chart. It is immutable and safe for concurrent use.
+// Chart is a checked state chart. It does not change and is safe for concurrent use.
 type Chart struct {
 	name    string
 	initial State
 	final   []State
 	states  []State
-	events  []fsm.EventDesc
+
+	mu  sync.Mutex
+	fsm *fsm.FSM
 }
 
 // Name returns the name that the chart was loaded under.
@@ -51,13 +54,36 @@
 
 // Start returns a new machine in the initial state.
 func (c *Chart) Start() *Machine {
-	return &Machine{chart: c, fsm: fsm.NewFSM(string(c.initial), c.events, nil)}
+	return &Machine{chart: c, state: c.initial}
+}
+
+// take returns the state after an event, or false if the state does not accept
+// it. All machines of a chart share one interpreter, which is set to the
+// machine's state for each event: its tables take some kilobytes.
+func (c *Chart) take(state State, event Event) (State, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fsm.SetState(string(state))
+	err := c.fsm.Event(context.Background(), string(event))
+	var same fsm.NoTransitionError
+	if err != nil && !errors.As(err, &same) {
+		return state, false
+	}
+	return State(c.fsm.Current()), true
+}
+
+func (c *Chart) can(state State, event Event) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fsm.SetState(string(state))
+	return c.fsm.Can(string(event))
 }
 
 // Machine is one run of a chart. It is safe for concurrent use.
 type Machine struct {
 	chart *Chart
-	fsm   *fsm.FSM
+	mu    sync.Mutex
+	state State
 }
 
 // EventError reports an event that the current state does not accept.
@@ -75,20 +101,25 @@
 // Fire takes the transition of an event. It returns an [EventError] and stays
 // in its state if the current state does not accept the event.
 func (m *Machine) Fire(event Event) error {
-	state := m.State()
-	err := m.fsm.Event(context.Background(), string(event))
-	var same fsm.NoTransitionError
-	if err == nil || errors.As(err, &same) {
-		return nil
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next, ok := m.chart.take(m.state, event)
+	if !ok {
+		return &EventError{Chart: m.chart.name, State: m.state, Event: event}
 	}
-	return &EventError{Chart: m.chart.name, State: state, Event: event}
+	m.state = next
+	return nil
 }
 
 // Can reports whether the current state accepts an event.
-func (m *Machine) Can(event Event) bool { return m.fsm.Can(string(event)) }
+func (m *Machine) Can(event Event) bool { return m.chart.can(m.State(), event) }
 
 // State returns the current state.
-func (m *Machine) State() State { return State(m.fsm.Current()) }
+func (m *Machine) State() State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
 
 // Done reports whether the current state is final.
 func (m *Machine) Done() bool { return m.chart.Final(m.State()) }
--- a/fleet/dispatch/conn.go
+++ b/fleet/dispatch/conn.go
@@ -5,6 +5,11 @@
 	"sync"
 )
 
+// BufferBytes is the size of the read and write buffers of a connection to an
+// upstream. Events of a stream are smaller, and larger reads and writes pass the
+// buffers by.
+const BufferBytes = 1 << 10
+
 // Conn is a connection to an upstream that knows whether a request may have
 // left on it.
 type Conn struct {
--- a/fleet/gateway/model.go
+++ b/fleet/gateway/model.go
@@ -39,6 +39,7 @@
 	sequence  *stream.Sequencer
 	resumable bool
 	sourceID  string
+	shape     chunkShape
 	tokens    int64
 	usage     *stream.Usage
 	final     []byte
@@ -70,6 +71,7 @@
 func (m *modelWork) restart() {
 	m.sequence = stream.NewSequencer(0)
 	m.resumable, m.begun = false, false
+	m.shape = chunkShape{}
 	m.sourceID, m.final, m.usage, m.tokens = "", nil, nil, 0
 }
 
--- a/fleet/gateway/modelstream.go
+++ b/fleet/gateway/modelstream.go
@@ -116,12 +116,16 @@
 	if msg.Name != "" && msg.Name != "message" {
 		return nil
 	}
-	if m.foreign(msg.Data, msg.HasIndex) {
+	e, err := m.decode(msg.Data)
+	if err != nil {
+		return err
+	}
+	if m.foreign(e, msg.HasIndex) {
 		m.dropped(msg.Index, "foreign")
 		return nil
 	}
 	if !msg.HasIndex {
-		return m.event(ctx, w, msg.Data)
+		return m.event(ctx, w, e)
 	}
 	switch m.sequence.Offer(msg.Index, msg.Data) {
 	case stream.Duplicate:
@@ -132,40 +136,56 @@
 	case stream.Gap:
 		return errGap
 	}
-	err := m.event(ctx, w, msg.Data)
+	err = m.event(ctx, w, e)
 	for err == nil {
 		data, ok := m.sequence.Ready()
 		if !ok {
 			return nil
 		}
-		err = m.event(ctx, w, data)
+		if e, err = m.decode(data); err == nil {
+			err = m.event(ctx, w, e)
+		}
 	}
 	return err
 }
 
-// foreign reports whether an event belongs to another request. Numbered events
-// carry the ID that the gateway sent; the others that of their first event.
-func (m *modelWork) foreign(data []byte, numbered bool) bool {
-	if string(data) == stream.Done || m.sourceID != "" && bytes.Contains(data, []byte(m.sourceID)) {
-		return false
+// event is an event of an upstream.
+type event struct {
+	data []byte
+	done bool
+	// plain is true for a token that has the shape of an earlier one; chunk is
+	// set for all other events that are not the end.
+	plain bool
+	chunk *chunk
+}
+
+func (m *modelWork) decode(data []byte) (event, error) {
+	if string(data) == stream.Done {
+		return event{data: data, done: true}, nil
 	}
-	var c chunk
-	if json.Unmarshal(data, &c) != nil || c.ID == "" {
-		return false // event judges it
+	if m.shape.matches(data) {
+		return event{data: data, plain: true}, nil
 	}
-	if m.sourceID == "" && (!numbered || c.ID == m.upstreamID) {
-		m.sourceID = quotedID(c.ID)
-		return false
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return event{}, fmt.Errorf("the upstream sent an event that is not a chunk: %w", err)
 	}
-	return quotedID(c.ID) != m.sourceID
+	return event{data: data, chunk: &c}, nil
 }
 
-func quotedID(id string) string {
-	quoted, err := json.Marshal(id)
-	if err != nil {
-		panic(err) // a string
+// foreign reports whether an event belongs to another request. Numbered events
+// carry the ID that the gateway sent; the others that of their first event.
+func (m *modelWork) foreign(e event, numbered bool) bool {
+	if e.chunk == nil || e.chunk.ID == "" {
+		return false
+	}
+	if m.sourceID == "" {
+		m.sourceID = e.chunk.ID
+		if numbered {
+			m.sourceID = m.upstreamID
+		}
 	}
-	return `"id":` + string(quoted)
+	return e.chunk.ID != m.sourceID
 }
 
 func (m *modelWork) dropped(index uint64, why string) {
@@ -174,14 +194,14 @@
 }
 
 // event takes in the next event in order.
-func (m *modelWork) event(ctx context.Context, w *watch, data []byte) error {
-	if string(data) == stream.Done {
+func (m *modelWork) event(ctx context.Context, w *watch, e event) error {
+	if e.done {
 		return errStreamEnd
 	}
-	var c chunk
-	if err := json.Unmarshal(data, &c); err != nil {
-		return fmt.Errorf("the upstream sent an event that is not a chunk: %w", err)
+	if e.plain {
+		return m.token(ctx, w, e.data)
 	}
+	c := e.chunk
 	if !m.begun {
 		m.begun = true
 		m.c.g.metrics.firstEvent.Update(time.Since(m.c.req.Started).Microseconds())
@@ -203,9 +223,24 @@
 	}
 	if c.closing() {
 		// The last of these events is sent with the outcome.
-		m.final = append([]byte(nil), data...)
+		m.final = append([]byte(nil), e.data...)
 		return nil
 	}
+	if n == 1 && len(c.Choices) == 1 && hasText(c.Choices[0].Delta.Content) {
+		m.shape.learn(e.data, *c.Choices[0].Delta.Content)
+	}
+	return m.pass(ctx, w, e.data)
+}
+
+// token takes in an event of one token.
+func (m *modelWork) token(ctx context.Context, w *watch, data []byte) error {
+	if m.tokens >= m.maxTokens() {
+		return m.cutAtCap()
+	}
+	m.tokens++
+	if err := m.flushFinal(ctx, w); err != nil {
+		return err
+	}
 	return m.pass(ctx, w, data)
 }
 
--- a/fleet/gateway/serve.go
+++ b/fleet/gateway/serve.go
@@ -62,11 +62,15 @@
 	cursor *stream.Cursor
 	mode   mode
 	// out is set once the response has become a stream of events.
-	out   *stream.Writer
-	event []byte
+	out       *stream.Writer
+	event     []byte
+	heartbeat *time.Timer
 }
 
 func (s *server) detach() {
+	if s.heartbeat != nil {
+		s.heartbeat.Stop()
+	}
 	if s.out != nil {
 		_ = s.out.Close()
 	}
@@ -94,14 +98,17 @@
 // wait waits until the answer changes or a heartbeat is due, and sends it. It
 // returns false if the caller is gone.
 func (s *server) wait(ctx context.Context) bool {
-	timer := time.NewTimer(s.g.limits.Heartbeat)
-	defer timer.Stop()
+	if s.heartbeat == nil {
+		s.heartbeat = time.NewTimer(s.g.limits.Heartbeat)
+	} else {
+		s.heartbeat.Reset(s.g.limits.Heartbeat)
+	}
 	select {
 	case <-s.cursor.Changed():
 		return true
 	case <-ctx.Done():
 		return false
-	case <-timer.C:
+	case <-s.heartbeat.C:
 		return s.mode != modeEvents || s.ping()
 	}
 }
@@ -129,6 +136,7 @@
 // events sends the events of a stream.
 func (s *server) events(ctx context.Context) {
 	s.event = make([]byte, 0, eventBytes)
+	flushed := false // the first event is not held back for others
 	for {
 		index := s.cursor.Index()
 		var status stream.Status
@@ -136,9 +144,10 @@
 		switch status {
 		case stream.Available:
 			s.startEvents()
-			if s.out.Event(index, s.event) != nil {
+			if s.out.Event(index, s.event) != nil || !flushed && s.out.Flush() != nil {
 				return
 			}
+			flushed = true
 		case stream.Pending:
 			if s.out != nil && s.out.Flush() != nil {
 				return
--- a/fleet/stream/reader.go
+++ b/fleet/stream/reader.go
@@ -16,8 +16,9 @@
 // MaxEventBytes bounds the data of one event.
 const MaxEventBytes = 256 << 10
 
-// readerBytes is the read buffer of an upstream stream.
-const readerBytes = 4 << 10
+// readerBytes is the read buffer of a stream. The connection below it has a
+// larger one of its own.
+const readerBytes = 1 << 10
 
 // ErrEventTooLarge is returned for an event above [MaxEventBytes].
 var ErrEventTooLarge = errors.New("stream: event is too large")
--- a/fleet/upstream/transport.go
+++ b/fleet/upstream/transport.go
@@ -82,6 +82,8 @@
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaders,
 		DisableCompression:     true,
+		ReadBufferSize:         dispatch.BufferBytes,
+		WriteBufferSize:        dispatch.BufferBytes,
 	}
 }
 
