Make idle connections between hosts quiet, push reports along the rings

At the target size each host has connections to many others, and HTTP/2 pings each second on all of them cost more than the 2 KB/s for control. Reports went to hosts at random over new connections; they now follow the rings of probes, which are open.

--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -269,6 +269,15 @@
 	Version     record.Offset
 }
 
+// State returns the belief about a host, or false if it is gone or not known.
+func (t *Table) State(id record.HostID) (statechart.State, bool) {
+	e, known := t.entries[id]
+	if !known || e.machine.State() == StateGone {
+		return "", false
+	}
+	return e.machine.State(), true
+}
+
 // Hosts returns all hosts that are not gone, by ID.
 func (t *Table) Hosts() []Host {
 	hosts := make([]Host, 0, len(t.entries))
--- /dev/null
+++ b/fleet/member/measure_test.go
@@ -0,0 +1,76 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var measure = flag.Bool("measure", false, "run the measurements of control traffic and detection at several sizes")
+
+// packetHeaderBytes is the size of the IP and TCP headers with timestamps.
+const packetHeaderBytes = 52
+
+// measuredSizes are numbers of hosts.
+func measuredSizes() []int {
+	if *measure {
+		return []int{8, 32, 128, 256}
+	}
+	return []int{8}
+}
+
+// controlGoal is the bound of the target size, in bytes each second and host.
+const controlGoal = 2000
+
+func TestControlTraffic(t *testing.T) {
+	for _, hosts := range measuredSizes() {
+		t.Run(fmt.Sprintf("hosts=%d", hosts), func(t *testing.T) {
+			run(t, func(t *testing.T) {
+				f := newFixture(t, hosts, min(15, hosts))
+				time.Sleep(10 * time.Second)
+				const window = 30 * time.Second
+				bytes, packets := f.bytes.Load(), f.packets.Load()
+				time.Sleep(window)
+				// Each byte is counted once where it is sent and once where it arrives:
+				// the fixture sees the dialing end of each connection, sending and receiving.
+				perHost := 2 * float64(f.bytes.Load()-bytes) / window.Seconds() / float64(hosts)
+				perHostPackets := 2 * float64(f.packets.Load()-packets) / window.Seconds() / float64(hosts)
+				total := perHost + packetHeaderBytes*perHostPackets
+				t.Logf("%d hosts: %.0f B/s sent and received by each host, %.0f B/s with IP and TCP headers, %.1f segments/s", hosts, perHost, total, perHostPackets)
+				require.Less(t, perHost, float64(controlGoal))
+			})
+		})
+	}
+}
+
+// TestDetectionTimes measures the time until nine in ten hosts, and all, have
+// moved off a host that dies without a word.
+func TestDetectionTimes(t *testing.T) {
+	for _, hosts := range measuredSizes() {
+		t.Run(fmt.Sprintf("hosts=%d", hosts), func(t *testing.T) {
+			var most, all []time.Duration
+			for seed := range 5 {
+				run(t, func(t *testing.T) {
+					f := newFixture(t, hosts, min(15, hosts))
+					time.Sleep(8*time.Second + time.Duration(seed)*290*time.Millisecond)
+					victim := hostID(seed * hosts / 5)
+					start := time.Now()
+					f.kill(victim, true)
+					f.until(2*detectionGoal, func() bool { return f.beliefs(victim, StateSuspected) >= (hosts-1)*9/10 })
+					most = append(most, time.Since(start))
+					f.until(2*detectionGoal, func() bool { return f.beliefs(victim, StateSuspected) == hosts-1 })
+					all = append(all, time.Since(start))
+				})
+			}
+			slices.Sort(most)
+			slices.Sort(all)
+			t.Logf("%d hosts: nine in ten after %v, all after %v (middle and worst of 5)", hosts,
+				[]time.Duration{most[2], most[4]}, []time.Duration{all[2], all[4]})
+			require.LessOrEqual(t, most[4], detectionGoal)
+		})
+	}
+}
--- a/fleet/member/members.go
+++ b/fleet/member/members.go
@@ -49,11 +49,9 @@
 	// this process must have been paused.
 	pauseSlack = 250 * time.Millisecond
 	// pushDelay gathers reports before they are pushed.
-	pushDelay = 20 * time.Millisecond
+	pushDelay = 10 * time.Millisecond
 	// pushTimeout bounds the passing on of reports.
 	pushTimeout = 500 * time.Millisecond
-	// pushFanout is the number of hosts that fresh reports are pushed to.
-	pushFanout = 4
 	// maxReports bounds the reports of one message.
 	maxReports   = 64
 	tickInterval = 500 * time.Millisecond
@@ -146,6 +144,14 @@
 	return append([]Host(nil), m.hosts...)
 }
 
+// Belief returns what this host believes of another, or false if it is not known.
+func (m *Members) Belief(id record.HostID) (State, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, ok := m.table.State(id)
+	return State(state), ok
+}
+
 func (m *Members) buildHosts() []Host {
 	known := m.table.Hosts()
 	hosts := make([]Host, len(known))
--- a/fleet/member/peerconn.go
+++ b/fleet/member/peerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -18,20 +19,43 @@
 // peerConn is the way to another host. Each host has an HTTP client of its own,
 // so that one that has gone silent can be replaced alone.
 type peerConn struct {
-	addr   string
-	http   *http.Client
+	addr string
+	http *http.Client
+	// client serves other parts of this host and reports its failures; prober
+	// serves probes.
 	client peerpbconnect.PeerServiceClient
+	prober peerpbconnect.PeerServiceClient
 }
 
-func (m *Members) newPeerConn(addr string) *peerConn {
+func (m *Members) newPeerConn(id record.HostID, addr string) *peerConn {
 	httpClient := peer.NewHTTPClient(m.dial, m.opts.PeerSecret)
+	reporting := &http.Client{Transport: &reportingTransport{
+		next:   httpClient.Transport,
+		report: func() { m.ReportFailure(id) },
+	}}
 	return &peerConn{
 		addr:   addr,
 		http:   httpClient,
-		client: peerpbconnect.NewPeerServiceClient(httpClient, "http://"+addr),
+		client: peerpbconnect.NewPeerServiceClient(reporting, "http://"+addr),
+		prober: peerpbconnect.NewPeerServiceClient(httpClient, "http://"+addr),
 	}
 }
 
+// reportingTransport reports calls that fail for want of an answer.
+type reportingTransport struct {
+	next   http.RoundTripper
+	report func()
+}
+
+// RoundTrip sends the request.
+func (t *reportingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.next.RoundTrip(r)
+	if err != nil && !errors.Is(r.Context().Err(), context.Canceled) {
+		t.report()
+	}
+	return response, err
+}
+
 // dial bounds the time to connect: the HTTP transport goes on dialing after the
 // call that asked for it has ended.
 func (m *Members) dial(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -48,7 +72,7 @@
 	}
 	for id, h := range known {
 		if conn, ok := m.peers[id]; !ok || conn.addr != h.PeerAddr {
-			m.replaceLocked(id, m.newPeerConn(h.PeerAddr))
+			m.replaceLocked(id, m.newPeerConn(id, h.PeerAddr))
 		}
 	}
 	for id, conn := range m.peers {
--- a/fleet/member/probe.go
+++ b/fleet/member/probe.go
@@ -143,7 +143,7 @@
 		results <- first
 	case <-timer.C:
 	}
-	fresh := m.newPeerConn(open.addr)
+	fresh := m.newPeerConn(id, open.addr)
 	go m.tryPing(ctx, fresh, results)
 	for range 2 {
 		first = <-results
@@ -160,7 +160,7 @@
 }
 
 func (m *Members) tryPing(ctx context.Context, conn *peerConn, results chan<- pingResult) {
-	response, err := conn.client.Ping(ctx, connect.NewRequest(m.pingRequest()))
+	response, err := conn.prober.Ping(ctx, connect.NewRequest(m.pingRequest()))
 	if err != nil {
 		results <- pingResult{err: err, conn: conn}
 		return
@@ -285,15 +285,17 @@
 func (m *Members) pushTo(ctx context.Context, conn *peerConn) {
 	callCtx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	response, err := conn.client.Ping(callCtx, connect.NewRequest(m.pingRequest()))
+	response, err := conn.prober.Ping(callCtx, connect.NewRequest(m.pingRequest()))
 	if err != nil {
 		return // probes find out why
 	}
 	m.answered(ctx, response.Msg)
 }
 
-// pushTargets returns the other watchers of the hosts that this host reports,
-// which can confirm the report, and some live hosts at random.
+// pushTargets returns the hosts that this host probes, to which connections are
+// open, one live host at random, and the other watchers of the hosts that this
+// host reports, which can confirm the report. The hosts that each host probes
+// form rings, so that reports reach every host along them.
 func (m *Members) pushTargets(reports []membership.Report) []record.HostID {
 	self := m.opts.Self.Host
 	var targets []record.HostID
@@ -310,14 +312,15 @@
 			add(w)
 		}
 	}
+	for _, id := range m.table.Targets() {
+		add(id)
+	}
 	hosts := m.table.Hosts()
-	m.rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	random := 0
-	for _, h := range hosts {
-		if random < pushFanout && h.State == membership.StateLive && h.ID != self {
-			add(h.ID)
-			random++
-		}
+	if h := hosts[m.rand.IntN(len(hosts))]; h.State == membership.StateLive {
+		add(h.ID)
 	}
-	return targets
+	return slices.DeleteFunc(targets, func(id record.HostID) bool {
+		state, known := m.table.State(id)
+		return !known || state == membership.StateSuspected
+	})
 }
--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,3 +85,55 @@
 		require.Equal(t, 2, dials)
 	})
 }
+
+// slowPinger answers after a while, as a call does that waits for the log.
+type slowPinger struct{}
+
+func (slowPinger) Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	time.Sleep(20 * time.Second)
+	return connect.NewResponse(&peerpb.PingResponse{Host: "b"}), nil
+}
+
+// A call that takes long is not mistaken for one over a silent connection.
+func TestSlowCallIsNotEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(memnet.Options{})
+		listener, err := network.Listen("b", testAddr)
+		require.NoError(t, err)
+		server := NewServer(NewHandler(Services{Pinger: slowPinger{}}, testSecret), time.Second)
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+		_, err = client(t, network.Dialer("a"), testSecret).Ping(t.Context(), connect.NewRequest(&peerpb.PingRequest{}))
+		require.NoError(t, err)
+	})
+}
+
+// countingConn counts the segments of one end.
+type countingConn struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(b)
+}
+
+// At the target size a host has connections to many others; those without calls
+// must cost next to nothing.
+func TestIdleConnectionIsQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(memnet.Options{})
+		serve(t, network)
+		var writes atomic.Int64
+		dial := func(ctx context.Context, proto, addr string) (net.Conn, error) {
+			conn, err := network.Dialer("a")(ctx, proto, addr)
+			return countingConn{conn, &writes}, err
+		}
+		_, err := client(t, dial, testSecret).Ping(t.Context(), connect.NewRequest(&peerpb.PingRequest{}))
+		require.NoError(t, err)
+		before := writes.Load()
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, writes.Load()-before, int64(4), "pings and their answers in a minute")
+	})
+}
