Measure the routing and admission policies in virtual time and mend them

Cause: a queueing test of the whole picker, with 8 hosts, 10 workers and load reports up to 1 s old, missed four goals. Change: draw again while no free slot is believed in; let reports fade in 1 s; never send an upstream more than its slots and cut the limit when it queues by itself, so that requests wait in the fair queue; no ejection when all upstreams fail; requests that would end too late are refused at once instead of run; the waiting histogram replaces a timer whose ticker stops virtual time for good.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -38,7 +38,7 @@
 		SubsetSize:       20,
 		LoadBound:        1.25,
 		PrefixBlocks:     4,
-		ReportTTL:        5 * time.Second,
+		ReportTTL:        time.Second,
 		SlowStart:        20 * time.Second,
 		EjectAfter:       5,
 		EjectRate:        0.5,
--- a/core/route/decide.go
+++ b/core/route/decide.go
@@ -176,17 +176,29 @@
 	return w.current+1 <= max(bound, 1)
 }
 
+// maxPairs bounds the pairs that are drawn to find a free slot.
+const maxPairs = 3
+
+// betterOfTwo draws two upstreams and returns the one with the lower load. If
+// neither is believed to have a free slot it draws again, a few times.
 func (p *Pool) betterOfTwo(free []*Worker) *Worker {
-	i := p.rng.IntN(len(free))
-	j := p.rng.IntN(len(free) - 1)
-	if j >= i {
-		j++
-	}
-	a, b := free[i], free[j]
-	if b.cost() < a.cost() {
-		return b
+	var best *Worker
+	for range maxPairs {
+		i := p.rng.IntN(len(free))
+		j := p.rng.IntN(len(free) - 1)
+		if j >= i {
+			j++
+		}
+		for _, w := range [2]*Worker{free[i], free[j]} {
+			if best == nil || w.cost() < best.cost() {
+				best = w
+			}
+		}
+		if best.cost() <= 1 {
+			break
+		}
 	}
-	return a
+	return best
 }
 
 // cost is the load for each slot after one more request.
--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -144,28 +144,33 @@
 	}
 }
 
-// mayEject keeps the floor: in each set that w belongs to, enough others are live.
+// mayEject tells whether w is worse than its peers, and keeps the floor: in each
+// set that w belongs to, enough others stay in use. If most requests fail
+// everywhere, ejection would only take capacity away.
 func (p *Pool) mayEject(w *Worker) bool {
-	if w.health.state == StateProbing {
+	if w.health.probing {
 		return true
 	}
 	for _, set := range p.sets {
-		if slices.Contains(set, w) && !p.aboveFloor(set, w) {
+		if slices.Contains(set, w) && !p.outlier(set, w) {
 			return false
 		}
 	}
 	return true
 }
 
-func (p *Pool) aboveFloor(set []*Worker, without *Worker) bool {
-	live := 0
-	for _, w := range set {
-		if w != without && w.health.state != StateEjected {
+func (p *Pool) outlier(set []*Worker, w *Worker) bool {
+	live, rate := 0, 0.0
+	for _, o := range set {
+		if o != w && !o.health.ejected {
 			live++
+			rate += o.health.rate
 		}
 	}
-	floor := max(1, int(p.cfg.FloorShare*float64(len(set))))
-	return live >= floor
+	if live < max(1, int(p.cfg.FloorShare*float64(len(set)))) {
+		return false
+	}
+	return rate/float64(live) < p.cfg.EjectRate/2
 }
 
 // Observe takes in a load report. The part that this host causes itself is
--- a/fleet/upstream/lease.go
+++ b/fleet/upstream/lease.go
@@ -67,7 +67,7 @@
 }
 
 func (s *service) adapt(w *worker, r dispatch.Result, inFlight int, now time.Time) {
-	if overloaded(r.Status) {
+	if overloaded(r.Status) || congested(r.Load) {
 		w.limiter.Overloaded(now)
 		return
 	}
@@ -76,6 +76,15 @@
 	}
 }
 
+// congested tells whether an upstream holds more requests in its own queue than
+// it needs to stay busy. Its queue is not fair, so requests wait here instead.
+func congested(load *dispatch.LoadReport) bool {
+	return load != nil && load.Slots > 0 && load.Waiting*waitingPerSlots > load.Slots
+}
+
+// waitingPerSlots is the number of slots for each request that may wait there.
+const waitingPerSlots = 4
+
 func overloaded(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
--- a/fleet/upstream/log.go
+++ b/fleet/upstream/log.go
@@ -12,15 +12,20 @@
 // poolMetrics holds the metrics of a pool.
 type poolMetrics struct {
 	registry metrics.Registry
-	waited   metrics.Timer
+	waited   metrics.Histogram // milliseconds
 	silent   metrics.Counter
 	polls    metrics.Counter
 }
 
+// sampleSize is the number of values that a histogram keeps.
+const sampleSize = 1028
+
+// newPoolMetrics uses no meters or timers, whose shared ticker would stop the
+// virtual time of tests.
 func newPoolMetrics(r metrics.Registry) poolMetrics {
 	return poolMetrics{
 		registry: r,
-		waited:   metrics.GetOrRegisterTimer("upstream.waited", r),
+		waited:   metrics.GetOrRegisterHistogram("upstream.waited_ms", r, metrics.NewUniformSample(sampleSize)),
 		silent:   metrics.GetOrRegisterCounter("upstream.silent", r),
 		polls:    metrics.GetOrRegisterCounter("upstream.polls", r),
 	}
@@ -31,7 +36,7 @@
 }
 
 func (p *Pool) logChosen(q dispatch.Query, l *lease) {
-	p.metrics.waited.Update(l.decision.Waited)
+	p.metrics.waited.Update(l.decision.Waited.Milliseconds())
 	p.metrics.count("chosen." + l.decision.Reason)
 	p.log.WithName("route").Info("Chosen.",
 		"request", q.RequestID,
--- a/fleet/upstream/pool_test.go
+++ b/fleet/upstream/pool_test.go
@@ -146,6 +146,30 @@
 	})
 }
 
+// TestHopelessWaiterIsAnsweredAtOnce lets a waiting request become too late to
+// be served before its caller's deadline; it is told so without further delay.
+func TestHopelessWaiterIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &source{}
+		svc := src.set(testService(1, 1))
+		p := newTestPool(src)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = p.Run(ctx) }()
+		l, err := p.Pick(ctx, queryOf(svc, "mokoena/yard"))
+		require.NoError(t, err)
+		l.Done(dispatch.Result{Status: 200, Latency: time.Second})
+		_, err = p.Pick(ctx, queryOf(svc, "mokoena/yard"))
+		require.NoError(t, err)
+		began := time.Now()
+		bounded, stop := context.WithTimeout(ctx, 4*time.Second)
+		defer stop()
+		_, err = p.Pick(bounded, queryOf(svc, "mokoena/yard"))
+		require.Equal(t, dispatch.ReasonShed, reasonFor(t, err))
+		require.InDelta(t, 3, time.Since(began).Seconds(), 0.3, "a second before the deadline it is too late")
+	})
+}
+
 func TestCallerThatLeavesTheQueueHoldsNoSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		src := &source{}
--- a/fleet/upstream/queue.go
+++ b/fleet/upstream/queue.go
@@ -43,12 +43,28 @@
 			break
 		}
 		w := s.waiters[it]
+		if s.tooLate(w, now) {
+			s.refuse(it, dispatch.ReasonShed)
+			continue
+		}
 		delete(s.waiters, it)
 		s.grant(w, d, now)
 	}
 	s.refuseClasses(unable)
 }
 
+// tooLate tells whether a request that is sent at the given time would probably
+// end after its caller's deadline. What is allowed for the attempt is at most
+// half of the caller's time, so that short deadlines are not always refused.
+// The caller holds s.mu.
+func (s *service) tooLate(w *waiter, at time.Time) bool {
+	if w.finishBy.IsZero() {
+		return false
+	}
+	attempt := min(s.rate.usual(), w.finishBy.Sub(w.since)/2)
+	return at.Add(attempt).After(w.finishBy)
+}
+
 // refuseClasses refuses all requests of the same classes as the given ones.
 func (s *service) refuseClasses(unable []*admission.Item) {
 	if len(unable) == 0 {
@@ -126,8 +142,8 @@
 	defer s.mu.Unlock()
 	s.dispatch(now)
 	for _, it := range s.queue.Waiting() {
-		if now.After(it.Deadline) && s.queue.Remove(it) {
-			s.refuse(it, dispatch.ReasonQueueTimeout)
+		if s.tooLate(s.waiters[it], now) && s.queue.Remove(it) {
+			s.refuse(it, dispatch.ReasonShed)
 		}
 	}
 }
@@ -135,18 +151,31 @@
 // serviceRate estimates the rate of service by Little's law.
 type serviceRate struct {
 	// latency is the moving mean of the time that a request holds its
-	// upstream, in seconds; zero until the first has ended.
+	// upstream, and spread that of its distance from the mean, in seconds.
+	// Both are zero until the first has ended.
 	latency float64
+	spread  float64
 }
 
-const latencyWeight = 0.05
+// Weights of the newest value, and of the spread in the usual latency.
+const (
+	latencyWeight = 0.05
+	spreadWeight  = 2
+)
 
 func (r *serviceRate) observe(held time.Duration) {
 	if r.latency == 0 {
 		r.latency = held.Seconds()
 		return
 	}
-	r.latency += latencyWeight * (held.Seconds() - r.latency)
+	off := held.Seconds() - r.latency
+	r.latency += latencyWeight * off
+	r.spread += latencyWeight * (math.Abs(off) - r.spread)
+}
+
+// usual returns the time within which most requests end.
+func (r *serviceRate) usual() time.Duration {
+	return time.Duration((r.latency + spreadWeight*r.spread) * float64(time.Second))
 }
 
 func (r *serviceRate) perSecond(inFlight int) float64 {
--- a/fleet/upstream/service.go
+++ b/fleet/upstream/service.go
@@ -46,6 +46,8 @@
 type waiter struct {
 	query dispatch.Query
 	since time.Time
+	// finishBy is the caller's deadline; zero if there is none.
+	finishBy time.Time
 	// ready receives a lease or a refusal, once.
 	ready chan answer
 }
@@ -74,8 +76,6 @@
 	defaultQueueLimit   = 1000
 	defaultQueueTimeout = 10 * time.Second
 	defaultSlots        = 8
-	// limitPerSlot bounds the requests of this host at an upstream.
-	limitPerSlot = 2
 )
 
 func queueLimit(svc *settings.Service) int {
@@ -132,7 +132,7 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	return admission.NewLimiter(admission.LimiterConfig{Initial: slots, Max: limitPerSlot * slots})
+	return admission.NewLimiter(admission.LimiterConfig{Initial: slots, Max: slots})
 }
 
 // syncRouter hands the upstreams to the routing state. The caller holds
@@ -201,12 +201,15 @@
 		return nil, err
 	}
 	now := time.Now()
+	w := &waiter{query: q, since: now, ready: make(chan answer, 1)}
 	deadline := now.Add(queueTimeout(q.Service))
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
+	if d, ok := ctx.Deadline(); ok {
+		w.finishBy = d
+		if d.Before(deadline) {
+			deadline = d
+		}
 	}
 	it := s.item(q, deadline)
-	w := &waiter{query: q, since: now, ready: make(chan answer, 1)}
 	if err := s.enqueue(it, w, now); err != nil {
 		return nil, s.refused(q, err)
 	}
@@ -269,7 +272,7 @@
 			return s.refusal(dispatch.ReasonNoneAble, 0)
 		}
 	}
-	if wait := s.wait(it); now.Add(wait).After(it.Deadline) {
+	if wait := s.wait(it); now.Add(wait).After(it.Deadline) || s.tooLate(w, now.Add(wait)) {
 		return s.refusal(dispatch.ReasonShed, wait)
 	}
 	evicted, ok := s.queue.Push(it)
--- /dev/null
+++ b/fleet/upstream/sim_test.go
@@ -0,0 +1,335 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"testing"
+
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/dispatch"
+)
+
+// simWorker is an upstream with a queue in virtual time.
+type simWorker struct {
+	slots chan struct{}
+	slow  float64
+	fails float64
+
+	mu      sync.Mutex
+	load    int
+	peak    int
+	cache   []int // prefixes, most recent last
+	report  dispatch.LoadReport
+	readyAt time.Time // of the next report
+}
+
+const (
+	simSlots   = 8
+	simCache   = 24
+	simLag     = time.Second
+	simService = time.Second
+	hitSaving  = 0.5
+)
+
+// run serves one request and returns how long it waited and whether its prefix
+// was cached. Half of the service time of a hit is saved.
+func (w *simWorker) run(service time.Duration, prefix int) (wait time.Duration, hit bool) {
+	began := time.Now()
+	w.change(1)
+	defer w.change(-1)
+	w.slots <- struct{}{}
+	defer func() { <-w.slots }()
+	wait = time.Since(began)
+	if hit = w.touch(prefix); hit {
+		service = time.Duration(float64(service) * hitSaving)
+	}
+	time.Sleep(time.Duration(float64(service) * w.slow))
+	return wait, hit
+}
+
+func (w *simWorker) change(by int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.load += by
+	w.peak = max(w.peak, w.load)
+}
+
+func (w *simWorker) touch(prefix int) bool {
+	if prefix < 0 {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := slices.Index(w.cache, prefix)
+	if at >= 0 {
+		w.cache = slices.Delete(w.cache, at, at+1)
+	}
+	w.cache = append(w.cache, prefix)
+	if len(w.cache) > simCache {
+		w.cache = w.cache[1:]
+	}
+	return at >= 0
+}
+
+// reported returns the load as it was up to a lag ago.
+func (w *simWorker) reported(lag time.Duration) dispatch.LoadReport {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now := time.Now(); !now.Before(w.readyAt) {
+		w.report = dispatch.LoadReport{Running: min(w.load, simSlots), Waiting: max(0, w.load-simSlots), Slots: simSlots}
+		w.readyAt = now.Add(lag)
+	}
+	return w.report
+}
+
+// simulation is one run of traffic against one policy.
+type simulation struct {
+	policy   string // ours, random, round-robin, least-reported
+	hosts    int
+	workers  int
+	slow     float64 // of the first worker
+	lag      time.Duration
+	prefixes int
+	length   time.Duration
+	// rate of each account, in requests a second.
+	rates map[string]float64
+	// deadline of callers; zero means none.
+	deadline time.Duration
+	// attempts of each request, and the retry share.
+	attempts   int
+	retryShare float64
+	// brownout is the share of attempts that fail in the middle third.
+	brownout float64
+	seed     uint64
+}
+
+type outcome struct {
+	account string
+	wait    time.Duration
+	total   time.Duration
+	hit     bool
+	useful  bool
+	middle  bool
+}
+
+type simResult struct {
+	outcomes []outcome
+	peak     int
+	attempts int // in the middle third
+}
+
+// simulate runs s in virtual time.
+func simulate(t *testing.T, s simulation) simResult {
+	var r simResult
+	synctest.Test(t, func(t *testing.T) { r = s.run(t) })
+	return r
+}
+
+func (s *simulation) run(t *testing.T) simResult {
+	svc := testService(s.workers, simSlots)
+	svc.RetryShare = s.retryShare
+	svc.QueueLimit = 2000
+	src := &source{}
+	current := src.set(svc)
+	workers := make([]*simWorker, s.workers)
+	for i := range workers {
+		workers[i] = &simWorker{slots: make(chan struct{}, simSlots), slow: 1}
+	}
+	if s.slow > 0 {
+		workers[0].slow = s.slow
+	}
+	pickers := s.pickers(src, workers)
+	var mu sync.Mutex
+	var result simResult
+	var wg sync.WaitGroup
+	began := time.Now()
+	names := make([]string, 0, len(s.rates))
+	for name := range s.rates {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for i, name := range names {
+		rng := rand.New(rand.NewPCG(s.seed, uint64(i)))
+		zipf := newZipf(rng, s.prefixes)
+		wg.Go(func() {
+			for time.Since(began) < s.length {
+				time.Sleep(time.Duration(rng.ExpFloat64() / s.rates[name] * float64(time.Second)))
+				req := simRequest{
+					account: name,
+					service: time.Duration(rng.ExpFloat64() * float64(simService)),
+					prefix:  zipf(),
+					picker:  pickers[rng.IntN(len(pickers))],
+					failing: []float64{rng.Float64(), rng.Float64(), rng.Float64()},
+				}
+				wg.Go(func() {
+					o, tried := s.request(t, current, workers, req, began)
+					mu.Lock()
+					defer mu.Unlock()
+					result.outcomes = append(result.outcomes, o)
+					if o.middle {
+						result.attempts += tried
+					}
+				})
+			}
+		})
+	}
+	wg.Wait()
+	for _, w := range workers[1:] {
+		result.peak = max(result.peak, w.peak)
+	}
+	return result
+}
+
+type simRequest struct {
+	account string
+	service time.Duration
+	prefix  int
+	picker  dispatch.Picker
+	failing []float64
+}
+
+// request does what the gateway does: pick, send, report, and try again.
+func (s *simulation) request(t *testing.T, svc *settings.Service, workers []*simWorker, req simRequest, began time.Time) (outcome, int) {
+	start := time.Now()
+	third := int(3 * start.Sub(began) / s.length)
+	o := outcome{account: req.account, middle: third == 1}
+	ctx := t.Context()
+	if s.deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, start.Add(s.deadline))
+		defer cancel()
+	}
+	tried := 0
+	for tried < max(1, s.attempts) {
+		q := queryOf(svc, req.account)
+		q.Firm = req.account
+		q.Retry = tried > 0
+		if s.prefixes > 0 {
+			q.PrefixHash = []uint64{uint64(req.prefix)*0x9e3779b97f4a7c15 + 1}
+		}
+		l, err := req.picker.Pick(ctx, q)
+		if err != nil {
+			break
+		}
+		picked := time.Now()
+		var i int
+		_, _ = fmt.Sscanf(l.Upstream().ID, "worker-%d", &i)
+		wait, hit := workers[i].run(req.service, req.prefix)
+		load := workers[i].reported(s.lag)
+		res := dispatch.Result{Status: http.StatusOK, Started: true, FirstByte: max(wait, time.Millisecond) + simService/10, Latency: time.Since(picked), Load: &load}
+		failed := o.middle && req.failing[tried] < s.brownout
+		if failed {
+			res.Status = http.StatusInternalServerError
+		}
+		l.Done(res)
+		o.wait = picked.Sub(start) + wait
+		o.hit = hit
+		tried++
+		if !failed {
+			o.useful = s.deadline == 0 || time.Since(start) <= s.deadline
+			break
+		}
+	}
+	o.total = time.Since(start)
+	return o, tried
+}
+
+// newZipf draws prefixes with a few popular ones.
+func newZipf(rng *rand.Rand, n int) func() int {
+	if n == 0 {
+		return func() int { return -1 }
+	}
+	z := rand.NewZipf(rng, 1.2, 4, uint64(n-1))
+	return func() int { return int(z.Uint64()) }
+}
+
+func (s *simulation) pickers(src *source, workers []*simWorker) []dispatch.Picker {
+	out := make([]dispatch.Picker, s.hosts)
+	for i := range out {
+		rng := rand.New(rand.NewPCG(s.seed, uint64(1000+i)))
+		if s.policy == "ours" {
+			out[i] = NewPool(Options{Settings: src, Rand: rng})
+			continue
+		}
+		out[i] = &baseline{policy: s.policy, src: src, workers: workers, lag: s.lag, rng: rng, next: i}
+	}
+	return out
+}
+
+// baseline is a picker without a queue.
+type baseline struct {
+	policy  string
+	src     *source
+	workers []*simWorker
+	lag     time.Duration
+	mu      sync.Mutex
+	rng     *rand.Rand
+	next    int
+}
+
+func (b *baseline) Pick(_ context.Context, q dispatch.Query) (dispatch.Lease, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return baselineLease{up: q.Service.Upstreams[b.choose()]}, nil
+}
+
+func (b *baseline) choose() int {
+	switch b.policy {
+	case "random":
+		return b.rng.IntN(len(b.workers))
+	case "round-robin":
+		b.next++
+		return b.next % len(b.workers)
+	}
+	best, low := 0, math.MaxInt
+	first := b.rng.IntN(len(b.workers))
+	for k := range b.workers {
+		i := (first + k) % len(b.workers)
+		r := b.workers[i].reported(b.lag)
+		if load := r.Running + r.Waiting; load < low {
+			best, low = i, load
+		}
+	}
+	return best
+}
+
+type baselineLease struct{ up settings.Upstream }
+
+func (l baselineLease) Upstream() settings.Upstream  { return l.up }
+func (l baselineLease) Transport() http.RoundTripper { return nil }
+func (l baselineLease) Decision() dispatch.Decision  { return dispatch.Decision{} }
+func (l baselineLease) Done(dispatch.Result)         {}
+
+// quantile returns the q-quantile of a value over the outcomes that match.
+func (r *simResult) quantile(q float64, match func(outcome) bool, value func(outcome) time.Duration) time.Duration {
+	var all []time.Duration
+	for _, o := range r.outcomes {
+		if match(o) {
+			all = append(all, value(o))
+		}
+	}
+	slices.Sort(all)
+	return all[int(q*float64(len(all)-1))]
+}
+
+func (r *simResult) share(match func(outcome) bool) float64 {
+	n := 0
+	for _, o := range r.outcomes {
+		if match(o) {
+			n++
+		}
+	}
+	return float64(n) / float64(len(r.outcomes))
+}
+
+func anyOutcome(outcome) bool         { return true }
+func waitOf(o outcome) time.Duration  { return o.wait }
+func totalOf(o outcome) time.Duration { return o.total }
