Run requests that must not repeat without the log, by tickets

Cause: in a log outage no claim can be made, so every request that must not repeat was refused; a request that had not run and came back at once lost to its own earlier claim. Change: hosts give out request IDs that only they run, once, and that need no claim. A repetition waits for the recorded end of the host's own earlier run. Conclusion: an outage of the log refuses nobody who fetched IDs from a host that lives.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -56,7 +56,7 @@
 func (v verdict) problem() *problem.Problem {
 	switch {
 	case v.final:
-		return problem.New(v.status, problem.CodeBadRequest, "the upstream refused the request: %s", v.text)
+		return problem.New(refusalStatus(v.status), problem.CodeBadRequest, "the upstream refused the request: %s", v.text)
 	case v.fate == notStarted:
 		p := problem.New(http.StatusServiceUnavailable, problem.CodeNoUpstream, "no upstream took the request: %s", v.reason())
 		return p.WithRetryAfter(max(v.retryAfter, time.Second))
@@ -67,6 +67,17 @@
 	}
 }
 
+// refusalStatus returns what the caller is told for a refusal of the request
+// itself. Other refusals, such as of the gateway's right to call, are not the
+// caller's to mend.
+func refusalStatus(status int) int {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnsupportedMediaType, http.StatusUnprocessableEntity:
+		return status
+	}
+	return http.StatusBadGateway
+}
+
 func (v verdict) reason() string {
 	if v.err != nil {
 		return v.err.Error()
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -63,7 +63,9 @@
 	// claims is true if the right to run must be claimed in the log.
 	claims  bool
 	claimed bool
-	work    work
+	// ticket is true if this host has made the ID.
+	ticket bool
+	work   work
 	// priority is passed on to the picker.
 	priority    int
 	reservation bank.Reservation
@@ -81,6 +83,9 @@
 	if c.claimed {
 		c.g.opts.Claimer.Finish(c.req.Budget, c.req.Key(), end.Outcome, claimDetail(c.req.Answer, end))
 	}
+	if end.Outcome == record.OutcomeNotRun {
+		c.returnTicket()
+	}
 	c.req.Answer.Finish(end)
 	c.g.table.End(c.req)
 	c.g.metrics.outcome(end.Outcome)
@@ -104,6 +109,14 @@
 	return c.execute(ctx)
 }
 
+// returnTicket lets the caller send a request once more under its ID, after it
+// did not run.
+func (c *call) returnTicket() {
+	if c.ticket {
+		c.g.tickets.Return(c.req.Account, c.req.ID)
+	}
+}
+
 func (c *call) logEnd(end stream.End) {
 	values := []any{"request", c.req.ID, "account", c.req.Account, "service", c.req.Service,
 		"outcome", end.Outcome.String(), "billed", end.Billed, "attempts", len(c.tried)}
--- a/fleet/gateway/claim.go
+++ b/fleet/gateway/claim.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"time"
 
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/statechart"
@@ -17,6 +19,9 @@
 // a claim.
 const maxDetailBytes = 1 << 10
 
+// ownOutcomeWait is the wait before a claim is asked for once more.
+const ownOutcomeWait = 100 * time.Millisecond
+
 // detail is the recorded answer of a claimed request, so that a retry at
 // another host is answered even if the first host is gone.
 type detail struct {
@@ -30,7 +35,7 @@
 func (c *call) claim(ctx context.Context) (stream.End, bool) {
 	claimCtx, cancel := context.WithTimeout(ctx, c.g.limits.ClaimTimeout)
 	defer cancel()
-	claim, err := c.g.opts.Claimer.Claim(claimCtx, c.req.Budget, c.req.Key())
+	claim, err := c.askClaim(claimCtx)
 	if err != nil {
 		if ctx.Err() != nil {
 			return c.giveUp(contextProblem(context.Cause(ctx))), false
@@ -54,6 +59,27 @@
 	return c.elsewhere(ctx, claim), false
 }
 
+// errOwnOutcome reports that the end of this host's own earlier run is not in
+// the log yet.
+var errOwnOutcome = errors.New("the end of an earlier run is not recorded yet")
+
+// askClaim claims the request. An earlier run on this host that did not run has
+// left a claim that is free once its outcome is recorded, so that is waited for.
+func (c *call) askClaim(ctx context.Context) (bank.Claim, error) {
+	for {
+		claim, err := c.g.opts.Claimer.Claim(ctx, c.req.Budget, c.req.Key())
+		own := claim.By == c.g.opts.Self && claim.Outcome == record.OutcomePending
+		if err != nil || claim.Won || !own || !c.req.AfterNotRun {
+			return claim, err
+		}
+		select {
+		case <-time.After(ownOutcomeWait):
+		case <-ctx.Done():
+			return bank.Claim{}, errOwnOutcome
+		}
+	}
+}
+
 // elsewhere ends a request that another host has claimed.
 func (c *call) elsewhere(ctx context.Context, claim bank.Claim) stream.End {
 	if end, ok := c.relay(ctx, claim.By); ok {
--- a/fleet/gateway/fakes_test.go
+++ b/fleet/gateway/fakes_test.go
@@ -28,7 +28,9 @@
 	settled  map[record.RequestKey][]record.Tokens
 	claims   map[record.RequestKey]bank.Claim
 	claimErr error
-	reserved int // open reservations
+	// finishDelay is how long an outcome takes to be recorded.
+	finishDelay time.Duration
+	reserved    int // open reservations
 }
 
 func newFakeBank(amount record.Tokens) *fakeBank {
@@ -111,6 +113,14 @@
 }
 
 func (c claimer) Finish(_ record.BudgetID, key record.RequestKey, outcome record.Outcome, detail []byte) {
+	if c.finishDelay > 0 {
+		time.AfterFunc(c.finishDelay, func() { c.record(key, outcome, detail) })
+		return
+	}
+	c.record(key, outcome, detail)
+}
+
+func (c claimer) record(key record.RequestKey, outcome record.Outcome, detail []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	claim := c.claims[key]
--- a/fleet/gateway/fetch.go
+++ b/fleet/gateway/fetch.go
@@ -129,6 +129,16 @@
 	return nil, false
 }
 
+// fetchFrom gets an answer from the host that has it, from its beginning.
+func (g *Gateway) fetchFrom(host record.HostID, acct *settings.Account, id string) (*request.Request, bool) {
+	ctx := context.Background() // the answer's own bounds end it
+	r, ok := g.open(ctx, host, acct.ID, id, 0)
+	if !ok {
+		return nil, false
+	}
+	return g.adopt(ctx, r, acct.ID, id, 0), true
+}
+
 // hostsToAsk lists the other hosts, those that the account's callers are sent
 // to first.
 func (g *Gateway) hostsToAsk(account string) []record.HostID {
--- a/fleet/gateway/gateway.go
+++ b/fleet/gateway/gateway.go
@@ -25,6 +25,7 @@
 	log      logr.Logger
 	metrics  *meters
 	table    *request.Table
+	tickets  *request.Tickets
 	bodies   *semaphore.Weighted
 	draining atomic.Bool
 	mux      *http.ServeMux
@@ -44,8 +45,9 @@
 			KeptRequests: limits.KeptRequests,
 			KeptBytes:    limits.KeptBytes,
 		}),
-		bodies: semaphore.NewWeighted(limits.BodiesBytes),
-		mux:    http.NewServeMux(),
+		tickets: request.NewTickets(opts.Self.Host, limits.Tickets, limits.TicketLife),
+		bodies:  semaphore.NewWeighted(limits.BodiesBytes),
+		mux:     http.NewServeMux(),
 	}
 	g.routes()
 	return g
@@ -53,6 +55,7 @@
 
 func (g *Gateway) routes() {
 	g.mux.HandleFunc("POST /v1/chat/completions", g.authenticated(g.serveChat))
+	g.mux.HandleFunc("POST /v1/request-ids", g.authenticated(g.serveTickets))
 	g.mux.HandleFunc("GET /v1/requests/{id}/events", g.authenticated(g.serveEvents))
 	g.mux.HandleFunc("/v1/services/{firm}/{service}/{rest...}", g.authenticated(g.servePlain))
 	g.mux.HandleFunc("GET /v1/models", g.authenticated(g.serveModels))
--- a/fleet/gateway/handlers.go
+++ b/fleet/gateway/handlers.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/settings"
 	"github.com/hazelworks/hazelworks/fleet/problem"
 	"github.com/hazelworks/hazelworks/fleet/request"
@@ -28,9 +29,9 @@
 	timeout    time.Duration
 }
 
-func readIncoming(r *http.Request, svc *settings.Service) (incoming, *problem.Problem) {
+func (g *Gateway) readIncoming(r *http.Request, svc *settings.Service) (incoming, *problem.Problem) {
 	in := incoming{repeatable: svc.Repeatable, timeout: orDefault(svc.RequestTimeout, defaultRequestTimeout)}
-	if p := in.readID(r); p != nil {
+	if p := in.readID(r, g.opts.Self.Host); p != nil {
 		return in, p
 	}
 	switch value := r.Header.Get(HeaderRepeatable); strings.ToLower(value) {
@@ -57,10 +58,10 @@
 	return in, nil
 }
 
-func (in *incoming) readID(r *http.Request) *problem.Problem {
+func (in *incoming) readID(r *http.Request, self record.HostID) *problem.Problem {
 	values := r.Header.Values(HeaderIdempotencyKey)
 	if len(values) == 0 {
-		in.id = request.NewID()
+		in.id = request.NewID(self)
 		return nil
 	}
 	in.id, in.chosen = values[0], true
@@ -112,7 +113,7 @@
 	if limit := orDefault(svc.MaxBodyBytes, defaultServiceBody); int64(len(body.data)) > limit {
 		return tooLarge(limit)
 	}
-	in, p := readIncoming(r, svc)
+	in, p := g.readIncoming(r, svc)
 	if p != nil {
 		return p
 	}
@@ -199,12 +200,13 @@
 // start begins the run of a request, or finds the one with its ID. Free is
 // called when its body is no longer needed, unless a problem is returned.
 func (g *Gateway) start(c caller, in incoming, svc *settings.Service, spec request.Spec, free func(), build func(*call) (work, error)) (*request.Request, *problem.Problem) {
-	if in.chosen && request.Generated(in.id) {
-		return g.find(c, in.id, free)
+	maker, made := request.MadeBy(in.id)
+	if in.chosen && made && !g.tickets.Take(c.account.ID, in.id) {
+		return g.find(c, in.id, maker, free)
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	ctx, stop := context.WithTimeoutCause(ctx, in.timeout, errDeadline)
-	cl := &call{g: g, service: svc, claims: in.chosen && !in.repeatable, priority: in.priority}
+	cl := &call{g: g, service: svc, claims: !made && !in.repeatable, priority: in.priority}
 	cl.budget, _ = c.settings.Budget(spec.Budget)
 	cl.req = request.New(spec, g.limits.AnswerBytes, cancel)
 	var err error
@@ -212,9 +214,11 @@
 		stop()
 		return nil, problem.New(http.StatusInternalServerError, problem.CodeInternal, "%v", err)
 	}
+	cl.ticket = made
 	req, started, err := g.table.Begin(spec, func() *request.Request { return cl.req })
 	if err != nil {
 		stop()
+		cl.returnTicket()
 		return nil, beginProblem(err)
 	}
 	if !started {
@@ -232,12 +236,15 @@
 	return req, nil
 }
 
-// find returns the request with an ID that a host has made. It is not run if it
-// is not known here, since it may run where the ID was made.
-func (g *Gateway) find(c caller, id string, free func()) (*request.Request, *problem.Problem) {
+// find returns the request with an ID that a host has made, here or there. It is
+// not run, since only the host that has made the ID may run it, once.
+func (g *Gateway) find(c caller, id string, maker record.HostID, free func()) (*request.Request, *problem.Problem) {
 	req, ok := g.table.Lookup(c.account.ID, id)
+	if !ok && maker != g.opts.Self.Host {
+		req, ok = g.fetchFrom(maker, c.account, id)
+	}
 	if !ok {
-		p := problem.New(http.StatusConflict, problem.CodeAnswerGone, "request ID %q was made by a host and is not known here", id)
+		p := problem.New(http.StatusConflict, problem.CodeAnswerGone, "request ID %q was made by host %s, which does not have it or cannot be reached", id, maker)
 		return nil, p.WithOutcome(outcomeUnknown)
 	}
 	free()
@@ -266,7 +273,7 @@
 	if svc.Kind != settings.ServicePlain {
 		return problem.New(http.StatusNotFound, problem.CodeUnknownService, "service %q is not a plain service", svc.Name)
 	}
-	in, p := readIncoming(r, svc)
+	in, p := g.readIncoming(r, svc)
 	if p != nil {
 		return p
 	}
--- a/fleet/gateway/info.go
+++ b/fleet/gateway/info.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/settings"
@@ -75,6 +77,35 @@
 	writeJSON(w, &status)
 }
 
+// maxTickets bounds the request IDs of one reply.
+const maxTickets = 1000
+
+type ticketList struct {
+	IDs []string `json:"ids"`
+	// Expires is when the IDs can no longer be used.
+	Expires time.Time `json:"expires"`
+}
+
+// serveTickets gives out request IDs that this host runs without the log.
+func (g *Gateway) serveTickets(w http.ResponseWriter, r *http.Request, c caller) {
+	count := 1
+	if text := r.URL.Query().Get("count"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxTickets {
+			g.refuse(w, r, badRequest("count is a whole number from 1 to %d", maxTickets))
+			return
+		}
+		count = n
+	}
+	var list ticketList
+	for range count {
+		id, expires := g.tickets.Issue(c.account.ID)
+		list.IDs = append(list.IDs, id)
+		list.Expires = expires
+	}
+	writeJSON(w, &list)
+}
+
 // Register adds the operators' interface: GET /v1/requests/{id} returns the
 // attempt logs of the requests with an ID, of all accounts.
 func (g *Gateway) Register(mux *http.ServeMux) {
--- a/fleet/gateway/options.go
+++ b/fleet/gateway/options.go
@@ -56,6 +56,10 @@
 	KeepFor      time.Duration
 	KeptRequests int
 	KeptBytes    int
+	// Tickets bounds the unused request IDs that are given out, and TicketLife
+	// how long each can be used.
+	Tickets    int
+	TicketLife time.Duration
 	// Heartbeat is the longest silence towards the caller of a stream.
 	Heartbeat time.Duration
 	// WriteTimeout bounds one write to a caller.
@@ -88,6 +92,8 @@
 	l.KeepFor = cmp.Or(l.KeepFor, 2*time.Minute)
 	l.KeptRequests = cmp.Or(l.KeptRequests, 16384)
 	l.KeptBytes = cmp.Or(l.KeptBytes, 32<<20)
+	l.Tickets = cmp.Or(l.Tickets, 16384)
+	l.TicketLife = cmp.Or(l.TicketLife, 10*time.Minute)
 	l.Heartbeat = cmp.Or(l.Heartbeat, 5*time.Second)
 	l.WriteTimeout = cmp.Or(l.WriteTimeout, 10*time.Second)
 	l.Grace = cmp.Or(l.Grace, 10*time.Second)
--- a/fleet/request/id.go
+++ b/fleet/request/id.go
@@ -4,23 +4,32 @@
 	"crypto/rand"
 	"fmt"
 	"strings"
+
+	"github.com/hazelworks/hazelworks/core/record"
 )
 
 // MaxIDBytes bounds the request IDs that callers choose.
 const MaxIDBytes = 128
 
-// generatedPrefix marks IDs made by a host. Such an ID is known to one host
-// only, so a request that arrives with one is looked up and never run.
-const generatedPrefix = "hz-"
+// madePrefix marks IDs made by a host. Only that host runs such an ID.
+const madePrefix = "hz-"
 
-// NewID returns an ID for a request whose caller chose none.
-func NewID() string {
-	return generatedPrefix + strings.ToLower(rand.Text())
+// NewID returns an ID that only the given host may run.
+func NewID(host record.HostID) string {
+	return madePrefix + string(host) + "-" + strings.ToLower(rand.Text())
 }
 
-// Generated reports whether an ID was made by a host.
-func Generated(id string) bool {
-	return strings.HasPrefix(id, generatedPrefix)
+// MadeBy returns the host that has made an ID, or false if a caller chose it.
+func MadeBy(id string) (record.HostID, bool) {
+	rest, ok := strings.CutPrefix(id, madePrefix)
+	if !ok {
+		return "", false
+	}
+	host := rest
+	if i := strings.LastIndexByte(rest, '-'); i >= 0 {
+		host = rest[:i]
+	}
+	return record.HostID(host), true
 }
 
 // CheckID returns an error if an ID cannot be used: it must have 1 to
--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -76,6 +76,9 @@
 	Spec
 	Started time.Time
 	Answer  *stream.Buffer
+	// AfterNotRun is true if an earlier run of the same ID on this host is
+	// known not to have run.
+	AfterNotRun bool
 
 	cancel context.CancelCauseFunc
 
--- a/fleet/request/request_test.go
+++ b/fleet/request/request_test.go
@@ -138,8 +138,31 @@
 	for _, id := range []string{"", "a b", "a\n", "ä", strings.Repeat("x", MaxIDBytes+1)} {
 		require.Error(t, CheckID(id), id)
 	}
-	require.True(t, Generated(NewID()))
-	require.NoError(t, CheckID(NewID()))
+	id := NewID("host-1")
+	require.NoError(t, CheckID(id))
+	host, ok := MadeBy(id)
+	require.True(t, ok)
+	require.Equal(t, record.HostID("host-1"), host)
+	_, ok = MadeBy("chosen")
+	require.False(t, ok)
+}
+
+func TestTickets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tickets := NewTickets("h", 2, time.Minute)
+		first, _ := tickets.Issue("a")
+		require.False(t, tickets.Take("b", first), "another account's")
+		require.True(t, tickets.Take("a", first))
+		require.False(t, tickets.Take("a", first), "used")
+		require.False(t, tickets.Take("a", "hz-h-made-up"))
+		old, _ := tickets.Issue("a")
+		mid, _ := tickets.Issue("a")
+		last, until := tickets.Issue("a")
+		require.False(t, tickets.Take("a", old), "beyond the limit")
+		require.True(t, tickets.Take("a", mid))
+		time.Sleep(time.Until(until) + time.Millisecond)
+		require.False(t, tickets.Take("a", last), "expired")
+	})
 }
 
 func TestPromptBound(t *testing.T) {
--- a/fleet/request/table.go
+++ b/fleet/request/table.go
@@ -6,6 +6,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/hazelworks/hazelworks/core/record"
 )
 
 // Errors of [Table.Begin].
@@ -58,7 +60,8 @@
 	defer t.mu.Unlock()
 	t.expire(time.Now())
 	key := tableKey{spec.Account, spec.ID}
-	if old, ok := t.requests[key]; ok && old.Settled() {
+	old, ok := t.requests[key]
+	if ok && old.Settled() {
 		if old.Fingerprint != spec.Fingerprint {
 			return nil, false, ErrIDReused
 		}
@@ -68,6 +71,7 @@
 		return nil, false, ErrFull
 	}
 	r = create()
+	r.AfterNotRun = ok && old.Outcome() == record.OutcomeNotRun
 	t.requests[key] = r
 	t.running++
 	if t.running == 1 {
