--- /dev/null
+++ b/fleet/shard/grants.go
@@ -0,0 +1,181 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/shardfold"
+)
+
+const (
+	// maxShortageHolders bounds the holders named in a Shortage.
+	maxShortageHolders = 16
+	// recallFanout bounds the holders asked at once to give back.
+	recallFanout = 64
+	// recallGap is the shortest time between two recalls of one budget.
+	recallGap = 50 * time.Millisecond
+)
+
+// Holding is what one holder has of a budget.
+type Holding struct {
+	Holder record.Holder
+	Amount record.Tokens
+}
+
+// Shortage tells why a grant fell short of its need.
+type Shortage struct {
+	Budget    record.BudgetID
+	Available record.Tokens
+	// Held is granted to other holders and not returned when asked.
+	Held record.Tokens
+	// Holders lists the other holders, largest first.
+	Holders []Holding
+}
+
+// grantLimit shares what a budget has left among its holders: one grant gets at
+// most the available amount divided by the active holders plus one, but never
+// less than what is needed now.
+type grantLimit struct {
+	fold    *shardfold.Fold
+	budgets map[record.BudgetID]*share
+}
+
+type share struct {
+	available record.Tokens
+	holders   map[record.Holder]struct{}
+}
+
+func newGrantLimit(fold *shardfold.Fold) *grantLimit {
+	return &grantLimit{fold: fold, budgets: make(map[record.BudgetID]*share)}
+}
+
+// limit returns the amount to put into the batch for a grant, and counts it.
+func (g *grantLimit) limit(op *record.Op) record.Tokens {
+	s := g.share(op.Budget)
+	if op.Holder != nil {
+		s.holders[*op.Holder] = struct{}{}
+	}
+	part := s.available / record.Tokens(len(s.holders)+1)
+	amount := max(1, op.Need, min(op.Amount, part))
+	s.available = max(0, s.available-amount)
+	return amount
+}
+
+func (g *grantLimit) share(id record.BudgetID) *share {
+	if s, ok := g.budgets[id]; ok {
+		return s
+	}
+	s := &share{holders: make(map[record.Holder]struct{})}
+	g.budgets[id] = s
+	if state, ok := g.fold.Ledger().Budget(id); ok {
+		s.available = state.Available
+	}
+	for _, h := range g.fold.Ledger().Holders(id) {
+		if h.Outstanding > 0 {
+			s.holders[h.Holder] = struct{}{}
+		}
+	}
+	return s
+}
+
+// shortOf judges a grant by this host's own copy while it owns the shard. If
+// the budget lacks what the grant needs, it returns the result that the fold
+// would give, with nothing appended.
+func (r *replica) shortOf(op *record.Op) (ledger.Result, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if op.Holder == nil || !r.inOffice(time.Now()) || op.Seq <= r.fold.Ledger().GrantSeq(*op.Holder) {
+		return ledger.Result{}, false
+	}
+	state, known := r.fold.Ledger().Budget(op.Budget)
+	if known && state.Available >= max(1, op.Need) {
+		return ledger.Result{}, false
+	}
+	res := ledger.Result{
+		Kind: op.Kind, Seq: op.Seq, Budget: op.Budget, Holder: op.Holder,
+		Available: state.Available, Reason: ledger.ReasonExhausted,
+		ReportSeq: r.fold.Ledger().ReportSeq(*op.Holder),
+	}
+	if !known {
+		res.Reason = ledger.ReasonUnknownBudget
+	}
+	return res, true
+}
+
+// shortage describes what other holders have of a budget.
+func (r *replica) shortage(op *record.Op) Shortage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state, _ := r.fold.Ledger().Budget(op.Budget)
+	s := Shortage{Budget: op.Budget, Available: state.Available}
+	for _, h := range r.fold.Ledger().Holders(op.Budget) {
+		if h.Outstanding == 0 || (op.Holder != nil && h.Holder == *op.Holder) {
+			continue
+		}
+		s.Held += h.Outstanding
+		if len(s.Holders) < maxShortageHolders {
+			s.Holders = append(s.Holders, Holding{Holder: h.Holder, Amount: h.Outstanding})
+		}
+	}
+	return s
+}
+
+// recall is one round of asking the holders of a budget to give back.
+type recall struct {
+	done chan struct{}
+	end  time.Time
+}
+
+// recallFor asks the other holders of a budget to give back what they don't
+// use, unless a round has just ended. Callers that arrive during a round share it.
+func (r *replica) recallFor(ctx context.Context, op *record.Op) {
+	holders := r.recallable(op)
+	if len(holders) == 0 {
+		return
+	}
+	r.mu.Lock()
+	round, ok := r.recalls[op.Budget]
+	if !ok || (!round.end.IsZero() && time.Since(round.end) > recallGap) {
+		round = &recall{done: make(chan struct{})}
+		r.recalls[op.Budget] = round
+		r.svc.goDo(func() { r.runRecall(round, op.Budget, holders) })
+	}
+	r.mu.Unlock()
+	select {
+	case <-round.done:
+	case <-ctx.Done():
+	}
+}
+
+func (r *replica) runRecall(round *recall, budget record.BudgetID, holders []record.Holder) {
+	ctx, cancel := context.WithTimeout(r.ctx, r.svc.opts.RecallWait)
+	defer cancel()
+	done := make(chan record.Tokens, len(holders))
+	for _, h := range holders {
+		r.svc.goDo(func() { done <- r.svc.recallOne(ctx, h, r.id, budget) })
+	}
+	var sum record.Tokens
+	for range holders {
+		sum += <-done
+	}
+	r.svc.opts.Logger.Info("grants recalled", "shard", r.id, "budget", budget, "holders", len(holders), "returned", sum)
+	r.mu.Lock()
+	round.end = time.Now()
+	r.mu.Unlock()
+	close(round.done)
+}
+
+// recallable lists the holders to ask, this host included, without the asker.
+func (r *replica) recallable(op *record.Op) []record.Holder {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []record.Holder
+	for _, h := range r.fold.Ledger().Holders(op.Budget) {
+		if h.Outstanding > 0 && !h.Closed && !h.Released && len(list) < recallFanout && h.Holder != *op.Holder {
+			list = append(list, h.Holder)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/fleet/shard/load.go
@@ -0,0 +1,161 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/shardfold"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+)
+
+const (
+	// snapshotsRead is how many of the newest snapshots are looked at; a late
+	// one may cover less than those before it.
+	snapshotsRead = 4
+	// peersAsked bounds the hosts that are asked for their copy of a shard.
+	peersAsked = 16
+)
+
+// errNoSnapshot reports that the records needed are trimmed and that no copy
+// reaches the first record that is kept.
+var errNoSnapshot = errors.New("shard: records are trimmed and no snapshot reaches the kept ones")
+
+// load brings the fold to an offset from which the log can still be read: its
+// own offset, the newest snapshot in the log, or a copy from another host. The
+// highest covered offset wins; the fold never goes back.
+func (r *replica) load(ctx context.Context) error {
+	bounds, err := r.svc.opts.Log.Bounds(ctx, r.stream)
+	if err != nil {
+		return r.loadInOutage(ctx, err)
+	}
+	if r.reaches(bounds) {
+		r.finishLoad("log")
+		return nil
+	}
+	if err := r.loadFromLog(ctx); err != nil {
+		r.svc.opts.Logger.Info("snapshots unreadable", "shard", r.id, "error", err.Error())
+	}
+	if r.reaches(bounds) {
+		r.finishLoad("snapshot")
+		return nil
+	}
+	r.loadFromPeers(ctx)
+	if r.reaches(bounds) {
+		r.svc.opts.Logger.Info("started from another host: snapshots are trimmed", "shard", r.id, "offset", r.offset())
+		r.finishLoad("peer")
+		return nil
+	}
+	return fmt.Errorf("%w: shard %d has offset %d, first kept is %d", errNoSnapshot, r.id, r.offset(), bounds.First)
+}
+
+// reaches reports whether the records after the fold's offset are kept.
+func (r *replica) reaches(bounds platform.Bounds) bool {
+	return r.offset()+1 >= bounds.First
+}
+
+// loadInOutage takes a copy from another host while the log is out of reach.
+// The fold can then be shown, but stays short of being loaded until the log
+// confirms that the records after it are kept.
+func (r *replica) loadInOutage(ctx context.Context, cause error) error {
+	if r.offset() == 0 && r.loadFromPeers(ctx) {
+		r.svc.opts.Logger.Info("started from another host: the log is out of reach", "shard", r.id, "offset", r.offset())
+	}
+	return cause
+}
+
+func (r *replica) finishLoad(source string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.loaded {
+		return
+	}
+	r.loaded = true
+	r.svc.opts.Logger.Info("shard followed", "shard", r.id, "from", source, "offset", r.fold.Offset())
+	close(r.ready)
+}
+
+func (r *replica) loadFromLog(ctx context.Context) error {
+	stream := record.StreamOfShardSnapshots(r.id)
+	bounds, err := r.svc.opts.Log.Bounds(ctx, stream)
+	if err != nil {
+		return err
+	}
+	if bounds.Head < bounds.First {
+		return nil
+	}
+	from := bounds.First
+	if bounds.Head >= bounds.First+snapshotsRead {
+		from = bounds.Head - snapshotsRead + 1
+	}
+	entries, err := r.svc.opts.Log.Read(ctx, stream, from, snapshotsRead, 0)
+	if err != nil {
+		return err
+	}
+	var errs []error
+	for _, entry := range entries {
+		errs = append(errs, r.adopt(entry.Data))
+	}
+	return errors.Join(errs...)
+}
+
+// adopt replaces the fold by a snapshot that covers more.
+func (r *replica) adopt(snapshot []byte) error {
+	fold, err := shardfold.Restore(snapshot)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if fold.Offset() <= r.fold.Offset() {
+		return nil
+	}
+	r.fold = fold
+	r.settleOffice()
+	return nil
+}
+
+// loadFromPeers asks other hosts for their copies and reports whether the fold
+// advanced.
+func (r *replica) loadFromPeers(ctx context.Context) bool {
+	before := r.offset()
+	for i, host := range r.svc.ranked(r.id) {
+		if i == peersAsked {
+			break
+		}
+		if host == r.svc.opts.Self.Host {
+			continue
+		}
+		if err := r.loadFromPeer(ctx, host); err != nil {
+			r.svc.opts.Logger.V(1).Info("no copy", "shard", r.id, "host", host, "error", err.Error())
+		}
+	}
+	return r.offset() > before
+}
+
+func (r *replica) loadFromPeer(ctx context.Context, host record.HostID) error {
+	data, err := r.svc.peerState(ctx, host, r.id)
+	if err != nil {
+		return err
+	}
+	return r.adopt(data)
+}
+
+// peerState fetches another host's copy of a shard.
+func (s *Service) peerState(ctx context.Context, host record.HostID, id record.ShardID) ([]byte, error) {
+	client, ok := s.opts.View.Client(host)
+	if !ok {
+		return nil, fmt.Errorf("shard: host %s is not known", host)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.opts.PeerTimeout)
+	defer cancel()
+	res, err := client.ShardState(ctx, connect.NewRequest(&peerpb.ShardStateRequest{Shard: uint32(id)}))
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg.GetSnapshot(), nil
+}
--- /dev/null
+++ b/fleet/shard/queue.go
@@ -0,0 +1,134 @@
+package shard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// call is one submission that waits for its operations to be read back.
+type call struct {
+	ctx    context.Context
+	ops    []record.Op
+	size   int
+	urgent bool
+	at     time.Time
+	done   chan callResult
+}
+
+type callResult struct {
+	results []ledger.Result
+	err     error
+}
+
+func (c *call) finish(results []ledger.Result, err error) {
+	c.done <- callResult{results: results, err: err}
+}
+
+// newCall returns a call for ops. Grants, claims and operators' operations are
+// urgent; reports and outcomes may wait for others to share their record.
+func newCall(ctx context.Context, ops []record.Op) (*call, error) {
+	c := &call{ctx: ctx, ops: ops, at: time.Now(), done: make(chan callResult, 1)}
+	for i := range ops {
+		data, err := record.EncodeOp(&ops[i])
+		if err != nil {
+			return nil, err
+		}
+		c.size += len(data)
+		c.urgent = c.urgent || isUrgent(&ops[i])
+	}
+	return c, nil
+}
+
+func isUrgent(op *record.Op) bool {
+	switch op.Kind {
+	case record.KindOutcome:
+		return false
+	case record.KindReport:
+		return op.Report != nil && (op.Report.Closing || len(op.Report.Returns) > 0)
+	default:
+		return true
+	}
+}
+
+// queue holds the calls that wait for the next batch.
+type queue struct {
+	mu     sync.Mutex
+	calls  []*call
+	signal chan struct{} // has one element while something is new
+}
+
+func newQueue() queue {
+	return queue{signal: make(chan struct{}, 1)}
+}
+
+func (q *queue) add(c *call) {
+	q.mu.Lock()
+	q.calls = append(q.calls, c)
+	q.mu.Unlock()
+	select {
+	case q.signal <- struct{}{}:
+	default:
+	}
+}
+
+// delay returns how long the queue may still wait for more, or false if it is empty.
+func (q *queue) delay(now time.Time, reportDelay time.Duration) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.calls) == 0 {
+		return 0, false
+	}
+	for _, c := range q.calls {
+		if c.urgent {
+			return 0, true
+		}
+	}
+	return max(0, q.calls[0].at.Add(reportDelay).Sub(now)), true
+}
+
+// take removes the calls of the next batch. Calls that were given up before
+// they were sent are dropped.
+func (q *queue) take(maxOps, maxBytes int) []*call {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var taken []*call
+	ops, size := 0, 0
+	for len(q.calls) > 0 {
+		c := q.calls[0]
+		full := ops+len(c.ops) > maxOps || size+c.size > maxBytes
+		if full && len(taken) > 0 {
+			break
+		}
+		q.calls = q.calls[1:]
+		if err := c.ctx.Err(); err != nil {
+			c.finish(nil, err)
+			continue
+		}
+		taken = append(taken, c)
+		ops += len(c.ops)
+		size += c.size
+	}
+	return taken
+}
+
+// putBack returns calls that were not sent to the front of the queue.
+func (q *queue) putBack(calls []*call) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.calls = append(calls, q.calls...)
+}
+
+// fail ends all waiting calls with err.
+func (q *queue) fail(err error) {
+	q.mu.Lock()
+	calls := q.calls
+	q.calls = nil
+	q.mu.Unlock()
+	for _, c := range calls {
+		c.finish(nil, err)
+	}
+}
--- /dev/null
+++ b/fleet/shard/rpc.go
@@ -0,0 +1,182 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+)
+
+// HandleSubmit serves PeerService.Submit.
+func (s *Service) HandleSubmit(ctx context.Context, req *connect.Request[peerpb.SubmitRequest]) (*connect.Response[peerpb.SubmitResponse], error) {
+	id := record.ShardID(req.Msg.GetShard())
+	if owner, ok := s.servesInstead(id); ok {
+		return connect.NewResponse(&peerpb.SubmitResponse{NotOwner: true, Owner: string(owner)}), nil
+	}
+	ops, err := decodeOps(req.Msg.GetOps())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	reply, err := s.serve(ctx, id, ops)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	res, err := encodeReply(&reply)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// servesInstead names the host that this host would ask itself, unless this
+// host owns the shard.
+func (s *Service) servesInstead(id record.ShardID) (record.HostID, bool) {
+	if r, ok := s.followed(id); ok && r.owns() {
+		return "", false
+	}
+	host := s.route(id)
+	return host, host != s.opts.Self.Host
+}
+
+func (r *replica) owns() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.inOffice(time.Now())
+}
+
+// HandleShardState serves PeerService.ShardState.
+func (s *Service) HandleShardState(_ context.Context, req *connect.Request[peerpb.ShardStateRequest]) (*connect.Response[peerpb.ShardStateResponse], error) {
+	r, ok := s.followed(record.ShardID(req.Msg.GetShard()))
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("shard is not followed"))
+	}
+	data, covers, err := r.snapshot(time.Now())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&peerpb.ShardStateResponse{Covers: uint64(covers), Snapshot: data}), nil
+}
+
+// HandleRecall serves PeerService.Recall.
+func (s *Service) HandleRecall(ctx context.Context, req *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
+	if record.Incarnation(req.Msg.GetIncarnation()) != s.opts.Self.Incarnation {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("another incarnation of this host runs"))
+	}
+	amount, err := s.giveBack(ctx, record.BudgetID(req.Msg.GetBudget()))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerpb.RecallResponse{Returned: int64(amount)}), nil
+}
+
+func (s *Service) giveBack(ctx context.Context, budget record.BudgetID) (record.Tokens, error) {
+	s.mu.Lock()
+	returner := s.returner
+	s.mu.Unlock()
+	if returner == nil {
+		return 0, nil
+	}
+	return returner.GiveBack(ctx, budget)
+}
+
+// recallOne asks one holder to give back and returns the amount, zero on failure.
+func (s *Service) recallOne(ctx context.Context, h record.Holder, id record.ShardID, budget record.BudgetID) record.Tokens {
+	amount, err := s.recallFrom(ctx, h, id, budget)
+	if err != nil {
+		s.opts.Logger.Info("recall failed", "shard", id, "budget", budget, "holder", h.String(), "error", err.Error())
+		return 0
+	}
+	return amount
+}
+
+func (s *Service) recallFrom(ctx context.Context, h record.Holder, id record.ShardID, budget record.BudgetID) (record.Tokens, error) {
+	if h == s.opts.Self {
+		return s.giveBack(ctx, budget)
+	}
+	if s.avoided(h.Host, time.Now()) {
+		return 0, fmt.Errorf("%w: %s did not answer lately", errPeer, h.Host)
+	}
+	client, ok := s.opts.View.Client(h.Host)
+	if !ok {
+		return 0, fmt.Errorf("%w: %s is not known", errPeer, h.Host)
+	}
+	res, err := client.Recall(ctx, connect.NewRequest(&peerpb.RecallRequest{
+		Shard: uint32(id), Budget: string(budget), Incarnation: uint64(h.Incarnation),
+	}))
+	if err != nil {
+		return 0, err
+	}
+	return record.Tokens(res.Msg.GetReturned()), nil
+}
+
+func decodeOps(encoded [][]byte) ([]record.Op, error) {
+	ops := make([]record.Op, len(encoded))
+	for i, data := range encoded {
+		op, err := record.DecodeOp(data)
+		if err != nil {
+			return nil, err
+		}
+		ops[i] = op
+	}
+	return ops, nil
+}
+
+func encodeReply(reply *Reply) (*peerpb.SubmitResponse, error) {
+	res := &peerpb.SubmitResponse{Epoch: uint64(reply.Epoch)}
+	for _, result := range reply.Results {
+		data, err := ledger.EncodeResult(result)
+		if err != nil {
+			return nil, err
+		}
+		res.Results = append(res.Results, data)
+	}
+	for _, s := range reply.Shortages {
+		out := &peerpb.Shortage{Budget: string(s.Budget), Available: int64(s.Available), Held: int64(s.Held)}
+		for _, h := range s.Holders {
+			out.Holders = append(out.Holders, &peerpb.Holding{
+				Host: string(h.Holder.Host), Incarnation: uint64(h.Holder.Incarnation), Amount: int64(h.Amount),
+			})
+		}
+		res.Shortages = append(res.Shortages, out)
+	}
+	return res, nil
+}
+
+func decodeReply(res *peerpb.SubmitResponse, count int) (Reply, error) {
+	reply := Reply{Epoch: record.Offset(res.GetEpoch())}
+	if len(res.GetResults()) != count {
+		return Reply{}, fmt.Errorf("%w: %d results for %d operations", errPeer, len(res.GetResults()), count)
+	}
+	for _, data := range res.GetResults() {
+		result, err := ledger.DecodeResult(data)
+		if err != nil {
+			return Reply{}, err
+		}
+		reply.Results = append(reply.Results, result)
+	}
+	for _, s := range res.GetShortages() {
+		reply.Shortages = append(reply.Shortages, decodeShortage(s))
+	}
+	return reply, nil
+}
+
+func decodeShortage(s *peerpb.Shortage) Shortage {
+	out := Shortage{
+		Budget:    record.BudgetID(s.GetBudget()),
+		Available: record.Tokens(s.GetAvailable()),
+		Held:      record.Tokens(s.GetHeld()),
+	}
+	for _, h := range s.GetHolders() {
+		out.Holders = append(out.Holders, Holding{
+			Holder: record.Holder{Host: record.HostID(h.GetHost()), Incarnation: record.Incarnation(h.GetIncarnation())},
+			Amount: record.Tokens(h.GetAmount()),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/shard/serve.go
@@ -0,0 +1,116 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Reply answers a submission: one result for each operation, in order, and why
+// grants fell short.
+type Reply struct {
+	Results   []ledger.Result
+	Shortages []Shortage
+	Epoch     record.Offset
+}
+
+// serve answers operations as the shard's owner, or as the host that is about
+// to become it.
+func (s *Service) serve(ctx context.Context, id record.ShardID, ops []record.Op) (Reply, error) {
+	r, err := s.replica(id)
+	if err != nil {
+		return Reply{}, err
+	}
+	r.touch(time.Now())
+	if err := s.waitLoaded(ctx, r); err != nil {
+		return Reply{}, err
+	}
+	reply := Reply{Results: make([]ledger.Result, len(ops))}
+	rest, index := s.judge(ctx, r, ops, &reply)
+	if len(rest) > 0 {
+		results, err := r.submit(ctx, rest)
+		if err != nil {
+			return Reply{}, err
+		}
+		for i, res := range results {
+			reply.Results[index[i]] = res
+			s.noteShortage(r, &ops[index[i]], &res, &reply)
+		}
+	}
+	reply.Epoch = r.currentEpoch()
+	return reply, nil
+}
+
+func (s *Service) waitLoaded(ctx context.Context, r *replica) error {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.LoadWait)
+	defer cancel()
+	err := r.waitLoaded(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return ErrLogUnavailable
+	}
+	return err
+}
+
+// judge answers grants that the budget cannot cover, after asking the other
+// holders to give back, and returns the operations that must be appended with
+// their positions.
+func (s *Service) judge(ctx context.Context, r *replica, ops []record.Op, reply *Reply) ([]record.Op, []int) {
+	var rest []record.Op
+	var index []int
+	for i := range ops {
+		op := &ops[i]
+		if op.Kind == record.KindGrant && s.refuse(ctx, r, op, &reply.Results[i]) {
+			reply.Shortages = append(reply.Shortages, r.shortage(op))
+			continue
+		}
+		rest = append(rest, *op)
+		index = append(index, i)
+	}
+	return rest, index
+}
+
+// refuse reports whether a grant can't be made even after a recall.
+func (s *Service) refuse(ctx context.Context, r *replica, op *record.Op, res *ledger.Result) bool {
+	short, ok := r.shortOf(op)
+	if !ok {
+		return false
+	}
+	if op.Need > 0 {
+		r.recallFor(ctx, op)
+		short, ok = r.shortOf(op)
+	}
+	*res = short
+	return ok
+}
+
+func (s *Service) noteShortage(r *replica, op *record.Op, res *ledger.Result, reply *Reply) {
+	if op.Kind == record.KindGrant && res.Granted < max(1, op.Need) {
+		reply.Shortages = append(reply.Shortages, r.shortage(op))
+	}
+}
+
+func (r *replica) currentEpoch() record.Offset {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fold.Epoch()
+}
+
+// submit queues operations for the next batch and waits for their results.
+func (r *replica) submit(ctx context.Context, ops []record.Op) ([]ledger.Result, error) {
+	c, err := newCall(ctx, ops)
+	if err != nil {
+		return nil, err
+	}
+	r.queue.add(c)
+	select {
+	case res := <-c.done:
+		return res.results, res.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-r.ctx.Done():
+		return nil, ErrClosed
+	}
+}
--- /dev/null
+++ b/fleet/shard/service.go
@@ -0,0 +1,223 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Errors of submissions. Operations whose submission failed may still take
+// effect later; they are idempotent and can be submitted again.
+var (
+	// ErrLogUnavailable reports that the log did not take a record.
+	ErrLogUnavailable = errors.New("shard: the log is out of reach")
+	// ErrNotReadBack reports that the effect of an append is not known.
+	ErrNotReadBack = errors.New("shard: a record was not read back in time")
+	// ErrClosed reports that the service has stopped.
+	ErrClosed = errors.New("shard: service has stopped")
+	// ErrNoShards reports that the number of shards is not known yet.
+	ErrNoShards = errors.New("shard: the number of shards is not known yet")
+)
+
+// reconcileInterval is the time between checks of which shards to follow.
+const reconcileInterval = time.Second
+
+// Service follows shards, owns some of them, and submits operations to owners.
+type Service struct {
+	opts Options
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+	// batchSeq numbers the batches of this incarnation over all shards.
+	batchSeq atomic.Uint64
+
+	mu       sync.Mutex
+	closed   bool
+	replicas map[record.ShardID]*replica
+	avoid    map[record.HostID]time.Time
+	hints    map[record.ShardID]hint
+	returner Returner
+
+	appends    metrics.Counter
+	throttled  metrics.Counter
+	resends    metrics.Counter
+	snapshots  metrics.Counter
+	takeovers  metrics.Counter
+	difference metrics.Gauge
+}
+
+// hint names the owner of a shard as another host told it.
+type hint struct {
+	owner record.HostID
+	until time.Time
+}
+
+// NewService returns a service that starts to work at once and follows the
+// shards that it owns while Run is active.
+func NewService(opts Options) *Service {
+	opts = opts.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	r := opts.Metrics
+	return &Service{
+		opts:       opts,
+		ctx:        ctx,
+		stop:       stop,
+		replicas:   make(map[record.ShardID]*replica),
+		avoid:      make(map[record.HostID]time.Time),
+		hints:      make(map[record.ShardID]hint),
+		appends:    metrics.GetOrRegisterCounter("shard.appends", r),
+		throttled:  metrics.GetOrRegisterCounter("shard.throttled", r),
+		resends:    metrics.GetOrRegisterCounter("shard.resends", r),
+		snapshots:  metrics.GetOrRegisterCounter("shard.snapshots", r),
+		takeovers:  metrics.GetOrRegisterCounter("shard.takeovers", r),
+		difference: metrics.GetOrRegisterGauge("budget.difference", r),
+	}
+}
+
+// SetReturner sets what gives back unused grants of this host. It must be called
+// before the service is used.
+func (s *Service) SetReturner(r Returner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.returner = r
+}
+
+// Run follows the shards that this host owns until ctx ends. It returns after
+// all its work has stopped; submissions fail from then on.
+func (s *Service) Run(ctx context.Context) error {
+	defer s.Stop()
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		s.reconcile(time.Now())
+		s.writeSnapshots(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Stop ends the service and waits for its work to stop.
+func (s *Service) Stop() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.stop()
+	s.wg.Wait()
+}
+
+// reconcile follows the shards that this host should own and drops idle ones.
+func (s *Service) reconcile(now time.Time) {
+	count := s.opts.Shards()
+	for id := record.ShardID(0); id < record.ShardID(count); id++ {
+		if s.pick(id, nil) != s.opts.Self.Host {
+			continue
+		}
+		if r, err := s.replica(id); err == nil {
+			r.touch(now)
+		}
+	}
+	s.dropIdle(now)
+	s.checkSums()
+}
+
+// dropIdle stops following shards that another host serves.
+func (s *Service) dropIdle(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.replicas {
+		if r.idle(now) {
+			delete(s.replicas, id)
+			r.stop()
+			s.opts.Logger.V(1).Info("shard dropped", "shard", id)
+		}
+	}
+}
+
+// checkSums exposes the sum of differences of all budgets that are followed.
+func (s *Service) checkSums() {
+	failed := int64(0)
+	for _, r := range s.all() {
+		if err := r.check(); err != nil {
+			failed++
+			s.opts.Logger.Error(err, "budget does not add up", "shard", r.id)
+		}
+	}
+	s.difference.Update(failed)
+}
+
+func (s *Service) all() []*replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*replica, 0, len(s.replicas))
+	for _, r := range s.replicas {
+		list = append(list, r)
+	}
+	return list
+}
+
+// replica returns this host's copy of a shard and starts it if needed.
+func (s *Service) replica(id record.ShardID) (*replica, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil, ErrClosed
+	}
+	if r, ok := s.replicas[id]; ok {
+		return r, nil
+	}
+	r := newReplica(s, id)
+	s.replicas[id] = r
+	s.wg.Add(2)
+	go func() {
+		defer s.wg.Done()
+		r.tail()
+	}()
+	go func() {
+		defer s.wg.Done()
+		r.write()
+	}()
+	return r, nil
+}
+
+// followed returns this host's copy of a shard if there is one.
+func (s *Service) followed(id record.ShardID) (*replica, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.replicas[id]
+	return r, ok
+}
+
+// goDo runs f in a goroutine that Stop waits for.
+func (s *Service) goDo(f func()) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		f()
+	}()
+}
+
+// jitter returns a random time from half of d to d.
+func (s *Service) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(s.opts.Rand()*float64(d)/2)
+}
+
+// pause waits for d or until ctx ends, and tells whether it waited to the end.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/fleet/shard/submit.go
@@ -0,0 +1,136 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+)
+
+// submitRounds bounds the hosts and epochs that one submission goes through.
+const submitRounds = 6
+
+// errNotOwner reports that the host asked does not own the shard.
+var errNotOwner = errors.New("shard: the host asked is not the owner")
+
+// errStale reports that a shard changed owners again and again.
+var errStale = errors.New("shard: the owner was superseded while it served")
+
+// Submit hands operations to the shard's owner and returns one result for each
+// after it has been read back from the log. Operations are idempotent: after an
+// error their effect is unknown and they may be submitted again.
+func (s *Service) Submit(ctx context.Context, id record.ShardID, ops []record.Op) ([]ledger.Result, error) {
+	reply, err := s.Request(ctx, id, ops)
+	return reply.Results, err
+}
+
+// Request is Submit with the reasons of grants that fell short.
+func (s *Service) Request(ctx context.Context, id record.ShardID, ops []record.Op) (Reply, error) {
+	if len(ops) == 0 {
+		return Reply{}, nil
+	}
+	reply := Reply{Results: make([]ledger.Result, len(ops))}
+	open := make([]int, len(ops))
+	for i := range ops {
+		open[i] = i
+	}
+	var last error = errStale
+	for round := 0; round < submitRounds && len(open) > 0; round++ {
+		part, err := s.once(ctx, id, pickOps(ops, open), round)
+		if err != nil {
+			last = err
+			if ctx.Err() != nil || !retryable(err) {
+				return Reply{}, err
+			}
+			continue
+		}
+		open = merge(&reply, part, open)
+	}
+	if len(open) > 0 {
+		return Reply{}, last
+	}
+	return reply, nil
+}
+
+// retryable reports whether another host may do better.
+func retryable(err error) bool {
+	return errors.Is(err, errNotOwner) || errors.Is(err, errPeer)
+}
+
+// once submits to the host that should own the shard.
+func (s *Service) once(ctx context.Context, id record.ShardID, ops []record.Op, round int) (Reply, error) {
+	host := s.route(id)
+	if host == s.opts.Self.Host || round >= submitRounds/2 {
+		return s.serve(ctx, id, ops)
+	}
+	reply, err := s.ask(ctx, host, id, ops)
+	switch {
+	case err == nil:
+		return reply, nil
+	case errors.Is(err, errPeer) && ctx.Err() == nil:
+		s.setAvoid(host)
+		s.clearHint(id)
+		s.opts.Logger.Info("owner unreachable", "shard", id, "host", host, "error", err.Error())
+		pause(ctx, s.jitter(s.opts.TakeoverWait))
+	}
+	return Reply{}, err
+}
+
+func pickOps(ops []record.Op, open []int) []record.Op {
+	list := make([]record.Op, len(open))
+	for i, at := range open {
+		list[i] = ops[at]
+	}
+	return list
+}
+
+// merge takes over the results of a part and returns the operations that a
+// stale epoch made void.
+func merge(reply *Reply, part Reply, open []int) []int {
+	var left []int
+	for i, at := range open {
+		if part.Results[i].Reason == ledger.ReasonStaleEpoch {
+			left = append(left, at)
+			continue
+		}
+		reply.Results[at] = part.Results[i]
+	}
+	reply.Shortages = append(reply.Shortages, part.Shortages...)
+	reply.Epoch = part.Epoch
+	return left
+}
+
+// errPeer reports that another host could not be asked or failed.
+var errPeer = errors.New("shard: host failed")
+
+// ask submits to another host.
+func (s *Service) ask(ctx context.Context, host record.HostID, id record.ShardID, ops []record.Op) (Reply, error) {
+	client, ok := s.opts.View.Client(host)
+	if !ok {
+		return Reply{}, fmt.Errorf("%w: %s is not known", errPeer, host)
+	}
+	req := &peerpb.SubmitRequest{Shard: uint32(id)}
+	for i := range ops {
+		data, err := record.EncodeOp(&ops[i])
+		if err != nil {
+			return Reply{}, err
+		}
+		req.Ops = append(req.Ops, data)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.opts.PeerTimeout)
+	defer cancel()
+	res, err := client.Submit(ctx, connect.NewRequest(req))
+	if err != nil {
+		return Reply{}, fmt.Errorf("%w: %s: %w", errPeer, host, err)
+	}
+	if res.Msg.GetNotOwner() {
+		s.setHint(id, record.HostID(res.Msg.GetOwner()))
+		return Reply{}, errNotOwner
+	}
+	return decodeReply(res.Msg, len(ops))
+}
