Add the bank: grants, reservations, reports and claims of a host

Cause: hosts must spend from grants that no other host can touch. Change: fleet/bank behind its contract, not yet tested.

--- /dev/null
+++ b/fleet/bank/options.go
@@ -0,0 +1,84 @@
+package bank
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/shard"
+)
+
+// ErrClosed is returned for requests after Close has begun.
+var ErrClosed = errors.New("bank: closed")
+
+// ErrNoSettings is returned before the first settings are known.
+var ErrNoSettings = errors.New("bank: no settings yet")
+
+// Submitter hands operations to shard owners. *shard.Service implements it.
+type Submitter interface {
+	Request(ctx context.Context, id record.ShardID, ops []record.Op) (shard.Reply, error)
+}
+
+// Options configures a Bank. Self, Submitter and Settings are required.
+type Options struct {
+	Self      record.Holder
+	Submitter Submitter
+	Settings  settings.Source
+	Logger    logr.Logger
+	Metrics   metrics.Registry
+	// Rand returns a number from 0 to 1 for jitter.
+	Rand func() float64
+	// FlushMin and FlushMax bound the time that settlements collect before
+	// they are reported.
+	FlushMin time.Duration
+	FlushMax time.Duration
+	// SubmitTimeout bounds one submission before it is repeated.
+	SubmitTimeout time.Duration
+	// RateWindow is the time constant of the spend rate.
+	RateWindow time.Duration
+}
+
+const (
+	defaultFlushMin      = 200 * time.Millisecond
+	defaultFlushMax      = time.Second
+	defaultSubmitTimeout = 5 * time.Second
+	defaultRateWindow    = 10 * time.Second
+)
+
+// defaultPolicy applies to budgets that the settings don't name.
+var defaultPolicy = settings.BudgetPolicy{
+	Slice:       5 * time.Second,
+	Floor:       1000,
+	RecallDelay: 30 * time.Second,
+	RefusalWait: time.Second,
+}
+
+func (o Options) withDefaults() Options {
+	if o.Logger.GetSink() == nil {
+		o.Logger = logr.Discard()
+	}
+	o.Logger = o.Logger.WithName("bank")
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	if o.Rand == nil {
+		o.Rand = rand.Float64
+	}
+	setDuration(&o.FlushMin, defaultFlushMin)
+	setDuration(&o.FlushMax, defaultFlushMax)
+	setDuration(&o.SubmitTimeout, defaultSubmitTimeout)
+	setDuration(&o.RateWindow, defaultRateWindow)
+	return o
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
