--- a/core/ledger/fold.go
+++ b/core/ledger/fold.go
@@ -147,7 +147,10 @@
 
 // Current reports whether a batch was written by the shard's owner.
 func (f *Fold) Current(batch *record.Batch) bool {
-	return f.epoch != 0 && batch.Epoch == f.epoch && batch.Writer == f.owner
+	if f.epoch == 0 || batch.Writer != f.owner {
+		return false
+	}
+	return batch.Epoch == f.epoch || (batch.Opens && f.epoch == f.offset)
 }
 
 func (f *Fold) applyTopUp(op *record.Op, res *Result) {
--- a/core/shardfold/shardfold.go
+++ b/core/shardfold/shardfold.go
@@ -45,21 +45,28 @@
 // and no effect. An entry after a gap returns a [ledger.GapError]. A record that
 // cannot be decoded is counted and skipped, on every host alike.
 func (f *Fold) Apply(entry record.Entry) (Results, error) {
+	_, results, err := f.ApplyBatch(entry)
+	return results, err
+}
+
+// ApplyBatch is Apply that also returns the decoded batch; it is nil for an
+// entry that was skipped or folded before.
+func (f *Fold) ApplyBatch(entry record.Entry) (*record.Batch, Results, error) {
 	fresh, err := f.ledger.Begin(entry)
 	if err != nil || !fresh {
-		return nil, err
+		return nil, nil, err
 	}
 	f.claims.Advance(entry.TimeMillis)
 	batch, err := record.DecodeBatch(entry.Data)
 	if err != nil {
 		f.skipped++
-		return nil, nil
+		return nil, nil, nil
 	}
 	results := make(Results, len(batch.Ops))
 	for i := range batch.Ops {
 		results[i] = f.applyOp(batch, &batch.Ops[i])
 	}
-	return results, nil
+	return batch, results, nil
 }
 
 func (f *Fold) applyOp(batch *record.Batch, op *record.Op) ledger.Result {
--- a/fleet/bank/close.go
+++ b/fleet/bank/close.go
@@ -12,6 +12,9 @@
 // closePoll is the time between looks at the reservations that are still open.
 const closePoll = 20 * time.Millisecond
 
+// quietTime is how long a host does not ask ahead of need after a recall.
+const quietTime = 2 * time.Second
+
 // errOpen reports that requests still ran when the time to close was up.
 var errOpen = errors.New("bank: reservations are still open")
 
@@ -26,6 +29,7 @@
 	}
 	amount := h.free
 	h.giveBack(amount)
+	h.quietUntil = time.Now().Add(quietTime)
 	done := h.account.hurry()
 	b.mu.Unlock()
 	b.opts.Logger.Info("recalled", "budget", budget, "amount", amount)
@@ -116,26 +120,3 @@
 	}
 	return a.hurry()
 }
-
-// Held describes this host's part in a budget.
-type Held struct {
-	Budget   record.BudgetID
-	Reserved record.Tokens
-	Free     record.Tokens
-	// Unreported is settled or returned and not yet read back from the log.
-	Unreported record.Tokens
-}
-
-// Holdings returns this host's part in one budget, or in all if budget is empty.
-func (b *Bank) Holdings(budget record.BudgetID) []Held {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var list []Held
-	for id, h := range b.budgets {
-		if budget != "" && id != budget {
-			continue
-		}
-		list = append(list, Held{Budget: id, Reserved: h.reserved, Free: h.free, Unreported: h.queued + h.inFlight})
-	}
-	return list
-}
--- a/fleet/bank/holding.go
+++ b/fleet/bank/holding.go
@@ -43,7 +43,9 @@
 	shortEnd time.Time       // until when short answers new requests
 	retryAt  time.Time       // earliest time of the next grant request
 	retry    time.Duration
-	released bool
+	// quietUntil is when the host may ask ahead of need again after a recall.
+	quietUntil time.Time
+	released   bool
 }
 
 // waiter is a request that waits for a grant.
@@ -123,7 +125,7 @@
 		free := max(0, h.free)
 		return waiting - free + target, h.waiters[0].amount - free
 	}
-	active := now.Sub(h.used) < h.policy.RecallDelay
+	active := now.Sub(h.used) < h.policy.RecallDelay && !now.Before(h.quietUntil)
 	if active && h.free < target/2 {
 		return target - h.free, 0
 	}
--- a/fleet/bank/manager.go
+++ b/fleet/bank/manager.go
@@ -16,6 +16,9 @@
 // housekeepingInterval is the time between looks for unused grants.
 const housekeepingInterval = time.Second
 
+// reserveWaitSamples is the number of waits kept for the histogram.
+const reserveWaitSamples = 1024
+
 // Bank holds this host's grants. It implements [Reserver], [Claimer] and
 // shard.Returner, and is safe for concurrent use.
 type Bank struct {
@@ -34,7 +37,7 @@
 	refusedSpent       metrics.Counter
 	refusedHeld        metrics.Counter
 	refusedUnreachable metrics.Counter
-	reserveWait        metrics.Timer
+	reserveWait        metrics.Histogram // microseconds
 	grants             metrics.Counter
 	reports            metrics.Counter
 	settled            metrics.Counter
@@ -63,7 +66,7 @@
 		refusedSpent:       metrics.GetOrRegisterCounter("bank.refused.spent", r),
 		refusedHeld:        metrics.GetOrRegisterCounter("bank.refused.held", r),
 		refusedUnreachable: metrics.GetOrRegisterCounter("bank.refused.unreachable", r),
-		reserveWait:        metrics.GetOrRegisterTimer("bank.reserve.wait", r),
+		reserveWait:        metrics.GetOrRegisterHistogram("bank.reserve.wait_us", r, metrics.NewUniformSample(reserveWaitSamples)),
 		grants:             metrics.GetOrRegisterCounter("bank.grants", r),
 		reports:            metrics.GetOrRegisterCounter("bank.reports", r),
 		settled:            metrics.GetOrRegisterCounter("bank.settled", r),
--- a/fleet/bank/options.go
+++ b/fleet/bank/options.go
@@ -34,10 +34,10 @@
 	Metrics   metrics.Registry
 	// Rand returns a number from 0 to 1 for jitter.
 	Rand func() float64
-	// FlushMin and FlushMax bound the time that settlements collect before
+	// MinFlush and MaxFlush bound the time that settlements collect before
 	// they are reported.
-	FlushMin time.Duration
-	FlushMax time.Duration
+	MinFlush time.Duration
+	MaxFlush time.Duration
 	// SubmitTimeout bounds one submission before it is repeated.
 	SubmitTimeout time.Duration
 	// RateWindow is the time constant of the spend rate.
@@ -45,8 +45,8 @@
 }
 
 const (
-	defaultFlushMin      = 200 * time.Millisecond
-	defaultFlushMax      = time.Second
+	defaultMinFlush      = 200 * time.Millisecond
+	defaultMaxFlush      = time.Second
 	defaultSubmitTimeout = 5 * time.Second
 	defaultRateWindow    = 10 * time.Second
 )
@@ -70,8 +70,8 @@
 	if o.Rand == nil {
 		o.Rand = rand.Float64
 	}
-	setDuration(&o.FlushMin, defaultFlushMin)
-	setDuration(&o.FlushMax, defaultFlushMax)
+	setDuration(&o.MinFlush, defaultMinFlush)
+	setDuration(&o.MaxFlush, defaultMaxFlush)
 	setDuration(&o.SubmitTimeout, defaultSubmitTimeout)
 	setDuration(&o.RateWindow, defaultRateWindow)
 	return o
--- a/fleet/bank/reports.go
+++ b/fleet/bank/reports.go
@@ -79,7 +79,7 @@
 		return true, 0
 	}
 	opts := &a.bank.opts
-	return true, min(opts.FlushMax, max(opts.FlushMin, submitSpacing*a.lastSubmit))
+	return true, min(opts.MaxFlush, max(opts.MinFlush, submitSpacing*a.lastSubmit))
 }
 
 func (a *account) emptyDraft() bool {
--- a/fleet/bank/reserve.go
+++ b/fleet/bank/reserve.go
@@ -15,7 +15,7 @@
 		return nil, fmt.Errorf("bank: negative amount %d", amount)
 	}
 	start := time.Now()
-	defer b.reserveWait.UpdateSince(start)
+	defer func() { b.reserveWait.Update(time.Since(start).Microseconds()) }()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.closed {
--- a/fleet/shard/grants.go
+++ b/fleet/shard/grants.go
@@ -16,6 +16,8 @@
 	recallFanout = 64
 	// recallGap is the shortest time between two recalls of one budget.
 	recallGap = 50 * time.Millisecond
+	// scarceTime is how long after a recall no grant is made ahead of need.
+	scarceTime = 2 * time.Second
 )
 
 // Holding is what one holder has of a budget.
@@ -90,7 +92,8 @@
 		return ledger.Result{}, false
 	}
 	state, known := r.fold.Ledger().Budget(op.Budget)
-	if known && state.Available >= max(1, op.Need) {
+	ahead := op.Need == 0 && r.scarce(op.Budget)
+	if known && !ahead && state.Available >= max(1, op.Need) {
 		return ledger.Result{}, false
 	}
 	res := ledger.Result{
@@ -104,6 +107,13 @@
 	return res, true
 }
 
+// scarce reports whether the budget's grants are or were just recalled. What
+// comes back is kept for requests that wait.
+func (r *replica) scarce(id record.BudgetID) bool {
+	round, ok := r.recalls[id]
+	return ok && (round.end.IsZero() || time.Since(round.end) < scarceTime)
+}
+
 // shortage describes what other holders have of a budget.
 func (r *replica) shortage(op *record.Op) Shortage {
 	r.mu.Lock()
--- a/fleet/shard/replica.go
+++ b/fleet/shard/replica.go
@@ -149,12 +149,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, entry := range entries {
-		batch, err := record.DecodeBatch(entry.Data)
-		if err != nil {
-			r.svc.opts.Logger.Error(err, "record skipped", "shard", r.id, "offset", entry.Offset)
-			batch = nil
-		}
-		results, err := r.fold.Apply(entry, batch)
+		batch, results, err := r.fold.ApplyBatch(entry)
 		if err != nil {
 			return err
 		}
--- a/fleet/shard/rpc.go
+++ b/fleet/shard/rpc.go
@@ -13,8 +13,17 @@
 	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
 )
 
-// HandleSubmit serves PeerService.Submit.
-func (s *Service) HandleSubmit(ctx context.Context, req *connect.Request[peerpb.SubmitRequest]) (*connect.Response[peerpb.SubmitResponse], error) {
+// Server answers other hosts for the shards of a Service.
+type Server struct {
+	svc *Service
+}
+
+// NewServer returns the peer handlers of a service.
+func NewServer(svc *Service) Server { return Server{svc: svc} }
+
+// Submit serves PeerService.Submit.
+func (v Server) Submit(ctx context.Context, req *connect.Request[peerpb.SubmitRequest]) (*connect.Response[peerpb.SubmitResponse], error) {
+	s := v.svc
 	id := record.ShardID(req.Msg.GetShard())
 	if owner, ok := s.servesInstead(id); ok {
 		return connect.NewResponse(&peerpb.SubmitResponse{NotOwner: true, Owner: string(owner)}), nil
@@ -50,9 +59,9 @@
 	return r.inOffice(time.Now())
 }
 
-// HandleShardState serves PeerService.ShardState.
-func (s *Service) HandleShardState(_ context.Context, req *connect.Request[peerpb.ShardStateRequest]) (*connect.Response[peerpb.ShardStateResponse], error) {
-	r, ok := s.followed(record.ShardID(req.Msg.GetShard()))
+// ShardState serves PeerService.ShardState.
+func (v Server) ShardState(_ context.Context, req *connect.Request[peerpb.ShardStateRequest]) (*connect.Response[peerpb.ShardStateResponse], error) {
+	r, ok := v.svc.followed(record.ShardID(req.Msg.GetShard()))
 	if !ok {
 		return nil, connect.NewError(connect.CodeNotFound, errors.New("shard is not followed"))
 	}
@@ -63,18 +72,6 @@
 	return connect.NewResponse(&peerpb.ShardStateResponse{Covers: uint64(covers), Snapshot: data}), nil
 }
 
-// HandleRecall serves PeerService.Recall.
-func (s *Service) HandleRecall(ctx context.Context, req *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
-	if record.Incarnation(req.Msg.GetIncarnation()) != s.opts.Self.Incarnation {
-		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("another incarnation of this host runs"))
-	}
-	amount, err := s.giveBack(ctx, record.BudgetID(req.Msg.GetBudget()))
-	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
-	}
-	return connect.NewResponse(&peerpb.RecallResponse{Returned: int64(amount)}), nil
-}
-
 func (s *Service) giveBack(ctx context.Context, budget record.BudgetID) (record.Tokens, error) {
 	s.mu.Lock()
 	returner := s.returner
--- a/fleet/shard/submit.go
+++ b/fleet/shard/submit.go
@@ -39,7 +39,7 @@
 	for i := range ops {
 		open[i] = i
 	}
-	var last error = errStale
+	last := errStale
 	for round := 0; round < submitRounds && len(open) > 0; round++ {
 		part, err := s.once(ctx, id, pickOps(ops, open), round)
 		if err != nil {
