Keep a cut host spending and billing through hosts that reach the log

Cause: a host that had lost its path to the log, and owned a shard, refused 7.8% of requests while seven other hosts reached the log; a wait that ended without any answer was reported as spent budget. Change: submissions name the hosts that failed, the next choice takes over; an unanswered wait is reported as unreachable.

--- a/fleet/bank/reserve.go
+++ b/fleet/bank/reserve.go
@@ -96,7 +96,8 @@
 
 // refusal describes why a request is refused, and counts it.
 func (b *Bank) refusal(h *holding, amount record.Tokens) error {
-	e := &RefusedError{Budget: h.id, Wanted: amount, Unreachable: h.account.unreachable}
+	answered := h.short != nil && !h.account.unreachable
+	e := &RefusedError{Budget: h.id, Wanted: amount, Unreachable: !answered}
 	if h.short != nil {
 		e.Available = h.short.Available
 		e.HeldElsewhere = h.short.Held
--- a/fleet/shard/owner.go
+++ b/fleet/shard/owner.go
@@ -39,16 +39,18 @@
 	return s.opts.Self.Host
 }
 
-// route returns the host to submit to: a hint that is still fresh, else the pick.
-func (s *Service) route(id record.ShardID) record.HostID {
+// route returns the host to submit to: a hint that is still fresh, else the
+// first choice that has not failed lately. If all have, it is this host.
+func (s *Service) route(id record.ShardID, tried map[record.HostID]bool) record.HostID {
 	now := time.Now()
 	s.mu.Lock()
 	h, ok := s.hints[id]
 	s.mu.Unlock()
-	if ok && now.Before(h.until) && !s.avoided(h.owner, now) {
+	skip := func(host record.HostID) bool { return tried[host] || s.avoided(host, now) }
+	if ok && now.Before(h.until) && !skip(h.owner) {
 		return h.owner
 	}
-	return s.pick(id, func(host record.HostID) bool { return s.avoided(host, now) })
+	return s.pick(id, skip)
 }
 
 func (s *Service) avoided(host record.HostID, now time.Time) bool {
--- a/fleet/shard/rpc.go
+++ b/fleet/shard/rpc.go
@@ -25,7 +25,7 @@
 func (v Server) Submit(ctx context.Context, req *connect.Request[peerpb.SubmitRequest]) (*connect.Response[peerpb.SubmitResponse], error) {
 	s := v.svc
 	id := record.ShardID(req.Msg.GetShard())
-	if owner, ok := s.servesInstead(id); ok {
+	if owner, ok := s.servesInstead(id, req.Msg.GetAvoid()); ok {
 		return connect.NewResponse(&peerpb.SubmitResponse{NotOwner: true, Owner: string(owner)}), nil
 	}
 	ops, err := decodeOps(req.Msg.GetOps())
@@ -44,12 +44,16 @@
 }
 
 // servesInstead names the host that this host would ask itself, unless this
-// host owns the shard.
-func (s *Service) servesInstead(id record.ShardID) (record.HostID, bool) {
+// host owns the shard. Avoid lists hosts that the caller could not use.
+func (s *Service) servesInstead(id record.ShardID, avoid []string) (record.HostID, bool) {
 	if r, ok := s.followed(id); ok && r.owns() {
 		return "", false
 	}
-	host := s.route(id)
+	skip := make(map[record.HostID]bool, len(avoid))
+	for _, host := range avoid {
+		skip[record.HostID(host)] = true
+	}
+	host := s.route(id, skip)
 	return host, host != s.opts.Self.Host
 }
 
--- a/fleet/shard/submit.go
+++ b/fleet/shard/submit.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -40,16 +42,17 @@
 		open[i] = i
 	}
 	last := errStale
+	tried := make(map[record.HostID]bool)
 	for round := 0; round < submitRounds && len(open) > 0; round++ {
-		part, err := s.once(ctx, id, pickOps(ops, open), round)
-		if err != nil {
-			last = err
-			if ctx.Err() != nil || !retryable(err) {
-				return Reply{}, err
-			}
+		part, err := s.once(ctx, id, pickOps(ops, open), tried)
+		if err == nil {
+			open = merge(&reply, part, open)
 			continue
 		}
-		open = merge(&reply, part, open)
+		last = err
+		if ctx.Err() != nil || !retryable(err) || s.exhausted(id, tried) {
+			return Reply{}, err
+		}
 	}
 	if len(open) > 0 {
 		return Reply{}, last
@@ -59,26 +62,40 @@
 
 // retryable reports whether another host may do better.
 func retryable(err error) bool {
-	return errors.Is(err, errNotOwner) || errors.Is(err, errPeer)
+	return errors.Is(err, errNotOwner) || errors.Is(err, errPeer) ||
+		errors.Is(err, ErrLogUnavailable) || errors.Is(err, ErrNotReadBack)
 }
 
-// once submits to the host that should own the shard.
-func (s *Service) once(ctx context.Context, id record.ShardID, ops []record.Op, round int) (Reply, error) {
-	host := s.route(id)
-	if host == s.opts.Self.Host || round >= submitRounds/2 {
-		return s.serve(ctx, id, ops)
+// exhausted reports whether all hosts that may own the shard have failed.
+func (s *Service) exhausted(id record.ShardID, tried map[record.HostID]bool) bool {
+	for _, host := range s.ranked(id) {
+		if !tried[host] {
+			return false
+		}
 	}
-	reply, err := s.ask(ctx, host, id, ops)
-	switch {
-	case err == nil:
-		return reply, nil
-	case errors.Is(err, errPeer) && ctx.Err() == nil:
+	return tried[s.opts.Self.Host]
+}
+
+// once submits to the host that should own the shard. Hosts that fail are added
+// to tried; the last resort is this host itself.
+func (s *Service) once(ctx context.Context, id record.ShardID, ops []record.Op, tried map[record.HostID]bool) (Reply, error) {
+	host := s.route(id, tried)
+	if host == s.opts.Self.Host {
+		reply, err := s.serve(ctx, id, ops)
+		if err != nil {
+			tried[host] = true
+		}
+		return reply, err
+	}
+	reply, err := s.ask(ctx, host, id, ops, tried)
+	if errors.Is(err, errPeer) && ctx.Err() == nil {
+		tried[host] = true
 		s.setAvoid(host)
 		s.clearHint(id)
 		s.opts.Logger.Info("owner unreachable", "shard", id, "host", host, "error", err.Error())
 		pause(ctx, s.jitter(s.opts.TakeoverWait))
 	}
-	return Reply{}, err
+	return reply, err
 }
 
 func pickOps(ops []record.Op, open []int) []record.Op {
@@ -109,12 +126,12 @@
 var errPeer = errors.New("shard: host failed")
 
 // ask submits to another host.
-func (s *Service) ask(ctx context.Context, host record.HostID, id record.ShardID, ops []record.Op) (Reply, error) {
+func (s *Service) ask(ctx context.Context, host record.HostID, id record.ShardID, ops []record.Op, tried map[record.HostID]bool) (Reply, error) {
 	client, ok := s.opts.View.Client(host)
 	if !ok {
 		return Reply{}, fmt.Errorf("%w: %s is not known", errPeer, host)
 	}
-	req := &peerpb.SubmitRequest{Shard: uint32(id)}
+	req := &peerpb.SubmitRequest{Shard: uint32(id), Avoid: s.unusable(tried)}
 	for i := range ops {
 		data, err := record.EncodeOp(&ops[i])
 		if err != nil {
@@ -134,3 +151,21 @@
 	}
 	return decodeReply(res.Msg, len(ops))
 }
+
+// unusable lists the hosts that this host could not use as owners lately.
+func (s *Service) unusable(tried map[record.HostID]bool) []string {
+	now := time.Now()
+	list := make([]string, 0, len(tried))
+	for host := range tried {
+		list = append(list, string(host))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for host, until := range s.avoid {
+		if now.Before(until) && !tried[host] {
+			list = append(list, string(host))
+		}
+	}
+	slices.Sort(list)
+	return list
+}
