Hand requests to the host that holds their budget

Cause: a host whose grant is used up refused requests although another host in reach held enough of the budget. Change: the peer call Forward runs a request for another host; the gateway uses it before it refuses for the budget. A made ID that was used for another body is refused as such. Conclusion: such a request is refused only if no holder in reach takes it.

--- a/fleet/gateway/auth.go
+++ b/fleet/gateway/auth.go
@@ -21,6 +21,9 @@
 type caller struct {
 	account  *settings.Account
 	settings *settings.Resolved
+	// forwarded is true if another host has authenticated the caller and handed
+	// its request on.
+	forwarded bool
 }
 
 type callerHandler func(w http.ResponseWriter, r *http.Request, c caller)
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/hazelworks/hazelworks/core/statechart"
 	"github.com/hazelworks/hazelworks/fleet/bank"
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
 	"github.com/hazelworks/hazelworks/fleet/problem"
 	"github.com/hazelworks/hazelworks/fleet/request"
 	"github.com/hazelworks/hazelworks/fleet/stream"
@@ -66,6 +67,8 @@
 	// ticket is true if this host has made the ID.
 	ticket bool
 	work   work
+	// forward is the request for another host, or nil if it must run here.
+	forward *peerpb.ForwardRequest
 	// priority is passed on to the picker.
 	priority    int
 	reservation bank.Reservation
@@ -153,8 +156,11 @@
 }
 
 func (c *call) execute(ctx context.Context) stream.End {
-	if p := c.reserve(ctx); p != nil {
-		return c.giveUp(p)
+	if err := c.reserve(ctx); err != nil {
+		if end, ok := c.forwardToHolder(ctx, err); ok {
+			return end
+		}
+		return c.giveUp(reserveProblem(ctx, err))
 	}
 	if c.claims {
 		end, won := c.claim(ctx)
@@ -201,7 +207,7 @@
 	}
 }
 
-func (c *call) reserve(ctx context.Context) *problem.Problem {
+func (c *call) reserve(ctx context.Context) error {
 	amount := c.work.bound()
 	if amount > 0 {
 		wait := defaultRefusalWait
@@ -210,7 +216,7 @@
 		}
 		res, err := c.g.opts.Reserver.Reserve(ctx, c.req.Budget, c.req.Key(), amount, wait)
 		if err != nil {
-			return reserveProblem(ctx, err)
+			return err
 		}
 		c.reservation = res
 	}
--- a/fleet/gateway/fakes_test.go
+++ b/fleet/gateway/fakes_test.go
@@ -31,6 +31,7 @@
 	// finishDelay is how long an outcome takes to be recorded.
 	finishDelay time.Duration
 	reserved    int // open reservations
+	holders     []record.Holder
 }
 
 func newFakeBank(amount record.Tokens) *fakeBank {
@@ -45,7 +46,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if amount > b.left {
-		return nil, &bank.RefusedError{Budget: id, Wanted: amount, Available: b.left}
+		return nil, &bank.RefusedError{Budget: id, Wanted: amount, Available: b.left, Holders: b.holders}
 	}
 	b.left -= amount
 	b.reserved++
--- a/fleet/gateway/fetch.go
+++ b/fleet/gateway/fetch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -49,18 +50,24 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := newWatch(g.limits.PeerTimeout, func() { cancel(errPeerSilent) })
 	events, err := client.Answer(ctx, connect.NewRequest(&peerpb.AnswerRequest{Account: account, RequestId: id, From: from}))
+	r := &remote{host: host, events: events, watch: w, cancel: cancel}
+	return r, r.first(g.limits.Heartbeat, err) == nil
+}
+
+// first waits for the first message of a host, which comes at once.
+func (r *remote) first(heartbeat time.Duration, err error) error {
 	if err != nil {
-		w.stop()
-		cancel(nil)
-		return nil, false
+		r.watch.stop()
+		r.cancel(nil)
+		return err
 	}
-	r := &remote{host: host, events: events, watch: w, cancel: cancel}
-	if !events.Receive() {
+	if !r.events.Receive() {
+		err := r.events.Err()
 		r.close()
-		return nil, false
+		return cmp.Or(err, errPeerSilent)
 	}
-	w.setIdle(silentHeartbeats * g.limits.Heartbeat)
-	return r, true
+	r.watch.setIdle(silentHeartbeats * heartbeat)
+	return nil
 }
 
 // pump copies the answer into a buffer until its end or until the peer is lost.
@@ -168,7 +175,10 @@
 	replies := make(chan *remote, len(hosts))
 	for _, host := range hosts {
 		go func() {
-			r, _ := g.open(ctx, host, account, id, from)
+			r, ok := g.open(ctx, host, account, id, from)
+			if !ok {
+				r = nil
+			}
 			replies <- r
 		}()
 	}
--- a/fleet/gateway/handlers.go
+++ b/fleet/gateway/handlers.go
@@ -93,45 +93,47 @@
 		g.refuse(w, r, p)
 		return
 	}
-	if p := g.chat(w, r, c, body); p != nil {
+	req, m, p := g.startChat(r, c, body)
+	if p != nil {
 		body.free()
 		g.refuse(w, r, p)
+		return
 	}
+	g.serve(w, r, req, 0, m)
 }
 
-// chat starts or finds a chat completion and serves its answer. A problem is
-// returned if nothing was started.
-func (g *Gateway) chat(w http.ResponseWriter, r *http.Request, c caller, body heldBody) *problem.Problem {
+// startChat starts or finds a chat completion. Its body is freed by the caller
+// if a problem is returned.
+func (g *Gateway) startChat(r *http.Request, c caller, body heldBody) (*request.Request, mode, *problem.Problem) {
 	chat, err := request.ParseChat(body.data)
 	if err != nil {
-		return badRequest("%v", err)
+		return nil, 0, badRequest("%v", err)
 	}
 	svc, p := chatService(r, c, chat)
 	if p != nil {
-		return p
+		return nil, 0, p
 	}
 	if limit := orDefault(svc.MaxBodyBytes, defaultServiceBody); int64(len(body.data)) > limit {
-		return tooLarge(limit)
+		return nil, 0, tooLarge(limit)
 	}
 	in, p := g.readIncoming(r, svc)
 	if p != nil {
-		return p
+		return nil, 0, p
 	}
 	spec := c.spec(in, svc)
 	spec.Model = chat.Model
 	spec.Fingerprint = sha256.Sum256(append([]byte("chat\x00"+svc.Name+"\x00"), body.data...))
 	req, p := g.start(c, in, svc, spec, body.free, func(cl *call) (work, error) {
+		cl.forward = forwardOf(r, c, in.id, body.data)
 		return newModelWork(cl, chat)
 	})
 	if p != nil {
-		return p.WithRequestID(in.id)
+		return nil, 0, p.WithRequestID(in.id)
 	}
-	mode := modeWhole
 	if chat.Stream {
-		mode = modeEvents
+		return req, modeEvents, nil
 	}
-	g.serve(w, r, req, 0, mode)
-	return nil
+	return req, modeWhole, nil
 }
 
 // chatService finds the service of a chat completion by header or model.
@@ -201,8 +203,8 @@
 // called when its body is no longer needed, unless a problem is returned.
 func (g *Gateway) start(c caller, in incoming, svc *settings.Service, spec request.Spec, free func(), build func(*call) (work, error)) (*request.Request, *problem.Problem) {
 	maker, made := request.MadeBy(in.id)
-	if in.chosen && made && !g.tickets.Take(c.account.ID, in.id) {
-		return g.find(c, in.id, maker, free)
+	if in.chosen && made && !c.forwarded && !g.tickets.Take(c.account.ID, in.id) {
+		return g.find(c, spec, maker, free)
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	ctx, stop := context.WithTimeoutCause(ctx, in.timeout, errDeadline)
@@ -214,7 +216,7 @@
 		stop()
 		return nil, problem.New(http.StatusInternalServerError, problem.CodeInternal, "%v", err)
 	}
-	cl.ticket = made
+	cl.ticket = made && !c.forwarded
 	req, started, err := g.table.Begin(spec, func() *request.Request { return cl.req })
 	if err != nil {
 		stop()
@@ -238,8 +240,12 @@
 
 // find returns the request with an ID that a host has made, here or there. It is
 // not run, since only the host that has made the ID may run it, once.
-func (g *Gateway) find(c caller, id string, maker record.HostID, free func()) (*request.Request, *problem.Problem) {
+func (g *Gateway) find(c caller, spec request.Spec, maker record.HostID, free func()) (*request.Request, *problem.Problem) {
+	id := spec.ID
 	req, ok := g.table.Lookup(c.account.ID, id)
+	if ok && req.Fingerprint != spec.Fingerprint {
+		return nil, beginProblem(request.ErrIDReused)
+	}
 	if !ok && maker != g.opts.Self.Host {
 		req, ok = g.fetchFrom(maker, c.account, id)
 	}
@@ -260,28 +266,44 @@
 
 // servePlain passes a call on to a plain service.
 func (g *Gateway) servePlain(w http.ResponseWriter, r *http.Request, c caller) {
-	if p := g.plain(w, r, c); p != nil {
+	svc, p := plainService(c, r.PathValue("firm"), r.PathValue("service"))
+	if p != nil {
 		g.refuse(w, r, p)
+		return
 	}
+	body, free, p := g.callBody(w, r, svc)
+	if p != nil {
+		g.refuse(w, r, p)
+		return
+	}
+	defer body.detach()
+	req, p := g.startPlain(r, c, svc, body, free)
+	if p != nil {
+		free()
+		g.refuse(w, r, p)
+		return
+	}
+	g.serve(w, r, req, 0, modeWhole)
 }
 
-func (g *Gateway) plain(w http.ResponseWriter, r *http.Request, c caller) *problem.Problem {
-	svc, p := serviceByName(c.settings, c.account, r.PathValue("firm")+"/"+r.PathValue("service"))
+func plainService(c caller, firm, name string) (*settings.Service, *problem.Problem) {
+	svc, p := serviceByName(c.settings, c.account, firm+"/"+name)
 	if p != nil {
-		return p
+		return nil, p
 	}
 	if svc.Kind != settings.ServicePlain {
-		return problem.New(http.StatusNotFound, problem.CodeUnknownService, "service %q is not a plain service", svc.Name)
+		return nil, problem.New(http.StatusNotFound, problem.CodeUnknownService, "service %q is not a plain service", svc.Name)
 	}
+	return svc, nil
+}
+
+// startPlain starts or finds a plain call. Its body is freed by the caller if a
+// problem is returned.
+func (g *Gateway) startPlain(r *http.Request, c caller, svc *settings.Service, body *callBody, free func()) (*request.Request, *problem.Problem) {
 	in, p := g.readIncoming(r, svc)
 	if p != nil {
-		return p
-	}
-	body, free, p := g.callBody(w, r, svc)
-	if p != nil {
-		return p
+		return nil, p
 	}
-	defer body.detach()
 	pw := &plainWork{
 		method:  r.Method,
 		target:  targetOf(r),
@@ -293,14 +315,15 @@
 	spec.Fingerprint = pw.fingerprint()
 	req, p := g.start(c, in, svc, spec, free, func(cl *call) (work, error) {
 		pw.c = cl
+		if body.rest == nil {
+			cl.forward = forwardOf(r, c, in.id, body.held)
+		}
 		return pw, nil
 	})
 	if p != nil {
-		free()
-		return p.WithRequestID(in.id)
+		return nil, p.WithRequestID(in.id)
 	}
-	g.serve(w, r, req, 0, modeWhole)
-	return nil
+	return req, nil
 }
 
 // fingerprint covers the method, the target, the held part of the body and its
--- a/fleet/gateway/peer.go
+++ b/fleet/gateway/peer.go
@@ -43,16 +43,21 @@
 	if !ok {
 		return connect.NewError(connect.CodeNotFound, errors.New("the request is not known here"))
 	}
+	if err := out.Send(&peerpb.AnswerEvent{Index: r.Msg.GetFrom()}); err != nil {
+		return err
+	}
+	return g.serveAnswer(ctx, req, r.Msg.GetFrom(), out)
+}
+
+// serveAnswer sends an answer to another host, from an event on.
+func (g *Gateway) serveAnswer(ctx context.Context, req *request.Request, from uint64, out *connect.ServerStream[peerpb.AnswerEvent]) error {
 	req.CallerBack()
-	cursor := req.Answer.Attach(r.Msg.GetFrom())
+	cursor := req.Answer.Attach(from)
 	defer func() {
 		if cursor.Close() == 0 {
 			req.CallerGone(g.limits.Grace, errCallerGone)
 		}
 	}()
-	if err := out.Send(&peerpb.AnswerEvent{Index: cursor.Index()}); err != nil {
-		return err
-	}
 	return g.sendAnswer(ctx, req, cursor, out)
 }
 
@@ -74,7 +79,8 @@
 		case stream.Trimmed:
 			return connect.NewError(connect.CodeOutOfRange, errors.New("the event is no longer kept"))
 		case stream.Ended:
-			return out.Send(lastMessage(index, req))
+			end, _ := req.Answer.Ended()
+			return out.Send(lastMessage(index, end))
 		case stream.Pending:
 			err = g.awaitChange(ctx, cursor, out)
 		}
@@ -120,8 +126,7 @@
 	return head
 }
 
-func lastMessage(index uint64, req *request.Request) *peerpb.AnswerEvent {
-	end, _ := req.Answer.Ended()
+func lastMessage(index uint64, end stream.End) *peerpb.AnswerEvent {
 	m := endMessage{Problem: end.Problem, Usage: end.Usage, Billed: end.Billed, Cut: end.Cut}
 	if end.Problem != nil {
 		m.Code = end.Problem.Code
--- a/fleet/gateway/resume_test.go
+++ b/fleet/gateway/resume_test.go
@@ -242,6 +242,10 @@
 	return s.Gateway.Answer(ctx, r, out)
 }
 
+func (s answerServer) Forward(ctx context.Context, r *connect.Request[peerpb.ForwardRequest], out *connect.ServerStream[peerpb.AnswerEvent]) error {
+	return s.Gateway.Forward(ctx, r, out)
+}
+
 // pair starts a second host that knows the first as its peer.
 func (f *fixture) pair(limits Limits) (*Gateway, *http.Client) {
 	_, handler := peerpbconnect.NewPeerServiceHandler(answerServer{Gateway: f.gateway})
--- a/fleet/peer/server.go
+++ b/fleet/peer/server.go
@@ -39,9 +39,10 @@
 	Settings(context.Context, *connect.Request[peerpb.SettingsRequest]) (*connect.Response[peerpb.SettingsResponse], error)
 }
 
-// AnswerServer serves kept answers. Package gateway implements it.
+// AnswerServer serves kept answers and runs requests for other hosts. Package gateway implements it.
 type AnswerServer interface {
 	Answer(context.Context, *connect.Request[peerpb.AnswerRequest], *connect.ServerStream[peerpb.AnswerEvent]) error
+	Forward(context.Context, *connect.Request[peerpb.ForwardRequest], *connect.ServerStream[peerpb.AnswerEvent]) error
 }
 
 // Services are the parts of a host that answer its peers.
@@ -93,6 +94,11 @@
 	return s.AnswerServer.Answer(ctx, r, out)
 }
 
+// Forward runs a request for another host.
+func (s server) Forward(ctx context.Context, r *connect.Request[peerpb.ForwardRequest], out *connect.ServerStream[peerpb.AnswerEvent]) error {
+	return s.AnswerServer.Forward(ctx, r, out)
+}
+
 // NewHandler returns the HTTP handler of a host's peer address. Calls without
 // the secret get status 401.
 func NewHandler(services Services, secret string) http.Handler {
--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -23,6 +23,7 @@
 const (
 	EventReserve    statechart.Event = "reserve"
 	EventClaim      statechart.Event = "claim"
+	EventForward    statechart.Event = "forward"
 	EventLoseClaim  statechart.Event = "lose-claim"
 	EventPick       statechart.Event = "pick"
 	EventSend       statechart.Event = "send"
--- a/fleet/request/request_test.go
+++ b/fleet/request/request_test.go
@@ -20,7 +20,7 @@
 // TestNotRunIsNeverSaidAfterAStart walks every path of the chart: once a
 // request may have run, "not-run" must be out of reach.
 func TestNotRunIsNeverSaidAfterAStart(t *testing.T) {
-	events := []statechart.Event{EventReserve, EventClaim, EventLoseClaim, EventPick, EventSend, EventBegin,
+	events := []statechart.Event{EventReserve, EventClaim, EventForward, EventLoseClaim, EventPick, EventSend, EventBegin,
 		EventFinish, EventNotStarted, EventLose, EventResume, EventRefuse, EventGiveUp}
 	seen := map[string]bool{}
 	ended := 0
