--- /dev/null
+++ b/fleet/bank/bankadmin/state.go
@@ -0,0 +1,271 @@
+package bankadmin
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/bank"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/shard"
+)
+
+const (
+	// holdingsTimeout bounds the question to one host what it holds.
+	holdingsTimeout = 2 * time.Second
+	// parallel bounds the hosts and shards that are asked at once.
+	parallel = 16
+)
+
+// ParseHolder parses the form host/incarnation.
+func ParseHolder(text string) (record.Holder, error) {
+	host, number, ok := strings.Cut(text, "/")
+	incarnation, err := strconv.ParseUint(number, 10, 64)
+	if !ok || host == "" || err != nil {
+		return record.Holder{}, fmt.Errorf("holder %q has not the form host/incarnation", text)
+	}
+	return record.Holder{Host: record.HostID(host), Incarnation: record.Incarnation(incarnation)}, nil
+}
+
+// answer is what a host says that it holds.
+type answer struct {
+	reached     bool
+	incarnation record.Incarnation
+	held        map[record.BudgetID]bank.Held
+}
+
+// of returns what a holder has of a budget and whether it answers.
+func (a answer) of(holder record.Holder, budget record.BudgetID) (bank.Held, HolderState) {
+	switch {
+	case !a.reached:
+		return bank.Held{}, HolderUnreachable
+	case a.incarnation != holder.Incarnation:
+		return bank.Held{}, HolderGone
+	default:
+		return a.held[budget], HolderLive
+	}
+}
+
+// ask asks a host what it holds of one budget, or of all if budget is empty.
+func (a *API) ask(ctx context.Context, host record.HostID, budget record.BudgetID) answer {
+	self := a.opts.View.Self()
+	if host == self.Host {
+		return newAnswer(self.Incarnation, a.opts.Bank.Held(budget))
+	}
+	client, ok := a.opts.View.Client(host)
+	if !ok {
+		return answer{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdingsTimeout)
+	defer cancel()
+	res, err := client.Holdings(ctx, connect.NewRequest(&peerpb.HoldingsRequest{Budget: string(budget)}))
+	if err != nil {
+		return answer{}
+	}
+	var held []bank.Held
+	for _, b := range res.Msg.GetBudgets() {
+		held = append(held, bank.Held{
+			Budget:     record.BudgetID(b.GetBudget()),
+			Reserved:   record.Tokens(b.GetReserved()),
+			Free:       record.Tokens(b.GetFree()),
+			Unreported: record.Tokens(b.GetUnreported()),
+		})
+	}
+	return newAnswer(record.Incarnation(res.Msg.GetIncarnation()), held)
+}
+
+func newAnswer(incarnation record.Incarnation, list []bank.Held) answer {
+	a := answer{reached: true, incarnation: incarnation, held: make(map[record.BudgetID]bank.Held, len(list))}
+	for _, h := range list {
+		a.held[h.Budget] = h
+	}
+	return a
+}
+
+// survey collects what hosts hold, asking each once.
+type survey struct {
+	api    *API
+	budget record.BudgetID
+
+	mu      sync.Mutex
+	answers map[record.HostID]answer
+}
+
+func (a *API) newSurvey(budget record.BudgetID) *survey {
+	return &survey{api: a, budget: budget, answers: make(map[record.HostID]answer)}
+}
+
+// askAll asks the hosts of all holders that have something outstanding.
+func (s *survey) askAll(ctx context.Context, holders []ledger.HolderState) {
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	asked := make(map[record.HostID]bool)
+	for _, h := range holders {
+		host := h.Holder.Host
+		if asked[host] || h.Outstanding == 0 || s.knows(host) {
+			continue
+		}
+		asked[host] = true
+		group.Go(func() error {
+			found := s.api.ask(ctx, host, s.budget)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.answers[host] = found
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+}
+
+func (s *survey) knows(host record.HostID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.answers[host]
+	return ok
+}
+
+// holder describes one holder of a budget.
+func (s *survey) holder(budget record.BudgetID, h *ledger.HolderState) Holder {
+	out := Holder{Holder: h.Holder.String(), Granted: h.Outstanding, LastReportMillis: h.LastReportMillis}
+	switch {
+	case h.Closed:
+		out.State = HolderClosed
+	case h.Released:
+		out.State = HolderReleased
+	default:
+		held, state := s.answers[h.Holder.Host].of(h.Holder, budget)
+		out.State = state
+		out.Reserved = min(held.Reserved, h.Outstanding)
+		if state == HolderLive {
+			out.Free = h.Outstanding - out.Reserved
+		}
+	}
+	return out
+}
+
+// describe sums up a budget.
+func (s *survey) describe(b *settings.Budget, id record.ShardID, state *shard.State) Budget {
+	amounts, _ := state.Fold.Ledger().Budget(b.ID)
+	out := Budget{
+		ID: b.ID, Firm: b.Firm, Shard: id, Prepaid: amounts.Prepaid, Settled: amounts.Settled,
+		Available: amounts.Available, Unbilled: amounts.Unbilled, Duplicates: amounts.Duplicates,
+		Offset: state.Fold.Offset(), Fresh: state.Fresh,
+	}
+	for _, h := range state.Fold.Ledger().Holders(b.ID) {
+		if h.Outstanding == 0 {
+			continue
+		}
+		out.Holders++
+		line := s.holder(b.ID, &h)
+		out.Reserved += line.Reserved
+		out.Free += line.Free
+		out.Stranded += line.Granted - line.Reserved - line.Free
+	}
+	out.Difference = out.Prepaid - out.Settled - out.Reserved - out.Free - out.Stranded - out.Available
+	return out
+}
+
+func (a *API) show(w http.ResponseWriter, r *http.Request) {
+	b, id, p := a.budget(r)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	state, p := a.state(r.Context(), id)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	s := a.newSurvey(b.ID)
+	s.askAll(r.Context(), state.Fold.Ledger().Holders(b.ID))
+	writeJSON(w, s.describe(&b, id, &state))
+}
+
+func (a *API) holders(w http.ResponseWriter, r *http.Request) {
+	b, id, p := a.budget(r)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	state, p := a.state(r.Context(), id)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	holders := state.Fold.Ledger().Holders(b.ID)
+	s := a.newSurvey(b.ID)
+	s.askAll(r.Context(), holders)
+	list := HolderList{Budget: b.ID, Holders: []Holder{}}
+	for i := range holders {
+		list.Holders = append(list.Holders, s.holder(b.ID, &holders[i]))
+	}
+	writeJSON(w, list)
+}
+
+func (a *API) state(ctx context.Context, id record.ShardID) (shard.State, *problem.Problem) {
+	state, err := a.opts.Shards.State(ctx, id)
+	if err != nil {
+		return state, problem.New(http.StatusServiceUnavailable, problem.CodeInternal, "shard %d can't be read: %v", id, err)
+	}
+	return state, nil
+}
+
+func (a *API) list(w http.ResponseWriter, r *http.Request) {
+	current := a.opts.Settings.Current()
+	if current == nil || current.Shards == 0 {
+		problem.New(http.StatusServiceUnavailable, problem.CodeNotReady, "the settings are not known yet").Write(w)
+		return
+	}
+	byShard := make(map[record.ShardID][]*settings.Budget)
+	for i := range current.Budgets {
+		id := record.ShardOf(current.Budgets[i].ID, current.Shards)
+		byShard[id] = append(byShard[id], &current.Budgets[i])
+	}
+	list := BudgetList{Budgets: []Budget{}}
+	s := a.newSurvey("")
+	for id, found := range a.states(r.Context(), byShard, &list) {
+		for _, b := range byShard[id] {
+			s.askAll(r.Context(), found.Fold.Ledger().Holders(b.ID))
+			list.Budgets = append(list.Budgets, s.describe(b, id, &found))
+		}
+	}
+	slices.SortFunc(list.Budgets, func(a, b Budget) int { return cmp.Compare(a.ID, b.ID) })
+	writeJSON(w, list)
+}
+
+// states reads the shards in parallel; failures go to the list.
+func (a *API) states(ctx context.Context, wanted map[record.ShardID][]*settings.Budget, list *BudgetList) map[record.ShardID]shard.State {
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	var mu sync.Mutex
+	found := make(map[record.ShardID]shard.State, len(wanted))
+	for id := range wanted {
+		group.Go(func() error {
+			state, err := a.opts.Shards.State(ctx, id)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				list.Errors = append(list.Errors, fmt.Sprintf("shard %d: %v", id, err))
+				return nil
+			}
+			found[id] = state
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+	slices.Sort(list.Errors)
+	return found
+}
--- /dev/null
+++ b/fleet/shard/state.go
@@ -0,0 +1,59 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/shardfold"
+)
+
+// State is a copy of a shard's fold.
+type State struct {
+	Fold *shardfold.Fold
+	// Host is the host whose copy it is.
+	Host record.HostID
+	// Fresh is false if the copy may lag behind the log, as in an outage.
+	Fresh bool
+}
+
+// State returns the owner's copy of a shard, or this host's own if the owner
+// can't be asked.
+func (s *Service) State(ctx context.Context, id record.ShardID) (State, error) {
+	if r, ok := s.followed(id); ok && r.owns() {
+		return s.ownState(r)
+	}
+	host := s.route(id, nil)
+	if host != s.opts.Self.Host {
+		if data, err := s.peerState(ctx, host, id); err == nil {
+			fold, err := shardfold.Restore(data)
+			return State{Fold: fold, Host: host, Fresh: true}, err
+		}
+	}
+	r, err := s.replica(id)
+	if err != nil {
+		return State{}, err
+	}
+	r.touch(time.Now())
+	if err := s.waitLoaded(ctx, r); err != nil && r.offset() == 0 {
+		return State{}, err
+	}
+	return s.ownState(r)
+}
+
+func (s *Service) ownState(r *replica) (State, error) {
+	now := time.Now()
+	data, _, err := r.snapshot(now)
+	if err != nil {
+		return State{}, err
+	}
+	fold, err := shardfold.Restore(data)
+	return State{Fold: fold, Host: s.opts.Self.Host, Fresh: r.fresh(now)}, err
+}
+
+// fresh reports whether the end of the stream has been read lately.
+func (r *replica) fresh(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.caughtUp) < 2*r.svc.opts.PollWait
+}
