Spend less on each event, and test replays, pools and paused hosts

Cause: two tests could not fail, since another guard hid what they were for: replays by the transport, and the emptied pool. Change: both are caused directly now; a host that wakes after the deadline is tested. Events no longer allocate, and take one timer change on each side.

--- a/fleet/gateway/outcome_test.go
+++ b/fleet/gateway/outcome_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"testing"
@@ -10,7 +11,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/bank"
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/fleet/request"
 	"github.com/hazelworks/hazelworks/standin/engine"
 	"github.com/hazelworks/hazelworks/standin/plain"
 )
@@ -132,17 +135,21 @@
 
 func TestSilentPooledConnectionOfARepeatableRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, engine.Options{}, Limits{})
-		got := readEvents(t, f.send(f.client, chat("r1", chatBody("5", true))), 0)
-		got.whole(t, 0)
+		f := newFixture(t, engine.Options{TokenInterval: time.Millisecond}, Limits{})
+		// Two streams at once leave two connections in the pool.
+		one, two := f.send(f.client, chat("a", chatBody("5", true))), f.send(f.client, chat("b", chatBody("5", true)))
+		for _, resp := range []*http.Response{one, two} {
+			got := readEvents(t, resp, 0)
+			got.whole(t, 0)
+		}
 		synctest.Wait()
-		f.net.Silence("h0", "e0")
+		require.Equal(t, 4, f.net.Silence("h0", "e0"), "both ends of two connections")
 		began := time.Now()
-		got = readEvents(t, f.send(f.client, chat("r2", chatBody("5", true))), 0)
+		got := readEvents(t, f.send(f.client, chat("r2", chatBody("5", true))), 0)
 		got.whole(t, 0)
 		require.Equal(t, answerText(testAccount, "r2", 0, 5), got.text)
 		require.Less(t, time.Since(began), 4*time.Second)
-		require.True(t, f.picker.results[1].Silent)
+		require.True(t, f.picker.results[2].Silent)
 		// The pool was emptied: the next request goes the first way at once.
 		began = time.Now()
 		got = readEvents(t, f.send(f.client, chat("r3", chatBody("5", true))), 0)
@@ -151,6 +158,34 @@
 	})
 }
 
+// TestTransportDoesNotReplayACall sends calls on a pooled connection that breaks
+// after the upstream has read them. net/http replays some requests by itself.
+func TestTransportDoesNotReplayACall(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodDelete, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, engine.Options{}, Limits{})
+				header := http.Header{HeaderIdempotencyKey: {"b1"}}
+				call := &call{req: request.New(request.Spec{ID: "b1"}, 0, nil)}
+				work := &plainWork{c: call, method: method, target: "/x", header: header, body: &callBody{}}
+				send := func() error {
+					req, err := work.outgoing(t.Context(), f.set.Services[1].Upstreams[0], nil)
+					require.NoError(t, err)
+					resp, err := f.picker.transports["p0"].RoundTrip(req)
+					if err == nil {
+						readBody(t, resp)
+					}
+					return err
+				}
+				require.NoError(t, send())
+				f.plain.SetFaults(plain.Faults{LoseReply: true})
+				require.Error(t, send())
+				require.Len(t, f.plain.Effects(), 2)
+			})
+		})
+	}
+}
+
 func TestClaimFailureIsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, engine.Options{}, Limits{})
@@ -268,3 +303,31 @@
 		})
 	}
 }
+
+// pausedClaimer returns its claim after a pause that outlasts every deadline, as
+// a host does that was stopped meanwhile.
+type pausedClaimer struct {
+	claimer
+	pause time.Duration
+}
+
+func (c pausedClaimer) Claim(ctx context.Context, id record.BudgetID, key record.RequestKey) (bank.Claim, error) {
+	claim, err := c.claimer.Claim(ctx, id, key)
+	time.Sleep(c.pause)
+	return claim, err
+}
+
+func TestHostThatWakesAfterTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine.Options{}, Limits{})
+		_, paused := f.host("h1", "10.0.0.2:80", func(o *Options) {
+			o.Claimer = pausedClaimer{claimer{f.bank, o.Self}, time.Hour}
+		}, Limits{})
+		resp := f.send(paused, book("b1", "x"))
+		require.Equal(t, "not-run", readProblem(t, resp).Outcome)
+		require.Empty(t, f.plain.Effects())
+		// Its claim is free again, for any host.
+		require.Equal(t, http.StatusOK, f.send(f.client, book("b1", "x")).StatusCode)
+		require.Len(t, f.plain.Effects(), 1)
+	})
+}
--- a/fleet/stream/reader.go
+++ b/fleet/stream/reader.go
@@ -39,7 +39,8 @@
 	src  *bufio.Reader
 	data []byte
 	long []byte
-	// Activity, if set, is called for every line that arrives, comments included.
+	// Activity, if set, is called for every event and comment that arrives, and
+	// for the parts of long lines.
 	Activity func()
 }
 
@@ -59,6 +60,9 @@
 		if err != nil {
 			return Message{}, endOf(err, hasData || len(line) > 0)
 		}
+		if len(line) == 0 || line[0] == ':' {
+			r.touch()
+		}
 		if len(line) == 0 {
 			if hasData {
 				m.Data = r.data
@@ -68,7 +72,7 @@
 			continue
 		}
 		name, value := splitField(line)
-		switch name {
+		switch string(name) {
 		case "data":
 			if hasData {
 				r.data = append(r.data, '\n')
@@ -99,7 +103,6 @@
 func (r *Reader) line() ([]byte, error) {
 	part, err := r.src.ReadSlice('\n')
 	if err == nil {
-		r.touch()
 		return trimEnd(part), nil
 	}
 	r.long = append(r.long[:0], part...)
@@ -114,7 +117,6 @@
 	if err != nil {
 		return r.long, err
 	}
-	r.touch()
 	return trimEnd(r.long), nil
 }
 
@@ -130,8 +132,7 @@
 }
 
 // splitField returns the name and value of a line; a comment has no name.
-func splitField(line []byte) (string, []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	value = bytes.TrimPrefix(value, []byte(" "))
-	return string(name), value
+func splitField(line []byte) (name, value []byte) {
+	name, value, _ = bytes.Cut(line, []byte(":"))
+	return name, bytes.TrimPrefix(value, []byte(" "))
 }
--- a/fleet/stream/writer.go
+++ b/fleet/stream/writer.go
@@ -16,6 +16,8 @@
 	ctrl    *http.ResponseController
 	timeout time.Duration
 	line    []byte
+	// bounded is true while the deadline of the next flush is set.
+	bounded bool
 }
 
 // NewWriter returns a writer whose flushes take at most timeout.
@@ -47,6 +49,7 @@
 
 // Flush sends what is buffered.
 func (w *Writer) Flush() error {
+	w.bounded = false
 	return w.ctrl.Flush()
 }
 
@@ -57,8 +60,11 @@
 
 func (w *Writer) write() error {
 	// The deadline also covers writes that fill the response's own buffer.
-	if err := w.ctrl.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
-		return err
+	if !w.bounded {
+		if err := w.ctrl.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+			return err
+		}
+		w.bounded = true
 	}
 	_, err := w.w.Write(w.line)
 	return err
