--- /dev/null
+++ b/core/claim/claim_test.go
@@ -0,0 +1,117 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+var (
+	hostA = record.Holder{Host: "a", Incarnation: 1}
+	hostB = record.Holder{Host: "b", Incarnation: 1}
+)
+
+func claimOp(h record.Holder, number uint32) *record.Op {
+	return &record.Op{Kind: record.KindClaim, Key: 1, Holder: &h, Attempt: number}
+}
+
+func outcomeOp(h record.Holder, number uint32, outcome record.Outcome, detail string) *record.Op {
+	return &record.Op{Kind: record.KindOutcome, Key: 1, Holder: &h, Attempt: number, Outcome: outcome, Detail: []byte(detail)}
+}
+
+func TestFirstClaimWins(t *testing.T) {
+	f := New(Options{MaxDetail: 4})
+	require.Equal(t, ledger.ReasonStaleEpoch, f.Apply(claimOp(hostA, 1), false).Reason)
+	res := f.Apply(claimOp(hostB, 1), true)
+	require.True(t, res.Won, "a void claim is no claim")
+	res = f.Apply(claimOp(hostA, 2), true)
+	require.False(t, res.Won)
+	require.Equal(t, ledger.ReasonTaken, res.Reason)
+	require.Equal(t, hostB, *res.Winner)
+	require.Equal(t, ledger.ReasonTaken, f.Apply(claimOp(hostB, 2), true).Reason, "another attempt is another claim")
+	res = f.Apply(claimOp(hostB, 1), false)
+	require.True(t, res.Won, "a repeated claim is the same claim, under any epoch")
+	require.False(t, res.Applied)
+
+	require.Equal(t, ledger.ReasonNotWinner, f.Apply(outcomeOp(hostA, 2, record.OutcomeAnswered, ""), true).Reason)
+	require.Equal(t, ledger.ReasonInvalid, f.Apply(outcomeOp(hostB, 1, record.OutcomePending, ""), true).Reason)
+	require.True(t, f.Apply(outcomeOp(hostB, 1, record.OutcomeAnswered, "cut"), false).Applied)
+	res = f.Apply(outcomeOp(hostB, 1, record.OutcomeUnknown, "late"), true)
+	require.Equal(t, ledger.ReasonDuplicate, res.Reason)
+	state, ok := f.Get(1)
+	require.True(t, ok)
+	require.Equal(t, State{Winner: hostB, Attempt: 1, Outcome: record.OutcomeAnswered, Detail: []byte("cut")}, state)
+}
+
+func TestRequestThatDidNotRunMayBeClaimedAgain(t *testing.T) {
+	f := New(Options{MaxDetail: 4})
+	f.Apply(claimOp(hostA, 1), true)
+	f.Apply(outcomeOp(hostA, 1, record.OutcomeNotRun, "too long"), true)
+	state, _ := f.Get(1)
+	require.Empty(t, state.Detail, "a detail above the bound is dropped")
+	require.True(t, f.Apply(claimOp(hostB, 1), true).Won)
+	f.Apply(outcomeOp(hostB, 1, record.OutcomeNotRun, ""), true)
+	require.False(t, f.Apply(claimOp(hostA, 1), true).Won, "a late copy of an ended claim wins nothing")
+	require.True(t, f.Apply(claimOp(hostA, 2), true).Won)
+}
+
+func TestClaimsAreForgottenPastRetention(t *testing.T) {
+	f := New(Options{})
+	f.Advance(1)
+	f.Apply(claimOp(hostA, 1), true)
+	f.Advance((23 * time.Hour).Milliseconds())
+	require.Equal(t, 1, f.Len())
+	f.Apply(outcomeOp(hostA, 1, record.OutcomeAnswered, ""), true)
+	f.Advance((46 * time.Hour).Milliseconds())
+	require.Equal(t, 1, f.Len(), "the outcome counts as well")
+	f.Advance((48 * time.Hour).Milliseconds())
+	require.Zero(t, f.Len())
+}
+
+// TestAtMostOneRun checks that at any time at most one attempt may run, and that
+// none follows one that was not ended as not run.
+func TestAtMostOneRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New(Options{})
+		running := map[attempt]bool{}
+		ran := false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			h := rapid.SampledFrom([]record.Holder{hostA, hostB}).Draw(t, "holder")
+			mine := attempt{holder: h, number: rapid.Uint32Range(1, 4).Draw(t, "attempt")}
+			if rapid.Bool().Draw(t, "claim") {
+				res := f.Apply(claimOp(h, mine.number), rapid.Bool().Draw(t, "current"))
+				if res.Applied && (ran || len(running) > 0) {
+					t.Fatalf("%v may run beside %v, ran %v", mine, running, ran)
+				}
+				if res.Applied {
+					running[mine] = true
+				}
+			} else if running[mine] {
+				outcome := record.Outcome(rapid.IntRange(1, 3).Draw(t, "outcome"))
+				f.Apply(outcomeOp(h, mine.number, outcome, ""), false)
+				delete(running, mine)
+				ran = ran || outcome != record.OutcomeNotRun
+			}
+			data, err := f.Snapshot()
+			require.NoError(t, err)
+			f, err = Restore(data)
+			require.NoError(t, err)
+		}
+	})
+}
+
+func TestRestoreRefusesWhatIsNoSnapshot(t *testing.T) {
+	_, err := Restore([]byte{0xff})
+	require.ErrorIs(t, err, ErrSnapshotInvalid)
+	twice := snapshot{Claims: []claimImage{{Key: 1}, {Key: 1}}}
+	data, err := cbor.Marshal(twice)
+	require.NoError(t, err)
+	_, err = Restore(data)
+	require.ErrorIs(t, err, ErrSnapshotInvalid)
+}
--- a/core/ledger/fold_test.go
+++ b/core/ledger/fold_test.go
@@ -168,3 +168,14 @@
 	require.Equal(t, GapError{Want: 2, Got: 3}, *gap)
 	s.requireBudget(0, 0, 100, 0)
 }
+
+func TestRepeatedEpochRecordTakesNothingOver(t *testing.T) {
+	s := newScript(t, Options{})
+	s.own(hostA)
+	s.own(hostB)
+	epoch := s.fold.Epoch()
+	s.seq = 0
+	require.Equal(t, ReasonDuplicate, s.write(hostA, 0, record.Op{Kind: record.KindEpoch})[0].Reason)
+	require.Equal(t, epoch, s.fold.Epoch())
+	require.Equal(t, hostB, s.fold.Owner())
+}
--- a/core/shardfold/shardfold_test.go
+++ b/core/shardfold/shardfold_test.go
@@ -82,3 +82,50 @@
 	require.False(t, res.Applied)
 	return res
 }
+
+func TestUnknownKindsHaveNoEffect(t *testing.T) {
+	f := New(Options{})
+	before, err := f.Snapshot(time.UnixMilli(0))
+	require.NoError(t, err)
+	require.NotEmpty(t, before)
+	res, err := f.Apply(entry(t, 1, &record.Batch{Writer: hostA, Ops: []record.Op{
+		{Kind: 77, Budget: "m", Holder: &hostB, Amount: 5}, {Kind: record.KindTopUp, Budget: "m", ID: "t", Amount: 5}}}))
+	require.NoError(t, err)
+	require.Equal(t, ledger.ReasonUnknownKind, res[0].Reason)
+	require.True(t, res[1].Applied, "the operations beside it hold")
+	require.Empty(t, f.Ledger().Holders("m"))
+}
+
+// FuzzRestore shows that no input breaks Restore, and that what it accepts adds
+// up and is written again as the same state.
+func FuzzRestore(f *testing.F) {
+	fold := New(Options{})
+	h := hostA
+	ops := []record.Op{{Kind: record.KindTopUp, Budget: "m", ID: "t", Amount: 9},
+		{Kind: record.KindClaim, Key: 4, Holder: &h, Attempt: 1},
+		{Kind: record.KindGrant, Budget: "m", Holder: &h, Seq: 1, Amount: 5},
+		{Kind: record.KindReport, Holder: &h, Report: &record.Report{Seq: 1, Settlements: []record.Settlement{{Budget: "m", Key: 3, Cost: 2}}}}}
+	for i, batch := range []*record.Batch{{Writer: h, Ops: []record.Op{{Kind: record.KindEpoch}}}, {Writer: h, Epoch: 1, Ops: ops}} {
+		data, err := record.EncodeBatch(batch)
+		require.NoError(f, err)
+		_, err = fold.Apply(record.Entry{Offset: record.Offset(i + 1), TimeMillis: 1e9, Data: data})
+		require.NoError(f, err)
+	}
+	seed, err := fold.Snapshot(time.UnixMilli(1))
+	require.NoError(f, err)
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		restored, err := Restore(data)
+		if err != nil {
+			return
+		}
+		require.NoError(t, restored.Check())
+		first, err := restored.Snapshot(time.UnixMilli(1))
+		require.NoError(t, err)
+		again, err := Restore(first)
+		require.NoError(t, err)
+		second, err := again.Snapshot(time.UnixMilli(1))
+		require.NoError(t, err)
+		require.Equal(t, first, second)
+	})
+}
