--- /dev/null
+++ b/core/route/decide.go
@@ -0,0 +1,195 @@
+package route
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/rendezvous"
+)
+
+// Reason names the rule that chose an upstream, or why none was chosen.
+type Reason string
+
+// Reasons of a decision.
+const (
+	ReasonPrefix      Reason = "prefix"       // Rendezvous hash of the leading blocks.
+	ReasonCacheHint   Reason = "cache-hint"   // Longest prefix by cache events.
+	ReasonLeastLoaded Reason = "least-loaded" // Better of two.
+	ReasonOnly        Reason = "only"         // One was free.
+	ReasonProbe       Reason = "probe"        // Trial of an upstream after ejection.
+	ReasonBusy        Reason = "busy"         // None was free.
+	ReasonNoneAble    Reason = "none-able"    // None is able.
+)
+
+// Query is what a decision needs to know of a request.
+type Query struct {
+	Need Need
+	// Prefix holds a hash of each leading block of the prompt; each covers all
+	// blocks before it.
+	Prefix []uint64
+	// Exclude lists upstreams that were tried already. They are used again only
+	// if no other is able.
+	Exclude []string
+	// NoProbe keeps the request off upstreams that are on trial, unless no
+	// other is free.
+	NoProbe bool
+}
+
+// Decision is the outcome of a choice.
+type Decision struct {
+	// Chosen is nil if no upstream was chosen.
+	Chosen *Worker
+	// Candidates is the number of upstreams that were able.
+	Candidates int
+	Reason     Reason
+}
+
+// Decide chooses an upstream that is able and free. It does not count the
+// request; the caller calls [Pool.Start].
+func (p *Pool) Decide(q *Query, now time.Time) Decision {
+	set := p.able(q.Need)
+	if len(set) == 0 {
+		return Decision{Reason: ReasonNoneAble}
+	}
+	pool, mean := p.usable(set, q.Exclude, now)
+	free, perSlot := p.freeOf(pool, mean, now)
+	if len(free) == 0 {
+		return Decision{Candidates: len(set), Reason: ReasonBusy}
+	}
+	d := Decision{Candidates: len(set)}
+	d.Chosen, d.Reason = p.choose(q, free, perSlot)
+	return d
+}
+
+// usable returns the candidates that are neither ejected nor excluded. If that
+// leaves none, excluded ones are used, and ejected ones last. It also returns
+// the mean load by other hosts, over the reports that still count.
+func (p *Pool) usable(set []*Worker, exclude []string, now time.Time) ([]*Worker, float64) {
+	out := p.scratch[:0]
+	for _, w := range set {
+		if !w.health.ejected && (len(exclude) == 0 || !slices.Contains(exclude, w.up.ID)) {
+			out = append(out, w)
+		}
+	}
+	if len(out) == 0 {
+		for _, w := range set {
+			if !w.health.ejected {
+				out = append(out, w)
+			}
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, set...)
+	}
+	p.scratch = out
+	return out, p.weigh(out, now)
+}
+
+// weigh sets the weight of each upstream's report, which falls with its age,
+// and returns the weighted mean of the load by other hosts.
+func (p *Pool) weigh(pool []*Worker, now time.Time) float64 {
+	nanos, ttl := now.UnixNano(), int64(p.cfg.ReportTTL)
+	sum, total := 0.0, 0.0
+	for _, w := range pool {
+		w.weight = w.reportWeight(nanos, ttl)
+		sum += w.weight * w.others
+		total += w.weight
+	}
+	if total == 0 {
+		return 0
+	}
+	return sum / total
+}
+
+// freeOf narrows pool, in place, to those with a free slot. It also returns the
+// load for each slot of the whole pool. The load of an upstream is taken to be
+// the own requests, plus those of other hosts by its report, so far as that
+// still counts, and by the mean for the rest.
+func (p *Pool) freeOf(pool []*Worker, mean float64, now time.Time) (free []*Worker, perSlot float64) {
+	nanos, slowStart := now.UnixNano(), int64(p.cfg.SlowStart)
+	load, slots := 0.0, 0.0
+	free = pool[:0]
+	for _, w := range pool {
+		ramp := 1.0
+		if w.health.rampFrom != 0 {
+			ramp = w.health.ramp(nanos, slowStart)
+		}
+		w.slots = w.capacity * ramp
+		w.current = float64(w.inFlight) + w.weight*w.others + (1-w.weight)*mean
+		load += w.current
+		slots += w.slots
+		if w.free(ramp) {
+			free = append(free, w)
+		}
+	}
+	return free, load / slots
+}
+
+func (p *Pool) choose(q *Query, free []*Worker, perSlot float64) (*Worker, Reason) {
+	if !q.NoProbe {
+		for _, w := range free {
+			if w.health.probing {
+				return w, ReasonProbe
+			}
+		}
+	}
+	if len(free) == 1 {
+		return free[0], ReasonOnly
+	}
+	if len(q.Prefix) > 0 {
+		if w, reason := p.byPrefix(q, free, perSlot); w != nil {
+			return w, reason
+		}
+	}
+	return p.betterOfTwo(free), ReasonLeastLoaded
+}
+
+// byPrefix chooses the upstream with the longest prefix by cache events, else
+// the first in rendezvous order of the leading blocks, among those within the
+// load bound.
+func (p *Pool) byPrefix(q *Query, free []*Worker, perSlot float64) (*Worker, Reason) {
+	key := q.Prefix[min(len(q.Prefix), p.cfg.PrefixBlocks)-1]
+	var hashed, hinted *Worker
+	var top uint64
+	longest := 0
+	for _, w := range free {
+		if !p.withinBound(w, perSlot) {
+			continue
+		}
+		if s := rendezvous.Mix(key, w.hash); hashed == nil || s > top {
+			hashed, top = w, s
+		}
+		if n := w.hints.match(q.Prefix); n > longest {
+			hinted, longest = w, n
+		}
+	}
+	if hinted != nil && hinted != hashed && longest > hashed.hints.match(q.Prefix) {
+		return hinted, ReasonCacheHint
+	}
+	return hashed, ReasonPrefix
+}
+
+// withinBound tells whether one more request keeps w below the load bound.
+func (p *Pool) withinBound(w *Worker, perSlot float64) bool {
+	bound := math.Ceil(p.cfg.LoadBound * perSlot * w.slots)
+	return w.current+1 <= max(bound, 1)
+}
+
+func (p *Pool) betterOfTwo(free []*Worker) *Worker {
+	i := p.rng.IntN(len(free))
+	j := p.rng.IntN(len(free) - 1)
+	if j >= i {
+		j++
+	}
+	a, b := free[i], free[j]
+	if b.cost() < a.cost() {
+		return b
+	}
+	return a
+}
+
+// cost is the load for each slot after one more request.
+func (w *Worker) cost() float64 {
+	return (w.current + 1) / w.slots
+}
--- /dev/null
+++ b/core/route/health.go
@@ -0,0 +1,156 @@
+package route
+
+import (
+	_ "embed" // for the state chart
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/statechart"
+)
+
+//go:embed upstream.hujson
+var chartFile []byte
+
+var chart = statechart.MustLoad("upstream.hujson", chartFile)
+
+// State is the health of an upstream as this host sees it.
+type State = statechart.State
+
+// States of the chart in upstream.hujson.
+const (
+	StateLive    State = "live"
+	StateEjected State = "ejected"
+	StateProbing State = "probing"
+	StateGone    State = "gone"
+)
+
+// Events of the chart in upstream.hujson.
+const (
+	eventEject          statechart.Event = "eject"
+	eventProbeSucceeded statechart.Event = "probe-succeeded"
+	eventProbeFailed    statechart.Event = "probe-failed"
+	eventRecover        statechart.Event = "recover"
+	eventRemove         statechart.Event = "remove"
+)
+
+// failureWeight is the weight of the newest outcome in the failure rate.
+const failureWeight = 0.1
+
+// rateMinimum is the number of outcomes before the failure rate counts.
+const rateMinimum = 10
+
+// rampStart is the share of a new upstream at the begin of its slow start.
+const rampStart = 0.1
+
+// health tracks failures, ejection and slow start of one upstream.
+type health struct {
+	// rampFrom is the begin of the slow start in nanoseconds since the Unix
+	// epoch; zero if it has passed.
+	rampFrom int64
+	// The state of the machine, kept for speed.
+	ejected bool
+	probing bool
+	state   State
+
+	machine   *statechart.Machine
+	failures  int // consecutive
+	outcomes  int // since the last change of state
+	rate      float64
+	ejections int
+	until     time.Time
+	successes int // in the probing state
+}
+
+func newHealth() health {
+	m := chart.Start()
+	return health{machine: m, state: m.State()}
+}
+
+// ramp returns the share of its slots that the upstream gets, and ends a slow
+// start that has passed. Times are in nanoseconds.
+func (h *health) ramp(now, slowStart int64) float64 {
+	age := now - h.rampFrom
+	if age >= slowStart {
+		h.rampFrom = 0
+		return 1
+	}
+	return rampStart + (1-rampStart)*float64(max(age, 0))/float64(slowStart)
+}
+
+func (h *health) succeeded(c *Config, now time.Time) {
+	h.failures = 0
+	h.outcomes++
+	h.rate *= 1 - failureWeight
+	if h.state != StateProbing {
+		h.decay()
+		return
+	}
+	h.successes++
+	if h.successes >= c.ProbeSuccesses {
+		h.fire(eventRecover)
+		h.rampFrom = now.UnixNano()
+	}
+}
+
+// decay forgives an earlier ejection after a long run of successes.
+func (h *health) decay() {
+	const forgiveAfter = 100
+	if h.ejections > 0 && h.outcomes%forgiveAfter == 0 {
+		h.ejections--
+	}
+}
+
+// failed counts a failure and tells whether the upstream is to be ejected.
+func (h *health) failed(c *Config) bool {
+	h.failures++
+	h.outcomes++
+	h.rate = h.rate*(1-failureWeight) + failureWeight
+	switch h.state {
+	case StateEjected:
+		return false
+	case StateProbing:
+		return true
+	}
+	if h.failures >= c.EjectAfter {
+		return true
+	}
+	return h.outcomes >= rateMinimum && h.rate > c.EjectRate
+}
+
+func (h *health) eject(event statechart.Event, c *Config, now time.Time) {
+	length := c.EjectTime << min(h.ejections, 16)
+	if length > c.EjectTimeMax || length <= 0 {
+		length = c.EjectTimeMax
+	}
+	if h.fire(event) {
+		h.ejections++
+		h.until = now.Add(length)
+	}
+}
+
+// fire takes the transition of an event and resets the counts of the state.
+// Events that the state does not accept have no effect.
+func (h *health) fire(event statechart.Event) bool {
+	if err := h.machine.Fire(event); err != nil {
+		return false
+	}
+	h.state = h.machine.State()
+	h.ejected = h.state == StateEjected
+	h.probing = h.state == StateProbing
+	h.failures = 0
+	h.outcomes = 0
+	h.successes = 0
+	h.rate = 0
+	return true
+}
+
+// probed applies the result of a re-entry probe.
+func (h *health) probed(ok bool, c *Config, now time.Time) {
+	if h.state != StateEjected {
+		return
+	}
+	if ok {
+		h.fire(eventProbeSucceeded)
+		return
+	}
+	h.eject(eventProbeFailed, c, now)
+}
--- /dev/null
+++ b/core/route/subset.go
@@ -0,0 +1,90 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hazelworks/hazelworks/core/rendezvous"
+)
+
+// Subset returns the indexes of the upstreams that host uses out of upstreams,
+// in ascending order. Each host takes its best upstreams by rendezvous hash,
+// while none is taken by more hosts than an even spread needs; so all upstreams
+// are used about evenly, and all hosts compute the same spread. Both lists are
+// hashes of IDs. If size is negative or not below the number of upstreams, or
+// host is not in hosts, all or the best are returned.
+func Subset(host uint64, hosts, upstreams []uint64, size int) []int {
+	if size < 0 || size >= len(upstreams) {
+		return allIndexes(len(upstreams))
+	}
+	ordered := slices.Clone(hosts)
+	slices.Sort(ordered)
+	ordered = slices.Compact(ordered)
+	if !slices.Contains(ordered, host) {
+		return bestOf(host, upstreams, size, nil)
+	}
+	left := quotas(len(ordered)*size, upstreams)
+	for _, h := range ordered {
+		taken := bestOf(h, upstreams, size, left)
+		if h == host {
+			return taken
+		}
+		for _, i := range taken {
+			left[i]--
+		}
+	}
+	return nil
+}
+
+// quotas spreads a number of uses over upstreams, so that no two differ by more
+// than one.
+func quotas(uses int, upstreams []uint64) []int {
+	order := allIndexes(len(upstreams))
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(upstreams[a], upstreams[b]) })
+	left := make([]int, len(upstreams))
+	for rank, i := range order {
+		left[i] = uses / len(upstreams)
+		if rank < uses%len(upstreams) {
+			left[i]++
+		}
+	}
+	return left
+}
+
+func allIndexes(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// bestOf returns the size best upstreams for a host, those with quota left first.
+func bestOf(host uint64, upstreams []uint64, size int, left []int) []int {
+	type scored struct {
+		score uint64
+		index int
+	}
+	best := make([]scored, 0, size+1)
+	for i, u := range upstreams {
+		score := rendezvous.Mix(host, u) >> 1
+		if left == nil || left[i] > 0 {
+			score |= 1 << 63
+		}
+		if len(best) == size && score <= best[size-1].score {
+			continue
+		}
+		at := len(best)
+		for at > 0 && best[at-1].score < score {
+			at--
+		}
+		best = slices.Insert(best, at, scored{score: score, index: i})
+		best = best[:min(len(best), size)]
+	}
+	indexes := make([]int, len(best))
+	for i, b := range best {
+		indexes[i] = b.index
+	}
+	slices.Sort(indexes)
+	return indexes
+}
