--- a/fleet/upstream/pool_test.go
+++ b/fleet/upstream/pool_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -67,7 +69,11 @@
 }
 
 func newTestPool(src *source) *Pool {
-	return NewPool(Options{Settings: src, Rand: rand.New(rand.NewPCG(1, 2))})
+	return NewPool(Options{Settings: src, Rand: rand.New(rand.NewPCG(1, 2)), Dial: refuseDial})
+}
+
+func refuseDial(context.Context, string, string) (net.Conn, error) {
+	return nil, errors.New("connection refused")
 }
 
 func queryOf(svc *settings.Service, account string) dispatch.Query {
--- a/fleet/upstream/sim_test.go
+++ b/fleet/upstream/sim_test.go
@@ -21,7 +21,6 @@
 type simWorker struct {
 	slots chan struct{}
 	slow  float64
-	fails float64
 
 	mu      sync.Mutex
 	load    int
@@ -256,7 +255,7 @@
 	for i := range out {
 		rng := rand.New(rand.NewPCG(s.seed, uint64(1000+i)))
 		if s.policy == "ours" {
-			out[i] = NewPool(Options{Settings: src, Rand: rng})
+			out[i] = NewPool(Options{Settings: src, Rand: rng, Dial: refuseDial})
 			continue
 		}
 		out[i] = &baseline{policy: s.policy, src: src, workers: workers, lag: s.lag, rng: rng, next: i}
