--- /dev/null
+++ b/cmd/hazelworks/serve.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+
+	"github.com/hazelworks/hazelworks/cmd/internal/cli"
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/fleet/config"
+	"github.com/hazelworks/hazelworks/fleet/host"
+	"github.com/hazelworks/hazelworks/fleet/logging"
+	"github.com/hazelworks/hazelworks/fleet/platformhttp"
+)
+
+func newServeCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: "Run a host; the first SIGTERM or Ctrl-C stops it gracefully, the second at once",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := config.Load(path)
+			if err != nil {
+				return cli.Exit(cli.ExitUsage, err)
+			}
+			return serve(cmd.Context(), cfg)
+		},
+	}
+	cmd.Flags().StringVar(&path, "config", "host.jsonc", "process settings, JSON with comments")
+	return cmd
+}
+
+// errSecondSignal reports a stop that did not wait for requests in flight.
+var errSecondSignal = errors.New("stopped at once by a second signal")
+
+func serve(ctx context.Context, cfg *config.Config) error {
+	logger, err := logging.New(os.Stderr, cfg.Log.Format, cfg.Log.Level)
+	if err != nil {
+		return cli.Exit(cli.ExitUsage, err)
+	}
+	client := platformClient(cfg)
+	h := host.New(host.Options{
+		Config:  cfg,
+		Log:     platformhttp.New(string(cfg.Platform.LogURLs[0]), client),
+		Hosts:   platformhttp.New(string(cfg.Platform.HostListURL), client),
+		Weights: weightStore(cfg, client),
+		Logger:  logger,
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group run.Group
+	group.Add(func() error { return h.Run(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return stopOnSignals(ctx, h, cfg.Timeouts.Drain) }, func(error) { cancel() })
+	return group.Run()
+}
+
+// stopOnSignals stops the host gracefully on the first signal and returns at
+// once on the second.
+func stopOnSignals(ctx context.Context, h *host.Host, drain time.Duration) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+	case <-ctx.Done():
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, drain)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- h.Shutdown(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-signals:
+		return errSecondSignal
+	}
+}
+
+func platformClient(cfg *config.Config) *http.Client {
+	dialer := &net.Dialer{Timeout: cfg.Timeouts.Connect}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:           dialer.DialContext,
+		ResponseHeaderTimeout: cfg.Timeouts.PlatformCall + cfg.Timeouts.PlatformPoll,
+	}}
+}
+
+func weightStore(cfg *config.Config, client *http.Client) platform.WeightStore {
+	if cfg.Platform.WeightStoreURL == "" {
+		return nil
+	}
+	return platformhttp.New(string(cfg.Platform.WeightStoreURL), client)
+}
--- /dev/null
+++ b/cmd/internal/demo/hosts.go
@@ -0,0 +1,116 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/hazelworks/hazelworks/core/jsontree"
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/config"
+	"github.com/hazelworks/hazelworks/fleet/host"
+	"github.com/hazelworks/hazelworks/fleet/platformhttp"
+)
+
+// listeners are opened before a host is made, so that its settings can name
+// free ports.
+type listeners map[string]net.Listener
+
+func (l listeners) open() (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("open a loopback address: %w", err)
+	}
+	addr := listener.Addr().String()
+	l[addr] = listener
+	return netip.ParseAddrPort(addr)
+}
+
+// listen hands out a listener that is open already.
+func (l listeners) listen(_, addr string) (net.Listener, error) {
+	listener, ok := l[addr]
+	if !ok {
+		return nil, fmt.Errorf("no listener on %s", addr)
+	}
+	return listener, nil
+}
+
+func (d *Demo) startHost(number int) (*runningHost, error) {
+	open := make(listeners)
+	cfg, err := d.hostConfig(number, open)
+	if err != nil {
+		return nil, err
+	}
+	platformClient := platformhttp.New(d.standins.platform, &http.Client{})
+	d.standins.hosts.Put(platform.Host{
+		ID:            cfg.Host.ID,
+		FailureDomain: cfg.Host.FailureDomain,
+		Region:        cfg.Host.Region,
+		CallerAddr:    cfg.Listen.Caller.String(),
+		PeerAddr:      cfg.Listen.Peer.String(),
+		State:         platform.HostLive,
+	})
+	h := host.New(host.Options{
+		Config:  cfg,
+		Log:     platformClient,
+		Hosts:   platformClient,
+		Weights: platformClient,
+		Listen:  open.listen,
+		Logger:  d.opts.Logger,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &runningHost{
+		host:   h,
+		caller: "http://" + cfg.Listen.Caller.String(),
+		admin:  "http://" + cfg.Listen.Admin.String(),
+		cancel: cancel,
+		ended:  make(chan error, 1),
+	}
+	go func() { r.ended <- h.Run(ctx) }()
+	return r, nil
+}
+
+func (d *Demo) hostConfig(number int, open listeners) (*config.Config, error) {
+	cfg := config.Default()
+	cfg.Host = config.Host{
+		ID:            record.HostID(fmt.Sprintf("host-%d", number)),
+		Region:        "demo",
+		FailureDomain: fmt.Sprintf("domain-%d", number),
+	}
+	for _, addr := range []*netip.AddrPort{&cfg.Listen.Caller, &cfg.Listen.Peer, &cfg.Listen.Admin} {
+		var err error
+		if *addr, err = open.open(); err != nil {
+			return nil, err
+		}
+	}
+	cfg.Advertise = config.Advertise{Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer}
+	cfg.Secrets = config.Secrets{Peer: peerSecret, Operator: operatorSecret}
+	cfg.Timeouts.EntryTTL = entryTTL
+	return &cfg, nil
+}
+
+// publishSettings puts the demo's settings tree into the log.
+func (d *Demo) publishSettings(ctx context.Context) error {
+	files, err := d.standins.treeFiles()
+	if err != nil {
+		return err
+	}
+	root, _, err := settings.Load(files)
+	if err != nil {
+		return fmt.Errorf("demo settings: %w", err)
+	}
+	change := &settings.Change{
+		Kind:  settings.KindEdit,
+		ID:    "demo",
+		By:    "demo",
+		Edits: settings.Edits(jsontree.NewObject(), root),
+	}
+	if _, err := d.hosts[0].host.Settings().Publish(ctx, change); err != nil {
+		return fmt.Errorf("publish the demo settings: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/host/host.go
@@ -0,0 +1,175 @@
+// Package host wires the parts of one host of the fleet and runs them. It has
+// no decisions of its own.
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/admin"
+	"github.com/hazelworks/hazelworks/fleet/bank"
+	"github.com/hazelworks/hazelworks/fleet/config"
+	"github.com/hazelworks/hazelworks/fleet/entry"
+	"github.com/hazelworks/hazelworks/fleet/gateway"
+	"github.com/hazelworks/hazelworks/fleet/member"
+	"github.com/hazelworks/hazelworks/fleet/peer"
+	"github.com/hazelworks/hazelworks/fleet/settingswatch"
+	"github.com/hazelworks/hazelworks/fleet/shard"
+	"github.com/hazelworks/hazelworks/fleet/upstream"
+)
+
+// Listen opens a listener.
+type Listen func(network, addr string) (net.Listener, error)
+
+// Options configures a Host. Config, Log and Hosts are required.
+type Options struct {
+	Config *config.Config
+	// Incarnation tells this run from earlier ones; zero means the time now.
+	Incarnation record.Incarnation
+	Log         platform.Log
+	Hosts       platform.HostList
+	// Weights is optional; without it the host writes no placement.
+	Weights platform.WeightStore
+	// Dial and Listen default to the net package's.
+	Dial   peer.DialFunc
+	Listen Listen
+	Logger logr.Logger
+	// Seed makes the host's random choices repeat; zero means a random seed.
+	Seed uint64
+}
+
+func (o *Options) setDefaults() {
+	if o.Incarnation == 0 {
+		o.Incarnation = record.Incarnation(time.Now().UnixNano())
+	}
+	if o.Dial == nil {
+		dialer := &net.Dialer{Timeout: o.Config.Timeouts.Connect}
+		o.Dial = dialer.DialContext
+	}
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+}
+
+// Host is one host of the fleet.
+type Host struct {
+	opts     Options
+	self     record.Holder
+	logger   logr.Logger
+	metrics  metrics.Registry
+	members  *member.Members
+	settings *settingswatch.Watcher
+	shards   *shard.Service
+	bank     *bank.Bank
+	pool     *upstream.Pool
+	entry    *entry.Handler
+	gateway  *gateway.Gateway
+	admin    *admin.Server
+	drained  chan struct{}
+}
+
+// New returns a host that does not run yet.
+func New(opts Options) *Host {
+	opts.setDefaults()
+	h := &Host{
+		opts:    opts,
+		self:    record.Holder{Host: opts.Config.Host.ID, Incarnation: opts.Incarnation},
+		logger:  opts.Logger.WithValues("host", opts.Config.Host.ID),
+		metrics: metrics.NewRegistry(),
+		drained: make(chan struct{}),
+	}
+	h.buildFleet()
+	h.buildMoney()
+	h.buildRequests()
+	h.buildAdmin()
+	return h
+}
+
+// Self returns the host's incarnation.
+func (h *Host) Self() record.Holder { return h.self }
+
+// Metrics returns the host's metrics.
+func (h *Host) Metrics() metrics.Registry { return h.metrics }
+
+// Ready returns why the host can't serve yet, or nil.
+func (h *Host) Ready() error { return h.settings.Ready() }
+
+// Run serves until ctx ends, a part fails or Shutdown has finished.
+func (h *Host) Run(ctx context.Context) error {
+	servers, err := h.openServers()
+	if err != nil {
+		return err
+	}
+	var group run.Group
+	h.addStop(ctx, &group)
+	for _, part := range h.parts() {
+		addPart(&group, part)
+	}
+	for _, s := range servers {
+		addServer(&group, s)
+	}
+	h.logger.WithName("host").Info("started", "incarnation", h.self.Incarnation, "caller", h.opts.Config.Listen.Caller.String())
+	err = group.Run()
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// errStopped ends the run group without a fault.
+var errStopped = errors.New("host: stopped")
+
+func (h *Host) addStop(ctx context.Context, group *run.Group) {
+	interrupted := make(chan struct{})
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-h.drained:
+		case <-interrupted:
+		}
+		return errStopped
+	}, func(error) { close(interrupted) })
+}
+
+// part is a part of the host that works until its context ends.
+type part struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+func (h *Host) parts() []part {
+	return []part{
+		{"members", h.members.Run},
+		{"settings", h.settings.Run},
+		{"shard", h.shards.Run},
+		{"bank", h.bank.Run},
+		{"upstream", h.pool.Run},
+	}
+}
+
+func addPart(group *run.Group, p part) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		if err := p.run(ctx); err != nil && ctx.Err() == nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+		<-ctx.Done()
+		return nil
+	}, func(error) { cancel() })
+}
+
+// Settings returns the host's settings.
+func (h *Host) Settings() *settingswatch.Watcher { return h.settings }
