--- a/cmd/hazelworks/main.go
+++ b/cmd/hazelworks/main.go
@@ -26,6 +26,8 @@
 		Long:  longHelp,
 	}
 	root.AddCommand(
+		newServeCommand(),
+		newDemoCommand(),
 		newConfigCommand(),
 		newVersionCommand(),
 	)
--- a/fleet/host/shutdown.go
+++ b/fleet/host/shutdown.go
@@ -18,7 +18,7 @@
 	defer close(h.drained)
 	logger := h.logger.WithName("host")
 	logger.Info("leaving")
-	h.members.Leave()
+	h.members.SetLeaving()
 	h.entry.Leave()
 	if err := h.awaitLapse(ctx); err != nil {
 		return err
