Serve budgets to operators and show them with hazelctl

Cause: settlements must be read back from the log by an operator, and a dead host's grants must be released by one.

--- /dev/null
+++ b/cmd/hazelctl/budget.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"os/user"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hazelworks/hazelworks/cmd/internal/adminclient"
+	"github.com/hazelworks/hazelworks/cmd/internal/cli"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/budgetapi"
+)
+
+func newBudgetCommand(client *adminclient.Client) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "budget",
+		Short: "Show and top up budgets, and release the grants of hosts that are gone",
+	}
+	cmd.AddCommand(
+		newBudgetListCommand(client),
+		newBudgetShowCommand(client),
+		newBudgetHoldersCommand(client),
+		newBudgetTopUpCommand(client),
+		newBudgetReleaseCommand(client),
+	)
+	return cmd
+}
+
+func newBudgetListCommand(client *adminclient.Client) *cobra.Command {
+	var output string
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List all budgets that were ever topped up",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var list []budgetapi.Budget
+			if err := client.Get(cmd.Context(), "/v1/budgets", &list); err != nil {
+				return err
+			}
+			return budgetTable(list, list).Write(cmd.OutOrStdout(), output)
+		},
+	}
+	cli.AddOutputFlag(cmd, &output)
+	return cmd
+}
+
+func newBudgetShowCommand(client *adminclient.Client) *cobra.Command {
+	var output string
+	cmd := &cobra.Command{
+		Use:   "show FIRM/BUDGET",
+		Short: "Show a budget; its parts add up to the prepaid amount",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			path, err := budgetPath(args[0])
+			if err != nil {
+				return err
+			}
+			var b budgetapi.Budget
+			if err := client.Get(cmd.Context(), path, &b); err != nil {
+				return err
+			}
+			return budgetTable([]budgetapi.Budget{b}, b).Write(cmd.OutOrStdout(), output)
+		},
+	}
+	cli.AddOutputFlag(cmd, &output)
+	return cmd
+}
+
+func budgetTable(list []budgetapi.Budget, data any) cli.Table {
+	t := cli.Table{
+		Header: []string{"BUDGET", "PREPAID", "SETTLED", "RESERVED", "FREE", "UNREPORTED", "STRANDED", "AVAILABLE", "UNBILLED", "DIFFERENCE"},
+		Data:   data,
+	}
+	for _, b := range list {
+		t.Rows = append(t.Rows, []string{
+			string(b.ID), tokens(b.Prepaid), tokens(b.Settled), tokens(b.Reserved), tokens(b.Free),
+			tokens(b.Unreported), tokens(b.Stranded), tokens(b.Available), tokens(b.Unbilled), tokens(b.Difference),
+		})
+	}
+	return t
+}
+
+func newBudgetHoldersCommand(client *adminclient.Client) *cobra.Command {
+	var output string
+	cmd := &cobra.Command{
+		Use:   "holders FIRM/BUDGET",
+		Short: "List who holds grants of a budget and whether they answer",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			path, err := budgetPath(args[0])
+			if err != nil {
+				return err
+			}
+			var h budgetapi.Holders
+			if err := client.Get(cmd.Context(), path+"/holders", &h); err != nil {
+				return err
+			}
+			return holderTable(h).Write(cmd.OutOrStdout(), output)
+		},
+	}
+	cli.AddOutputFlag(cmd, &output)
+	return cmd
+}
+
+func holderTable(h budgetapi.Holders) cli.Table {
+	t := cli.Table{
+		Header: []string{"HOST", "INCARNATION", "STATE", "OUTSTANDING", "RESERVED", "FREE", "LAST REPORT"},
+		Data:   h,
+	}
+	for _, x := range h.Holders {
+		last := "never"
+		if x.LastReportMillis > 0 {
+			last = time.UnixMilli(x.LastReportMillis).UTC().Format(time.RFC3339)
+		}
+		t.Rows = append(t.Rows, []string{
+			string(x.Host), strconv.FormatUint(uint64(x.Incarnation), 10), string(x.State),
+			tokens(x.Outstanding), tokens(x.Reserved), tokens(x.Free), last,
+		})
+	}
+	return t
+}
+
+// changeFlags are common to the commands that change a budget.
+type changeFlags struct {
+	id string
+	by string
+}
+
+func (f *changeFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.id, "id", "", "makes the change idempotent; give the same one when you repeat it (default random, printed)")
+	cmd.Flags().StringVar(&f.by, "by", operatorName(), "who makes the change, for the record")
+}
+
+func (f *changeFlags) fill() {
+	if f.id == "" {
+		f.id = rand.Text()
+	}
+}
+
+func newBudgetTopUpCommand(client *adminclient.Client) *cobra.Command {
+	var flags changeFlags
+	cmd := &cobra.Command{
+		Use:   "topup FIRM/BUDGET AMOUNT",
+		Short: "Raise the prepaid amount, or lower it by a negative one (after --)",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			path, err := budgetPath(args[0])
+			if err != nil {
+				return err
+			}
+			amount, err := strconv.ParseInt(args[1], 10, 64)
+			if err != nil || amount == 0 {
+				return cli.Exit(cli.ExitUsage, fmt.Errorf("amount %q: want a whole number of tokens other than 0", args[1]))
+			}
+			flags.fill()
+			body := budgetapi.TopUp{ID: flags.id, Amount: record.Tokens(amount), By: flags.by}
+			return change(cmd, client, path+"/topup", flags.id, body)
+		},
+	}
+	flags.add(cmd)
+	return cmd
+}
+
+func newBudgetReleaseCommand(client *adminclient.Client) *cobra.Command {
+	var flags changeFlags
+	var confirm string
+	cmd := &cobra.Command{
+		Use:   "release FIRM/BUDGET HOST/INCARNATION",
+		Short: "Free the grant of a holder that is known to be gone",
+		Long: `Frees the grant of a holder that is known to be gone. If it is not gone, what it
+has spent and not reported is billed only as far as the budget has tokens
+available then; the rest is recorded as unbilled.`,
+		Args: cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			path, err := budgetPath(args[0])
+			if err != nil {
+				return err
+			}
+			host, number, ok := strings.Cut(args[1], "/")
+			incarnation, parseErr := strconv.ParseUint(number, 10, 64)
+			if !ok || parseErr != nil {
+				return cli.Exit(cli.ExitUsage, fmt.Errorf("holder %q: want HOST/INCARNATION as 'budget holders' shows it", args[1]))
+			}
+			if confirm != args[1] {
+				return cli.Exit(cli.ExitUsage, errors.New("repeat the holder with --confirm to release it"))
+			}
+			flags.fill()
+			body := budgetapi.Release{
+				ID: flags.id, Host: record.HostID(host), Incarnation: record.Incarnation(incarnation),
+				By: flags.by, Confirm: confirm,
+			}
+			return change(cmd, client, path+"/release", flags.id, body)
+		},
+	}
+	flags.add(cmd)
+	cmd.Flags().StringVar(&confirm, "confirm", "", "the holder again, as HOST/INCARNATION")
+	return cmd
+}
+
+func change(cmd *cobra.Command, client *adminclient.Client, path, id string, body any) error {
+	var applied budgetapi.Applied
+	if err := client.Post(cmd.Context(), path, body, &applied); err != nil {
+		return fmt.Errorf("id %s: %w", id, err)
+	}
+	note := ""
+	if applied.Repeated {
+		note = ", already applied before"
+	}
+	_, err := fmt.Fprintf(cmd.OutOrStdout(), "id %s: %d tokens, offset %d%s\n", id, applied.Amount, applied.Offset, note)
+	return err
+}
+
+func budgetPath(id string) (string, error) {
+	firm, name, ok := strings.Cut(id, "/")
+	if !ok || firm == "" || name == "" || strings.Contains(name, "/") {
+		return "", cli.Exit(cli.ExitUsage, fmt.Errorf("budget %q: want FIRM/BUDGET", id))
+	}
+	return "/v1/budgets/" + firm + "/" + name, nil
+}
+
+func operatorName() string {
+	current, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return current.Username
+}
+
+func tokens(amount record.Tokens) string {
+	return strconv.FormatInt(int64(amount), 10)
+}
--- a/cmd/hazelctl/main.go
+++ b/cmd/hazelctl/main.go
@@ -28,7 +28,9 @@
 		Long:  longHelp,
 	}
 	client := adminclient.AddFlags(root)
+	root.AddCommand(settingscmd.Commands(client)...)
 	root.AddCommand(
+		newBudgetCommand(client),
 		newRequestCommand(client),
 		newUpstreamCommand(client),
 		newEntryCommand(),
--- a/cmd/internal/demo/once.go
+++ b/cmd/internal/demo/once.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/budgetapi"
 	"github.com/hazelworks/hazelworks/fleet/entry"
 )
 
@@ -24,12 +25,6 @@
 	maxReplySize = 1 << 20
 )
 
-// budget is the part of a budget's state that the demo checks.
-type budget struct {
-	Prepaid record.Tokens `json:"prepaid"`
-	Settled record.Tokens `json:"settled"`
-}
-
 // once sends one model request and one plain request and checks what they cost.
 func (d *Demo) once(ctx context.Context) error {
 	before, err := d.budget(ctx)
@@ -171,7 +166,7 @@
 }
 
 // awaitSettled waits until the log shows the wanted spend.
-func (d *Demo) awaitSettled(ctx context.Context, want record.Tokens) (budget, error) {
+func (d *Demo) awaitSettled(ctx context.Context, want record.Tokens) (budgetapi.Budget, error) {
 	deadline := time.Now().Add(settleWait)
 	for {
 		b, err := d.budget(ctx)
@@ -185,27 +180,18 @@
 	}
 }
 
-func (d *Demo) budget(ctx context.Context) (budget, error) {
-	var b budget
-	err := d.getJSON(ctx, d.hosts[0].admin+"/v1/budgets/"+budgetPath(), operatorSecret, &b)
+func (d *Demo) budget(ctx context.Context) (budgetapi.Budget, error) {
+	var b budgetapi.Budget
+	err := d.getJSON(ctx, d.hosts[0].admin+"/v1/budgets/"+string(budgetID), operatorSecret, &b)
 	return b, err
 }
 
-// budgetPath is the budget's ID as one element of a path.
-func budgetPath() string {
-	return strings.ReplaceAll(string(budgetID), "/", "%2F")
-}
-
 func (d *Demo) topUp(ctx context.Context) error {
-	body, err := json.Marshal(struct {
-		ID     string        `json:"id"`
-		Amount record.Tokens `json:"amount"`
-		By     string        `json:"by"`
-	}{"demo", prepaid, "demo"})
+	body, err := json.Marshal(budgetapi.TopUp{ID: "demo", Amount: prepaid, By: "demo"})
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.hosts[0].admin+"/v1/budgets/"+budgetPath()+"/topup", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.hosts[0].admin+"/v1/budgets/"+string(budgetID)+"/topup", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/fleet/host/build.go
+++ b/fleet/host/build.go
@@ -6,10 +6,12 @@
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/fleet/admin"
 	"github.com/hazelworks/hazelworks/fleet/bank"
+	"github.com/hazelworks/hazelworks/fleet/budgetapi"
 	"github.com/hazelworks/hazelworks/fleet/entry"
 	"github.com/hazelworks/hazelworks/fleet/gateway"
 	"github.com/hazelworks/hazelworks/fleet/member"
 	"github.com/hazelworks/hazelworks/fleet/peer"
+	"github.com/hazelworks/hazelworks/fleet/settingsapi"
 	"github.com/hazelworks/hazelworks/fleet/settingswatch"
 	"github.com/hazelworks/hazelworks/fleet/shard"
 	"github.com/hazelworks/hazelworks/fleet/upstream"
@@ -114,7 +116,14 @@
 }
 
 func (h *Host) buildAdmin() {
-	h.admin = admin.New(string(h.opts.Config.Secrets.Operator), h.metrics, h.pool, h.gateway)
+	h.admin = admin.New(
+		string(h.opts.Config.Secrets.Operator),
+		h.metrics,
+		h.pool,
+		h.gateway,
+		settingsapi.New(h.settings, h.members, nil),
+		budgetapi.New(h.shards, h.bank, h.members, h.settings, h.logger),
+	)
 	h.admin.SetCheck(h.Ready)
 }
 
