--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -23,6 +23,7 @@
 const (
 	EventReserve    statechart.Event = "reserve"
 	EventClaim      statechart.Event = "claim"
+	EventForward    statechart.Event = "forward"
 	EventLoseClaim  statechart.Event = "lose-claim"
 	EventPick       statechart.Event = "pick"
 	EventSend       statechart.Event = "send"
@@ -76,6 +77,9 @@
 	Spec
 	Started time.Time
 	Answer  *stream.Buffer
+	// AfterNotRun is true if an earlier run of the same ID on this host is
+	// known not to have run.
+	AfterNotRun bool
 
 	cancel context.CancelCauseFunc
 
