--- a/cmd/hazelctl/budget.go
+++ b/cmd/hazelctl/budget.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"net/url"
 	"os/user"
 	"strconv"
 	"strings"
@@ -14,7 +15,7 @@
 	"github.com/hazelworks/hazelworks/cmd/internal/adminclient"
 	"github.com/hazelworks/hazelworks/cmd/internal/cli"
 	"github.com/hazelworks/hazelworks/core/record"
-	"github.com/hazelworks/hazelworks/fleet/budgetapi"
+	"github.com/hazelworks/hazelworks/fleet/bank/bankadmin"
 )
 
 func newBudgetCommand(client *adminclient.Client) *cobra.Command {
@@ -39,11 +40,17 @@
 		Short: "List all budgets that were ever topped up",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			var list []budgetapi.Budget
+			var list bankadmin.BudgetList
 			if err := client.Get(cmd.Context(), "/v1/budgets", &list); err != nil {
 				return err
 			}
-			return budgetTable(list, list).Write(cmd.OutOrStdout(), output)
+			if err := budgetTable(list.Budgets, list).Write(cmd.OutOrStdout(), output); err != nil {
+				return err
+			}
+			if len(list.Errors) > 0 {
+				return fmt.Errorf("some budgets are missing: %s", strings.Join(list.Errors, "; "))
+			}
+			return nil
 		},
 	}
 	cli.AddOutputFlag(cmd, &output)
@@ -61,26 +68,26 @@
 			if err != nil {
 				return err
 			}
-			var b budgetapi.Budget
+			var b bankadmin.Budget
 			if err := client.Get(cmd.Context(), path, &b); err != nil {
 				return err
 			}
-			return budgetTable([]budgetapi.Budget{b}, b).Write(cmd.OutOrStdout(), output)
+			return budgetTable([]bankadmin.Budget{b}, b).Write(cmd.OutOrStdout(), output)
 		},
 	}
 	cli.AddOutputFlag(cmd, &output)
 	return cmd
 }
 
-func budgetTable(list []budgetapi.Budget, data any) cli.Table {
+func budgetTable(list []bankadmin.Budget, data any) cli.Table {
 	t := cli.Table{
-		Header: []string{"BUDGET", "PREPAID", "SETTLED", "RESERVED", "FREE", "UNREPORTED", "STRANDED", "AVAILABLE", "UNBILLED", "DIFFERENCE"},
+		Header: []string{"BUDGET", "PREPAID", "SETTLED", "RESERVED", "FREE", "STRANDED", "AVAILABLE", "UNBILLED", "DIFFERENCE"},
 		Data:   data,
 	}
 	for _, b := range list {
 		t.Rows = append(t.Rows, []string{
 			string(b.ID), tokens(b.Prepaid), tokens(b.Settled), tokens(b.Reserved), tokens(b.Free),
-			tokens(b.Unreported), tokens(b.Stranded), tokens(b.Available), tokens(b.Unbilled), tokens(b.Difference),
+			tokens(b.Stranded), tokens(b.Available), tokens(b.Unbilled), tokens(b.Difference),
 		})
 	}
 	return t
@@ -97,7 +104,7 @@
 			if err != nil {
 				return err
 			}
-			var h budgetapi.Holders
+			var h bankadmin.HolderList
 			if err := client.Get(cmd.Context(), path+"/holders", &h); err != nil {
 				return err
 			}
@@ -108,9 +115,9 @@
 	return cmd
 }
 
-func holderTable(h budgetapi.Holders) cli.Table {
+func holderTable(h bankadmin.HolderList) cli.Table {
 	t := cli.Table{
-		Header: []string{"HOST", "INCARNATION", "STATE", "OUTSTANDING", "RESERVED", "FREE", "LAST REPORT"},
+		Header: []string{"HOLDER", "STATE", "GRANTED", "RESERVED", "FREE", "LAST REPORT"},
 		Data:   h,
 	}
 	for _, x := range h.Holders {
@@ -119,8 +126,7 @@
 			last = time.UnixMilli(x.LastReportMillis).UTC().Format(time.RFC3339)
 		}
 		t.Rows = append(t.Rows, []string{
-			string(x.Host), strconv.FormatUint(uint64(x.Incarnation), 10), string(x.State),
-			tokens(x.Outstanding), tokens(x.Reserved), tokens(x.Free), last,
+			x.Holder, string(x.State), tokens(x.Granted), tokens(x.Reserved), tokens(x.Free), last,
 		})
 	}
 	return t
@@ -159,7 +165,7 @@
 				return cli.Exit(cli.ExitUsage, fmt.Errorf("amount %q: want a whole number of tokens other than 0", args[1]))
 			}
 			flags.fill()
-			body := budgetapi.TopUp{ID: flags.id, Amount: record.Tokens(amount), By: flags.by}
+			body := bankadmin.TopUpRequest{ID: flags.id, Amount: record.Tokens(amount), By: flags.by}
 			return change(cmd, client, path+"/topup", flags.id, body)
 		},
 	}
@@ -170,6 +176,7 @@
 func newBudgetReleaseCommand(client *adminclient.Client) *cobra.Command {
 	var flags changeFlags
 	var confirm string
+	var force bool
 	cmd := &cobra.Command{
 		Use:   "release FIRM/BUDGET HOST/INCARNATION",
 		Short: "Free the grant of a holder that is known to be gone",
@@ -182,37 +189,30 @@
 			if err != nil {
 				return err
 			}
-			host, number, ok := strings.Cut(args[1], "/")
-			incarnation, parseErr := strconv.ParseUint(number, 10, 64)
-			if !ok || parseErr != nil {
-				return cli.Exit(cli.ExitUsage, fmt.Errorf("holder %q: want HOST/INCARNATION as 'budget holders' shows it", args[1]))
-			}
 			if confirm != args[1] {
 				return cli.Exit(cli.ExitUsage, errors.New("repeat the holder with --confirm to release it"))
 			}
 			flags.fill()
-			body := budgetapi.Release{
-				ID: flags.id, Host: record.HostID(host), Incarnation: record.Incarnation(incarnation),
-				By: flags.by, Confirm: confirm,
-			}
+			body := bankadmin.ReleaseRequest{ID: flags.id, Holder: args[1], By: flags.by, Confirm: confirm, Force: force}
 			return change(cmd, client, path+"/release", flags.id, body)
 		},
 	}
 	flags.add(cmd)
+	cmd.Flags().BoolVar(&force, "force", false, "release a holder that still answers")
 	cmd.Flags().StringVar(&confirm, "confirm", "", "the holder again, as HOST/INCARNATION")
 	return cmd
 }
 
 func change(cmd *cobra.Command, client *adminclient.Client, path, id string, body any) error {
-	var applied budgetapi.Applied
-	if err := client.Post(cmd.Context(), path, body, &applied); err != nil {
+	var done bankadmin.Change
+	if err := client.Post(cmd.Context(), path, body, &done); err != nil {
 		return fmt.Errorf("id %s: %w", id, err)
 	}
 	note := ""
-	if applied.Repeated {
-		note = ", already applied before"
+	if done.Reason != "" {
+		note = ", " + done.Reason
 	}
-	_, err := fmt.Fprintf(cmd.OutOrStdout(), "id %s: %d tokens, offset %d%s\n", id, applied.Amount, applied.Offset, note)
+	_, err := fmt.Fprintf(cmd.OutOrStdout(), "id %s: %d tokens, offset %d%s\n", id, done.Amount, done.Offset, note)
 	return err
 }
 
@@ -221,7 +221,7 @@
 	if !ok || firm == "" || name == "" || strings.Contains(name, "/") {
 		return "", cli.Exit(cli.ExitUsage, fmt.Errorf("budget %q: want FIRM/BUDGET", id))
 	}
-	return "/v1/budgets/" + firm + "/" + name, nil
+	return "/v1/budgets/" + url.PathEscape(id), nil
 }
 
 func operatorName() string {
--- a/cmd/internal/demo/once.go
+++ b/cmd/internal/demo/once.go
@@ -9,11 +9,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/record"
-	"github.com/hazelworks/hazelworks/fleet/budgetapi"
+	"github.com/hazelworks/hazelworks/fleet/bank/bankadmin"
 	"github.com/hazelworks/hazelworks/fleet/entry"
 )
 
@@ -166,7 +167,7 @@
 }
 
 // awaitSettled waits until the log shows the wanted spend.
-func (d *Demo) awaitSettled(ctx context.Context, want record.Tokens) (budgetapi.Budget, error) {
+func (d *Demo) awaitSettled(ctx context.Context, want record.Tokens) (bankadmin.Budget, error) {
 	deadline := time.Now().Add(settleWait)
 	for {
 		b, err := d.budget(ctx)
@@ -180,18 +181,18 @@
 	}
 }
 
-func (d *Demo) budget(ctx context.Context) (budgetapi.Budget, error) {
-	var b budgetapi.Budget
-	err := d.getJSON(ctx, d.hosts[0].admin+"/v1/budgets/"+string(budgetID), operatorSecret, &b)
+func (d *Demo) budget(ctx context.Context) (bankadmin.Budget, error) {
+	var b bankadmin.Budget
+	err := d.getJSON(ctx, d.hosts[0].admin+"/v1/budgets/"+url.PathEscape(string(budgetID)), operatorSecret, &b)
 	return b, err
 }
 
 func (d *Demo) topUp(ctx context.Context) error {
-	body, err := json.Marshal(budgetapi.TopUp{ID: "demo", Amount: prepaid, By: "demo"})
+	body, err := json.Marshal(bankadmin.TopUpRequest{ID: "demo", Amount: prepaid, By: "demo"})
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.hosts[0].admin+"/v1/budgets/"+string(budgetID)+"/topup", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.hosts[0].admin+"/v1/budgets/"+url.PathEscape(string(budgetID))+"/topup", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/fleet/host/build.go
+++ b/fleet/host/build.go
@@ -6,7 +6,7 @@
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/fleet/admin"
 	"github.com/hazelworks/hazelworks/fleet/bank"
-	"github.com/hazelworks/hazelworks/fleet/budgetapi"
+	"github.com/hazelworks/hazelworks/fleet/bank/bankadmin"
 	"github.com/hazelworks/hazelworks/fleet/entry"
 	"github.com/hazelworks/hazelworks/fleet/gateway"
 	"github.com/hazelworks/hazelworks/fleet/member"
@@ -121,8 +121,14 @@
 		h.metrics,
 		h.pool,
 		h.gateway,
-		settingsapi.New(h.settings, h.members, nil),
-		budgetapi.New(h.shards, h.bank, h.members, h.settings, h.logger),
+		settingsapi.New(h.settings, h.members, h.figures),
+		bankadmin.New(bankadmin.Options{
+			Shards:   h.shards,
+			Bank:     h.bank,
+			View:     h.members,
+			Settings: h.settings,
+			Logger:   h.logger,
+		}),
 	)
 	h.admin.SetCheck(h.Ready)
 }
@@ -145,3 +151,16 @@
 	}
 	return current.Shards
 }
+
+// figures sums up what this host holds, for the status page.
+func (h *Host) figures() settingsapi.Figures {
+	f := settingsapi.Figures{Streams: h.gateway.Running()}
+	for _, held := range h.bank.Held("") {
+		amount := held.Reserved + held.Free + held.Unreported
+		if amount > 0 {
+			f.Grants++
+			f.Granted += amount
+		}
+	}
+	return f
+}
