--- /dev/null
+++ b/fleet/bank/histories_test.go
@@ -0,0 +1,293 @@
+package bank
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/member"
+	"github.com/hazelworks/hazelworks/standin/memlog"
+)
+
+// startAll starts a pattern on every host that lives.
+func (l *load) startAll(p pattern, d time.Duration) {
+	end := time.Now().Add(d)
+	for _, h := range l.fleet.hosts {
+		l.start(h, p, end)
+	}
+}
+
+func TestOwnerDiesInMidBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 1, memlog.Options{}, mill)
+		defer f.stop()
+		l := newLoad(f)
+		l.topUp(f.hosts[0], mill, "t", 1_000_000)
+		l.startAll(steady, time.Minute)
+		time.Sleep(20 * time.Second)
+		owner := f.owner(mill)
+		owner.link.SetLoseReply(func() bool { return true }) // appended, but its callers never hear of it
+		time.Sleep(10 * time.Millisecond)
+		owner.kill()
+		l.wg.Wait()
+		time.Sleep(10 * time.Second)
+		require.False(t, l.overspend)
+		// What the dead host had spent and not yet reported stays in its grant.
+		state := f.budget(mill)
+		require.LessOrEqual(t, state.Settled, l.spent[mill])
+		require.GreaterOrEqual(t, state.Settled+state.Granted, l.spent[mill])
+		require.LessOrEqual(t, l.refusals(), l.served/200, "refused %d of %d", l.refusals(), l.served)
+		var stranded record.Tokens
+		for _, h := range f.fold(0).Ledger().Holders(mill) {
+			if h.Holder == owner.self {
+				stranded = h.Outstanding
+			}
+		}
+		// Slice of 5 s at 5 requests/s of 200 at most, its running requests, and what was not reported.
+		require.LessOrEqual(t, stranded, record.Tokens(10_000), "under 1%% of the budget")
+	})
+}
+
+// TestPausedOwnerWakes stops an owner between its decision to write and the
+// write, for longer than any timeout, and lets the write through afterwards.
+func TestPausedOwnerWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 1, memlog.Options{}, mill)
+		defer f.stop()
+		l := newLoad(f)
+		l.topUp(f.hosts[0], mill, "t", 1_000_000)
+		l.startAll(steady, time.Minute)
+		time.Sleep(10 * time.Second)
+		owner := f.owner(mill)
+		woken := make(chan struct{})
+		owner.link.SetBeforeSend(func() { <-woken })
+		for _, h := range f.hosts {
+			f.cut(h.self.Host, owner.self.Host, true)
+			f.cut(owner.self.Host, h.self.Host, true)
+		}
+		time.Sleep(30 * time.Second)
+		require.NotEqual(t, owner.self, f.owner(mill).self, "another host has taken over")
+		owner.link.SetBeforeSend(nil)
+		close(woken)
+		time.Sleep(time.Second)
+		for _, h := range f.hosts {
+			f.cut(h.self.Host, owner.self.Host, false)
+			f.cut(owner.self.Host, h.self.Host, false)
+		}
+		l.finish(mill)
+		f.closeAll()
+		require.Zero(t, f.budget(mill).Granted)
+	})
+}
+
+// TestCrowdSpendsTheWholeBudget draws on one budget from every host until it is
+// spent: nothing is refused while a request's reservation is left.
+func TestCrowdSpendsTheWholeBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 1, memlog.Options{}, mill)
+		defer f.stop()
+		l := newLoad(f)
+		l.topUp(f.hosts[0], mill, "t", 100_000)
+		l.startAll(steady, time.Minute)
+		l.finish(mill)
+		require.Positive(t, l.spentRefusals+l.heldRefusals)
+		require.Zero(t, l.falseRefusals, "of %d refusals", l.refusals())
+		require.Less(t, l.prepaid[mill]-l.spent[mill], steady.reserve)
+		t.Logf("refused while free for an instant: %d, longest %v", l.instantRefusals, l.longest)
+		t.Logf("served %d, refused %d spent, %d held; wait p50 %v p95 %v p99 %v; %d appends",
+			l.served, l.spentRefusals, l.heldRefusals, l.wait(50), l.wait(95), l.wait(99), f.log.Appends())
+	})
+}
+
+func TestReleaseOfALiveHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1, memlog.Options{}, mill)
+		defer f.stop()
+		f.topUp(f.hosts[0], mill, "t", 1000)
+		h := f.hosts[1]
+		running, err := h.bank.Reserve(t.Context(), mill, 1, 400, time.Second)
+		require.NoError(t, err)
+		release := record.Op{Kind: record.KindRelease, Budget: mill, Holder: &h.self, ID: "r", By: "test"}
+		_, err = f.hosts[0].svc.Submit(t.Context(), 0, []record.Op{release})
+		require.NoError(t, err)
+		rest, err := f.hosts[0].bank.Reserve(t.Context(), mill, 2, 900, time.Second)
+		require.NoError(t, err)
+		rest.Settle(900)
+		time.Sleep(2 * time.Second)
+		running.Settle(400)
+		time.Sleep(2 * time.Second)
+		state := f.budget(mill)
+		require.LessOrEqual(t, state.Settled, record.Tokens(1000), "spend stops at what was prepaid")
+		require.GreaterOrEqual(t, state.Unbilled, record.Tokens(300))
+		require.Equal(t, record.Tokens(1300), state.Settled+state.Unbilled)
+		_, err = h.bank.Reserve(t.Context(), mill, 3, 10, time.Second)
+		require.Error(t, err, "a released holder reserves nothing more")
+	})
+}
+
+// TestOutageLongerThanRetention keeps the log down until it has forgotten
+// everything. The hosts' memories are the copies; a host that starts meanwhile
+// takes one of them.
+func TestOutageLongerThanRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 2, memlog.Options{Retention: 10 * time.Minute}, mill)
+		defer f.stop()
+		l := newLoad(f)
+		l.topUp(f.hosts[0], mill, "t", 1_000_000)
+		l.startAll(steady, 20*time.Second)
+		l.wg.Wait()
+		time.Sleep(5 * time.Second)
+		before := f.budget(mill)
+		f.log.SetDown(true)
+		l.startAll(steady, 10*time.Second)
+		l.wg.Wait()
+		time.Sleep(30 * time.Minute)
+		fresh := f.start("h9")
+		_, err := fresh.bank.Reserve(t.Context(), mill, 1<<40, 100, time.Second)
+		var refused *RefusedError
+		require.ErrorAs(t, err, &refused)
+		require.True(t, refused.Unreachable, "a host that starts in an outage can't tell")
+		time.Sleep(30 * time.Minute)
+		f.log.SetDown(false)
+		time.Sleep(20 * time.Second)
+		r, err := fresh.bank.Reserve(t.Context(), mill, 1<<40, 100, 5*time.Second)
+		require.NoError(t, err)
+		r.Settle(100)
+		time.Sleep(5 * time.Second)
+		state, err := fresh.svc.State(t.Context(), f.shardOf(mill))
+		require.NoError(t, err)
+		require.NoError(t, state.Fold.Check())
+		after, ok := state.Fold.Ledger().Budget(mill)
+		require.True(t, ok)
+		require.Equal(t, before.Prepaid, after.Prepaid)
+		require.Equal(t, l.spent[mill]+100, after.Settled, "what was spent in the outage is billed after it")
+		f.closeAll()
+	})
+}
+
+// TestEveryHostReplaced replaces all hosts one by one, with the log's retention
+// far shorter than the run: snapshots keep the shards alive.
+func TestEveryHostReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 2, memlog.Options{Retention: 10 * time.Minute}, mill)
+		defer f.stop()
+		l := newLoad(f)
+		l.topUp(f.hosts[0], mill, "t", 1_000_000)
+		for _, id := range []record.HostID{"h0", "h1", "h2", "h3", "h0", "h1", "h2", "h3"} {
+			l.startAll(steady, 10*time.Second)
+			l.wg.Wait()
+			time.Sleep(11 * time.Minute)
+			old := f.host(id)
+			require.NoError(t, old.bank.Close(t.Context()))
+			old.kill()
+			f.start(id)
+		}
+		time.Sleep(5 * time.Second)
+		state, err := f.hosts[0].svc.State(t.Context(), f.shardOf(mill))
+		require.NoError(t, err)
+		after, ok := state.Fold.Ledger().Budget(mill)
+		require.True(t, ok)
+		require.Equal(t, record.Tokens(1_000_000), after.Prepaid)
+		require.Equal(t, l.spent[mill], after.Settled)
+		require.Zero(t, after.Granted)
+	})
+}
+
+func (f *testFleet) host(id record.HostID) *testHost {
+	for _, h := range f.hosts {
+		if h.self.Host == id {
+			return h
+		}
+	}
+	f.t.Fatalf("no host %s", id)
+	return nil
+}
+
+// TestOneClaimWins lets every host claim the same requests while replies of the
+// log get lost and hosts are split.
+func TestOneClaimWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 4, memlog.Options{}, mill)
+		defer f.stop()
+		for _, h := range f.hosts {
+			h.link.SetLoseReply(func() bool { return f.random() < 0.3 })
+		}
+		f.partition(f.hosts[:4], f.hosts[4:], true)
+		const requests = 40
+		var won [requests]atomic.Int32
+		l := newLoad(f)
+		for i := range requests {
+			for _, h := range f.hosts {
+				for range 2 { // the same host may be asked twice
+					l.wg.Go(func() {
+						ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+						defer cancel()
+						c, err := h.bank.Claim(ctx, mill, record.RequestKey(i))
+						if err == nil && c.Won {
+							won[i].Add(1)
+							h.bank.Finish(mill, record.RequestKey(i), record.OutcomeAnswered, []byte("done"))
+						}
+					})
+				}
+			}
+		}
+		l.wg.Wait()
+		for i := range won {
+			require.Equal(t, int32(1), won[i].Load(), "request %d", i)
+		}
+		time.Sleep(10 * time.Second)
+		f.partition(f.hosts[:4], f.hosts[4:], false)
+		c, err := f.hosts[0].bank.Claim(t.Context(), mill, 3)
+		require.NoError(t, err)
+		require.False(t, c.Won)
+		require.Equal(t, record.OutcomeAnswered, c.Outcome)
+		require.Equal(t, []byte("done"), c.Detail)
+	})
+}
+
+// TestAbandonedClaimFreesTheRequest gives up a claim while the log is down. Once
+// it is decided, another host may run the request.
+func TestAbandonedClaimFreesTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1, memlog.Options{}, mill)
+		defer f.stop()
+		f.topUp(f.hosts[0], mill, "t", 1000)
+		f.log.SetDown(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := f.hosts[0].bank.Claim(ctx, mill, 5)
+		require.Error(t, err)
+		f.log.SetDown(false)
+		time.Sleep(10 * time.Second)
+		c, err := f.hosts[1].bank.Claim(t.Context(), mill, 5)
+		require.NoError(t, err)
+		require.True(t, c.Won, "held by %s as %s", c.By, c.Outcome)
+	})
+}
+
+// TestLeavingOwnerHandsOver checks that a leaving host owns no shard any more.
+func TestLeavingOwnerHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1, memlog.Options{}, mill)
+		defer f.stop()
+		f.topUp(f.hosts[0], mill, "t", 10_000)
+		for i, h := range f.hosts {
+			_, err := h.bank.Reserve(t.Context(), mill, record.RequestKey(i), 10, time.Second)
+			require.NoError(t, err)
+		}
+		owner := f.owner(mill)
+		f.mu.Lock()
+		owner.belief = member.StateLeaving
+		f.mu.Unlock()
+		for i, h := range f.hosts {
+			_, err := h.bank.Reserve(t.Context(), mill, record.RequestKey(10+i), 1500, time.Second)
+			require.NoError(t, err)
+		}
+		require.NotEqual(t, owner.self, f.owner(mill).self)
+	})
+}
