--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/hazelworks/hazelworks/core/statechart"
 	"github.com/hazelworks/hazelworks/fleet/bank"
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
 	"github.com/hazelworks/hazelworks/fleet/problem"
 	"github.com/hazelworks/hazelworks/fleet/request"
 	"github.com/hazelworks/hazelworks/fleet/stream"
@@ -63,7 +64,11 @@
 	// claims is true if the right to run must be claimed in the log.
 	claims  bool
 	claimed bool
-	work    work
+	// ticket is true if this host has made the ID.
+	ticket bool
+	work   work
+	// forward is the request for another host, or nil if it must run here.
+	forward *peerpb.ForwardRequest
 	// priority is passed on to the picker.
 	priority    int
 	reservation bank.Reservation
@@ -81,6 +86,9 @@
 	if c.claimed {
 		c.g.opts.Claimer.Finish(c.req.Budget, c.req.Key(), end.Outcome, claimDetail(c.req.Answer, end))
 	}
+	if end.Outcome == record.OutcomeNotRun {
+		c.returnTicket()
+	}
 	c.req.Answer.Finish(end)
 	c.g.table.End(c.req)
 	c.g.metrics.outcome(end.Outcome)
@@ -104,6 +112,14 @@
 	return c.execute(ctx)
 }
 
+// returnTicket lets the caller send a request once more under its ID, after it
+// did not run.
+func (c *call) returnTicket() {
+	if c.ticket {
+		c.g.tickets.Return(c.req.Account, c.req.ID)
+	}
+}
+
 func (c *call) logEnd(end stream.End) {
 	values := []any{"request", c.req.ID, "account", c.req.Account, "service", c.req.Service,
 		"outcome", end.Outcome.String(), "billed", end.Billed, "attempts", len(c.tried)}
@@ -140,8 +156,11 @@
 }
 
 func (c *call) execute(ctx context.Context) stream.End {
-	if p := c.reserve(ctx); p != nil {
-		return c.giveUp(p)
+	if err := c.reserve(ctx); err != nil {
+		if end, ok := c.forwardToHolder(ctx, err); ok {
+			return end
+		}
+		return c.giveUp(reserveProblem(ctx, err))
 	}
 	if c.claims {
 		end, won := c.claim(ctx)
@@ -188,7 +207,7 @@
 	}
 }
 
-func (c *call) reserve(ctx context.Context) *problem.Problem {
+func (c *call) reserve(ctx context.Context) error {
 	amount := c.work.bound()
 	if amount > 0 {
 		wait := defaultRefusalWait
@@ -197,7 +216,7 @@
 		}
 		res, err := c.g.opts.Reserver.Reserve(ctx, c.req.Budget, c.req.Key(), amount, wait)
 		if err != nil {
-			return reserveProblem(ctx, err)
+			return err
 		}
 		c.reservation = res
 	}
--- a/fleet/gateway/fakes_test.go
+++ b/fleet/gateway/fakes_test.go
@@ -28,7 +28,10 @@
 	settled  map[record.RequestKey][]record.Tokens
 	claims   map[record.RequestKey]bank.Claim
 	claimErr error
-	reserved int // open reservations
+	// finishDelay is how long an outcome takes to be recorded.
+	finishDelay time.Duration
+	reserved    int // open reservations
+	holders     []record.Holder
 }
 
 func newFakeBank(amount record.Tokens) *fakeBank {
@@ -43,7 +46,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if amount > b.left {
-		return nil, &bank.RefusedError{Budget: id, Wanted: amount, Available: b.left}
+		return nil, &bank.RefusedError{Budget: id, Wanted: amount, Available: b.left, Holders: b.holders}
 	}
 	b.left -= amount
 	b.reserved++
@@ -111,6 +114,14 @@
 }
 
 func (c claimer) Finish(_ record.BudgetID, key record.RequestKey, outcome record.Outcome, detail []byte) {
+	if c.finishDelay > 0 {
+		time.AfterFunc(c.finishDelay, func() { c.record(key, outcome, detail) })
+		return
+	}
+	c.record(key, outcome, detail)
+}
+
+func (c claimer) record(key record.RequestKey, outcome record.Outcome, detail []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	claim := c.claims[key]
