--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -168,10 +168,11 @@
 			return end
 		}
 	}
+	var failed verdict
 	for n := 1; ; n++ {
-		lease, p := c.pick(ctx, n)
-		if p != nil {
-			return c.giveUp(p)
+		lease, err := c.pick(ctx, n)
+		if err != nil {
+			return c.giveUp(unpicked(ctx, err, failed, n))
 		}
 		last := n >= c.g.limits.Attempts
 		v := c.send(ctx, lease, last)
@@ -184,6 +185,7 @@
 		if err := c.backoff(ctx, n); err != nil {
 			return c.giveUp(contextProblem(err))
 		}
+		failed = v
 		c.work.restart()
 		c.g.metrics.retries.Inc(1)
 	}
@@ -225,7 +227,7 @@
 }
 
 // pick leases an upstream.
-func (c *call) pick(ctx context.Context, attempt int) (dispatch.Lease, *problem.Problem) {
+func (c *call) pick(ctx context.Context, attempt int) (dispatch.Lease, error) {
 	q := dispatch.Query{
 		RequestID: c.req.ID,
 		Account:   c.req.Account,
@@ -238,7 +240,7 @@
 	c.work.query(&q)
 	lease, err := c.g.opts.Picker.Pick(ctx, q)
 	if err != nil {
-		return nil, pickProblem(ctx, err)
+		return nil, err
 	}
 	id := lease.Upstream().ID
 	d := lease.Decision()
--- a/fleet/gateway/problems.go
+++ b/fleet/gateway/problems.go
@@ -59,6 +59,20 @@
 	return problem.New(http.StatusServiceUnavailable, code, "%v", refused).WithRetryAfter(after)
 }
 
+// unpicked describes a request that got no upstream. If a retry is refused, the
+// failure before it is what the caller is told, with the time to come back.
+func unpicked(ctx context.Context, err error, before verdict, attempt int) *problem.Problem {
+	p := pickProblem(ctx, err)
+	if attempt == 1 || before.fate == notStarted {
+		return p
+	}
+	failure := before.problem()
+	if p.RetryAfter > 0 {
+		failure.RetryAfter = p.RetryAfter
+	}
+	return failure
+}
+
 func isContextCause(err error) bool {
 	return errors.Is(err, errDeadline) || errors.Is(err, errCallerGone) || errors.Is(err, errSilent) ||
 		errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
