--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -150,18 +150,37 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	answer := Answer{
+		Account:    account,
+		Hosts:      h.order(current, account),
+		TTLSeconds: int(h.opt.TTL / time.Second),
+	}
+	for _, x := range answer.Hosts {
+		if x.ID == h.opt.Self.ID {
+			h.namedUntil = now.Add(h.opt.TTL + transitSlack)
+		}
+	}
+	return answer
+}
+
+// Order returns the hosts that an account's callers are told to use, best
+// first, without counting as an answer.
+func (h *Handler) Order(current *settings.Resolved, account string) []Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.order(current, account)
+}
+
+func (h *Handler) order(current *settings.Resolved, account string) []Host {
 	known := h.known()
 	h.replan(current, known)
-	answer := Answer{Account: account, TTLSeconds: int(h.opt.TTL / time.Second)}
+	var hosts []Host
 	for _, x := range h.plan.Order(account, h.opt.Self.Region, known, maxHosts) {
-		answer.Hosts = append(answer.Hosts, Host{
+		hosts = append(hosts, Host{
 			ID: record.HostID(x.ID), Address: x.Address, FailureDomain: x.FailureDomain,
 		})
-		if x.ID == string(h.opt.Self.ID) {
-			h.namedUntil = now.Add(h.opt.TTL + transitSlack)
-		}
 	}
-	return answer
+	return hosts
 }
 
 // known returns the hosts as they are seen now; this host is always among them.
--- a/fleet/host/build.go
+++ b/fleet/host/build.go
@@ -105,6 +105,8 @@
 		Claimer:  h.bank,
 		Picker:   h.pool,
 		View:     h.members,
+		Order:    h.entryOrder,
+		Budgets:  budgetReader{h.shards, h.shardCount},
 		Entry:    h.entry,
 		Logger:   h.logger,
 		Metrics:  h.metrics,
--- /dev/null
+++ b/fleet/host/callers.go
@@ -0,0 +1,51 @@
+package host
+
+import (
+	"context"
+	"errors"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/gateway"
+	"github.com/hazelworks/hazelworks/fleet/shard"
+)
+
+// entryOrder returns the hosts that an account's callers are told to use.
+func (h *Host) entryOrder(account string) []record.HostID {
+	current := h.settings.Current()
+	if current == nil {
+		return nil
+	}
+	var order []record.HostID
+	for _, x := range h.entry.Order(current, account) {
+		order = append(order, x.ID)
+	}
+	return order
+}
+
+// budgetReader reads budgets for callers from the shards' folds.
+type budgetReader struct {
+	shards *shard.Service
+	count  func() uint32
+}
+
+var errNotReady = errors.New("host: the settings are not known yet")
+
+// ReadBudget returns a budget's state. One without a top-up is empty.
+func (b budgetReader) ReadBudget(ctx context.Context, id record.BudgetID) (gateway.BudgetStatus, error) {
+	count := b.count()
+	if count == 0 {
+		return gateway.BudgetStatus{}, errNotReady
+	}
+	state, err := b.shards.State(ctx, record.ShardOf(id, count))
+	if err != nil {
+		return gateway.BudgetStatus{}, err
+	}
+	budget, _ := state.Fold.Ledger().Budget(id)
+	return gateway.BudgetStatus{
+		Budget:    id,
+		Prepaid:   budget.Prepaid,
+		Spent:     budget.Settled,
+		Granted:   budget.Granted,
+		Available: budget.Available,
+	}, nil
+}
