Keep all shards' appends together under the log's rate

Cause: each owner appended as soon as its last append was done; at target size 128 owners with a batch every 100 ms make 1,280 appends/s, where the log takes several hundred.

--- a/fleet/shard/options.go
+++ b/fleet/shard/options.go
@@ -42,6 +42,8 @@
 	// ReportDelay is how long the owner holds a batch of reports alone, so that
 	// reports of several holders share a record.
 	ReportDelay time.Duration
+	// AppendsPerSecond is the rate that the log allows all shards together.
+	AppendsPerSecond float64
 	// AppendTimeout bounds one append.
 	AppendTimeout time.Duration
 	// ReadBackWait bounds the wait for an appended record to be read back.
@@ -95,6 +97,9 @@
 	if o.Rand == nil {
 		o.Rand = rand.Float64
 	}
+	if o.AppendsPerSecond <= 0 {
+		o.AppendsPerSecond = defaultAppendsPerSecond
+	}
 	setDuration(&o.PollWait, defaultPollWait)
 	setInt(&o.ReadLimit, defaultReadLimit)
 	setInt(&o.MaxBatchOps, defaultMaxBatchOps)
--- a/fleet/shard/writer.go
+++ b/fleet/shard/writer.go
@@ -27,8 +27,12 @@
 	if r.waitLoaded(r.ctx) != nil {
 		return
 	}
-	pace := backoff{low: minAppendBackoff, high: maxAppendBackoff}
+	throttle := backoff{low: minAppendBackoff, high: maxAppendBackoff}
+	pace := newAppendPace(r.svc.opts.AppendsPerSecond, r.svc.opts.Shards)
 	for r.collect() {
+		if pace.wait(r.ctx) != nil {
+			return
+		}
 		calls := r.queue.take(r.svc.opts.MaxBatchOps, r.svc.opts.MaxBatchBytes)
 		if len(calls) == 0 {
 			continue
@@ -36,12 +40,12 @@
 		if err := r.send(calls); errors.Is(err, platform.ErrThrottled) {
 			r.svc.throttled.Inc(1)
 			r.queue.putBack(calls)
-			pace.fail()
+			throttle.fail()
 		} else {
-			pace.ease()
+			throttle.ease()
 		}
-		if pace.current > 0 {
-			pause(r.ctx, r.svc.jitter(pace.current))
+		if throttle.current > 0 {
+			pause(r.ctx, r.svc.jitter(throttle.current))
 		}
 	}
 }
