--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -44,7 +44,8 @@
 		need Need
 		able bool
 	}{
-		{"serves any", Upstream{}, Need{Model: "m"}, true},
+		{"serves any", Upstream{AnyModel: true}, Need{Model: "m"}, true},
+		{"serves none", Upstream{}, Need{Model: "m"}, false},
 		{"model", Upstream{Serves: []Serving{full}}, Need{Model: "m"}, true},
 		{"other model", Upstream{Serves: []Serving{full}}, Need{Model: "n"}, false},
 		{"version", Upstream{Serves: []Serving{full}}, Need{Model: "m", Version: "2"}, true},
--- a/core/route/worker.go
+++ b/core/route/worker.go
@@ -16,8 +16,9 @@
 // Upstream describes an upstream as the settings or its own word have it.
 type Upstream struct {
 	ID string
-	// Serves lists what is loaded. Empty means that it serves any model.
-	Serves []Serving
+	// Serves lists what is loaded, unless AnyModel is set.
+	Serves   []Serving
+	AnyModel bool
 	// Role is RoleAny or empty for one that answers whole requests.
 	Role  string
 	Slots int
@@ -26,7 +27,7 @@
 }
 
 func (u Upstream) equal(o Upstream) bool {
-	return u.ID == o.ID && u.Role == o.Role && u.Slots == o.Slots && u.Leaving == o.Leaving &&
+	return u.ID == o.ID && u.Role == o.Role && u.Slots == o.Slots && u.Leaving == o.Leaving && u.AnyModel == o.AnyModel &&
 		slices.EqualFunc(u.Serves, o.Serves, Serving.equal)
 }
 
@@ -129,7 +130,7 @@
 	if w.up.Leaving || role != want {
 		return false
 	}
-	if n.Model == "" || len(w.up.Serves) == 0 {
+	if n.Model == "" || w.up.AnyModel {
 		return true
 	}
 	return slices.ContainsFunc(w.up.Serves, func(s Serving) bool { return s.meets(n) })
--- /dev/null
+++ b/fleet/upstream/net_test.go
@@ -0,0 +1,193 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/standin/engine"
+	"github.com/hazelworks/hazelworks/standin/memnet"
+)
+
+// netFleet is one host and engines on an in-memory network.
+type netFleet struct {
+	network *memnet.Network
+	engines []*engine.Engine
+	src     *source
+	svc     *settings.Service
+	pool    *Pool
+	dials   atomic.Int32
+}
+
+// serveNet starts engines named worker-0 and so on, and runs a pool.
+func serveNet(t *testing.T, ctx context.Context, engines int, workers platform.HostList) *netFleet {
+	f := &netFleet{network: memnet.New(memnet.Options{}), src: &source{}}
+	svc := testService(engines, 4)
+	for i := range svc.Upstreams {
+		up := &svc.Upstreams[i]
+		up.URL += ":80"
+		e := engine.New(engine.Options{Name: up.ID, Models: []string{model}})
+		f.engines = append(f.engines, e)
+		l, err := f.network.Listen(up.ID, up.URL[len("http://"):])
+		require.NoError(t, err)
+		server := &http.Server{Handler: e.Handler()}
+		go func() { _ = server.Serve(l) }()
+		context.AfterFunc(ctx, func() { _ = server.Close() })
+	}
+	f.svc = f.src.set(svc)
+	dial := f.network.Dialer("host")
+	f.pool = NewPool(Options{
+		Settings: f.src, Rand: rand.New(rand.NewPCG(3, 3)), Workers: workers,
+		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			f.dials.Add(1)
+			return dial(ctx, network, addr)
+		},
+	})
+	go func() { _ = f.pool.Run(ctx) }()
+	return f
+}
+
+// call sends a request to the next upstream and returns its ID.
+func (f *netFleet) call(t *testing.T, ctx context.Context) (string, error) {
+	l, err := f.pool.Pick(ctx, queryOf(f.svc, "mokoena/yard"))
+	require.NoError(t, err)
+	bounded, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(bounded, http.MethodGet, l.Upstream().URL+"/v1/placement", nil)
+	require.NoError(t, err)
+	resp, err := l.Transport().RoundTrip(req)
+	status := 0
+	if err == nil {
+		status = resp.StatusCode
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	l.Done(dispatch.Result{Err: err, Status: status, Started: true, FirstByte: time.Millisecond, Latency: time.Millisecond})
+	return l.Upstream().ID, err
+}
+
+func inNet(t *testing.T, engines int, workers platform.HostList, body func(t *testing.T, ctx context.Context, f *netFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		body(t, ctx, serveNet(t, ctx, engines, workers))
+	})
+}
+
+func TestUpstreamsOwnWordOfLeaving(t *testing.T) {
+	inNet(t, 2, nil, func(t *testing.T, ctx context.Context, f *netFleet) {
+		for range 10 {
+			_, err := f.call(t, ctx)
+			require.NoError(t, err)
+		}
+		f.engines[0].SetLeaving(true)
+		time.Sleep(8 * time.Second) // nothing is sent; a poll hears it
+		for range 20 {
+			id, err := f.call(t, ctx)
+			require.NoError(t, err)
+			require.Equal(t, "worker-1", id)
+		}
+		f.engines[0].SetLeaving(false)
+		time.Sleep(8 * time.Second)
+		seen := make(map[string]bool)
+		for range 20 {
+			id, _ := f.call(t, ctx)
+			seen[id] = true
+		}
+		require.Len(t, seen, 2, "it is used again once it says that it stays")
+	})
+}
+
+// workerList is a platform list of upstream hosts.
+type workerList struct {
+	list atomic.Pointer[platform.Hosts]
+}
+
+func (w *workerList) Hosts(ctx context.Context, after uint64, wait time.Duration) (platform.Hosts, error) {
+	if now := w.list.Load(); now.Version > after {
+		return *now, nil
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return *w.list.Load(), ctx.Err()
+}
+
+func TestListedLeaverGetsNothingWithinThreeSeconds(t *testing.T) {
+	list := &workerList{}
+	list.list.Store(&platform.Hosts{Version: 1})
+	inNet(t, 2, list, func(t *testing.T, ctx context.Context, f *netFleet) {
+		time.Sleep(time.Second)
+		list.list.Store(&platform.Hosts{Version: 2, Hosts: []platform.Host{{ID: record.HostID("worker-1"), State: platform.HostLeaving}}})
+		time.Sleep(3 * time.Second)
+		for range 20 {
+			id, err := f.call(t, ctx)
+			require.NoError(t, err)
+			require.Equal(t, "worker-0", id)
+		}
+	})
+}
+
+func TestSilentPoolIsEmptied(t *testing.T) {
+	inNet(t, 1, nil, func(t *testing.T, ctx context.Context, f *netFleet) {
+		_, err := f.call(t, ctx)
+		require.NoError(t, err)
+		require.Positive(t, f.network.Silence("host", "worker-0"))
+		_, err = f.call(t, ctx)
+		require.ErrorIs(t, err, context.DeadlineExceeded, "the pooled connection is dead")
+		before := f.dials.Load()
+		_, err = f.call(t, ctx)
+		require.NoError(t, err)
+		require.Greater(t, f.dials.Load(), before)
+	})
+}
+
+// TestPollEmptiesAnIdleSilentPool finds the silence before any request does.
+func TestPollEmptiesAnIdleSilentPool(t *testing.T) {
+	inNet(t, 1, nil, func(t *testing.T, ctx context.Context, f *netFleet) {
+		_, err := f.call(t, ctx)
+		require.NoError(t, err)
+		f.network.Silence("host", "worker-0")
+		time.Sleep(10 * time.Second)
+		_, err = f.call(t, ctx)
+		require.NoError(t, err)
+	})
+}
+
+func TestDeadUpstreamIsEjectedAndReturns(t *testing.T) {
+	inNet(t, 3, nil, func(t *testing.T, ctx context.Context, f *netFleet) {
+		failures := 0
+		f.network.Cut("worker-2", "host")
+		for range 120 {
+			if _, err := f.call(t, ctx); err != nil {
+				failures++
+			}
+		}
+		require.Equal(t, 5, failures)
+		f.network.Heal("worker-2", "host")
+		time.Sleep(30 * time.Second)
+		seen := make(map[string]int)
+		for i := range 60 {
+			if i == 10 {
+				time.Sleep(20 * time.Second) // probes are done; the slow start passes
+			}
+			id, err := f.call(t, ctx)
+			require.NoError(t, err)
+			seen[id]++
+		}
+		require.Greater(t, seen["worker-2"], 10)
+	})
+}
--- a/fleet/upstream/poll.go
+++ b/fleet/upstream/poll.go
@@ -21,6 +21,9 @@
 const (
 	// pollAge is the age of the last word at which an upstream is polled.
 	pollAge = 5 * time.Second
+	// servingAge is the age at which what an upstream serves is asked again, also
+	// if it is busy and reports its load with its answers.
+	servingAge = 15 * time.Second
 	// pollInterval paces polls: one upstream is polled in each.
 	pollInterval = 200 * time.Millisecond
 	pollTimeout  = 2 * time.Second
@@ -36,8 +39,9 @@
 	Slots   int     `json:"slots,omitempty"`
 	KVUsed  float64 `json:"kv,omitempty"`
 	Leaving bool    `json:"leaving,omitempty"`
-	// Serving lists what is loaded; it is missing from engines that do not say.
-	Serving []Serving `json:"serving,omitempty"`
+	// Serving lists what is loaded and ready; it is missing from engines that do
+	// not say.
+	Serving *[]Serving `json:"serving,omitempty"`
 	// Cache is the newest cache event, if the engine publishes them here.
 	Cache *route.CacheEvent `json:"cache,omitempty"`
 }
@@ -136,7 +140,8 @@
 		if w.polledAt.After(last) {
 			last = w.polledAt
 		}
-		if now.Sub(last) >= pollAge && (id == "" || last.Before(at)) && s.watched(r) {
+		due := now.Sub(last) >= pollAge || now.Sub(w.polledAt) >= servingAge
+		if due && (id == "" || last.Before(at)) && s.watched(r) {
 			id, at = r.ID(), last
 		}
 	}
@@ -216,8 +221,8 @@
 	if a.Serving == nil {
 		return changed
 	}
-	serving := make([]route.Serving, len(a.Serving))
-	for i, x := range a.Serving {
+	serving := make([]route.Serving, len(*a.Serving))
+	for i, x := range *a.Serving {
 		serving[i] = route.Serving(x)
 	}
 	if !sameServing(w.serving, serving) {
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -27,6 +27,16 @@
 	Slots   int      `json:"slots"`
 	Models  []string `json:"models"`
 	Leaving bool     `json:"leaving"`
+	// Serving lists what is loaded and ready; it is missing if any model is
+	// served.
+	Serving *[]Serving `json:"serving,omitempty"`
+}
+
+// Serving is a model version that is loaded.
+type Serving struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
@@ -38,11 +48,28 @@
 		Slots:   e.opts.Slots,
 		Models:  e.placed.Models,
 		Leaving: e.leaving,
+		Serving: e.serving(),
 	}
 	e.mu.Unlock()
 	writeJSON(w, report)
 }
 
+// serving returns what is ready once an order was taken; nil before. The caller
+// holds e.mu.
+func (e *Engine) serving() *[]Serving {
+	if len(e.orders) == 0 {
+		return nil
+	}
+	list := []Serving{}
+	if time.Now().Before(e.loadDone) {
+		return &list
+	}
+	for _, m := range e.placed.Models {
+		list = append(list, Serving{Model: m, Version: e.placed.Version, Adapters: e.placed.Adapters})
+	}
+	return &list
+}
+
 func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
