--- a/fleet/upstream/net_test.go
+++ b/fleet/upstream/net_test.go
@@ -32,7 +32,7 @@
 }
 
 // serveNet starts engines named worker-0 and so on, and runs a pool.
-func serveNet(t *testing.T, ctx context.Context, engines int, workers platform.HostList) *netFleet {
+func serveNet(ctx context.Context, t *testing.T, engines int, workers platform.HostList) *netFleet {
 	f := &netFleet{network: memnet.New(memnet.Options{}), src: &source{}}
 	svc := testService(engines, 4)
 	for i := range svc.Upstreams {
@@ -60,7 +60,7 @@
 }
 
 // call sends a request to the next upstream and returns its ID.
-func (f *netFleet) call(t *testing.T, ctx context.Context) (string, error) {
+func (f *netFleet) call(ctx context.Context, t *testing.T) (string, error) {
 	l, err := f.pool.Pick(ctx, queryOf(f.svc, "mokoena/yard"))
 	require.NoError(t, err)
 	bounded, cancel := context.WithTimeout(ctx, 3*time.Second)
@@ -78,24 +78,24 @@
 	return l.Upstream().ID, err
 }
 
-func inNet(t *testing.T, engines int, workers platform.HostList, body func(t *testing.T, ctx context.Context, f *netFleet)) {
+func inNet(t *testing.T, engines int, workers platform.HostList, body func(ctx context.Context, t *testing.T, f *netFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		body(t, ctx, serveNet(t, ctx, engines, workers))
+		body(ctx, t, serveNet(ctx, t, engines, workers))
 	})
 }
 
 func TestUpstreamsOwnWordOfLeaving(t *testing.T) {
-	inNet(t, 2, nil, func(t *testing.T, ctx context.Context, f *netFleet) {
+	inNet(t, 2, nil, func(ctx context.Context, t *testing.T, f *netFleet) {
 		for range 10 {
-			_, err := f.call(t, ctx)
+			_, err := f.call(ctx, t)
 			require.NoError(t, err)
 		}
 		f.engines[0].SetLeaving(true)
 		time.Sleep(8 * time.Second) // nothing is sent; a poll hears it
 		for range 20 {
-			id, err := f.call(t, ctx)
+			id, err := f.call(ctx, t)
 			require.NoError(t, err)
 			require.Equal(t, "worker-1", id)
 		}
@@ -103,7 +103,7 @@
 		time.Sleep(8 * time.Second)
 		seen := make(map[string]bool)
 		for range 20 {
-			id, _ := f.call(t, ctx)
+			id, _ := f.call(ctx, t)
 			seen[id] = true
 		}
 		require.Len(t, seen, 2, "it is used again once it says that it stays")
@@ -129,12 +129,12 @@
 func TestListedLeaverGetsNothingWithinThreeSeconds(t *testing.T) {
 	list := &workerList{}
 	list.list.Store(&platform.Hosts{Version: 1})
-	inNet(t, 2, list, func(t *testing.T, ctx context.Context, f *netFleet) {
+	inNet(t, 2, list, func(ctx context.Context, t *testing.T, f *netFleet) {
 		time.Sleep(time.Second)
 		list.list.Store(&platform.Hosts{Version: 2, Hosts: []platform.Host{{ID: record.HostID("worker-1"), State: platform.HostLeaving}}})
 		time.Sleep(3 * time.Second)
 		for range 20 {
-			id, err := f.call(t, ctx)
+			id, err := f.call(ctx, t)
 			require.NoError(t, err)
 			require.Equal(t, "worker-0", id)
 		}
@@ -142,14 +142,14 @@
 }
 
 func TestSilentPoolIsEmptied(t *testing.T) {
-	inNet(t, 1, nil, func(t *testing.T, ctx context.Context, f *netFleet) {
-		_, err := f.call(t, ctx)
+	inNet(t, 1, nil, func(ctx context.Context, t *testing.T, f *netFleet) {
+		_, err := f.call(ctx, t)
 		require.NoError(t, err)
 		require.Positive(t, f.network.Silence("host", "worker-0"))
-		_, err = f.call(t, ctx)
+		_, err = f.call(ctx, t)
 		require.ErrorIs(t, err, context.DeadlineExceeded, "the pooled connection is dead")
 		before := f.dials.Load()
-		_, err = f.call(t, ctx)
+		_, err = f.call(ctx, t)
 		require.NoError(t, err)
 		require.Greater(t, f.dials.Load(), before)
 	})
@@ -157,22 +157,22 @@
 
 // TestPollEmptiesAnIdleSilentPool finds the silence before any request does.
 func TestPollEmptiesAnIdleSilentPool(t *testing.T) {
-	inNet(t, 1, nil, func(t *testing.T, ctx context.Context, f *netFleet) {
-		_, err := f.call(t, ctx)
+	inNet(t, 1, nil, func(ctx context.Context, t *testing.T, f *netFleet) {
+		_, err := f.call(ctx, t)
 		require.NoError(t, err)
 		f.network.Silence("host", "worker-0")
 		time.Sleep(10 * time.Second)
-		_, err = f.call(t, ctx)
+		_, err = f.call(ctx, t)
 		require.NoError(t, err)
 	})
 }
 
 func TestDeadUpstreamIsEjectedAndReturns(t *testing.T) {
-	inNet(t, 3, nil, func(t *testing.T, ctx context.Context, f *netFleet) {
+	inNet(t, 3, nil, func(ctx context.Context, t *testing.T, f *netFleet) {
 		failures := 0
 		f.network.Cut("worker-2", "host")
 		for range 120 {
-			if _, err := f.call(t, ctx); err != nil {
+			if _, err := f.call(ctx, t); err != nil {
 				failures++
 			}
 		}
@@ -184,7 +184,7 @@
 			if i == 10 {
 				time.Sleep(20 * time.Second) // probes are done; the slow start passes
 			}
-			id, err := f.call(t, ctx)
+			id, err := f.call(ctx, t)
 			require.NoError(t, err)
 			seen[id]++
 		}
