--- a/fleet/member/peerconn.go
+++ b/fleet/member/peerconn.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/fleet/peer"
 	"github.com/hazelworks/hazelworks/fleet/peer/peerpb/peerpbconnect"
@@ -23,15 +23,38 @@
 	client peerpbconnect.PeerServiceClient
 }
 
-func (m *Members) newPeerConn(addr string) *peerConn {
+func (m *Members) newPeerConn(id record.HostID, addr string) *peerConn {
 	httpClient := peer.NewHTTPClient(m.dial, m.opts.PeerSecret)
+	reporting := &http.Client{Transport: &reportingTransport{
+		next:   httpClient.Transport,
+		report: func() { m.ReportFailure(id) },
+	}}
 	return &peerConn{
 		addr:   addr,
 		http:   httpClient,
-		client: peerpbconnect.NewPeerServiceClient(httpClient, "http://"+addr),
+		client: peerpbconnect.NewPeerServiceClient(reporting, "http://"+addr),
 	}
 }
 
+// probeKey marks the contexts of probes, whose failures are not reported anew.
+type probeKey struct{}
+
+// reportingTransport reports calls that fail for want of an answer.
+type reportingTransport struct {
+	next   http.RoundTripper
+	report func()
+}
+
+// RoundTrip sends the request.
+func (t *reportingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.next.RoundTrip(r)
+	isProbe := r.Context().Value(probeKey{}) != nil
+	if err != nil && !isProbe && !errors.Is(r.Context().Err(), context.Canceled) {
+		t.report()
+	}
+	return response, err
+}
+
 // dial bounds the time to connect: the HTTP transport goes on dialing after the
 // call that asked for it has ended.
 func (m *Members) dial(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -40,23 +63,20 @@
 	return m.opts.Dial(ctx, network, addr)
 }
 
-// connectLocked makes a client for each known host and drops the others.
+// connectLocked drops the clients of hosts that are gone or have moved. Clients
+// are made when they are first needed, since a host talks to few others.
 func (m *Members) connectLocked() {
-	known := make(map[record.HostID]platform.Host)
+	addrs := make(map[record.HostID]string)
 	for _, h := range m.table.Hosts() {
-		known[h.ID] = h.Host
-	}
-	for id, h := range known {
-		if conn, ok := m.peers[id]; !ok || conn.addr != h.PeerAddr {
-			m.replaceLocked(id, m.newPeerConn(h.PeerAddr))
-		}
+		addrs[h.ID] = h.PeerAddr
 	}
 	for id, conn := range m.peers {
-		if _, ok := known[id]; !ok {
+		if conn.addr != addrs[id] {
 			conn.http.CloseIdleConnections()
 			delete(m.peers, id)
 		}
 	}
+	m.addrs = addrs
 }
 
 // replaceLocked makes conn the way to a host. Calls over the old one end by
@@ -81,10 +101,20 @@
 	m.logger.Info("replaced a silent connection", "host", id)
 }
 
+// conn returns the way to a host, or nil if it is not known.
 func (m *Members) conn(id record.HostID) *peerConn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.peers[id]
+	if conn, ok := m.peers[id]; ok {
+		return conn
+	}
+	addr, ok := m.addrs[id]
+	if !ok {
+		return nil
+	}
+	conn := m.newPeerConn(id, addr)
+	m.peers[id] = conn
+	return conn
 }
 
 func (m *Members) closePeers() {
