Read a large host list slowly

Change: after a read the next one waits for the list's size at 800 B/s; lists up to 8 KB are read at each change, as before. Own probes are not touched. Conclusion: a joined host is given out up to 140 s later at target size; losses are seen by probes, not by the list.

--- a/fleet/member/members.go
+++ b/fleet/member/members.go
@@ -57,6 +57,12 @@
 	tickInterval = 500 * time.Millisecond
 	listWait     = 30 * time.Second
 	listRetry    = 2 * time.Second
+	// listEntryBytes is the size of a host in the list as JSON.
+	listEntryBytes = 180
+	// smallListBytes is the size up to which each change is read at once.
+	smallListBytes = 8 << 10
+	// listBytesPerSecond bounds the reading of a larger list.
+	listBytesPerSecond = 800
 )
 
 // Members tracks the hosts of the fleet. It implements [View].
@@ -256,10 +262,23 @@
 		}
 		version = list.Version
 		m.takeList(list.Hosts)
+		if err := sleep(ctx, listPause(len(list.Hosts))); err != nil {
+			break
+		}
 	}
 	return ctx.Err()
 }
 
+// listPause returns the wait before the list is read again, so that a large
+// list that changes often stays within listBytesPerSecond.
+func listPause(hosts int) time.Duration {
+	size := hosts * listEntryBytes
+	if size <= smallListBytes {
+		return 0
+	}
+	return time.Duration(size) * time.Second / listBytesPerSecond
+}
+
 func (m *Members) noteList(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
