--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -267,7 +266,7 @@
 // backoff waits a random time that grows with the attempts.
 func (c *call) backoff(ctx context.Context, attempt int) error {
 	limit := min(c.g.limits.BackoffBase<<(attempt-1), c.g.limits.BackoffMax)
-	timer := time.NewTimer(rand.N(limit))
+	timer := time.NewTimer(c.g.opts.Jitter(limit))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/fleet/gateway/fakes_test.go
+++ b/fleet/gateway/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -308,7 +309,14 @@
 // host starts a gateway and returns a client that calls it.
 func (f *fixture) host(name, addr string, change func(*Options), limits Limits) (*Gateway, *http.Client) {
 	self := record.Holder{Host: record.HostID(name), Incarnation: 1}
+	rng := rand.New(rand.NewPCG(3, 3))
+	var mu sync.Mutex
 	opts := Options{
+		Jitter: func(limit time.Duration) time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Duration(rng.Int64N(int64(limit)))
+		},
 		Self:     self,
 		Settings: fakeSource{f.set},
 		Reserver: f.bank,
--- a/fleet/gateway/gateway.go
+++ b/fleet/gateway/gateway.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/semaphore"
@@ -34,6 +36,9 @@
 // New returns a gateway.
 func New(opts Options) *Gateway {
 	limits := opts.Limits.withDefaults()
+	if opts.Jitter == nil {
+		opts.Jitter = rand.N[time.Duration]
+	}
 	g := &Gateway{
 		opts:    opts,
 		limits:  limits,
--- a/fleet/gateway/options.go
+++ b/fleet/gateway/options.go
@@ -35,6 +35,9 @@
 	Logger  logr.Logger
 	Metrics metrics.Registry
 	Limits  Limits
+	// Jitter returns a random time below limit, for the wait before a retry;
+	// nil means a uniform one.
+	Jitter func(limit time.Duration) time.Duration
 }
 
 // Limits bounds memory and time.
