Wait for answers that are still being sent when a host stops

Cause: a graceful stop waited for the runs of requests only, so that a caller who reads slowly could be cut off after its run had ended. Change: Drain counts runs, callers' handlers and answers to peers. Conclusion: nothing in flight is left when Drain returns.

--- a/fleet/gateway/gateway.go
+++ b/fleet/gateway/gateway.go
@@ -30,6 +30,7 @@
 	tickets  *request.Tickets
 	bodies   *semaphore.Weighted
 	draining atomic.Bool
+	inflight inflight
 	mux      *http.ServeMux
 }
 
@@ -74,6 +75,8 @@
 // Handler returns the callers' HTTP interface.
 func (g *Gateway) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.inflight.add()
+		defer g.inflight.done()
 		if g.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -81,12 +84,12 @@
 	})
 }
 
-// Drain waits until no request runs. New requests are served meanwhile, since
+// Drain waits until no request runs and no answer is being sent. New requests are served meanwhile, since
 // callers may hold this host's address for as long as their entry answer lasts;
 // their connections are closed after the answer.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.draining.Store(true)
-	return g.table.Wait(ctx)
+	return g.inflight.wait(ctx)
 }
 
 // Running returns the number of requests that run.
--- a/fleet/gateway/handlers.go
+++ b/fleet/gateway/handlers.go
@@ -229,7 +229,9 @@
 		return req, nil
 	}
 	g.metrics.requests.Inc(1)
+	g.inflight.add()
 	go func() {
+		defer g.inflight.done()
 		defer free()
 		defer stop()
 		defer cancel(nil)
--- a/fleet/gateway/peer.go
+++ b/fleet/gateway/peer.go
@@ -51,6 +51,8 @@
 
 // serveAnswer sends an answer to another host, from an event on.
 func (g *Gateway) serveAnswer(ctx context.Context, req *request.Request, from uint64, out *connect.ServerStream[peerpb.AnswerEvent]) error {
+	g.inflight.add()
+	defer g.inflight.done()
 	req.CallerBack()
 	cursor := req.Answer.Attach(from)
 	defer func() {
--- a/fleet/gateway/resume_test.go
+++ b/fleet/gateway/resume_test.go
@@ -408,3 +408,21 @@
 		require.ErrorIs(t, f.gateway.Drain(ctx), context.DeadlineExceeded)
 	})
 }
+
+func TestDrainWaitsForASlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		text := strings.Repeat("x", 150<<10)
+		f := plainFixture(t, Limits{AnswerBytes: 1 << 20, WriteTimeout: time.Minute}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, text)
+		}))
+		resp := f.send(f.client, book("b1", "x"))
+		time.Sleep(time.Second)
+		require.Zero(t, f.gateway.Running(), "the run is over, its answer is not sent yet")
+		drained := make(chan error, 1)
+		go func() { drained <- f.gateway.Drain(t.Context()) }()
+		synctest.Wait()
+		require.Empty(t, drained)
+		require.Equal(t, text, readBody(t, resp))
+		require.NoError(t, <-drained)
+	})
+}
--- a/fleet/request/table.go
+++ b/fleet/request/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"context"
 	"errors"
 	"sync"
 	"time"
@@ -43,14 +42,11 @@
 	kept      *list.List // of *Request, oldest end first
 	keptBytes int
 	running   int
-	idle      chan struct{} // closed while nothing runs
 }
 
 // NewTable returns an empty table.
 func NewTable(limits Limits) *Table {
-	t := &Table{limits: limits, requests: make(map[tableKey]*Request), kept: list.New(), idle: make(chan struct{})}
-	close(t.idle)
-	return t
+	return &Table{limits: limits, requests: make(map[tableKey]*Request), kept: list.New()}
 }
 
 // Begin returns the request with the ID of spec if it runs or is kept. Else it
@@ -74,9 +70,6 @@
 	r.AfterNotRun = ok && old.Outcome() == record.OutcomeNotRun
 	t.requests[key] = r
 	t.running++
-	if t.running == 1 {
-		t.idle = make(chan struct{})
-	}
 	return r, true, nil
 }
 
@@ -90,9 +83,6 @@
 	r.mu.Unlock()
 	r.CallerBack()
 	t.running--
-	if t.running == 0 {
-		close(t.idle)
-	}
 	t.kept.PushBack(r)
 	t.keptBytes += r.Answer.Bytes()
 	t.expire(now)
@@ -144,20 +134,3 @@
 	defer t.mu.Unlock()
 	return t.running
 }
-
-// Wait waits until no request runs.
-func (t *Table) Wait(ctx context.Context) error {
-	for {
-		t.mu.Lock()
-		idle, running := t.idle, t.running
-		t.mu.Unlock()
-		if running == 0 {
-			return nil
-		}
-		select {
-		case <-idle:
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-	}
-}
