Recover after a total loss, guard the schema, bound the history's bytes

Three weak points found in review. A fleet restarted in an outage longer than retention had no way back; operators can now recover from their files. A schema raised too early would have stopped older hosts from following; the endpoint refuses it while such hosts answer, and status shows each host's schema. Answers to peers are no longer bounded by the log's record size.

--- a/cmd/internal/settingscmd/commands.go
+++ b/cmd/internal/settingscmd/commands.go
@@ -21,7 +21,7 @@
 	"github.com/hazelworks/hazelworks/fleet/settingsapi"
 )
 
-// Commands returns validate, plan, apply, get, history, status and key.
+// Commands returns validate, plan, apply, get, history, status, recover and key.
 func Commands(client *adminclient.Client) []*cobra.Command {
 	return []*cobra.Command{
 		newValidateCommand(),
@@ -30,6 +30,7 @@
 		newGetCommand(client),
 		newHistoryCommand(client),
 		newStatusCommand(client),
+		newRecoverCommand(client),
 		newKeyCommand(),
 	}
 }
--- a/cmd/internal/settingscmd/commands_test.go
+++ b/cmd/internal/settingscmd/commands_test.go
@@ -162,6 +162,19 @@
 	require.ErrorAs(t, err, &exit)
 	require.Equal(t, cli.ExitUsage, exit.Code)
 	require.NoError(t, post(settingsapi.Change{ID: "one", Base: 1, Edits: edit("firms/a/accounts/x/weight", "3")}), "a repeat")
+	err = exitOf(post(settingsapi.Change{ID: "four", Base: 2, Edits: edit("schema", "2")}))
+	require.ErrorContains(t, err, "schema: host h1 knows schemas up to 1")
+	require.Len(t, f.log.Records(record.StreamSettings), 4, "nothing was appended")
+}
+
+func TestRecoverIsRefusedWhileSettingsAreKnown(t *testing.T) {
+	f := newFleet(t)
+	dir := writeTree(t, "2")
+	require.Equal(t, cli.ExitOK, f.run("apply", dir).code)
+	got := f.run("recover", dir)
+	require.Equal(t, cli.ExitConflict, got.code)
+	require.Contains(t, got.stderr, "they are not lost")
+	require.Equal(t, cli.ExitUsage, f.run("recover", writeTree(t, "-2")).code)
 }
 
 func TestApplyWhileTheLogIsDown(t *testing.T) {
--- a/cmd/internal/settingscmd/show.go
+++ b/cmd/internal/settingscmd/show.go
@@ -136,10 +136,10 @@
 }
 
 func statusTable(s *settingsapi.Status) cli.Table {
-	t := cli.Table{Header: []string{"HOST", "DOMAIN", "STATE", "VERSION", "LAG", "ANSWERS"}, Data: s}
+	t := cli.Table{Header: []string{"HOST", "DOMAIN", "STATE", "VERSION", "LAG", "SCHEMA", "ANSWERS"}, Data: s}
 	for _, h := range s.Hosts {
 		t.Rows = append(t.Rows, []string{
-			string(h.ID), h.FailureDomain, h.State, fmt.Sprint(h.Version), fmt.Sprint(h.Lag), strconv.FormatBool(h.Answers),
+			string(h.ID), h.FailureDomain, h.State, fmt.Sprint(h.Version), fmt.Sprint(h.Lag), strconv.Itoa(h.Schema), strconv.FormatBool(h.Answers),
 		})
 	}
 	return t
--- a/core/settings/change.go
+++ b/core/settings/change.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: encode change: %w", err)
 	}
-	return pack(data)
+	return packRecord(data)
 }
 
 // DecodeChange parses the log form of a change. Unknown fields are skipped.
--- a/core/settings/fold_test.go
+++ b/core/settings/fold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -238,3 +239,25 @@
 	_, err = DecodeSnapshot([]byte{formatDeflate, 1, 2})
 	require.Error(t, err)
 }
+
+// The longest texts that changes may carry leave room for the tree in a snapshot.
+func TestSnapshotHoldsTheLongestHistory(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	text := func(n int) string {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = byte('!' + random.IntN(90))
+		}
+		return string(b)
+	}
+	f := seeded(t)
+	for range 1000 {
+		base := record.Offset(len(f.entries))
+		data, err := EncodeChange(&Change{Kind: KindEdit, ID: text(MaxIDBytes), Base: base, By: text(MaxTextBytes), Message: text(MaxTextBytes), Edits: []Edit{edit("x-n", "1")}})
+		require.NoError(t, err)
+		require.Equal(t, StatusAccepted, f.raw(data).Status)
+	}
+	data, err := EncodeSnapshot(f.fold.Snapshot())
+	require.NoError(t, err)
+	require.Less(t, len(data), 640<<10)
+}
--- a/core/settings/history.go
+++ b/core/settings/history.go
@@ -70,19 +70,36 @@
 
 // Limits of the history. All hosts keep the same, so that they judge alike.
 const (
-	maxHistory      = 4096
-	maxHistoryPaths = 65_536
+	maxHistory = 4096
+	// maxHistoryBytes bounds the texts of all judgements, so that a snapshot
+	// has room for the tree.
+	maxHistoryBytes = 512 << 10
 	// maxKeptPaths bounds the paths of one change; more are cut to their common
 	// parent, which makes conflicts likelier and never misses one.
 	maxKeptPaths    = 256
 	maxKeptFindings = 16
 )
 
+// size returns the bytes of the judgement's texts.
+func (j *Judgement) size() int {
+	size := len(j.ID) + len(j.By) + len(j.Message)
+	for _, p := range j.Paths {
+		size += len(p)
+	}
+	for _, f := range j.Findings {
+		size += len(f)
+	}
+	if j.Conflict != nil {
+		size += len(j.Conflict.Path) + len(j.Conflict.ID) + len(j.Conflict.By)
+	}
+	return size
+}
+
 // history holds the newest judgements in offset order.
 type history struct {
 	items []*Judgement
 	byID  map[string]*Judgement
-	paths int
+	bytes int
 	// horizon is the offset of the newest accepted change that was dropped.
 	horizon record.Offset
 }
@@ -98,8 +115,8 @@
 func (h *history) add(j *Judgement) {
 	h.items = append(h.items, j)
 	h.byID[j.ID] = j
-	h.paths += len(j.Paths)
-	for len(h.items) > maxHistory || h.paths > maxHistoryPaths {
+	h.bytes += j.size()
+	for len(h.items) > maxHistory || h.bytes > maxHistoryBytes {
 		h.dropOldest()
 	}
 }
@@ -108,7 +125,7 @@
 	oldest := h.items[0]
 	h.items[0] = nil
 	h.items = h.items[1:]
-	h.paths -= len(oldest.Paths)
+	h.bytes -= oldest.size()
 	delete(h.byID, oldest.ID)
 	if oldest.Status == StatusAccepted {
 		h.horizon = oldest.Offset
--- a/core/settings/pack.go
+++ b/core/settings/pack.go
@@ -22,7 +22,7 @@
 // ErrFormat is returned for records in a format that this program doesn't know.
 var ErrFormat = errors.New("settings: unknown record format")
 
-// pack returns the log form of data.
+// pack returns data with its format in front, compressed if it is long.
 func pack(data []byte) ([]byte, error) {
 	if len(data) > maxPlainRecord {
 		return nil, fmt.Errorf("settings: record has %d bytes, at most %d are allowed", len(data), maxPlainRecord)
@@ -31,10 +31,16 @@
 	if len(data) >= minDeflate {
 		packed = deflate(data)
 	}
-	if len(packed) > record.MaxBatchBytes {
+	return packed, nil
+}
+
+// packRecord returns the log form of data, which is bounded.
+func packRecord(data []byte) ([]byte, error) {
+	packed, err := pack(data)
+	if err == nil && len(packed) > record.MaxBatchBytes {
 		return nil, fmt.Errorf("settings: packed record has %d bytes, at most %d are allowed", len(packed), record.MaxBatchBytes)
 	}
-	return packed, nil
+	return packed, err
 }
 
 func deflate(data []byte) []byte {
--- a/core/settings/snapshot.go
+++ b/core/settings/snapshot.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: encode snapshot: %w", err)
 	}
-	return pack(data)
+	return packRecord(data)
 }
 
 // DecodeSnapshot parses the log form of a snapshot. Unknown fields are skipped.
@@ -61,6 +61,20 @@
 	}
 }
 
+// NewSnapshot returns a snapshot of a declared tree in place of all entries up to
+// an offset. It is for the recovery of settings that no host and no log holds.
+func NewSnapshot(tree *jsontree.Node, covers record.Offset) (*Snapshot, error) {
+	if _, err := Resolve(tree, covers); err != nil {
+		return nil, err
+	}
+	return &Snapshot{
+		Covers:  covers,
+		Version: covers,
+		Tree:    tree.AppendJSON(nil),
+		Horizon: covers,
+	}, nil
+}
+
 // Restore takes the state of a snapshot that covers more than the fold has
 // applied, and reports whether it did. A late snapshot has no effect.
 func (f *Fold) Restore(s *Snapshot) (bool, error) {
--- a/fleet/member/probe.go
+++ b/fleet/member/probe.go
@@ -9,6 +9,7 @@
 
 	"github.com/hazelworks/hazelworks/core/membership"
 	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
 	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
 )
 
@@ -207,6 +208,7 @@
 		SettingsVersion: uint64(own.Version),
 		Leaving:         own.Leaving,
 		Suspicions:      reports,
+		SettingsSchema:  settings.SupportedSchema,
 	}), nil
 }
 
--- a/fleet/settingsapi/api.go
+++ b/fleet/settingsapi/api.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"github.com/hazelworks/hazelworks/core/findings"
+	"github.com/hazelworks/hazelworks/core/jsontree"
 	"github.com/hazelworks/hazelworks/core/settings"
 	"github.com/hazelworks/hazelworks/fleet/member"
 	"github.com/hazelworks/hazelworks/fleet/problem"
@@ -34,6 +35,7 @@
 func (a *API) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/settings", a.tree)
 	mux.HandleFunc("POST /v1/settings/changes", a.publish)
+	mux.HandleFunc("POST /v1/settings/recovery", a.recover)
 	mux.HandleFunc("GET /v1/settings/explain", a.explain)
 	mux.HandleFunc("GET /v1/settings/history", a.history)
 	mux.HandleFunc("GET /v1/status", a.status)
@@ -58,6 +60,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), publishTimeout)
 	defer cancel()
+	if err := a.checkSchema(ctx, &change); err != nil {
+		writeProblem(w, publishProblem(err))
+		return
+	}
 	judgement, err := a.watcher.Publish(ctx, change.record())
 	if err != nil {
 		writeProblem(w, publishProblem(err))
@@ -66,6 +72,31 @@
 	writeJSON(w, http.StatusOK, judged(judgement))
 }
 
+// recover brings a declared tree into force after a total loss.
+func (a *API) recover(w http.ResponseWriter, r *http.Request) {
+	var body Recovery
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes)).Decode(&body); err != nil {
+		writeProblem(w, Problem{Type: ProblemBadRequest, Status: http.StatusBadRequest, Title: "The settings cannot be read", Detail: err.Error()})
+		return
+	}
+	var list findings.List
+	tree := jsontree.ParsePlain(body.Settings, &list)
+	if err := list.Err(); err != nil {
+		writeProblem(w, publishProblem(err))
+		return
+	}
+	version, err := a.watcher.Recover(r.Context(), tree)
+	if errors.Is(err, settingswatch.ErrNotLost) {
+		writeProblem(w, Problem{Type: ProblemNotLost, Status: http.StatusConflict, Title: "Nothing to recover", Detail: err.Error()})
+		return
+	}
+	if err != nil {
+		writeProblem(w, publishProblem(err))
+		return
+	}
+	writeJSON(w, http.StatusOK, Recovered{Version: version})
+}
+
 func judged(j *settings.Judgement) Judgement {
 	return Judgement{Judgement: *j, Status: j.Status.String()}
 }
--- a/fleet/settingsapi/status.go
+++ b/fleet/settingsapi/status.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hazelworks/hazelworks/core/findings"
 	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
 	"github.com/hazelworks/hazelworks/fleet/member"
 	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
 )
@@ -59,7 +62,7 @@
 	}
 	self := a.view.Self()
 	if h.ID == self.Host {
-		status.Version, status.Answers = a.watcher.Version(), true
+		status.Version, status.Schema, status.Answers = a.watcher.Version(), settings.SupportedSchema, true
 		return status
 	}
 	client, ok := a.view.Client(h.ID)
@@ -79,6 +82,7 @@
 		return status
 	}
 	status.Version, status.Answers = record.Offset(response.Msg.SettingsVersion), true
+	status.Schema = int(response.Msg.SettingsSchema)
 	return status
 }
 
@@ -93,6 +97,27 @@
 	return false
 }
 
+// checkSchema refuses to raise the tree's schema above what every host that
+// answers knows, since the others would keep their last settings from then on.
+func (a *API) checkSchema(ctx context.Context, change *Change) error {
+	wanted := 0
+	for _, e := range change.Edits {
+		if e.Path == "schema" {
+			_ = json.Unmarshal(e.Value, &wanted)
+		}
+	}
+	if wanted <= 1 {
+		return nil
+	}
+	var list findings.List
+	for _, h := range a.askHosts(ctx) {
+		if h.Answers && h.Schema < wanted {
+			list.Addf(findings.Position{}, "schema", "host %s knows schemas up to %d", h.ID, h.Schema)
+		}
+	}
+	return list.Err()
+}
+
 func setLag(hosts []HostStatus) {
 	var newest record.Offset
 	for _, h := range hosts {
--- a/fleet/settingsapi/types.go
+++ b/fleet/settingsapi/types.go
@@ -18,6 +18,17 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
+// Recovery is the body of POST /v1/settings/recovery.
+type Recovery struct {
+	// Settings is the declared tree.
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Recovered is its answer.
+type Recovered struct {
+	Version record.Offset `json:"version"`
+}
+
 // Edit sets or removes a value. Value is absent for a removal.
 type Edit struct {
 	Path  string          `json:"path"`
@@ -133,6 +144,9 @@
 	// offsets that it is behind the newest one reported by any host.
 	Version record.Offset `json:"version"`
 	Lag     record.Offset `json:"lag"`
+	// Schema is the newest schema of the tree that the host's program knows, zero
+	// if it did not answer.
+	Schema int `json:"schema"`
 	// Answers is false if the host did not answer for this status; Version is
 	// then the last one heard.
 	Answers bool `json:"answers"`
@@ -162,7 +176,9 @@
 	ProblemNotAppended = typePrefix + "settings-not-appended"
 	// ProblemUnknown means that the change may yet come into force; a repeat
 	// with the same ID counts once.
-	ProblemUnknown  = typePrefix + "settings-outcome-unknown"
+	ProblemUnknown = typePrefix + "settings-outcome-unknown"
+	// ProblemNotLost means that a recovery was asked for and is not needed.
+	ProblemNotLost  = typePrefix + "settings-not-lost"
 	ProblemNotFound = typePrefix + "not-found"
 	// ProblemNotKnown means that the host has just started.
 	ProblemNotKnown = typePrefix + "settings-not-known"
--- a/fleet/settingswatch/meters.go
+++ b/fleet/settingswatch/meters.go
@@ -17,6 +17,8 @@
 	peerUpdates metrics.Counter
 	peerErrors  metrics.Counter
 	snapshots   metrics.Counter
+	// snapshotErrors counts failed appends, the log's outages included.
+	snapshotErrors metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -33,6 +35,8 @@
 		peerUpdates: counter("peer_updates"),
 		peerErrors:  counter("peer_errors"),
 		snapshots:   counter("snapshots_appended"),
+
+		snapshotErrors: counter("snapshot_errors"),
 	}
 }
 
--- a/fleet/settingswatch/snapshots.go
+++ b/fleet/settingswatch/snapshots.go
@@ -46,7 +46,8 @@
 			continue
 		}
 		if err := w.snapshotIfDue(ctx, &watch, order); err != nil {
-			w.logger.V(1).Info("no snapshot appended", "error", err.Error())
+			w.meters.snapshotErrors.Inc(1)
+			w.logger.Error(err, "no snapshot appended")
 		}
 	}
 }
--- a/fleet/settingswatch/watcher_test.go
+++ b/fleet/settingswatch/watcher_test.go
@@ -244,3 +244,38 @@
 		require.False(t, ok)
 	})
 }
+
+// After an outage longer than retention in which every host was restarted, only
+// the operators' files are left.
+func TestRecoveryAfterTotalLoss(t *testing.T) {
+	run(t, func(t *testing.T) {
+		c := newCluster(t, memlog.Options{Retention: 30 * time.Minute}, 3)
+		c.seed()
+		declared, _ := c.node(0).watcher.Tree()
+		_, err := c.node(0).watcher.Recover(t.Context(), declared)
+		require.ErrorIs(t, err, ErrNotLost)
+		c.log.SetDown(true)
+		c.stopAll()
+		time.Sleep(time.Hour)
+		c.log.SetDown(false)
+		for i := range 3 {
+			c.start(record.HostID(fmt.Sprintf("h%03d", i)))
+		}
+		time.Sleep(time.Minute)
+		for i := range 3 {
+			require.Nil(t, c.node(i).watcher.Current(), "there is nothing to start from")
+		}
+		version, err := c.node(1).watcher.Recover(t.Context(), declared)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 3, c.inForce(version))
+		require.EqualValues(t, 1, c.node(2).weight("a/x"))
+		_, err = c.node(0).watcher.Recover(t.Context(), declared)
+		require.ErrorIs(t, err, ErrNotLost)
+		_, err = c.node(0).watcher.Publish(t.Context(), change("old", 0, "firms/a/accounts/x/weight", "9"))
+		require.True(t, isConflict(err), "changes made against lost versions are refused")
+		next := c.node(0).publish(change("new", version, "firms/a/accounts/x/weight", "4"))
+		time.Sleep(time.Second)
+		require.Equal(t, 3, c.inForce(next))
+	})
+}
