Test the shard service, measure the grants policy against two baselines

Cause: recalls waited up to 100 ms behind a report that the owner held back to share its record; a host that had just given back called the budget spent; one lock order could deadlock. Change: reports are not held back while grants are recalled; 'spent' needs no report under way; the policy and its baselines (equal split, one owner a budget) run at a member's size.

--- a/fleet/bank/holding.go
+++ b/fleet/bank/holding.go
@@ -175,8 +175,9 @@
 	h.account.queueReturn(h.id, amount)
 }
 
-// spent reports whether nothing of the budget is left anywhere but in the
-// requests that run.
+// spent reports whether nothing of the budget is left anywhere: no other host
+// has a grant, and this one has no request that runs and no report under way
+// that could bring something back.
 func (h *holding) spent() bool {
-	return h.short != nil && h.short.Held == 0 && h.reserved == 0
+	return h.short != nil && h.short.Held == 0 && h.reserved+h.queued+h.inFlight == 0
 }
--- /dev/null
+++ b/fleet/bank/measure_test.go
@@ -0,0 +1,195 @@
+package bank
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/standin/memlog"
+)
+
+var long = flag.Bool("long", false, "measure two-hour partitions instead of five minutes")
+
+// member's client accounts: a few large, the rest small.
+const (
+	accounts      = 10
+	largeAccounts = 3
+)
+
+func accountBudget(i int) record.BudgetID { return record.BudgetID(fmt.Sprintf("mb/a%d", i)) }
+
+// splitReserver is the baseline that gives each host an equal part for good.
+type splitReserver struct {
+	mu   sync.Mutex
+	left map[record.BudgetID]record.Tokens
+}
+
+func (s *splitReserver) Reserve(_ context.Context, id record.BudgetID, _ record.RequestKey, amount record.Tokens, _ time.Duration) (Reservation, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left[id] < amount {
+		return nil, &RefusedError{Budget: id, Wanted: amount, HeldElsewhere: 1}
+	}
+	s.left[id] -= amount
+	return &baselineReservation{amount: amount, back: func(rest record.Tokens) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.left[id] += rest
+	}}, nil
+}
+
+type baselineReservation struct {
+	amount record.Tokens
+	back   func(rest record.Tokens)
+}
+
+func (r *baselineReservation) Amount() record.Tokens     { return r.amount }
+func (r *baselineReservation) Settle(cost record.Tokens) { r.back(r.amount - cost) }
+func (r *baselineReservation) Release()                  { r.back(r.amount) }
+
+// ownerReserver is the baseline that asks one owner of each budget every time.
+type ownerReserver struct {
+	from  *testHost
+	owner *testHost
+	books *splitReserver
+}
+
+func (o *ownerReserver) Reserve(ctx context.Context, id record.BudgetID, key record.RequestKey, amount record.Tokens, wait time.Duration) (Reservation, error) {
+	if o.from != o.owner {
+		_, there := o.from.fleet.reach(o.from.self.Host, o.owner.self.Host)
+		_, back := o.from.fleet.reach(o.owner.self.Host, o.from.self.Host)
+		if there != nil || back != nil {
+			return nil, &RefusedError{Budget: id, Wanted: amount, Unreachable: true}
+		}
+		time.Sleep(2 * peerLatency)
+	}
+	return o.books.Reserve(ctx, id, key, amount, wait)
+}
+
+// baselines returns the reservers to compare.
+func baselines(f *testFleet, prepaid record.Tokens) map[string]func(*testHost) Reserver {
+	split := make(map[*testHost]*splitReserver)
+	for _, h := range f.hosts {
+		split[h] = newBooks(prepaid / record.Tokens(len(f.hosts)))
+	}
+	books := newBooks(prepaid)
+	return map[string]func(*testHost) Reserver{
+		"grants":      func(h *testHost) Reserver { return h.bank },
+		"equal split": func(h *testHost) Reserver { return split[h] },
+		"one owner":   func(h *testHost) Reserver { return &ownerReserver{from: h, owner: f.hosts[0], books: books} },
+	}
+}
+
+func newBooks(each record.Tokens) *splitReserver {
+	books := &splitReserver{left: make(map[record.BudgetID]record.Tokens)}
+	for i := range accounts {
+		books.left[accountBudget(i)] = each
+	}
+	return books
+}
+
+// TestPolicyFigures measures the policy and its baselines at a member's size:
+// 8 hosts, 10 accounts of which 3 are large, each drawn on from the hosts that
+// entry sends it to, or from all. Run it with -v for the figures.
+func TestPolicyFigures(t *testing.T) {
+	partition := 5 * time.Minute
+	if *long {
+		partition = 2 * time.Hour
+	}
+	tests := []struct {
+		name    string
+		spread  int // hosts that an account's callers use
+		prepaid record.Tokens
+		run     time.Duration
+		cut     time.Duration
+		ends    bool // budgets are spent during the run
+	}{
+		{name: "steered, budgets last", spread: 2, prepaid: 2_000_000, run: 3 * time.Minute},
+		{name: "everywhere, budgets last", spread: 8, prepaid: 2_000_000, run: 3 * time.Minute},
+		{name: "steered, large budgets end", spread: 2, prepaid: 60_000, run: 3 * time.Minute, ends: true},
+		{name: "everywhere, large budgets end", spread: 8, prepaid: 60_000, run: 3 * time.Minute, ends: true},
+		{name: "hosts split in halves", spread: 8, prepaid: 10_000_000, run: partition, cut: partition},
+	}
+	for _, test := range tests {
+		for _, policy := range []string{"grants", "equal split", "one owner"} {
+			t.Run(test.name+"/"+policy, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var budgets []record.BudgetID
+					for i := range accounts {
+						budgets = append(budgets, accountBudget(i))
+					}
+					f := newFleet(t, 8, 16, memlog.Options{}, budgets...)
+					defer f.stop()
+					l := newLoad(f)
+					l.reserver = baselines(f, test.prepaid)[policy]
+					for _, id := range budgets {
+						l.topUp(f.hosts[0], id, "t", test.prepaid)
+					}
+					start, appends := time.Now(), f.log.Appends()
+					l.startAccounts(test.spread, start.Add(test.run))
+					if test.cut > 0 {
+						f.partition(f.hosts[:4], f.hosts[4:], true)
+						time.Sleep(test.cut)
+						f.partition(f.hosts[:4], f.hosts[4:], false)
+					}
+					time.Sleep(time.Until(start.Add(test.run)))
+					rate := float64(f.log.Appends()-appends) / time.Since(start).Seconds()
+					held, share := f.largestHolding(policy, test.prepaid, budgets)
+					l.wg.Wait()
+					total := l.served + l.refusals()
+					falseShare := 100 * float64(l.falseRefusals) / float64(total)
+					t.Logf("%d requests, refused %d (spent %d, held %d, unreachable %d), while unspent anywhere %d (%.3f%%), longest %v; wait p50 %v p95 %v p99 %v; %.1f appends/s; largest grant of a host %d (%.2f%%)",
+						total, l.refusals(), l.spentRefusals, l.heldRefusals, l.unreachableRefusals,
+						l.falseRefusals, falseShare, l.longest, l.wait(50), l.wait(95), l.wait(99), rate, held, share)
+					require.False(t, l.overspend)
+					if policy == "grants" {
+						l.finish(budgets...)
+						l.checkFalseRefusals()
+						if !test.ends {
+							require.Zero(t, l.refusals())
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// startAccounts starts the load of a member's accounts, each on some hosts.
+func (l *load) startAccounts(spread int, end time.Time) {
+	for i := range accounts {
+		every := 5 * time.Second // of the account over all its hosts
+		if i < largeAccounts {
+			every = 200 * time.Millisecond
+		}
+		for k := range spread {
+			h := l.fleet.hosts[(i+k)%len(l.fleet.hosts)]
+			l.start(h, pattern{
+				budget: accountBudget(i), every: every * time.Duration(spread),
+				reserve: 400, run: 2 * time.Second, seed: uint64(i*100 + k),
+			}, end)
+		}
+	}
+}
+
+// largestHolding returns the largest outstanding grant of one host, which is
+// what its death would strand.
+func (f *testFleet) largestHolding(policy string, prepaid record.Tokens, budgets []record.BudgetID) (record.Tokens, float64) {
+	if policy != "grants" {
+		return 0, 0
+	}
+	var largest record.Tokens
+	for _, id := range budgets {
+		for _, h := range f.fold(f.shardOf(id)).Ledger().Holders(id) {
+			largest = max(largest, h.Outstanding)
+		}
+	}
+	return largest, 100 * float64(largest) / float64(prepaid)
+}
--- a/fleet/bank/reserve.go
+++ b/fleet/bank/reserve.go
@@ -71,7 +71,7 @@
 
 // lastAskTime is the part of a request's wait that is kept for one last grant
 // request, so that a refusal follows a fresh answer.
-const lastAskTime = 200 * time.Millisecond
+const lastAskTime = 300 * time.Millisecond
 
 // errWaited reports internally that the wait for a grant has ended.
 var errWaited = errors.New("bank: no grant in time")
--- a/fleet/shard/grants.go
+++ b/fleet/shard/grants.go
@@ -186,6 +186,8 @@
 func (r *replica) runRecall(round *recall, budget record.BudgetID, holders []record.Holder) {
 	ctx, cancel := context.WithTimeout(r.ctx, r.svc.opts.RecallWait)
 	defer cancel()
+	r.queue.setEager(true)
+	defer r.queue.setEager(false)
 	done := make(chan record.Tokens, len(holders))
 	for _, h := range holders {
 		r.svc.goDo(func() { done <- r.svc.recallOne(ctx, h, r.id, budget) })
--- a/fleet/shard/queue.go
+++ b/fleet/shard/queue.go
@@ -58,6 +58,7 @@
 type queue struct {
 	mu     sync.Mutex
 	calls  []*call
+	eager  int           // while positive, reports don't wait for others
 	signal chan struct{} // has one element while something is new
 }
 
@@ -69,6 +70,23 @@
 	q.mu.Lock()
 	q.calls = append(q.calls, c)
 	q.mu.Unlock()
+	q.wake()
+}
+
+// setEager starts or ends a time in which reports are not held up for others,
+// as while grants are recalled. Such times may overlap.
+func (q *queue) setEager(on bool) {
+	q.mu.Lock()
+	if on {
+		q.eager++
+	} else {
+		q.eager--
+	}
+	q.mu.Unlock()
+	q.wake()
+}
+
+func (q *queue) wake() {
 	select {
 	case q.signal <- struct{}{}:
 	default:
@@ -82,6 +100,9 @@
 	if len(q.calls) == 0 {
 		return 0, false
 	}
+	if q.eager > 0 {
+		return 0, true
+	}
 	for _, c := range q.calls {
 		if c.urgent {
 			return 0, true
--- a/fleet/shard/service.go
+++ b/fleet/shard/service.go
@@ -131,14 +131,15 @@
 
 // dropIdle stops following shards that another host serves.
 func (s *Service) dropIdle(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, r := range s.replicas {
-		if r.idle(now) {
-			delete(s.replicas, id)
-			r.stop()
-			s.opts.Logger.V(1).Info("shard dropped", "shard", id)
+	for _, r := range s.all() {
+		if !r.idle(now) {
+			continue
 		}
+		s.mu.Lock()
+		delete(s.replicas, r.id)
+		s.mu.Unlock()
+		r.stop()
+		s.opts.Logger.V(1).Info("shard dropped", "shard", r.id)
 	}
 }
 
@@ -196,13 +197,15 @@
 	return r, ok
 }
 
-// goDo runs f in a goroutine that Stop waits for.
+// goDo runs f in a goroutine, which Stop waits for unless it began before.
 func (s *Service) goDo(f func()) {
-	s.wg.Add(1)
-	go func() {
-		defer s.wg.Done()
-		f()
-	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		go f()
+		return
+	}
+	s.wg.Go(f)
 }
 
 // jitter returns a random time from half of d to d.
