Decide the placement of models and give orders to workers

Cause: which worker serves which model and version was fixed by the settings, and versions could not be rolled out. Change: core/placement plans repairs, replicas, roll-outs and moves, and folds the service's stream; fleet/placer takes office by an epoch record, drains, loads and checks worker by worker, halts a roll-out on errors and undoes late orders. The engine stand-in drains by order, reports versions and can fail a load.

--- /dev/null
+++ b/fleet/placer/admin.go
@@ -0,0 +1,92 @@
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/hazelworks/hazelworks/core/placement"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Status is the placement of one service, for operators.
+type Status struct {
+	Service string             `json:"service"`
+	Writer  string             `json:"writer"`
+	Epoch   record.Offset      `json:"epoch"`
+	Workers []WorkerStatus     `json:"workers"`
+	Halted  []placement.Target `json:"halted,omitempty"`
+}
+
+// WorkerStatus is one worker in a [Status].
+type WorkerStatus struct {
+	ID      string           `json:"id"`
+	Serving placement.Target `json:"serving"`
+	Ready   bool             `json:"ready"`
+	// Order is the state of the order under way; empty if there is none.
+	Order  string            `json:"order,omitempty"`
+	Wanted *placement.Target `json:"wanted,omitempty"`
+}
+
+// Register adds the operators' routes to mux: GET /v1/placement lists the
+// services that this host writes for, and POST /v1/placement/resume?service=NAME
+// lifts the halts of a service's roll-outs.
+func (p *Placer) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/placement", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(p.Statuses())
+	})
+	mux.HandleFunc("POST /v1/placement/resume", func(w http.ResponseWriter, r *http.Request) {
+		name := r.URL.Query().Get("service")
+		if err := p.Resume(r.Context(), name); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// Resume lifts the halts of a service's roll-outs. Any host may do it.
+func (p *Placer) Resume(ctx context.Context, service string) error {
+	o := office{self: p.opt.Self, stream: record.StreamOfPlacement(service), log: p.opt.Log, fold: placement.NewFold()}
+	return o.append(ctx, &placement.Record{Kind: placement.KindGo, Writer: p.opt.Self})
+}
+
+// Statuses returns the services that this host writes for, by name.
+func (p *Placer) Statuses() []Status {
+	p.mu.Lock()
+	all := make([]*service, 0, len(p.services))
+	for _, s := range p.services {
+		all = append(all, s)
+	}
+	p.mu.Unlock()
+	slices.SortFunc(all, func(a, b *service) int { return strings.Compare(a.name, b.name) })
+	out := []Status{}
+	for _, s := range all {
+		out = append(out, s.status())
+	}
+	return out
+}
+
+func (s *service) status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Status{Service: s.name, Writer: s.office.fold.Writer.String(), Epoch: s.office.fold.Epoch, Halted: s.office.fold.Halted}
+	for _, up := range s.set.Upstreams {
+		w, ok := s.workers[up.ID]
+		if !ok {
+			continue
+		}
+		ws := WorkerStatus{ID: up.ID, Serving: w.serving, Ready: w.ready}
+		if w.run != nil {
+			ws.Order = string(w.run.machine.State())
+		}
+		if t, ok := s.office.fold.Wanted[up.ID]; ok {
+			ws.Wanted = &t
+		}
+		st.Workers = append(st.Workers, ws)
+	}
+	return st
+}
--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -132,7 +132,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.Header().Set(HeaderLoad, fmt.Sprintf("running=%d, waiting=%d, slots=%d", e.running, e.waiting, e.opts.Slots))
-	if e.leaving {
+	if e.isLeaving() {
 		w.Header().Set(HeaderLeaving, "true")
 	}
 	if !e.faults.NoResume {
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -16,6 +16,8 @@
 	Role     string   `json:"role,omitempty"`
 	// Fencing is the offset of the epoch under which the order was given.
 	Fencing uint64 `json:"fencing,omitempty"`
+	// Drain asks it to say that it leaves and to change nothing else.
+	Drain bool `json:"drain,omitempty"`
 	// Loading is true until the models are ready.
 	Loading bool `json:"loading,omitempty"`
 }
@@ -47,13 +49,18 @@
 		Waiting: e.waiting,
 		Slots:   e.opts.Slots,
 		Models:  e.placed.Models,
-		Leaving: e.leaving,
+		Leaving: e.isLeaving(),
 		Serving: e.serving(),
 	}
 	e.mu.Unlock()
 	writeJSON(w, report)
 }
 
+// isLeaving tells whether new requests should go elsewhere. The caller holds e.mu.
+func (e *Engine) isLeaving() bool {
+	return e.leaving || e.draining || time.Now().Before(e.loadDone)
+}
+
 // serving returns what is ready once an order was taken; nil before. The caller
 // holds e.mu.
 func (e *Engine) serving() *[]Serving {
@@ -95,6 +102,15 @@
 		return
 	}
 	e.fencing = max(e.fencing, order.Fencing)
+	e.draining = order.Drain
+	if order.Drain {
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	if e.faults.FailLoad {
+		refuse(w, http.StatusInternalServerError, "the load failed")
+		return
+	}
 	e.placed = order
 	e.orders = append(e.orders, order)
 	e.loadDone = time.Now().Add(e.opts.LoadTime)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -31,6 +31,8 @@
 	ChecksFencing bool
 	// CacheBlocks bounds the prompt blocks that it keeps; default 512.
 	CacheBlocks int
+	// Version is the version of the models loaded at start.
+	Version string
 	// LoadTime is how long an order to load a model takes.
 	LoadTime time.Duration
 }
@@ -58,6 +60,8 @@
 	Foreign bool
 	// IgnoreCap makes it generate more tokens than the request allows.
 	IgnoreCap bool
+	// FailLoad makes it fail orders to load.
+	FailLoad bool
 	// NoResume makes it refuse to resume streams.
 	NoResume bool
 	// SlowBy multiplies its times; zero means 1.
@@ -86,6 +90,7 @@
 	mu       sync.Mutex
 	faults   Faults
 	leaving  bool
+	draining bool
 	waiting  int
 	running  int
 	runs     map[string]*Run
@@ -118,7 +123,7 @@
 		runs:   make(map[string]*Run),
 		jobs:   make(map[string]*job),
 		cache:  newBlockCache(opts.CacheBlocks),
-		placed: Placement{Models: opts.Models, Role: "any"},
+		placed: Placement{Models: opts.Models, Version: opts.Version, Role: "any"},
 	}
 	e.mux = http.NewServeMux()
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
