Notice at other hosts that a request ID was used for another body

Cause: a host that passed on the answer of a claimed request did not compare bodies, so that a reused ID got the answer to another request. Change: heads of answers between hosts and recorded answers carry the request's fingerprint; a difference is refused with 422. Conclusion: an answer only goes to the request that it was given to, at any host.

--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -83,7 +83,7 @@
 		end.Problem = end.Problem.WithOutcome(end.Outcome).WithRequestID(c.req.ID)
 	}
 	if c.claimed {
-		c.g.opts.Claimer.Finish(c.req.Budget, c.req.Key(), end.Outcome, claimDetail(c.req.Answer, end))
+		c.g.opts.Claimer.Finish(c.req.Budget, c.req.Key(), end.Outcome, claimDetail(c.req, end))
 	}
 	if end.Outcome == record.OutcomeNotRun {
 		c.returnTicket()
--- a/fleet/gateway/claim.go
+++ b/fleet/gateway/claim.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -28,8 +29,13 @@
 	Status int    `json:"status"`
 	Type   string `json:"type,omitempty"`
 	Body   []byte `json:"body,omitempty"`
+	// Request is the beginning of the request's fingerprint.
+	Request []byte `json:"request"`
 }
 
+// fingerprintBytes is the part of a fingerprint that is recorded.
+const fingerprintBytes = 8
+
 // claim asks for the right to run the request. If another host has it, the
 // request ends with what is known of that host's run.
 func (c *call) claim(ctx context.Context) (stream.End, bool) {
@@ -86,6 +92,10 @@
 		c.fire(eventOf(end.Outcome), "", "relayed from "+string(claim.By.Host))
 		return end
 	}
+	if c.otherRequest(claim) {
+		c.fire(request.EventRefuse, "", "recorded for another body")
+		return stream.End{Problem: beginProblem(request.ErrIDReused)}
+	}
 	if c.replayDetail(ctx, claim) {
 		c.fire(request.EventFinish, "", "recorded answer")
 		return stream.End{}
@@ -109,6 +119,16 @@
 	}
 }
 
+// otherRequest reports whether a recorded answer is that of another request with
+// the same ID.
+func (c *call) otherRequest(claim bank.Claim) bool {
+	var d detail
+	if json.Unmarshal(claim.Detail, &d) != nil || len(d.Request) == 0 {
+		return false
+	}
+	return !bytes.Equal(d.Request, c.req.Fingerprint[:fingerprintBytes])
+}
+
 func (c *call) replayDetail(ctx context.Context, claim bank.Claim) bool {
 	var d detail
 	if claim.Outcome != record.OutcomeAnswered || json.Unmarshal(claim.Detail, &d) != nil || d.Status == 0 {
@@ -124,17 +144,17 @@
 
 // claimDetail returns the answer in its recorded form, or nil if it is not
 // whole or too large.
-func claimDetail(answer *stream.Buffer, end stream.End) []byte {
+func claimDetail(req *request.Request, end stream.End) []byte {
 	if end.Problem != nil || end.Outcome != record.OutcomeAnswered {
 		return nil
 	}
-	cursor := answer.Attach(0)
+	cursor := req.Answer.Attach(0)
 	defer cursor.Close()
 	head, ok := cursor.Head()
 	if !ok || head.Events {
 		return nil
 	}
-	d := detail{Status: head.Status, Type: head.Header.Get("Content-Type")}
+	d := detail{Status: head.Status, Type: head.Header.Get("Content-Type"), Request: req.Fingerprint[:fingerprintBytes]}
 	status := stream.Available
 	for status == stream.Available && len(d.Body) <= maxDetailBytes {
 		d.Body, status = cursor.Next(d.Body)
--- a/fleet/gateway/fetch.go
+++ b/fleet/gateway/fetch.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"time"
 
@@ -70,8 +72,10 @@
 	return nil
 }
 
-// pump copies the answer into a buffer until its end or until the peer is lost.
-func (r *remote) pump(ctx context.Context, into *stream.Buffer) (stream.End, error) {
+// pump copies the answer into that of a request until its end or until the peer
+// is lost. An answer to another request with the same ID is refused.
+func (r *remote) pump(ctx context.Context, req *request.Request) (stream.End, error) {
+	into := req.Answer
 	for r.events.Receive() {
 		r.watch.touch()
 		m := r.events.Msg()
@@ -79,6 +83,10 @@
 		case m.GetLast():
 			return endOf(m), nil
 		case m.GetStatus() != 0:
+			if !sameRequest(req, m) {
+				p := beginProblem(request.ErrIDReused)
+				return stream.End{Outcome: record.OutcomeNotRun, Problem: p}, nil
+			}
 			into.Begin(headOf(m))
 		case len(m.GetData()) > 0:
 			r.watch.pause()
@@ -95,6 +103,13 @@
 	return stream.End{}, errPeerSilent
 }
 
+// sameRequest compares fingerprints. A request that only asks for an answer has
+// none.
+func sameRequest(req *request.Request, head *peerpb.AnswerEvent) bool {
+	var none [sha256.Size]byte
+	return req.Fingerprint == none || hex.EncodeToString(req.Fingerprint[:]) == head.GetHeader()[fingerprintHeader]
+}
+
 // relay passes on the answer of the host that has claimed the request. It
 // returns false if that host cannot be asked.
 func (c *call) relay(ctx context.Context, by record.Holder) (stream.End, bool) {
@@ -109,7 +124,7 @@
 			break
 		}
 		found = true
-		end, err := r.pump(ctx, c.req.Answer)
+		end, err := r.pump(ctx, c.req)
 		r.close()
 		if err == nil {
 			return end, true
@@ -129,7 +144,7 @@
 	for len(hosts) > 0 {
 		n := min(len(hosts), askedAtOnce)
 		if r, ok := g.askAll(ctx, hosts[:n], acct.ID, id, from); ok {
-			return g.adopt(ctx, r, acct.ID, id, from), true
+			return g.adopt(ctx, r, request.Spec{ID: id, Account: acct.ID}, from), true
 		}
 		hosts = hosts[n:]
 	}
@@ -137,13 +152,13 @@
 }
 
 // fetchFrom gets an answer from the host that has it, from its beginning.
-func (g *Gateway) fetchFrom(host record.HostID, acct *settings.Account, id string) (*request.Request, bool) {
+func (g *Gateway) fetchFrom(host record.HostID, acct *settings.Account, spec request.Spec) (*request.Request, bool) {
 	ctx := context.Background() // the answer's own bounds end it
-	r, ok := g.open(ctx, host, acct.ID, id, 0)
+	r, ok := g.open(ctx, host, acct.ID, spec.ID, 0)
 	if !ok {
 		return nil, false
 	}
-	return g.adopt(ctx, r, acct.ID, id, 0), true
+	return g.adopt(ctx, r, request.Spec{ID: spec.ID, Account: acct.ID, Fingerprint: spec.Fingerprint}, 0), true
 }
 
 // hostsToAsk lists the other hosts, those that the account's callers are sent
@@ -200,17 +215,17 @@
 }
 
 // adopt returns a request that stands for one at another host.
-func (g *Gateway) adopt(ctx context.Context, r *remote, account, id string, from uint64) *request.Request {
-	req := request.New(request.Spec{ID: id, Account: account}, g.limits.AnswerBytes, func(error) {})
+func (g *Gateway) adopt(ctx context.Context, r *remote, spec request.Spec, from uint64) *request.Request {
+	req := request.New(spec, g.limits.AnswerBytes, func(error) {})
 	req.Answer = stream.NewBuffer(g.limits.AnswerBytes, from)
-	g.log.Info("Answer fetched.", "request", id, "account", account, "host", r.host, "from", from)
+	g.log.Info("Answer fetched.", "request", spec.ID, "account", spec.Account, "host", r.host, "from", from)
 	go func() {
 		defer r.close()
 		started := time.Now()
-		end, err := r.pump(ctx, req.Answer)
+		end, err := r.pump(ctx, req)
 		if err != nil {
 			end = lostAtPeer(err)
-			g.log.Info("Answer lost.", "request", id, "host", r.host, "after", time.Since(started), "error", err.Error())
+			g.log.Info("Answer lost.", "request", spec.ID, "host", r.host, "after", time.Since(started), "error", err.Error())
 		}
 		req.Answer.Finish(end)
 	}()
--- a/fleet/gateway/forward.go
+++ b/fleet/gateway/forward.go
@@ -86,7 +86,7 @@
 	defer r.close()
 	c.fire(request.EventForward, "", string(host))
 	c.g.log.Info("Request handed on.", "request", c.req.ID, "account", c.req.Account, "host", host, "reason", "it holds more of the budget")
-	end, err := r.pump(ctx, c.req.Answer)
+	end, err := r.pump(ctx, c.req)
 	if err != nil {
 		end = lostAtPeer(causeOf(ctx, err))
 	}
--- a/fleet/gateway/handlers.go
+++ b/fleet/gateway/handlers.go
@@ -249,7 +249,7 @@
 		return nil, beginProblem(request.ErrIDReused)
 	}
 	if !ok && maker != g.opts.Self.Host {
-		req, ok = g.fetchFrom(maker, c.account, id)
+		req, ok = g.fetchFrom(maker, c.account, spec)
 	}
 	if !ok {
 		p := problem.New(http.StatusConflict, problem.CodeAnswerGone, "request ID %q was made by host %s, which does not have it or cannot be reached", id, maker)
--- a/fleet/gateway/peer.go
+++ b/fleet/gateway/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -20,6 +21,8 @@
 const (
 	// eventsHeader is set in the head of an answer that is a stream of events.
 	eventsHeader = "Hazel-Events"
+	// fingerprintHeader carries the fingerprint of the request in a head.
+	fingerprintHeader = "Hazel-Fingerprint"
 	// valueSeparator joins the values of one header; no value contains it.
 	valueSeparator = "\n"
 	// silentHeartbeats is the number of heartbeats after which a peer that says
@@ -68,7 +71,7 @@
 	for {
 		if head, ok := cursor.Head(); ok && !headSent {
 			headSent = true
-			if err := out.Send(headMessage(cursor.Index(), head)); err != nil {
+			if err := out.Send(headMessage(cursor.Index(), head, req)); err != nil {
 				return err
 			}
 		}
@@ -105,7 +108,7 @@
 	}
 }
 
-func headMessage(index uint64, head stream.Head) *peerpb.AnswerEvent {
+func headMessage(index uint64, head stream.Head, req *request.Request) *peerpb.AnswerEvent {
 	m := &peerpb.AnswerEvent{Index: index, Status: int32(head.Status), Header: make(map[string]string, len(head.Header)+1)}
 	for name, values := range head.Header {
 		m.Header[name] = strings.Join(values, valueSeparator)
@@ -113,17 +116,20 @@
 	if head.Events {
 		m.Header[eventsHeader] = "true"
 	}
+	m.Header[fingerprintHeader] = hex.EncodeToString(req.Fingerprint[:])
 	return m
 }
 
 func headOf(m *peerpb.AnswerEvent) stream.Head {
 	head := stream.Head{Status: int(m.GetStatus()), Header: make(http.Header, len(m.GetHeader()))}
 	for name, joined := range m.GetHeader() {
-		if name == eventsHeader {
+		switch name {
+		case eventsHeader:
 			head.Events = true
-			continue
+		case fingerprintHeader: // checked by the relay
+		default:
+			head.Header[name] = strings.Split(joined, valueSeparator)
 		}
-		head.Header[name] = strings.Split(joined, valueSeparator)
 	}
 	return head
 }
--- a/fleet/gateway/resume_test.go
+++ b/fleet/gateway/resume_test.go
@@ -278,6 +278,11 @@
 		require.Len(t, f.plain.Effects(), 1)
 		require.Len(t, f.bank.spent(testAccount, "b1"), 1)
 		require.Zero(t, f.bank.open())
+		p := readProblem(t, f.send(other, book("b1", "another body")))
+		require.Equal(t, http.StatusUnprocessableEntity, p.Status)
+		f.net.Kill("h0", true)
+		p = readProblem(t, f.send(other, book("b1", "another body")))
+		require.Equal(t, http.StatusUnprocessableEntity, p.Status, "from the recorded answer")
 	})
 }
 
