--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -84,7 +83,7 @@
 		end.Problem = end.Problem.WithOutcome(end.Outcome).WithRequestID(c.req.ID)
 	}
 	if c.claimed {
-		c.g.opts.Claimer.Finish(c.req.Budget, c.req.Key(), end.Outcome, claimDetail(c.req.Answer, end))
+		c.g.opts.Claimer.Finish(c.req.Budget, c.req.Key(), end.Outcome, claimDetail(c.req, end))
 	}
 	if end.Outcome == record.OutcomeNotRun {
 		c.returnTicket()
@@ -168,10 +167,11 @@
 			return end
 		}
 	}
+	var failed verdict
 	for n := 1; ; n++ {
-		lease, p := c.pick(ctx, n)
-		if p != nil {
-			return c.giveUp(p)
+		lease, err := c.pick(ctx, n)
+		if err != nil {
+			return c.giveUp(unpicked(ctx, err, failed, n))
 		}
 		last := n >= c.g.limits.Attempts
 		v := c.send(ctx, lease, last)
@@ -184,6 +184,7 @@
 		if err := c.backoff(ctx, n); err != nil {
 			return c.giveUp(contextProblem(err))
 		}
+		failed = v
 		c.work.restart()
 		c.g.metrics.retries.Inc(1)
 	}
@@ -225,7 +226,7 @@
 }
 
 // pick leases an upstream.
-func (c *call) pick(ctx context.Context, attempt int) (dispatch.Lease, *problem.Problem) {
+func (c *call) pick(ctx context.Context, attempt int) (dispatch.Lease, error) {
 	q := dispatch.Query{
 		RequestID: c.req.ID,
 		Account:   c.req.Account,
@@ -238,7 +239,7 @@
 	c.work.query(&q)
 	lease, err := c.g.opts.Picker.Pick(ctx, q)
 	if err != nil {
-		return nil, pickProblem(ctx, err)
+		return nil, err
 	}
 	id := lease.Upstream().ID
 	d := lease.Decision()
@@ -265,7 +266,7 @@
 // backoff waits a random time that grows with the attempts.
 func (c *call) backoff(ctx context.Context, attempt int) error {
 	limit := min(c.g.limits.BackoffBase<<(attempt-1), c.g.limits.BackoffMax)
-	timer := time.NewTimer(rand.N(limit))
+	timer := time.NewTimer(c.g.opts.Jitter(limit))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/fleet/gateway/resume_test.go
+++ b/fleet/gateway/resume_test.go
@@ -278,6 +278,11 @@
 		require.Len(t, f.plain.Effects(), 1)
 		require.Len(t, f.bank.spent(testAccount, "b1"), 1)
 		require.Zero(t, f.bank.open())
+		p := readProblem(t, f.send(other, book("b1", "another body")))
+		require.Equal(t, http.StatusUnprocessableEntity, p.Status)
+		f.net.Kill("h0", true)
+		p = readProblem(t, f.send(other, book("b1", "another body")))
+		require.Equal(t, http.StatusUnprocessableEntity, p.Status, "from the recorded answer")
 	})
 }
 
@@ -408,3 +413,21 @@
 		require.ErrorIs(t, f.gateway.Drain(ctx), context.DeadlineExceeded)
 	})
 }
+
+func TestDrainWaitsForASlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		text := strings.Repeat("x", 150<<10)
+		f := plainFixture(t, Limits{AnswerBytes: 1 << 20, WriteTimeout: time.Minute}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, text)
+		}))
+		resp := f.send(f.client, book("b1", "x"))
+		time.Sleep(time.Second)
+		require.Zero(t, f.gateway.Running(), "the run is over, its answer is not sent yet")
+		drained := make(chan error, 1)
+		go func() { drained <- f.gateway.Drain(t.Context()) }()
+		synctest.Wait()
+		require.Empty(t, drained)
+		require.Equal(t, text, readBody(t, resp))
+		require.NoError(t, <-drained)
+	})
+}
