--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -115,8 +115,13 @@
 }
 
 // restarted starts afresh with a host's next incarnation, and takes back this
-// host's report on the one before.
+// host's report on the one before. The first incarnation that is heard of a host
+// is no restart.
 func (t *Table) restarted(id record.HostID, e *entry, incarnation record.Incarnation) {
+	if e.incarnation == 0 {
+		e.incarnation = incarnation
+		return
+	}
 	last, reported := e.reports[t.self.Host]
 	e.restart(incarnation)
 	if reported && !last.Cleared {
@@ -269,6 +274,15 @@
 	Version     record.Offset
 }
 
+// State returns the belief about a host, or false if it is gone or not known.
+func (t *Table) State(id record.HostID) (statechart.State, bool) {
+	e, known := t.entries[id]
+	if !known || e.machine.State() == StateGone {
+		return "", false
+	}
+	return e.machine.State(), true
+}
+
 // Hosts returns all hosts that are not gone, by ID.
 func (t *Table) Hosts() []Host {
 	hosts := make([]Host, 0, len(t.entries))
--- a/fleet/member/probe.go
+++ b/fleet/member/probe.go
@@ -128,7 +128,7 @@
 	if open == nil {
 		return nil, errUnknownHost
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(context.WithValue(ctx, probeKey{}, true), probeTimeout)
 	defer cancel()
 	results := make(chan pingResult, 2)
 	go m.tryPing(ctx, open, results)
@@ -143,7 +143,7 @@
 		results <- first
 	case <-timer.C:
 	}
-	fresh := m.newPeerConn(open.addr)
+	fresh := m.newPeerConn(id, open.addr)
 	go m.tryPing(ctx, fresh, results)
 	for range 2 {
 		first = <-results
@@ -283,7 +283,7 @@
 }
 
 func (m *Members) pushTo(ctx context.Context, conn *peerConn) {
-	callCtx, cancel := context.WithTimeout(ctx, pushTimeout)
+	callCtx, cancel := context.WithTimeout(context.WithValue(ctx, probeKey{}, true), pushTimeout)
 	defer cancel()
 	response, err := conn.client.Ping(callCtx, connect.NewRequest(m.pingRequest()))
 	if err != nil {
@@ -292,8 +292,10 @@
 	m.answered(ctx, response.Msg)
 }
 
-// pushTargets returns the other watchers of the hosts that this host reports,
-// which can confirm the report, and some live hosts at random.
+// pushTargets returns the hosts that this host probes, to which connections are
+// open, one live host at random, and the other watchers of the hosts that this
+// host reports, which can confirm the report. The hosts that each host probes
+// form rings, so that reports reach every host along them.
 func (m *Members) pushTargets(reports []membership.Report) []record.HostID {
 	self := m.opts.Self.Host
 	var targets []record.HostID
@@ -310,14 +312,15 @@
 			add(w)
 		}
 	}
+	for _, id := range m.table.Targets() {
+		add(id)
+	}
 	hosts := m.table.Hosts()
-	m.rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	random := 0
-	for _, h := range hosts {
-		if random < pushFanout && h.State == membership.StateLive && h.ID != self {
-			add(h.ID)
-			random++
-		}
+	if h := hosts[m.rand.IntN(len(hosts))]; h.State == membership.StateLive {
+		add(h.ID)
 	}
-	return targets
+	return slices.DeleteFunc(targets, func(id record.HostID) bool {
+		state, known := m.table.State(id)
+		return !known || state == membership.StateSuspected
+	})
 }
