Run the placer on hosts with a weight store

Cause: nothing started the placer, and operators could not see placements. Conclusion: placement runs in the fleet.

--- a/cmd/hazelctl/main.go
+++ b/cmd/hazelctl/main.go
@@ -33,6 +33,7 @@
 		newBudgetCommand(client),
 		newRequestCommand(client),
 		newUpstreamCommand(client),
+		newPlacementCommand(client),
 		newEntryCommand(),
 	)
 	root.AddCommand(settingscmd.Commands(client)...)
--- a/fleet/host/build.go
+++ b/fleet/host/build.go
@@ -11,6 +11,7 @@
 	"github.com/hazelworks/hazelworks/fleet/gateway"
 	"github.com/hazelworks/hazelworks/fleet/member"
 	"github.com/hazelworks/hazelworks/fleet/peer"
+	"github.com/hazelworks/hazelworks/fleet/placer"
 	"github.com/hazelworks/hazelworks/fleet/settingsapi"
 	"github.com/hazelworks/hazelworks/fleet/settingswatch"
 	"github.com/hazelworks/hazelworks/fleet/shard"
@@ -117,11 +118,29 @@
 	})
 }
 
+// buildPlacement leaves the placer out if there is no weight store.
+func (h *Host) buildPlacement() {
+	if h.opts.Weights == nil {
+		return
+	}
+	h.placer = placer.New(placer.Options{
+		Self:     h.self,
+		Settings: h.settings,
+		View:     h.members,
+		Log:      h.opts.Log,
+		Weights:  h.opts.Weights,
+		Dial:     h.opts.Dial,
+		Logger:   h.logger,
+		Metrics:  h.metrics,
+	})
+}
+
 func (h *Host) buildAdmin() {
-	h.admin = admin.New(
-		string(h.opts.Config.Secrets.Operator),
-		h.metrics,
-		h.pool,
+	parts := []admin.Registrar{h.pool}
+	if h.placer != nil {
+		parts = append(parts, h.placer)
+	}
+	parts = append(parts,
 		h.gateway,
 		settingsapi.New(h.settings, h.members, h.figures),
 		bankadmin.New(bankadmin.Options{
@@ -132,6 +151,7 @@
 			Logger:   h.logger,
 		}),
 	)
+	h.admin = admin.New(string(h.opts.Config.Secrets.Operator), h.metrics, parts...)
 	h.admin.SetCheck(h.Ready)
 }
 
--- a/fleet/host/host.go
+++ b/fleet/host/host.go
@@ -23,6 +23,7 @@
 	"github.com/hazelworks/hazelworks/fleet/gateway"
 	"github.com/hazelworks/hazelworks/fleet/member"
 	"github.com/hazelworks/hazelworks/fleet/peer"
+	"github.com/hazelworks/hazelworks/fleet/placer"
 	"github.com/hazelworks/hazelworks/fleet/settingswatch"
 	"github.com/hazelworks/hazelworks/fleet/shard"
 	"github.com/hazelworks/hazelworks/fleet/upstream"
@@ -75,6 +76,7 @@
 	shards   *shard.Service
 	bank     *bank.Bank
 	pool     *upstream.Pool
+	placer   *placer.Placer // nil without a weight store
 	entry    *entry.Handler
 	gateway  *gateway.Gateway
 	admin    *admin.Server
@@ -94,6 +96,7 @@
 	h.buildFleet()
 	h.buildMoney()
 	h.buildRequests()
+	h.buildPlacement()
 	h.buildAdmin()
 	return h
 }
@@ -151,13 +154,17 @@
 }
 
 func (h *Host) parts() []part {
-	return []part{
+	parts := []part{
 		{"members", h.members.Run},
 		{"settings", h.settings.Run},
 		{"shard", h.shards.Run},
 		{"bank", h.bank.Run},
 		{"upstream", h.pool.Run},
 	}
+	if h.placer != nil {
+		parts = append(parts, part{"placement", h.placer.Run})
+	}
+	return parts
 }
 
 func addPart(group *run.Group, p part) {
--- a/fleet/upstream/net_test.go
+++ b/fleet/upstream/net_test.go
@@ -93,7 +93,7 @@
 			require.NoError(t, err)
 		}
 		f.engines[0].SetLeaving(true)
-		time.Sleep(8 * time.Second) // nothing is sent; a poll hears it
+		time.Sleep(3 * time.Second) // nothing is sent; a poll hears it
 		for range 20 {
 			id, err := f.call(ctx, t)
 			require.NoError(t, err)
--- a/fleet/upstream/poll.go
+++ b/fleet/upstream/poll.go
@@ -20,12 +20,14 @@
 // Bounds of polling.
 const (
 	// pollAge is the age of the last word at which an upstream is polled.
-	pollAge = 5 * time.Second
+	pollAge = 2500 * time.Millisecond
 	// servingAge is the age at which what an upstream serves is asked again, also
 	// if it is busy and reports its load with its answers.
 	servingAge = 15 * time.Second
-	// pollInterval paces polls: one upstream is polled in each.
-	pollInterval = 200 * time.Millisecond
+	// pollInterval paces polls: one upstream is polled in each. It grows with the
+	// fleet, by pollPerHost for each host, to keep within the bytes for control.
+	pollInterval = 160 * time.Millisecond
+	pollPerHost  = time.Millisecond
 	pollTimeout  = 2 * time.Second
 	maxPollBytes = 64 << 10
 	// listWait is the long poll of the platform's list.
@@ -92,13 +94,11 @@
 func (p *Pool) pollLoop(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	tick := time.NewTicker(pollInterval)
-	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case now := <-time.After(p.pollPace()):
 			if s, id := p.pollTarget(now); s != nil {
 				p.metrics.polls.Inc(1)
 				wg.Go(func() { s.poll(ctx, id) })
@@ -107,6 +107,12 @@
 	}
 }
 
+func (p *Pool) pollPace() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(pollInterval, time.Duration(len(p.hosts))*pollPerHost)
+}
+
 // pollTarget returns the upstream that has been silent for longest, if that is
 // long enough, or an ejected one that is due for a probe.
 func (p *Pool) pollTarget(now time.Time) (*service, string) {
