--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -66,8 +66,8 @@
 	// ticket is true if this host has made the ID.
 	ticket bool
 	work   work
-	// forward is the request for another host, or nil if it must run here.
-	forward *peerpb.ForwardRequest
+	// forward returns the request for another host; nil if it must run here.
+	forward func() *peerpb.ForwardRequest
 	// priority is passed on to the picker.
 	priority    int
 	reservation bank.Reservation
@@ -161,6 +161,7 @@
 		}
 		return c.giveUp(reserveProblem(ctx, err))
 	}
+	c.forward = nil // lets go of the caller's request
 	if c.claims {
 		end, won := c.claim(ctx)
 		if !won {
--- a/fleet/gateway/forward.go
+++ b/fleet/gateway/forward.go
@@ -23,12 +23,16 @@
 // maxForwards bounds the hosts that one request is handed to.
 const maxForwards = 3
 
-// forwardOf returns a request in the form for another host. One that was handed
-// on already stays where it is.
-func forwardOf(r *http.Request, c caller, id string, body []byte) *peerpb.ForwardRequest {
+// forwardOf returns a function that gives a request in the form for another
+// host, or nil if it was handed on already.
+func forwardOf(r *http.Request, c caller, id string, body []byte) func() *peerpb.ForwardRequest {
 	if c.forwarded {
 		return nil
 	}
+	return func() *peerpb.ForwardRequest { return forwardRequest(r, c.account.ID, id, body) }
+}
+
+func forwardRequest(r *http.Request, account, id string, body []byte) *peerpb.ForwardRequest {
 	header := make(map[string]string, len(r.Header))
 	for name, values := range r.Header {
 		header[name] = strings.Join(values, valueSeparator)
@@ -36,7 +40,7 @@
 	delete(header, "Authorization")
 	header[HeaderIdempotencyKey] = id
 	return &peerpb.ForwardRequest{
-		Account: c.account.ID, RequestId: id, Method: r.Method, Path: r.URL.RequestURI(), Header: header, Body: body,
+		Account: account, RequestId: id, Method: r.Method, Path: r.URL.RequestURI(), Header: header, Body: body,
 	}
 }
 
@@ -48,6 +52,7 @@
 	if c.forward == nil || c.g.opts.View == nil || !errors.As(err, &refused) {
 		return stream.End{}, false
 	}
+	message := c.forward()
 	for i, holder := range refused.Holders {
 		if i >= maxForwards || ctx.Err() != nil {
 			break
@@ -55,7 +60,7 @@
 		if holder.Host == c.g.opts.Self.Host {
 			continue
 		}
-		if end, ok := c.forwardTo(ctx, holder.Host); ok {
+		if end, ok := c.forwardTo(ctx, holder.Host, message); ok {
 			return end, true
 		}
 	}
@@ -64,17 +69,17 @@
 
 // forwardTo hands the request to a host and passes its answer on. It returns
 // false if it is certain that the host did not get it.
-func (c *call) forwardTo(ctx context.Context, host record.HostID) (stream.End, bool) {
+func (c *call) forwardTo(ctx context.Context, host record.HostID, message *peerpb.ForwardRequest) (stream.End, bool) {
 	client, ok := c.g.opts.View.Client(host)
 	if !ok {
 		return stream.End{}, false
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		c.forward.TimeoutMs = time.Until(deadline).Milliseconds()
+		message.TimeoutMs = time.Until(deadline).Milliseconds()
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := newWatch(c.g.limits.PeerTimeout, func() { cancel(errPeerSilent) })
-	events, err := client.Forward(ctx, connect.NewRequest(c.forward))
+	events, err := client.Forward(ctx, connect.NewRequest(message))
 	r := &remote{host: host, events: events, watch: w, cancel: cancel}
 	if err := r.first(c.g.limits.Heartbeat, err); err != nil {
 		if neverDialed(err) {
