--- /dev/null
+++ b/fleet/bank/flush_test.go
@@ -0,0 +1,29 @@
+package bank
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// At target size a host settles 16 requests a second in about 35 shards. With a
+// call to each owner every second its calls alone would cost 4 KB/s.
+func TestReportsOfManyShardsCollectLonger(t *testing.T) {
+	b := &Bank{opts: Options{MinFlush: defaultMinFlush, MaxFlush: defaultMaxFlush}, accounts: make(map[record.ShardID]*account)}
+	delays := make(map[int]time.Duration)
+	for n := 1; n <= 60; n++ {
+		a := newAccount(b, record.ShardID(n))
+		b.accounts[a.id] = a
+		delays[n] = a.flushDelay()
+	}
+	require.Equal(t, defaultMinFlush, delays[4], "today's hosts report as before")
+	require.Greater(t, delays[35], 15*time.Second)
+	require.Equal(t, maxShardFlush, delays[60])
+
+	a := b.accounts[1]
+	a.outcomes = []record.Op{{Kind: record.KindOutcome}}
+	require.LessOrEqual(t, a.flushDelay(), defaultMaxFlush, "outcomes of claims are waited for by other hosts")
+}
--- a/fleet/bank/reports.go
+++ b/fleet/bank/reports.go
@@ -15,6 +15,11 @@
 	maxReportItems = 2000
 	// maxOutcomes bounds the outcomes sent with one report.
 	maxOutcomes = 200
+	// quickShards is the number of shards that a host reports to without delay.
+	// Each further one adds flushPerShard, up to maxShardFlush.
+	quickShards   = 4
+	flushPerShard = 600 * time.Millisecond
+	maxShardFlush = 20 * time.Second
 	// submitSpacing is the least ratio of the time between two reports to the
 	// time that the last one took, so that a slow log gets larger reports.
 	submitSpacing = 4
@@ -78,8 +83,20 @@
 	if a.draftUrgent || len(a.draft.Settlements) >= maxReportItems {
 		return true, 0
 	}
+	return true, a.flushDelay()
+}
+
+// flushDelay is how long settlements collect. A host that settles in many
+// shards reports to each one less often, so that its calls to their owners stay
+// few. Outcomes of claims don't wait longer for that.
+func (a *account) flushDelay() time.Duration {
 	opts := &a.bank.opts
-	return true, min(opts.MaxFlush, max(opts.MinFlush, submitSpacing*a.lastSubmit))
+	delay := min(opts.MaxFlush, max(opts.MinFlush, submitSpacing*a.lastSubmit))
+	further := len(a.bank.accounts) - quickShards
+	if further <= 0 || len(a.outcomes) > 0 {
+		return delay
+	}
+	return min(maxShardFlush, max(delay, time.Duration(further)*flushPerShard))
 }
 
 func (a *account) emptyDraft() bool {
--- a/fleet/peer/bench_test.go
+++ b/fleet/peer/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -61,8 +62,11 @@
 	}
 	client := peerpbconnect.NewPeerServiceClient(NewHTTPClient(dial, testSecret), "http://"+listener.Addr().String())
 	request := &peerpb.SubmitRequest{Shard: 7}
+	random := rand.NewChaCha8([32]byte{})
 	for range ops {
-		request.Ops = append(request.Ops, make([]byte, grantOpBytes))
+		op := make([]byte, grantOpBytes)
+		_, _ = random.Read(op)
+		request.Ops = append(request.Ops, op)
 	}
 	_, err = client.Submit(b.Context(), connect.NewRequest(request))
 	require.NoError(b, err)
