Pass on starts, ask peers less when it is fruitless, push along rings only

A host that left and started again under its ID stayed leaving in the view of all that never hear it directly; a test showed it, and starts are now passed on as departures are. A host that cannot use what others pass on asked each second for ever; it now asks once a minute. Pushing to a random host opened a new connection each time; the rings reach all hosts without.

--- a/core/membership/entry.go
+++ b/core/membership/entry.go
@@ -82,6 +82,7 @@
 // restart forgets what was known of an earlier incarnation.
 func (e *entry) restart(incarnation record.Incarnation) {
 	e.incarnation = incarnation
+	e.leaving = false
 	e.reports = make(map[record.HostID]Report)
 	e.own = evidence{flaps: e.own.flaps, lastFailure: e.own.lastFailure}
 }
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -33,7 +33,7 @@
 )
 
 // Report is a witness's word on a host that it probes. A report of a host on
-// itself says that it leaves the fleet.
+// itself says that it leaves the fleet or, if cleared, that it has started.
 type Report struct {
 	Host        record.HostID
 	Incarnation record.Incarnation
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -195,7 +196,9 @@
 	require.Equal(t, StateGone, state(table, id(2)))
 	table.SetLeaving(c.now)
 	require.Equal(t, StateLeaving, state(table, id(0)))
-	require.Equal(t, id(0), table.News(10)[len(table.News(10))-1].Host)
+	own := slices.IndexFunc(table.News(10), func(r Report) bool { return r.Host == id(0) })
+	require.GreaterOrEqual(t, own, 0)
+	require.False(t, table.News(10)[own].Cleared, "it passes on that it leaves")
 }
 
 func TestNewsIsBounded(t *testing.T) {
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -36,6 +36,7 @@
 	}
 	own := t.add(host)
 	own.incarnation = self.Incarnation
+	t.announce(false)
 	t.assignWatchers()
 	return t
 }
@@ -216,14 +217,21 @@
 func (t *Table) SetLeaving(now time.Time) {
 	own := t.entries[t.self.Host]
 	own.leaving = true
-	t.seq++
-	t.news.add(Report{Host: t.self.Host, Incarnation: t.self.Incarnation, By: t.self.Host, Seq: t.seq}, t.policy.Repeats)
+	t.announce(true)
 	t.evaluate(t.self.Host, own, now)
 }
 
 // maxExtraTargets bounds the hosts that are probed besides the assigned ones.
 const maxExtraTargets = 4
 
+// announce passes on that this incarnation has started or leaves, for hosts that
+// do not hear this one directly.
+func (t *Table) announce(leaving bool) {
+	t.seq++
+	r := Report{Host: t.self.Host, Incarnation: t.self.Incarnation, By: t.self.Host, Seq: t.seq, Cleared: !leaving}
+	t.news.add(r, t.policy.Repeats)
+}
+
 // Targets returns the hosts that this host probes: those assigned to it, and
 // some that fail its own calls and that no witnesses suspect.
 func (t *Table) Targets() []record.HostID {
--- a/fleet/member/measure_test.go
+++ b/fleet/member/measure_test.go
@@ -24,6 +24,14 @@
 	return []int{8}
 }
 
+// warmUp is the time until the news of the start of all hosts at once has passed.
+func warmUp() time.Duration {
+	if *measure {
+		return 2 * time.Minute
+	}
+	return 10 * time.Second
+}
+
 // controlGoal is the bound of the target size, in bytes each second and host.
 const controlGoal = 2000
 
@@ -32,7 +40,7 @@
 		t.Run(fmt.Sprintf("hosts=%d", hosts), func(t *testing.T) {
 			run(t, func(t *testing.T) {
 				f := newFixture(t, hosts, min(15, hosts))
-				time.Sleep(10 * time.Second)
+				time.Sleep(warmUp())
 				const window = 30 * time.Second
 				bytes, packets := f.bytes.Load(), f.packets.Load()
 				time.Sleep(window)
--- a/fleet/member/members_test.go
+++ b/fleet/member/members_test.go
@@ -259,3 +259,22 @@
 		}
 	})
 }
+
+// A host that stops gracefully and starts again under its ID, faster than the
+// platform's list notices, is in use again by hosts that never hear it directly.
+func TestRestartAfterLeaving(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFixture(t, 16, 4)
+		time.Sleep(5 * time.Second)
+		f.hosts[hostID(4)].members.SetLeaving()
+		f.until(detectionGoal, func() bool { return f.beliefs(hostID(4), StateLeaving) == 16 })
+		f.kill(hostID(4), false)
+		time.Sleep(time.Second)
+		f.start(f.describe(4, 4), 2)
+		f.until(2*detectionGoal, func() bool { return f.beliefs(hostID(4), StateLive) == 16 })
+		for _, h := range f.hosts {
+			i := slices.IndexFunc(h.members.Hosts(), func(h Host) bool { return h.ID == hostID(4) })
+			require.EqualValues(t, 2, h.members.Hosts()[i].Incarnation)
+		}
+	})
+}
--- a/fleet/member/probe.go
+++ b/fleet/member/probe.go
@@ -295,9 +295,9 @@
 }
 
 // pushTargets returns the hosts that this host probes, to which connections are
-// open, one live host at random, and the other watchers of the hosts that this
-// host reports, which can confirm the report. The hosts that each host probes
-// form rings, so that reports reach every host along them.
+// open, and the other watchers of the hosts that this host reports, which can
+// confirm the report. The hosts that each host probes form rings, so that reports
+// reach every host along them.
 func (m *Members) pushTargets(reports []membership.Report) []record.HostID {
 	self := m.opts.Self.Host
 	var targets []record.HostID
@@ -317,10 +317,6 @@
 	for _, id := range m.table.Targets() {
 		add(id)
 	}
-	hosts := m.table.Hosts()
-	if h := hosts[m.rand.IntN(len(hosts))]; h.State == membership.StateLive {
-		add(h.ID)
-	}
 	return slices.DeleteFunc(targets, func(id record.HostID) bool {
 		state, known := m.table.State(id)
 		return !known || state == membership.StateSuspected
--- a/fleet/settingswatch/fixture_test.go
+++ b/fleet/settingswatch/fixture_test.go
@@ -47,6 +47,9 @@
 	watcher *Watcher
 	stop    context.CancelFunc
 	view    atomic.Pointer[[]member.Host]
+	// asked counts answered calls for settings; misled hosts get no use of them.
+	asked  atomic.Int64
+	misled atomic.Bool
 	// isolated hosts can neither call others nor be called.
 	isolated atomic.Bool
 }
@@ -182,6 +185,10 @@
 		return nil, ctx.Err()
 	}
 	time.Sleep(2 * p.from.cluster.latency)
+	p.from.asked.Add(1)
+	if p.from.misled.Load() {
+		return connect.NewResponse(&peerpb.SettingsResponse{Snapshot: []byte("of a newer program")}), nil
+	}
 	return p.to.watcher.Settings(ctx, r)
 }
 
--- a/fleet/settingswatch/peers.go
+++ b/fleet/settingswatch/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -18,6 +19,9 @@
 const (
 	// peerInterval is how often the versions of other hosts are compared.
 	peerInterval = time.Second
+	// maxPeerInterval is that interval for a host that cannot use what it gets,
+	// such as one whose program is too old for the tree.
+	maxPeerInterval = time.Minute
 	// peerCallTimeout bounds one call for settings.
 	peerCallTimeout = 2 * time.Second
 	// maxPeerTries bounds the hosts asked in one interval.
@@ -25,25 +29,30 @@
 )
 
 // followPeers asks other hosts for changes that this host lacks. The log comes
-// first: a host is asked only if others were ahead for a whole interval.
+// first: a host is asked only if others were ahead for a whole interval. When
+// nothing that is passed on helps, the host asks less and less often.
 func (w *Watcher) followPeers(ctx context.Context) error {
-	ticker := time.NewTicker(peerInterval)
-	defer ticker.Stop()
+	wait := peerInterval
 	var last record.Offset
-	wasBehind := false
+	wasBehind, fruitless := false, 0
 	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := sleep(ctx, wait); err != nil {
+			return err
 		}
+		wait = peerInterval
 		ahead := w.hostsAhead()
 		switch {
 		case w.Current() == nil:
 			w.startFromPeers(ctx, ahead)
 		case wasBehind && len(ahead) > 0 && w.Version() == last:
-			w.askPeers(ctx, ahead)
+			answered, helped := w.askPeers(ctx, ahead)
+			if answered && !helped {
+				fruitless++
+				wait = min(peerInterval<<min(fruitless, 10), maxPeerInterval)
+				continue
+			}
 		}
+		fruitless = 0
 		wasBehind, last = len(ahead) > 0, w.Version()
 	}
 }
@@ -99,19 +108,28 @@
 	return 0
 }
 
-// askPeers asks hosts in turn until one passes something on.
-func (w *Watcher) askPeers(ctx context.Context, hosts []record.HostID) {
+// askPeers asks hosts in turn until one passes on something of use. It reports
+// whether any host answered, and whether one helped.
+func (w *Watcher) askPeers(ctx context.Context, hosts []record.HostID) (answered, helped bool) {
 	for _, id := range hosts {
 		before := w.State().Position
-		if err := w.askPeer(ctx, id, before); err != nil {
-			w.notePeerError(id, err)
-			continue
-		}
+		err := w.askPeer(ctx, id, before)
 		if w.State().Position > before {
 			w.meters.peerUpdates.Inc(1)
-			return
+			return true, true
+		}
+		answered = answered || !isUnreachable(err)
+		if err != nil {
+			w.notePeerError(id, err)
 		}
 	}
+	return answered, false
+}
+
+// isUnreachable reports whether a call failed for want of an answer.
+func isUnreachable(err error) bool {
+	code := connect.CodeOf(err)
+	return err != nil && (code == connect.CodeUnavailable || code == connect.CodeDeadlineExceeded || errors.Is(err, context.DeadlineExceeded))
 }
 
 func (w *Watcher) notePeerError(id record.HostID, err error) {
--- a/fleet/settingswatch/watcher_test.go
+++ b/fleet/settingswatch/watcher_test.go
@@ -279,3 +279,21 @@
 		require.Equal(t, 3, c.inForce(next))
 	})
 }
+
+// A host that cannot use what others pass on does not ask each second for ever.
+func TestFruitlessAsksBecomeRare(t *testing.T) {
+	run(t, func(t *testing.T) {
+		c := newCluster(t, memlog.Options{}, 4)
+		base := c.seed()
+		n := c.node(3)
+		n.link.SetCut(true)
+		n.misled.Store(true)
+		version := c.node(0).publish(change("c", base, "firms/a/accounts/x/weight", "2"))
+		time.Sleep(time.Hour)
+		require.Equal(t, base, n.watcher.Version())
+		require.Less(t, n.asked.Load(), int64(3*80), "3,600 seconds, three hosts each")
+		n.misled.Store(false)
+		time.Sleep(maxPeerInterval + time.Second)
+		require.Equal(t, version, n.watcher.Version())
+	})
+}
