Drain an upstream from the command line, in the whole fleet

Cause: a drain on the admin address holds on one host only. Change: hazelctl drain and undrain set the upstream's leaving value as a settings change and wait until it is in force everywhere.

--- a/cmd/internal/settingscmd/apply.go
+++ b/cmd/internal/settingscmd/apply.go
@@ -59,13 +59,17 @@
 			return runApply(cmd, client, args[0], &o)
 		},
 	}
+	o.addFlags(cmd)
+	return cmd
+}
+
+func (o *applyOptions) addFlags(cmd *cobra.Command) {
 	flags := cmd.Flags()
 	flags.StringVar(&o.id, "id", "", "change ID; default random")
 	flags.StringVar(&o.by, "by", os.Getenv("USER"), "operator's name for the history")
 	flags.StringVarP(&o.message, "message", "m", "", "reason for the history")
 	flags.DurationVar(&o.wait, "wait", defaultApplyWait, "how long to wait until it is in force everywhere")
 	cli.AddOutputFlag(cmd, &o.output)
-	return cmd
 }
 
 func runApply(cmd *cobra.Command, client *adminclient.Client, path string, o *applyOptions) error {
@@ -75,6 +79,11 @@
 	if err != nil {
 		return writeFaults(cmd, o.output, err)
 	}
+	return publishPlan(ctx, cmd, client, p, o)
+}
+
+// publishPlan publishes a plan's changes and waits until they are in force.
+func publishPlan(ctx context.Context, cmd *cobra.Command, client *adminclient.Client, p *plan, o *applyOptions) error {
 	progress := cmd.ErrOrStderr()
 	if p.Empty() {
 		_, _ = fmt.Fprintf(progress, "no changes against version %d\n", p.Base)
--- a/cmd/internal/settingscmd/commands.go
+++ b/cmd/internal/settingscmd/commands.go
@@ -27,6 +27,8 @@
 		newValidateCommand(),
 		newPlanCommand(client),
 		newApplyCommand(client),
+		newDrainCommand(client),
+		newUndrainCommand(client),
 		newGetCommand(client),
 		newHistoryCommand(client),
 		newStatusCommand(client),
