Keep a claim without an outcome until its holder has ended

Cause: a claim was forgotten 24 h after its last record even if its holder had not told the outcome; a holder paused for longer could wake and run the request after another host had claimed it again. Change: a pending claim is forgotten only once its holder has closed or was released; ledger.Fold.Ended tells. Conclusion: time decides no longer who may run a request.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -24,7 +24,9 @@
 // Options tune what a fold remembers. All hosts of a fleet must use the same.
 type Options struct {
 	// Retention is how long a claim is remembered after its last record, in log
-	// time. Past it the same request could be claimed again.
+	// time. Past it the same request could be claimed again. A claim without an
+	// outcome is remembered until its holder has ended as well, since a holder
+	// that is paused may still run the request.
 	Retention time.Duration
 	// MaxDetail bounds an outcome's detail, in bytes. A longer one is dropped;
 	// the outcome is kept.
@@ -74,15 +76,17 @@
 	return &Fold{opts: opts.withDefaults(), claims: make(map[record.RequestKey]*claim)}
 }
 
-// Advance moves the log time and forgets claims past their retention.
-func (f *Fold) Advance(timeMillis int64) {
+// Advance moves the log time and forgets claims past their retention. Ended
+// tells whether a holder has closed or was released.
+func (f *Fold) Advance(timeMillis int64, ended func(record.Holder) bool) {
 	f.now = max(f.now, timeMillis)
 	if f.now-f.swept < sweepInterval {
 		return
 	}
 	f.swept = f.now
 	for key, c := range f.claims {
-		if f.now-c.at > f.opts.Retention.Milliseconds() {
+		old := f.now-c.at > f.opts.Retention.Milliseconds()
+		if old && (c.outcome != record.OutcomePending || ended(c.winner.holder)) {
 			delete(f.claims, key)
 		}
 	}
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -63,17 +63,31 @@
 
 func TestClaimsAreForgottenPastRetention(t *testing.T) {
 	f := New(Options{})
-	f.Advance(1)
+	f.Advance(1, noneEnded)
 	f.Apply(claimOp(hostA, 1), true)
-	f.Advance((23 * time.Hour).Milliseconds())
+	f.Advance((23 * time.Hour).Milliseconds(), noneEnded)
 	require.Equal(t, 1, f.Len())
 	f.Apply(outcomeOp(hostA, 1, record.OutcomeAnswered, ""), true)
-	f.Advance((46 * time.Hour).Milliseconds())
+	f.Advance((46 * time.Hour).Milliseconds(), noneEnded)
 	require.Equal(t, 1, f.Len(), "the outcome counts as well")
-	f.Advance((48 * time.Hour).Milliseconds())
+	f.Advance((48 * time.Hour).Milliseconds(), noneEnded)
 	require.Zero(t, f.Len())
 }
 
+func noneEnded(record.Holder) bool { return false }
+
+// A holder that won a claim and was paused for days may still run the request
+// when it wakes, so nobody else may claim it before the holder has ended.
+func TestPendingClaimOutlivesRetention(t *testing.T) {
+	f := New(Options{})
+	f.Advance(1, noneEnded)
+	f.Apply(claimOp(hostA, 1), true)
+	f.Advance((100 * time.Hour).Milliseconds(), noneEnded)
+	require.False(t, f.Apply(claimOp(hostB, 1), true).Won)
+	f.Advance((101 * time.Hour).Milliseconds(), func(h record.Holder) bool { return h == hostA })
+	require.True(t, f.Apply(claimOp(hostB, 1), true).Won, "the holder has closed or was released")
+}
+
 // TestAtMostOneRun checks that at any time at most one attempt may run, and that
 // none follows one that was not ended as not run.
 func TestAtMostOneRun(t *testing.T) {
--- a/core/ledger/fold.go
+++ b/core/ledger/fold.go
@@ -398,6 +398,24 @@
 	return 0
 }
 
+// Ended reports whether a holder has sent its closing report or was released in
+// the whole shard or in any of its budgets.
+func (f *Fold) Ended(id record.Holder) bool {
+	h, ok := f.holders[id]
+	if !ok {
+		return false
+	}
+	if h.closed || h.released {
+		return true
+	}
+	for _, b := range f.budgets {
+		if b.isReleased(h) {
+			return true
+		}
+	}
+	return false
+}
+
 // Check returns an error if the amounts of any budget do not add up.
 func (f *Fold) Check() error {
 	for _, b := range f.budgets {
--- a/core/shardfold/shardfold.go
+++ b/core/shardfold/shardfold.go
@@ -56,7 +56,7 @@
 	if err != nil || !fresh {
 		return nil, nil, err
 	}
-	f.claims.Advance(entry.TimeMillis)
+	f.claims.Advance(entry.TimeMillis, f.ledger.Ended)
 	batch, err := record.DecodeBatch(entry.Data)
 	if err != nil {
 		f.skipped++
