--- /dev/null
+++ b/cmd/internal/e2e/fleet_test.go
@@ -0,0 +1,260 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/shardfold"
+	"github.com/hazelworks/hazelworks/fleet/bank/bankadmin"
+	"github.com/hazelworks/hazelworks/standin/engine"
+	"github.com/hazelworks/hazelworks/standin/hostlist"
+	"github.com/hazelworks/hazelworks/standin/loghttp"
+	"github.com/hazelworks/hazelworks/standin/memlog"
+	"github.com/hazelworks/hazelworks/standin/plain"
+)
+
+const (
+	accountKey     = "key-of-the-yard"
+	operatorSecret = "operator-secret-of-tests"
+	budgetID       = record.BudgetID("yard/main")
+	prepaid        = 100_000
+	shardCount     = 2
+	startTimeout   = 30 * time.Second
+)
+
+// binaries are built once for all tests.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "hazelworks-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	build := exec.Command("go", "build", "-o", dir+string(os.PathSeparator), "../../hazelworks", "../../hazelctl")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+// fleet is three host processes before stand-ins that run in the test.
+type fleet struct {
+	t      *testing.T
+	log    *memlog.Log
+	list   *hostlist.List
+	engine *engine.Engine
+	plain  *plain.Service
+	hosts  []*process
+}
+
+// process is a running host.
+type process struct {
+	id     string
+	caller string
+	admin  string
+	cmd    *exec.Cmd
+	logs   *bytes.Buffer
+	ended  chan error
+}
+
+func newFleet(t *testing.T, options engine.Options) *fleet {
+	t.Helper()
+	options.Models = []string{"m"}
+	f := &fleet{
+		t:      t,
+		log:    memlog.New(memlog.Options{Latency: time.Millisecond}),
+		list:   hostlist.New(0),
+		engine: engine.New(options),
+		plain:  plain.New("bookings"),
+	}
+	platformURL := f.serve(loghttp.Handler(loghttp.Services{Log: f.log, Hosts: f.list}))
+	for i := range 3 {
+		f.hosts = append(f.hosts, f.start(fmt.Sprintf("host-%d", i), platformURL))
+	}
+	f.apply(f.serve(f.engine.Handler()), f.serve(f.plain.Handler()))
+	f.ctl("budget", "topup", string(budgetID), fmt.Sprint(prepaid), "--id", "seed")
+	for _, h := range f.hosts {
+		f.awaitReady(h)
+	}
+	return f
+}
+
+func (f *fleet) serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	f.t.Cleanup(server.CloseClientConnections)
+	return server.URL
+}
+
+func (f *fleet) start(id, platformURL string) *process {
+	f.t.Helper()
+	addr := make([]string, 3)
+	for i := range addr {
+		addr[i] = freeAddr(f.t)
+	}
+	settings := fmt.Sprintf(`{
+		// Written by a test.
+		"host": {"id": %q, "region": "r", "failure_domain": %q},
+		"listen": {"caller": %q, "peer": %q, "admin": %q},
+		"platform": {"log_urls": [%q], "host_list_url": %q},
+		"secrets": {"peer": "peer-secret-of-tests", "operator": %q},
+		"timeouts": {"entry_ttl": "1s", "drain": "30s"},
+	}`, id, "domain-"+id, addr[0], addr[1], addr[2], platformURL, platformURL, operatorSecret)
+	path := filepath.Join(f.t.TempDir(), "host.jsonc")
+	require.NoError(f.t, os.WriteFile(path, []byte(settings), 0o600))
+	p := &process{
+		id:     id,
+		caller: "http://" + addr[0],
+		admin:  "http://" + addr[2],
+		cmd:    exec.Command(filepath.Join(binaries, "hazelworks"), "serve", "--config", path),
+		logs:   new(bytes.Buffer),
+		ended:  make(chan error, 1),
+	}
+	p.cmd.Stderr = p.logs
+	require.NoError(f.t, p.cmd.Start())
+	go func() { p.ended <- p.cmd.Wait() }()
+	f.t.Cleanup(func() { f.end(p) })
+	f.list.Put(platform.Host{
+		ID: record.HostID(id), FailureDomain: "domain-" + id, Region: "r",
+		CallerAddr: addr[0], PeerAddr: addr[1], State: platform.HostLive,
+	})
+	return p
+}
+
+func (f *fleet) end(p *process) {
+	_ = p.cmd.Process.Kill()
+	err := <-p.ended
+	p.ended <- err
+	if f.t.Failed() {
+		f.t.Logf("%s: %v\n%s", p.id, err, p.logs.String())
+	}
+}
+
+// freeAddr returns a loopback address whose port was free a moment ago.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (f *fleet) apply(engineURL, plainURL string) {
+	f.t.Helper()
+	hash := sha256.Sum256([]byte(accountKey))
+	tree := fmt.Sprintf(`{"shards": %d, "firms": {"yard": {
+		"budgets": {"main": {"floor": 2000}},
+		"accounts": {"office": {"keys": ["sha256:%s"], "budget": "main"}},
+		"services": {
+			"chat": {"kind": "model", "repeatable": true, "models": {"m": {}},
+				"upstreams": {"engine": {"url": %q, "failure_domain": "d"}}},
+			"bookings": {"kind": "plain", "repeatable": false, "price": {"per_call": 5},
+				"upstreams": {"app": {"url": %q, "failure_domain": "d"}}}}}}}`,
+		shardCount, hex.EncodeToString(hash[:]), engineURL, plainURL)
+	path := filepath.Join(f.t.TempDir(), "tree.jsonc")
+	require.NoError(f.t, os.WriteFile(path, []byte(tree), 0o600))
+	f.awaitHealthy(f.hosts[0])
+	f.ctl("apply", path)
+}
+
+// ctl runs hazelctl against the last host, which no test stops.
+func (f *fleet) ctl(args ...string) string {
+	f.t.Helper()
+	args = append(args, "--admin", f.hosts[len(f.hosts)-1].admin)
+	cmd := exec.Command(filepath.Join(binaries, "hazelctl"), args...)
+	cmd.Env = append(os.Environ(), "HAZEL_OPERATOR_SECRET="+operatorSecret)
+	out, err := cmd.CombinedOutput()
+	require.NoError(f.t, err, "hazelctl %v: %s", args, out)
+	return string(out)
+}
+
+func (f *fleet) awaitHealthy(p *process) { f.awaitStatus(p.admin + "/healthz") }
+
+func (f *fleet) awaitReady(p *process) { f.awaitStatus(p.admin + "/readyz") }
+
+func (f *fleet) awaitStatus(url string) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		response, err := http.Get(url)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, startTimeout, 20*time.Millisecond)
+}
+
+// post sends a request to a host with the account's key.
+func (f *fleet) post(ctx context.Context, p *process, path, requestID, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.caller+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	request.Header.Set("Idempotency-Key", requestID)
+	request.Header.Set("Content-Type", "application/json")
+	return http.DefaultClient.Do(request)
+}
+
+// signal sends a signal to a host's process.
+func (f *fleet) signal(p *process, s syscall.Signal) {
+	f.t.Helper()
+	require.NoError(f.t, p.cmd.Process.Signal(s))
+}
+
+// ledgerBudget returns the budget as the log's own records give it.
+func (f *fleet) ledgerBudget() ledger.BudgetState {
+	f.t.Helper()
+	budget, ok := f.fold().Ledger().Budget(budgetID)
+	require.True(f.t, ok)
+	return budget
+}
+
+// claimed reports whether the log holds a claim.
+func (f *fleet) claimed() bool { return f.fold().Claims().Len() > 0 }
+
+// fold folds the records of the budget's shard.
+func (f *fleet) fold() *shardfold.Fold {
+	f.t.Helper()
+	fold := shardfold.New(shardfold.Options{})
+	for _, entry := range f.log.Records(record.StreamOfShard(record.ShardOf(budgetID, shardCount))) {
+		_, err := fold.Apply(entry)
+		require.NoError(f.t, err)
+		require.NoError(f.t, fold.Check())
+	}
+	return fold
+}
+
+// holders returns the budget's holders as hazelctl shows them.
+func (f *fleet) holders() []bankadmin.Holder {
+	f.t.Helper()
+	var list bankadmin.HolderList
+	require.NoError(f.t, json.Unmarshal([]byte(f.ctl("budget", "holders", string(budgetID), "-o", "json")), &list))
+	return list.Holders
+}
