Try the log's addresses in order while a call has no effect

Cause: log_urls names several addresses, and only the first was used. Change: platformhttp goes on to the next address only if the call certainly had no effect, and stays with the one that answered. Conclusion: TestNextAddressIsTriedOnlyWithoutEffect; an append whose reply was lost is not sent to another address.

--- a/cmd/hazelworks/serve.go
+++ b/cmd/hazelworks/serve.go
@@ -50,8 +50,8 @@
 	client := platformClient(cfg)
 	h := host.New(host.Options{
 		Config:  cfg,
-		Log:     platformhttp.New(string(cfg.Platform.LogURLs[0]), client),
-		Hosts:   platformhttp.New(string(cfg.Platform.HostListURL), client),
+		Log:     platformhttp.New(client, urls(cfg.Platform.LogURLs)...),
+		Hosts:   platformhttp.New(client, string(cfg.Platform.HostListURL)),
 		Weights: weightStore(cfg, client),
 		Logger:  logger,
 	})
@@ -98,5 +98,13 @@
 	if cfg.Platform.WeightStoreURL == "" {
 		return nil
 	}
-	return platformhttp.New(string(cfg.Platform.WeightStoreURL), client)
+	return platformhttp.New(client, string(cfg.Platform.WeightStoreURL))
+}
+
+func urls(list []config.URL) []string {
+	out := make([]string, len(list))
+	for i, u := range list {
+		out[i] = string(u)
+	}
+	return out
 }
--- a/cmd/internal/demo/hosts.go
+++ b/cmd/internal/demo/hosts.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	platformClient := platformhttp.New(d.standins.platform, &http.Client{})
+	platformClient := platformhttp.New(&http.Client{}, d.standins.platform)
 	d.standins.hosts.Put(platform.Host{
 		ID:            cfg.Host.ID,
 		FailureDomain: cfg.Host.FailureDomain,
--- a/fleet/platformhttp/bench_test.go
+++ b/fleet/platformhttp/bench_test.go
@@ -43,7 +43,7 @@
 		return countingConn{conn, &wire}, err
 	}}
 	defer transport.CloseIdleConnections()
-	client := New(server.URL, &http.Client{Transport: transport})
+	client := New(&http.Client{Transport: transport}, server.URL)
 	calls := 0
 	for b.Loop() {
 		entries, err := client.Read(b.Context(), "settings", 1, 256, time.Millisecond)
--- a/fleet/platformhttp/client.go
+++ b/fleet/platformhttp/client.go
@@ -15,6 +15,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/platform"
@@ -29,10 +30,12 @@
 	contentTypeData = "application/octet-stream"
 )
 
-// Client speaks to the platform's services at one base URL.
+// Client speaks to the platform's services. It is safe for concurrent use.
 type Client struct {
-	base string
-	http *http.Client
+	bases []string
+	http  *http.Client
+	// current is the index of the base URL that answered last.
+	current atomic.Int32
 }
 
 var (
@@ -41,9 +44,15 @@
 	_ platform.WeightStore = (*Client)(nil)
 )
 
-// New returns a client for a base URL such as http://10.0.0.9:7000.
-func New(base string, client *http.Client) *Client {
-	return &Client{base: strings.TrimRight(base, "/"), http: client}
+// New returns a client for one or more base URLs, such as http://10.0.0.9:7000,
+// that lead to the same services. A call goes to the one that answered last, and
+// to the others in order while it is certain that the call had no effect.
+func New(client *http.Client, bases ...string) *Client {
+	c := &Client{http: client}
+	for _, base := range bases {
+		c.bases = append(c.bases, strings.TrimRight(base, "/"))
+	}
+	return c
 }
 
 type appendReply struct {
@@ -119,9 +128,23 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body []byte, wait time.Duration, out any) error {
+	err := fmt.Errorf("%w: no address", platform.ErrUnavailable)
+	start := int(c.current.Load())
+	for i := range c.bases {
+		at := (start + i) % len(c.bases)
+		err = c.callOne(ctx, c.bases[at], method, path, body, wait, out)
+		if !errors.Is(err, platform.ErrUnavailable) || ctx.Err() != nil {
+			c.current.Store(int32(at))
+			return err
+		}
+	}
+	return err
+}
+
+func (c *Client) callOne(ctx context.Context, base, method, path string, body []byte, wait time.Duration, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("platform: %s: %w", path, err)
 	}
--- a/fleet/platformhttp/client_test.go
+++ b/fleet/platformhttp/client_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	server := httptest.NewServer(loghttp.Handler(loghttp.Services{Log: log}))
 	t.Cleanup(server.Close)
-	return New(server.URL, server.Client()), server
+	return New(server.Client(), server.URL), server
 }
 
 func TestAppendAndRead(t *testing.T) {
@@ -61,9 +61,31 @@
 		panic(http.ErrAbortHandler)
 	}))
 	t.Cleanup(server.Close)
-	client := New(server.URL, server.Client())
+	client := New(server.Client(), server.URL)
 	_, err := client.Append(context.Background(), "s", []byte("x"))
 	require.Error(t, err)
 	require.NotErrorIs(t, err, platform.ErrUnavailable)
 	require.NotErrorIs(t, err, platform.ErrThrottled)
 }
+
+func TestNextAddressIsTriedOnlyWithoutEffect(t *testing.T) {
+	ctx := context.Background()
+	log := memlog.New(memlog.Options{})
+	_, server := newClient(t, log)
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	client := New(server.Client(), gone.URL, server.URL)
+	_, err := client.Append(ctx, "s", []byte("x"))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, log.Appends())
+
+	lossy := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = log.Append(r.Context(), "s", nil)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(lossy.Close)
+	client = New(lossy.Client(), lossy.URL, server.URL)
+	_, err = client.Append(ctx, "s", []byte("x"))
+	require.Error(t, err)
+	require.EqualValues(t, 2, log.Appends(), "a call that may have taken effect is not sent elsewhere")
+}
--- a/fleet/settingswatch/polling_test.go
+++ b/fleet/settingswatch/polling_test.go
@@ -70,7 +70,7 @@
 					return countedConn{conn, spent}, err
 				}}
 				defer transport.CloseIdleConnections()
-				n := &node{cluster: c, id: "h000", link: memlog.NewLink(platformhttp.New("http://10.0.0.9:7000", &http.Client{Transport: transport}))}
+				n := &node{cluster: c, id: "h000", link: memlog.NewLink(platformhttp.New(&http.Client{Transport: transport}, "http://10.0.0.9:7000"))}
 				c.run(n)
 				writer := c.start("h001")
 				time.Sleep(time.Second)
