Measure leases, state and polls, and the heavy member over several hosts

Change: benchmarks at three sizes; the watched upstreams are listed once for each poll; the count in flight is kept; the load answer no longer claims cache events.

--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -24,6 +24,8 @@
 	sets map[Need][]*Worker
 
 	scratch []*Worker
+
+	inFlight int
 }
 
 // NewPool returns an empty pool.
@@ -96,16 +98,16 @@
 	return all
 }
 
-// Used returns the upstreams of the subsets that decisions have used since the
-// last change, by ID. Others need not be watched.
-func (p *Pool) Used() []*Worker {
+// Watched returns, by ID, the upstreams of the subsets that decisions have used
+// since the last change, and those that are leaving. Others need not be watched.
+func (p *Pool) Watched() []*Worker {
 	used := make(map[*Worker]bool)
 	for _, set := range p.sets {
 		for _, w := range set {
 			used[w] = true
 		}
 	}
-	return slices.DeleteFunc(p.Workers(), func(w *Worker) bool { return !used[w] })
+	return slices.DeleteFunc(p.Workers(), func(w *Worker) bool { return !used[w] && !w.up.Leaving })
 }
 
 // SetLimit sets how many requests this host may have in flight at an upstream.
@@ -118,8 +120,13 @@
 // Start counts a request that is about to be sent to w.
 func (p *Pool) Start(w *Worker) {
 	w.inFlight++
+	p.inFlight++
 }
 
+// InFlight returns the number of this host's requests at all upstreams, those
+// included that have been removed.
+func (p *Pool) InFlight() int { return p.inFlight }
+
 // Outcome tells how an attempt ended.
 type Outcome uint8
 
@@ -134,6 +141,7 @@
 // Finish counts the end of a request that was started at w.
 func (p *Pool) Finish(w *Worker, o Outcome, now time.Time) {
 	w.inFlight--
+	p.inFlight--
 	switch o {
 	case Succeeded:
 		w.health.succeeded(&p.cfg, now)
--- /dev/null
+++ b/fleet/upstream/bench_test.go
@@ -0,0 +1,102 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/standin/engine"
+)
+
+// BenchmarkPick is a whole lease, from the query to the result.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 50, 200} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			src := &source{}
+			svc := src.set(testService(n, 8))
+			p := newTestPool(src)
+			q := queryOf(svc, "mokoena/yard")
+			q.PrefixHash = []uint64{1, 2, 3}
+			res := dispatch.Result{Status: http.StatusOK, FirstByte: time.Millisecond, Latency: time.Millisecond, Load: &dispatch.LoadReport{Slots: 8}}
+			b.ReportAllocs()
+			for b.Loop() {
+				l, err := p.Pick(b.Context(), q)
+				if err != nil {
+					b.Fatal(err)
+				}
+				l.Done(res)
+			}
+		})
+	}
+}
+
+// TestStatePerUpstream measures the memory of a pool, without connections.
+func TestStatePerUpstream(t *testing.T) {
+	heap := func(n int) uint64 {
+		src := &source{}
+		svc := src.set(testService(n, 8))
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		p := newTestPool(src)
+		l, err := p.Pick(t.Context(), queryOf(svc, "mokoena/yard"))
+		require.NoError(t, err)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		l.Done(dispatch.Result{})
+		runtime.KeepAlive(p)
+		return after.HeapAlloc - before.HeapAlloc
+	}
+	small, middle, large := heap(100), heap(1000), heap(2200)
+	perUpstream := float64(large-small) / 2100
+	t.Logf("100 upstreams %d KB, 1,000 %d KB, 2,200 %d KB: %.0f bytes for each", small>>10, middle>>10, large>>10, perUpstream)
+	require.Less(t, perUpstream, 8192.0)
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// TestBytesPerPoll measures what a load poll costs on a connection that is open.
+func TestBytesPerPoll(t *testing.T) {
+	e := engine.New(engine.Options{Name: "w", Models: []string{model}})
+	server := httptest.NewServer(e.Handler())
+	defer server.Close()
+	var bytes atomic.Int64
+	w := &worker{transport: newTransport(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return countingConn{c, &bytes}, err
+	}, func(headers) {})}
+	w.up.URL = server.URL
+	for range 10 {
+		a, err := fetchLoad(t.Context(), w)
+		require.NoError(t, err)
+		require.NotNil(t, a)
+	}
+	perPoll := bytes.Load() / 10
+	t.Logf("%d bytes for each poll, both directions, without TCP", perPoll)
+	require.Less(t, perPoll, int64(600))
+}
--- a/fleet/upstream/measure_test.go
+++ b/fleet/upstream/measure_test.go
@@ -54,21 +54,24 @@
 	require.Less(t, peak["ours"], peak["random"])
 }
 
-// TestHeavyMemberDoesNotSlowOthers lets one member offer ten times its share.
+// TestHeavyMemberDoesNotSlowOthers lets one member offer ten times its share, on
+// one host and with each member's callers steered to a host of their own.
 func TestHeavyMemberDoesNotSlowOthers(t *testing.T) {
 	others := func(o outcome) bool { return o.account != "a" }
-	p95 := func(heavy float64) (wait, total time.Duration) {
+	p95 := func(hosts int, heavy float64) (wait, total time.Duration) {
 		rates := even(64)
 		rates["a"] *= heavy
-		r := simulate(t, simulation{policy: "ours", hosts: 1, workers: 10, lag: simLag, length: 2 * time.Minute, rates: rates, deadline: 15 * time.Second, seed: 4})
+		r := simulate(t, simulation{policy: "ours", hosts: hosts, steered: true, workers: 10, lag: simLag, length: 2 * time.Minute, rates: rates, deadline: 15 * time.Second, seed: 4})
 		wait, total = r.quantile(0.95, others, waitOf), r.quantile(0.95, others, totalOf)
-		t.Logf("heavy %gx: others wait p95 %v, total p95 %v, useful %.2f%%", heavy, wait.Round(time.Millisecond), total.Round(time.Millisecond),
+		t.Logf("%d hosts, heavy %gx: others wait p95 %v, total p95 %v, useful %.2f%%", hosts, heavy, wait.Round(time.Millisecond), total.Round(time.Millisecond),
 			100*r.share(func(o outcome) bool { return others(o) && o.useful })/r.share(others))
 		return wait, total
 	}
-	_, before := p95(1)
-	_, after := p95(10)
-	require.Less(t, after, before*11/10)
+	for _, hosts := range []int{1, 4} {
+		_, before := p95(hosts, 1)
+		_, after := p95(hosts, 10)
+		require.Less(t, after, before*11/10, "%d hosts", hosts)
+	}
 }
 
 func useful(o outcome) bool { return o.useful }
--- a/fleet/upstream/poll.go
+++ b/fleet/upstream/poll.go
@@ -44,8 +44,6 @@
 	// Serving lists what is loaded and ready; it is missing from engines that do
 	// not say.
 	Serving *[]Serving `json:"serving,omitempty"`
-	// Cache is the newest cache event, if the engine publishes them here.
-	Cache *route.CacheEvent `json:"cache,omitempty"`
 }
 
 // Serving is a model version that an upstream has loaded.
@@ -140,33 +138,20 @@
 			return due, time.Time{}
 		}
 	}
-	for _, r := range s.router.Workers() {
+	for _, r := range s.router.Watched() {
 		w := s.workers[r.ID()]
 		last := w.heardAt
 		if w.polledAt.After(last) {
 			last = w.polledAt
 		}
 		due := now.Sub(last) >= pollAge || now.Sub(w.polledAt) >= servingAge
-		if due && (id == "" || last.Before(at)) && s.watched(r) {
+		if due && (id == "" || last.Before(at)) {
 			id, at = r.ID(), last
 		}
 	}
 	return id, at
 }
 
-// watched tells whether an upstream's load matters to this host.
-func (s *service) watched(r *route.Worker) bool {
-	if r.Leaving() {
-		return true
-	}
-	for _, u := range s.router.Used() {
-		if u == r {
-			return true
-		}
-	}
-	return false
-}
-
 // markPolled counts a poll as begun, so that no other begins for a while.
 func (s *service) markPolled(id string, now time.Time) {
 	s.mu.Lock()
@@ -219,9 +204,6 @@
 func (s *service) takeIn(id string, w *worker, a *LoadAnswer, now time.Time) bool {
 	w.heardAt = now
 	s.observe(id, dispatch.LoadReport{Running: a.Running, Waiting: a.Waiting, Slots: a.Slots}, now)
-	if a.Cache != nil {
-		s.router.CacheEvent(id, *a.Cache)
-	}
 	changed := w.selfLeaving != a.Leaving
 	w.selfLeaving = a.Leaving
 	if a.Serving == nil {
--- a/fleet/upstream/queue.go
+++ b/fleet/upstream/queue.go
@@ -119,7 +119,7 @@
 // wait estimates how long a new request of an account would wait: its place in
 // the fair order over the rate of service. The caller holds s.mu.
 func (s *service) wait(it *admission.Item) time.Duration {
-	perSecond := s.rate.perSecond(s.inFlight())
+	perSecond := s.rate.perSecond(s.router.InFlight())
 	if perSecond <= 0 {
 		return 0
 	}
@@ -127,14 +127,6 @@
 	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
 }
 
-func (s *service) inFlight() int {
-	n := 0
-	for _, w := range s.router.Workers() {
-		n += w.InFlight()
-	}
-	return n
-}
-
 // sweep gives up on requests that will not be served before their deadline, so
 // that their callers learn it at once.
 func (s *service) sweep(now time.Time) {
--- a/fleet/upstream/sim_test.go
+++ b/fleet/upstream/sim_test.go
@@ -100,6 +100,8 @@
 	length   time.Duration
 	// rate of each account, in requests a second.
 	rates map[string]float64
+	// steered sends the callers of each account to a host of their own.
+	steered bool
 	// deadline of callers; zero means none.
 	deadline time.Duration
 	// attempts of each request, and the retry share.
@@ -161,11 +163,15 @@
 		wg.Go(func() {
 			for time.Since(began) < s.length {
 				time.Sleep(time.Duration(rng.ExpFloat64() / s.rates[name] * float64(time.Second)))
+				host := rng.IntN(len(pickers))
+				if s.steered {
+					host = i % len(pickers)
+				}
 				req := simRequest{
 					account: name,
 					service: time.Duration(rng.ExpFloat64() * float64(simService)),
 					prefix:  zipf(),
-					picker:  pickers[rng.IntN(len(pickers))],
+					picker:  pickers[host],
 					failing: []float64{rng.Float64(), rng.Float64(), rng.Float64()},
 				}
 				wg.Go(func() {
