Test whole hosts: death, reconnects, graceful stop, log outage

Cause: gateway, bank, pool, members and log were tested apart only. Change: tests in fleet/host run three hosts over the in-memory network and log in virtual time: a router that dies with a stream open, a call whose host dies, a caller that reconnects elsewhere, a graceful stop under a stream, a log outage. Conclusion: the parts hold together in these failures, and the log's figure of what is spent is the cost of each request once.

--- /dev/null
+++ b/fleet/host/requests_test.go
@@ -0,0 +1,157 @@
+package host
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/standin/engine"
+	"github.com/hazelworks/hazelworks/standin/plain"
+)
+
+// readTokens reads the text of a stream until its end or until limit tokens. It
+// returns false if the stream did not end as answered.
+func readTokens(resp *http.Response, limit int) (text string, answered bool) {
+	lines := bufio.NewScanner(resp.Body)
+	tokens := 0
+	for lines.Scan() {
+		line := lines.Text()
+		if strings.Contains(line, `"outcome":"answered"`) {
+			answered = true
+		}
+		_, rest, ok := strings.Cut(line, `"content":"`)
+		if !ok {
+			continue
+		}
+		token, _, _ := strings.Cut(rest, `"`)
+		text += token
+		if tokens++; tokens == limit {
+			return text, false
+		}
+	}
+	return text, answered
+}
+
+func wantedText(id string, from, to int) string {
+	var text strings.Builder
+	for i := from; i < to; i++ {
+		text.WriteString(engine.TokenText("firm/yard:"+id, i))
+	}
+	return text.String()
+}
+
+func TestFleetServesAndBills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		var want record.Tokens
+		for i, h := range f.hosts {
+			id := fmt.Sprint("r", i)
+			text, answered := readTokens(f.chat(h, id, 10), 0)
+			require.True(t, answered)
+			require.Equal(t, wantedText(id, 0, 10), text)
+			want += record.Tokens(f.engine.Runs()[i].InputTokens + 10)
+			require.Equal(t, http.StatusOK, f.book(h, fmt.Sprint("b", i)).StatusCode)
+			want += 5
+		}
+		time.Sleep(30 * time.Second)
+		require.Equal(t, want, f.spent(f.hosts[1]))
+	})
+}
+
+func TestRouterDiesWithAStreamOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		text, _ := readTokens(f.chat(f.hosts[0], "r1", 20), 5)
+		require.Equal(t, wantedText("r1", 0, 5), text)
+		require.Equal(t, http.StatusOK, f.book(f.hosts[0], "b1").StatusCode)
+		time.Sleep(10 * time.Second) // the claim's outcome reaches the log
+		f.kill(f.hosts[0])
+		// The caller retries both at the next host.
+		text, answered := readTokens(f.chat(f.hosts[1], "r1", 20), 0)
+		require.True(t, answered)
+		require.Equal(t, wantedText("r1", 0, 20), text)
+		resp := f.book(f.hosts[1], "b1")
+		require.Equal(t, http.StatusOK, resp.StatusCode, "the recorded answer")
+		require.Len(t, f.plain.Effects(), 1)
+		time.Sleep(30 * time.Second)
+		once := record.Tokens(f.engine.Runs()[0].InputTokens+20) + 5
+		require.Equal(t, once, f.spent(f.hosts[1]), "both are billed once")
+	})
+}
+
+func TestCallOfADeadHostIsNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		f.plain.SetFaults(plain.Faults{Delay: 5 * time.Second})
+		go func() {
+			_, _ = f.try(f.hosts[0], f.hosts[0].cfg.Listen.Caller, http.MethodPost, "/v1/services/firm/bookings/slabs", testKey, "b1", `{"slab":1}`)
+		}()
+		time.Sleep(time.Second) // claimed and sent, not answered yet
+		f.kill(f.hosts[0])
+		resp := f.book(f.hosts[1], "b1")
+		require.Equal(t, http.StatusConflict, resp.StatusCode)
+		require.Equal(t, "unknown", resp.Header.Get("Hazel-Outcome"))
+		time.Sleep(10 * time.Second)
+		require.LessOrEqual(t, len(f.plain.Effects()), 1)
+	})
+}
+
+func TestCallerReconnectsThroughAnotherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		resp := f.chat(f.hosts[0], "r1", 20)
+		text, _ := readTokens(resp, 5)
+		_ = resp.Body.Close()
+		rest := f.do(f.hosts[2], f.hosts[2].cfg.Listen.Caller, http.MethodGet, "/v1/requests/r1/events?from=5", testKey, "", "")
+		more, answered := readTokens(rest, 0)
+		require.True(t, answered)
+		require.Equal(t, wantedText("r1", 0, 20), text+more)
+		require.Equal(t, 1, f.engine.Runs()[0].Starts)
+	})
+}
+
+func TestGracefulStopCutsOffNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		resp := f.chat(f.hosts[0], "r1", 100)
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.hosts[0].Shutdown(t.Context()) }()
+		text, answered := readTokens(resp, 0)
+		require.True(t, answered)
+		require.Equal(t, wantedText("r1", 0, 100), text)
+		require.NoError(t, <-stopped)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, record.Tokens(f.engine.Runs()[0].InputTokens+100), f.spent(f.hosts[1]))
+	})
+}
+
+func TestLogOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		require.Equal(t, http.StatusOK, f.book(f.hosts[0], "b0").StatusCode, "takes a grant")
+		f.log.SetDown(true)
+		began := time.Now()
+		resp := f.book(f.hosts[0], "b1")
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Equal(t, "not-run", resp.Header.Get("Hazel-Outcome"))
+		require.LessOrEqual(t, time.Since(began), 6*time.Second)
+		// Without an ID of its own the call needs no claim, and the grant lasts.
+		require.Equal(t, http.StatusOK, f.book(f.hosts[0], "").StatusCode)
+		text, answered := readTokens(f.chat(f.hosts[0], "r1", 10), 0)
+		require.True(t, answered)
+		require.Equal(t, wantedText("r1", 0, 10), text)
+		f.log.SetDown(false)
+		time.Sleep(30 * time.Second)
+		require.Equal(t, http.StatusOK, f.book(f.hosts[0], "b1").StatusCode)
+		require.Len(t, f.plain.Effects(), 3)
+		time.Sleep(30 * time.Second)
+		require.Equal(t, record.Tokens(3*5+f.engine.Runs()[0].InputTokens+10), f.spent(f.hosts[1]))
+	})
+}
