Wait for the asked host's settings in the process tests

Cause: one run in two asked a host that had not read the settings stream yet and got a 503 from hazelctl apply. Change: the fixture waits until that host answers for its settings. Conclusion: the check itself is unchanged.

--- a/cmd/internal/e2e/fleet_test.go
+++ b/cmd/internal/e2e/fleet_test.go
@@ -179,7 +179,7 @@
 		shardCount, hex.EncodeToString(hash[:]), engineURL, plainURL)
 	path := filepath.Join(f.t.TempDir(), "tree.jsonc")
 	require.NoError(f.t, os.WriteFile(path, []byte(tree), 0o600))
-	f.awaitHealthy(f.hosts[0])
+	f.awaitStatus(f.hosts[len(f.hosts)-1].admin + "/v1/settings")
 	f.ctl("apply", path)
 }
 
@@ -194,14 +194,15 @@
 	return string(out)
 }
 
-func (f *fleet) awaitHealthy(p *process) { f.awaitStatus(p.admin + "/healthz") }
-
 func (f *fleet) awaitReady(p *process) { f.awaitStatus(p.admin + "/readyz") }
 
 func (f *fleet) awaitStatus(url string) {
 	f.t.Helper()
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	require.NoError(f.t, err)
+	request.Header.Set("Authorization", "Bearer "+operatorSecret)
 	require.Eventually(f.t, func() bool {
-		response, err := http.Get(url)
+		response, err := http.DefaultClient.Do(request)
 		if err != nil {
 			return false
 		}
