--- /dev/null
+++ b/fleet/bank/grants_test.go
@@ -0,0 +1,145 @@
+package bank
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/ledger"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/shard"
+	"github.com/hazelworks/hazelworks/standin/memlog"
+)
+
+// scriptedOwner answers grants by a function of the attempt, and reports as
+// applied.
+type scriptedOwner struct {
+	mu    sync.Mutex
+	asked []record.Op
+	grant func(attempt int, op *record.Op) (ledger.Result, *shard.Shortage, error)
+}
+
+func (s *scriptedOwner) Request(_ context.Context, _ record.ShardID, ops []record.Op) (shard.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var reply shard.Reply
+	for i := range ops {
+		if ops[i].Kind != record.KindGrant {
+			reply.Results = append(reply.Results, ledger.Result{Applied: true, ReportSeq: ops[i].Report.Seq})
+			continue
+		}
+		s.asked = append(s.asked, ops[i])
+		res, short, err := s.grant(len(s.asked), &ops[i])
+		if err != nil {
+			return shard.Reply{}, err
+		}
+		if short != nil {
+			reply.Shortages = append(reply.Shortages, *short)
+		}
+		reply.Results = append(reply.Results, res)
+	}
+	return reply, nil
+}
+
+// TestUnknownGrantKeepsItsNumber lets a grant fail with unknown effect and then
+// be refused without a record. The number may still be in a late record of the
+// first budget, so the next budget must not use it.
+func TestUnknownGrantKeepsItsNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := &scriptedOwner{grant: func(attempt int, op *record.Op) (ledger.Result, *shard.Shortage, error) {
+			switch attempt {
+			case 1:
+				return ledger.Result{}, nil, errors.New("lost")
+			case 2:
+				return ledger.Result{Reason: ledger.ReasonExhausted}, &shard.Shortage{Budget: op.Budget}, nil
+			default:
+				return ledger.Result{Applied: true, Granted: op.Amount, Outstanding: op.Amount, Offset: record.Offset(attempt)}, nil, nil
+			}
+		}}
+		b := New(Options{Self: record.Holder{Host: "a", Incarnation: 1}, Submitter: owner, Settings: oneShard()})
+		_, err := b.Reserve(t.Context(), "first", 1, 10, time.Second)
+		require.Error(t, err)
+		r, err := b.Reserve(t.Context(), "second", 2, 10, time.Second)
+		require.NoError(t, err)
+		r.Settle(1)
+		require.Equal(t, owner.asked[0].Seq, owner.asked[1].Seq, "the same request is sent again")
+		require.Equal(t, record.BudgetID("first"), owner.asked[1].Budget)
+		require.Greater(t, owner.asked[2].Seq, owner.asked[1].Seq)
+		require.NoError(t, b.Close(t.Context()))
+	})
+}
+
+// TestLaterResultIsNotOverwritten takes in a report's result that is older than
+// the grant's: the amounts must follow the newer one.
+func TestLaterResultIsNotOverwritten(t *testing.T) {
+	h := &holding{account: &account{}, reserved: 10}
+	h.follow(20, 100, 0)
+	require.Equal(t, record.Tokens(90), h.free)
+	h.follow(19, 500, 0)
+	require.Equal(t, record.Tokens(90), h.free)
+	h.account.sent.Seq, h.inFlight = 1, 30
+	h.follow(21, 100, 0)
+	require.Equal(t, record.Tokens(60), h.free, "the report under way has not been taken off yet")
+	h.follow(22, 70, 1)
+	require.Equal(t, record.Tokens(60), h.free, "it has been taken off")
+}
+
+// TestIdleGrantsReturn checks that an unused grant goes back by itself.
+func TestIdleGrantsReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1, memlog.Options{}, mill)
+		defer f.stop()
+		f.topUp(f.hosts[0], mill, "t", 10_000)
+		for i, h := range f.hosts {
+			r, err := h.bank.Reserve(t.Context(), mill, record.RequestKey(i), 100, time.Second)
+			require.NoError(t, err)
+			r.Settle(100)
+		}
+		time.Sleep(2*testPolicy.RecallDelay + 5*time.Second)
+		state := f.budget(mill)
+		require.Zero(t, state.Granted)
+		require.Equal(t, record.Tokens(200), state.Settled)
+	})
+}
+
+func oneShard() *fixedSettings {
+	resolved := &settings.Resolved{Shards: 1}
+	resolved.Index()
+	return &fixedSettings{current: resolved}
+}
+
+// BenchmarkReserveSettle measures a request that its host's grant covers, with
+// the number of budgets on the host.
+func BenchmarkReserveSettle(b *testing.B) {
+	for _, budgets := range []int{10, 100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("budgets=%d", budgets), func(b *testing.B) {
+			owner := &scriptedOwner{grant: func(attempt int, _ *record.Op) (ledger.Result, *shard.Shortage, error) {
+				return ledger.Result{Applied: true, Granted: 1 << 40, Outstanding: 1 << 40, Offset: record.Offset(attempt)}, nil, nil
+			}}
+			bank := New(Options{Self: record.Holder{Host: "a", Incarnation: 1}, Submitter: owner, Settings: oneShard()})
+			ids := make([]record.BudgetID, budgets)
+			for i := range ids {
+				ids[i] = record.BudgetID(fmt.Sprintf("firm/budget-%d", i))
+				r, err := bank.Reserve(b.Context(), ids[i], 0, 1, time.Minute)
+				require.NoError(b, err)
+				r.Release()
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r, err := bank.Reserve(b.Context(), ids[i%budgets], record.RequestKey(i), 1, time.Minute)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Settle(1)
+			}
+			bank.stop()
+		})
+	}
+}
--- a/fleet/shard/owner.go
+++ b/fleet/shard/owner.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/record"
@@ -8,22 +10,60 @@
 	"github.com/hazelworks/hazelworks/fleet/member"
 )
 
-// ranked returns the hosts that may own a shard, first choice first, by
-// rendezvous hash over the hosts believed live.
-func (s *Service) ranked(id record.ShardID) []record.HostID {
-	var nodes []rendezvous.Node
-	for _, h := range s.opts.View.Hosts() {
-		if h.Belief == member.StateLive {
-			nodes = append(nodes, rendezvous.Node{ID: string(h.ID), Weight: 1})
+// candidate is a host that may own shards.
+type candidate struct {
+	id   record.HostID
+	hash uint64
+}
+
+// candidates are the hosts that may own shards at one time.
+type candidates []candidate
+
+// candidates returns the hosts believed live.
+func (s *Service) candidates() candidates {
+	hosts := s.opts.View.Hosts()
+	list := make(candidates, 0, len(hosts))
+	for i := range hosts {
+		if hosts[i].Belief == member.StateLive {
+			id := hosts[i].ID
+			list = append(list, candidate{id: id, hash: rendezvous.KeyOf(string(id))})
 		}
 	}
-	if len(nodes) == 0 {
-		return []record.HostID{s.opts.Self.Host}
+	return list
+}
+
+// best returns the first choice for a shard by rendezvous hash that skip does
+// not exclude.
+func (c candidates) best(key uint64, skip func(record.HostID) bool) (record.HostID, bool) {
+	var best record.HostID
+	var top uint64
+	found := false
+	for _, host := range c {
+		if skip != nil && skip(host.id) {
+			continue
+		}
+		score := rendezvous.Mix(key, host.hash)
+		if !found || score > top || (score == top && host.id < best) {
+			best, top, found = host.id, score, true
+		}
 	}
-	order := rendezvous.Order(rendezvous.KeyOf(record.StreamOfShard(id)), nodes)
-	hosts := make([]record.HostID, len(order))
-	for i, at := range order {
-		hosts[i] = record.HostID(nodes[at].ID)
+	return best, found
+}
+
+func shardKey(id record.ShardID) uint64 {
+	return rendezvous.KeyOf(record.StreamOfShard(id))
+}
+
+// ranked returns the hosts that may own a shard, first choice first.
+func (s *Service) ranked(id record.ShardID) []record.HostID {
+	list := s.candidates()
+	key := shardKey(id)
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(rendezvous.Mix(key, b.hash), rendezvous.Mix(key, a.hash)), cmp.Compare(a.id, b.id))
+	})
+	hosts := make([]record.HostID, len(list))
+	for i, host := range list {
+		hosts[i] = host.id
 	}
 	return hosts
 }
@@ -31,10 +71,8 @@
 // pick returns the host to ask for a shard: the first choice that skip does not
 // exclude, or this host if all are excluded.
 func (s *Service) pick(id record.ShardID, skip func(record.HostID) bool) record.HostID {
-	for _, host := range s.ranked(id) {
-		if skip == nil || !skip(host) {
-			return host
-		}
+	if host, ok := s.candidates().best(shardKey(id), skip); ok {
+		return host
 	}
 	return s.opts.Self.Host
 }
--- a/fleet/shard/service.go
+++ b/fleet/shard/service.go
@@ -117,8 +117,9 @@
 // reconcile follows the shards that this host should own and drops idle ones.
 func (s *Service) reconcile(now time.Time) {
 	count := s.opts.Shards()
+	hosts := s.candidates()
 	for id := record.ShardID(0); id < record.ShardID(count); id++ {
-		if s.pick(id, nil) != s.opts.Self.Host {
+		if host, _ := hosts.best(shardKey(id), nil); host != s.opts.Self.Host {
 			continue
 		}
 		if r, err := s.replica(id); err == nil {
