--- a/fleet/upstream/poll.go
+++ b/fleet/upstream/poll.go
@@ -20,12 +20,14 @@
 // Bounds of polling.
 const (
 	// pollAge is the age of the last word at which an upstream is polled.
-	pollAge = 5 * time.Second
+	pollAge = 2500 * time.Millisecond
 	// servingAge is the age at which what an upstream serves is asked again, also
 	// if it is busy and reports its load with its answers.
 	servingAge = 15 * time.Second
-	// pollInterval paces polls: one upstream is polled in each.
-	pollInterval = 200 * time.Millisecond
+	// pollInterval paces polls: one upstream is polled in each. It grows with the
+	// fleet, by pollPerHost for each host, to keep within the bytes for control.
+	pollInterval = 160 * time.Millisecond
+	pollPerHost  = time.Millisecond
 	pollTimeout  = 2 * time.Second
 	maxPollBytes = 64 << 10
 	// listWait is the long poll of the platform's list.
@@ -42,8 +44,6 @@
 	// Serving lists what is loaded and ready; it is missing from engines that do
 	// not say.
 	Serving *[]Serving `json:"serving,omitempty"`
-	// Cache is the newest cache event, if the engine publishes them here.
-	Cache *route.CacheEvent `json:"cache,omitempty"`
 }
 
 // Serving is a model version that an upstream has loaded.
@@ -92,13 +92,11 @@
 func (p *Pool) pollLoop(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	tick := time.NewTicker(pollInterval)
-	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case now := <-time.After(p.pollPace()):
 			if s, id := p.pollTarget(now); s != nil {
 				p.metrics.polls.Inc(1)
 				wg.Go(func() { s.poll(ctx, id) })
@@ -107,6 +105,12 @@
 	}
 }
 
+func (p *Pool) pollPace() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(pollInterval, time.Duration(len(p.hosts))*pollPerHost)
+}
+
 // pollTarget returns the upstream that has been silent for longest, if that is
 // long enough, or an ejected one that is due for a probe.
 func (p *Pool) pollTarget(now time.Time) (*service, string) {
@@ -134,33 +138,20 @@
 			return due, time.Time{}
 		}
 	}
-	for _, r := range s.router.Workers() {
+	for _, r := range s.router.Watched() {
 		w := s.workers[r.ID()]
 		last := w.heardAt
 		if w.polledAt.After(last) {
 			last = w.polledAt
 		}
 		due := now.Sub(last) >= pollAge || now.Sub(w.polledAt) >= servingAge
-		if due && (id == "" || last.Before(at)) && s.watched(r) {
+		if due && (id == "" || last.Before(at)) {
 			id, at = r.ID(), last
 		}
 	}
 	return id, at
 }
 
-// watched tells whether an upstream's load matters to this host.
-func (s *service) watched(r *route.Worker) bool {
-	if r.Leaving() {
-		return true
-	}
-	for _, u := range s.router.Used() {
-		if u == r {
-			return true
-		}
-	}
-	return false
-}
-
 // markPolled counts a poll as begun, so that no other begins for a while.
 func (s *service) markPolled(id string, now time.Time) {
 	s.mu.Lock()
@@ -213,9 +204,6 @@
 func (s *service) takeIn(id string, w *worker, a *LoadAnswer, now time.Time) bool {
 	w.heardAt = now
 	s.observe(id, dispatch.LoadReport{Running: a.Running, Waiting: a.Waiting, Slots: a.Slots}, now)
-	if a.Cache != nil {
-		s.router.CacheEvent(id, *a.Cache)
-	}
 	changed := w.selfLeaving != a.Leaving
 	w.selfLeaving = a.Leaving
 	if a.Serving == nil {
