Give each host process of the tests an address of its own

Change: each host listens on its own loopback number; the client's bound on headers is gone, since each call has a deadline that allows for its wait.

--- a/cmd/hazelworks/serve.go
+++ b/cmd/hazelworks/serve.go
@@ -88,10 +88,7 @@
 
 func platformClient(cfg *config.Config) *http.Client {
 	dialer := &net.Dialer{Timeout: cfg.Timeouts.Connect}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:           dialer.DialContext,
-		ResponseHeaderTimeout: cfg.Timeouts.PlatformCall + cfg.Timeouts.PlatformPoll,
-	}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
 }
 
 func weightStore(cfg *config.Config, client *http.Client) platform.WeightStore {
--- a/cmd/internal/e2e/fleet_test.go
+++ b/cmd/internal/e2e/fleet_test.go
@@ -7,13 +7,13 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -114,10 +114,8 @@
 
 func (f *fleet) start(id, platformURL string) *process {
 	f.t.Helper()
-	addr := make([]string, 3)
-	for i := range addr {
-		addr[i] = freeAddr(f.t)
-	}
+	ip := ownAddr()
+	addr := []string{ip + ":7000", ip + ":7001", ip + ":7002"}
 	settings := fmt.Sprintf(`{
 		// Written by a test.
 		"host": {"id": %q, "region": "r", "failure_domain": %q},
@@ -156,13 +154,13 @@
 	}
 }
 
-// freeAddr returns a loopback address whose port was free a moment ago.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+var hostCount atomic.Uint32
+
+// ownAddr returns a loopback IP number that no other host of this run has, so
+// that fixed ports on it are free.
+func ownAddr() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%250, pid%256, 1+hostCount.Add(1))
 }
 
 func (f *fleet) apply(engineURL, plainURL string) {
