--- a/fleet/member/members.go
+++ b/fleet/member/members.go
@@ -49,11 +49,9 @@
 	// this process must have been paused.
 	pauseSlack = 250 * time.Millisecond
 	// pushDelay gathers reports before they are pushed.
-	pushDelay = 20 * time.Millisecond
+	pushDelay = 10 * time.Millisecond
 	// pushTimeout bounds the passing on of reports.
 	pushTimeout = 500 * time.Millisecond
-	// pushFanout is the number of hosts that fresh reports are pushed to.
-	pushFanout = 4
 	// maxReports bounds the reports of one message.
 	maxReports   = 64
 	tickInterval = 500 * time.Millisecond
@@ -70,6 +68,8 @@
 
 	mu    sync.Mutex
 	table *membership.Table
+	// addrs holds the peer addresses of known hosts, peers the clients in use.
+	addrs map[record.HostID]string
 	peers map[record.HostID]*peerConn
 	// hosts is the view as last built, nil if it is out of date.
 	hosts []Host
@@ -94,7 +94,7 @@
 	if opts.Policy == (membership.Policy{}) {
 		opts.Policy = membership.DefaultPolicy()
 	}
-	return &Members{
+	m := &Members{
 		opts:       opts,
 		logger:     opts.Logger.WithName("member"),
 		meters:     newMeters(opts.Metrics),
@@ -105,6 +105,8 @@
 		rand:       opts.Rand,
 		background: context.Background(),
 	}
+	m.connectLocked()
+	return m
 }
 
 // Run follows the platform's list and probes other hosts until ctx ends.
@@ -146,6 +148,14 @@
 	return append([]Host(nil), m.hosts...)
 }
 
+// Belief returns what this host believes of another, or false if it is not known.
+func (m *Members) Belief(id record.HostID) (State, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, ok := m.table.State(id)
+	return State(state), ok
+}
+
 func (m *Members) buildHosts() []Host {
 	known := m.table.Hosts()
 	hosts := make([]Host, len(known))
@@ -172,10 +182,8 @@
 
 // Client returns a client for a host's peer address.
 func (m *Members) Client(id record.HostID) (peerpbconnect.PeerServiceClient, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	conn, ok := m.peers[id]
-	if !ok {
+	conn := m.conn(id)
+	if conn == nil {
 		return nil, false
 	}
 	return conn.client, true
--- a/fleet/upstream/pool_test.go
+++ b/fleet/upstream/pool_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -67,7 +69,11 @@
 }
 
 func newTestPool(src *source) *Pool {
-	return NewPool(Options{Settings: src, Rand: rand.New(rand.NewPCG(1, 2))})
+	return NewPool(Options{Settings: src, Rand: rand.New(rand.NewPCG(1, 2)), Dial: refuseDial})
+}
+
+func refuseDial(context.Context, string, string) (net.Conn, error) {
+	return nil, errors.New("connection refused")
 }
 
 func queryOf(svc *settings.Service, account string) dispatch.Query {
@@ -146,6 +152,30 @@
 	})
 }
 
+// TestHopelessWaiterIsAnsweredAtOnce lets a waiting request become too late to
+// be served before its caller's deadline; it is told so without further delay.
+func TestHopelessWaiterIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &source{}
+		svc := src.set(testService(1, 1))
+		p := newTestPool(src)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = p.Run(ctx) }()
+		l, err := p.Pick(ctx, queryOf(svc, "mokoena/yard"))
+		require.NoError(t, err)
+		l.Done(dispatch.Result{Status: 200, Latency: time.Second})
+		_, err = p.Pick(ctx, queryOf(svc, "mokoena/yard"))
+		require.NoError(t, err)
+		began := time.Now()
+		bounded, stop := context.WithTimeout(ctx, 4*time.Second)
+		defer stop()
+		_, err = p.Pick(bounded, queryOf(svc, "mokoena/yard"))
+		require.Equal(t, dispatch.ReasonShed, reasonFor(t, err))
+		require.InDelta(t, 3, time.Since(began).Seconds(), 0.3, "a second before the deadline it is too late")
+	})
+}
+
 func TestCallerThatLeavesTheQueueHoldsNoSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		src := &source{}
