--- a/fleet/bank/close.go
+++ b/fleet/bank/close.go
@@ -63,6 +63,16 @@
 	return errors.Join(idle, b.closeAccounts(ctx))
 }
 
+// Stop ends the bank at once. What was not reported is lost and the grants stay
+// with this incarnation, as when the process dies.
+func (b *Bank) Stop() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	b.stop()
+	b.wg.Wait()
+}
+
 // awaitIdle waits until no reservation is open.
 func (b *Bank) awaitIdle(ctx context.Context) error {
 	for b.openReservations() > 0 {
--- a/fleet/host/host.go
+++ b/fleet/host/host.go
@@ -123,6 +123,7 @@
 	}
 	h.logger.WithName("host").Info("started", "incarnation", h.self.Incarnation, "caller", h.opts.Config.Listen.Caller.String())
 	err = group.Run()
+	h.bank.Stop()
 	if errors.Is(err, errStopped) {
 		return nil
 	}
