--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,21 +67,19 @@
 	if *traceFile != "" {
 		files = []string{*traceFile}
 	}
+	var mu sync.Mutex
 	var reports []*Report
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".jsonl"), func(t *testing.T) {
-			trace := load(t, file)
-			for i := range *seeds {
-				began := time.Now()
-				report := replayed(t, trace, trace.Seed+uint64(i))
-				reports = append(reports, report)
-				t.Logf("seed %d, replayed in %s\n%s", report.Seed, time.Since(began).Round(time.Millisecond), table(report))
-				if !report.Met() {
-					t.Errorf("seed %d: outcomes are not met; examples: %v", report.Seed, report.Examples)
-				}
-			}
-		})
-	}
+	t.Run("replays", func(t *testing.T) {
+		for _, file := range files {
+			t.Run(strings.TrimSuffix(filepath.Base(file), ".jsonl"), func(t *testing.T) {
+				t.Parallel()
+				done := replaySeeds(t, load(t, file))
+				mu.Lock()
+				defer mu.Unlock()
+				reports = append(reports, done...)
+			})
+		}
+	})
 	if *jsonFile != "" {
 		data, err := json.MarshalIndent(reports, "", "  ")
 		require.NoError(t, err)
@@ -88,6 +87,21 @@
 	}
 }
 
+// replaySeeds replays a trace under each seed and prints the tables.
+func replaySeeds(t *testing.T, trace *Trace) []*Report {
+	var reports []*Report
+	for i := range *seeds {
+		began := time.Now()
+		report := replayed(t, trace, trace.Seed+uint64(i))
+		reports = append(reports, report)
+		t.Logf("seed %d, replayed in %s\n%s", report.Seed, time.Since(began).Round(time.Millisecond), table(report))
+		if !report.Met() {
+			t.Errorf("seed %d: outcomes are not met; examples: %v", report.Seed, report.Examples)
+		}
+	}
+	return reports
+}
+
 func table(r *Report) string {
 	var out strings.Builder
 	for _, l := range r.Lines {
