Compare delays with the usual one, and trust load reports half

Cause: with times to the first byte that vary like prompts do, the adaptive limit fell to one request for each upstream, since it compared the mean delay with the lowest. A caller that gave up on a hung upstream before the gateway's own bounds counted for nothing, so the upstream was never ejected. Change: the limit compares a recent mean with the usual one, and falls as soon as an upstream reports a queue of its own; reports weigh at most a half; a second pair is drawn instead of a third; a caller's giving up after the usual length of a whole request without a byte is a failure of the upstream.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -192,6 +193,22 @@
 	require.Less(t, l.Limit(), before)
 }
 
+// TestLimiterBearsDelaysThatDiffer keeps the limit while delays differ as much as
+// those of short and long prompts do.
+func TestLimiterBearsDelaysThatDiffer(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	l := NewLimiter(LimiterConfig{Initial: 8, Max: 8})
+	now := time.Unix(1000, 0)
+	low := 8
+	for range 20000 {
+		delay := time.Duration(rng.ExpFloat64() * float64(200*time.Millisecond))
+		now = now.Add(delay / 8)
+		l.Observe(delay, 8, now)
+		low = min(low, l.Limit())
+	}
+	require.GreaterOrEqual(t, low, 6)
+}
+
 func TestLimiterDoesNotGrowUnused(t *testing.T) {
 	l := NewLimiter(LimiterConfig{Initial: 8, Max: 16})
 	now := time.Unix(1000, 0)
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -7,8 +7,8 @@
 	// Initial is the limit to start from; Max bounds it.
 	Initial int
 	Max     int
-	// Tolerance is the ratio of delay to the lowest recent delay above which the
-	// limit falls.
+	// Tolerance is the ratio of the recent delay to the usual one above which
+	// the limit falls.
 	Tolerance float64
 }
 
@@ -16,25 +16,28 @@
 const (
 	limitTolerance = 2.0
 	limitDecrease  = 0.85
-	// baselineAge is how long a lowest delay is trusted.
-	baselineAge = 30 * time.Second
+	// Weights of the newest delay in the recent and in the usual mean. Delays
+	// differ widely with the length of prompts, so a single one says little.
+	recentWeight = 0.1
+	usualWeight  = 0.005
+	// warmUp is the number of delays before the limit falls by them.
+	warmUp = 20
 	// utilisation is the used share of the limit below which it does not grow.
 	utilisation = 0.8
 )
 
 // Limiter adapts the number of requests in flight at one upstream: additive
-// increase while the delay stays near its lowest recent value, multiplicative
+// increase while the recent delay stays near the usual one, multiplicative
 // decrease when it rises above that or the upstream says that it is overloaded.
 type Limiter struct {
 	cfg   LimiterConfig
 	limit float64
 
-	// The lowest delays of the current and the previous window.
-	lowest   time.Duration
-	previous time.Duration
-	windowAt time.Time
-	cutAt    time.Time
-	mean     float64
+	// Moving means of the delay, in nanoseconds.
+	recent float64
+	usual  float64
+	seen   int
+	cutAt  time.Time
 }
 
 // NewLimiter returns a limiter.
@@ -58,9 +61,8 @@
 	if delay <= 0 {
 		return
 	}
-	l.window(delay, now)
-	l.smooth(delay)
-	if l.mean > l.cfg.Tolerance*float64(l.base()) {
+	l.mean(float64(delay))
+	if l.seen >= warmUp && l.recent > l.cfg.Tolerance*l.usual {
 		l.cut(now)
 		return
 	}
@@ -69,7 +71,17 @@
 	}
 }
 
-// Overloaded takes in that the upstream refused a request for lack of capacity.
+// mean updates the means. The usual one begins as a plain mean, so that the
+// first delays do not weigh for long.
+func (l *Limiter) mean(delay float64) {
+	l.seen++
+	weight := 1 / float64(l.seen)
+	l.recent += max(recentWeight, weight) * (delay - l.recent)
+	l.usual += max(usualWeight, weight) * (delay - l.usual)
+}
+
+// Overloaded takes in that the upstream refused a request for lack of capacity
+// or holds a queue of its own.
 func (l *Limiter) Overloaded(now time.Time) {
 	l.cut(now)
 }
@@ -77,34 +89,9 @@
 // cut lowers the limit at most once in the time that one request takes, since
 // the requests in flight still show the delay of the old limit.
 func (l *Limiter) cut(now time.Time) {
-	if !l.cutAt.IsZero() && now.Sub(l.cutAt) < time.Duration(l.mean) {
+	if !l.cutAt.IsZero() && now.Sub(l.cutAt) < time.Duration(l.recent) {
 		return
 	}
 	l.cutAt = now
 	l.limit = max(1, l.limit*limitDecrease)
 }
-
-func (l *Limiter) window(delay time.Duration, now time.Time) {
-	if l.windowAt.IsZero() || now.Sub(l.windowAt) >= baselineAge {
-		l.previous = l.lowest
-		l.lowest = delay
-		l.windowAt = now
-	}
-	l.lowest = min(l.lowest, delay)
-}
-
-func (l *Limiter) base() time.Duration {
-	if l.previous > 0 {
-		return min(l.lowest, l.previous)
-	}
-	return l.lowest
-}
-
-func (l *Limiter) smooth(delay time.Duration) {
-	const weight = 0.2
-	if l.mean == 0 {
-		l.mean = float64(delay)
-		return
-	}
-	l.mean += weight * (float64(delay) - l.mean)
-}
--- a/core/route/decide.go
+++ b/core/route/decide.go
@@ -177,7 +177,7 @@
 }
 
 // maxPairs bounds the pairs that are drawn to find a free slot.
-const maxPairs = 3
+const maxPairs = 2
 
 // betterOfTwo draws two upstreams and returns the one with the lower load. If
 // neither is believed to have a free slot it draws again, a few times.
--- a/core/route/worker.go
+++ b/core/route/worker.go
@@ -162,11 +162,15 @@
 	return w.inFlight < limit
 }
 
+// reportTrust is the weight of a report when it arrives. Some of what it tells has
+// passed by then, and other hosts have heard the same.
+const reportTrust = 0.5
+
 // reportWeight returns how far the last report still counts, 0 to 1.
 func (w *Worker) reportWeight(now, ttl int64) float64 {
 	age := now - w.reportAt
 	if w.reportAt == 0 || age >= ttl {
 		return 0
 	}
-	return 1 - float64(max(age, 0))/float64(ttl)
+	return reportTrust * (1 - float64(max(age, 0))/float64(ttl))
 }
--- a/fleet/upstream/lease.go
+++ b/fleet/upstream/lease.go
@@ -47,7 +47,7 @@
 	defer s.mu.Unlock()
 	inFlight := l.routed.InFlight()
 	before := l.routed.State()
-	s.router.Finish(l.routed, outcomeOf(r), now)
+	s.router.Finish(l.routed, s.outcomeOf(r), now)
 	if r.Load != nil {
 		s.observe(l.up.ID, *r.Load, now)
 	}
@@ -83,16 +83,19 @@
 }
 
 // waitingPerSlots is the number of slots for each request that may wait there.
-const waitingPerSlots = 4
+const waitingPerSlots = 16
 
 func overloaded(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
 // outcomeOf tells what a result says about the health of the upstream. A
-// refusal for lack of capacity is no failure; the limiter answers to it.
-func outcomeOf(r dispatch.Result) route.Outcome {
+// refusal for lack of capacity is no failure; the limiter answers to it. The
+// caller holds s.mu.
+func (s *service) outcomeOf(r dispatch.Result) route.Outcome {
 	switch {
+	case r.Cancelled && s.hung(r):
+		return route.Failed
 	case r.Cancelled, overloaded(r.Status):
 		return route.Neutral
 	case r.Err != nil, r.Status >= http.StatusInternalServerError:
@@ -101,6 +104,15 @@
 	return route.Succeeded
 }
 
+// minHung is the least time without an answer that counts as a failure.
+const minHung = 2 * time.Second
+
+// hung tells whether a caller gave up on an upstream that had not answered in
+// the time in which others end whole requests.
+func (s *service) hung(r dispatch.Result) bool {
+	return r.Started && r.FirstByte == 0 && r.Latency >= max(minHung, s.rate.usual())
+}
+
 // silent tells whether the connection stopped delivering.
 func silent(r dispatch.Result) bool {
 	if r.Silent {
--- a/fleet/upstream/measure_test.go
+++ b/fleet/upstream/measure_test.go
@@ -40,6 +40,7 @@
 	one, eight := hits(1, 200, "ours"), hits(8, 200, "ours")
 	hits(8, 200, "round-robin")
 	require.Greater(t, eight, 0.9*one)
+	require.Greater(t, one, 0.7)
 }
 
 // TestNoHerdOnStaleReports checks that reports which are 5 s old do not draw the
@@ -71,6 +72,7 @@
 		_, before := p95(hosts, 1)
 		_, after := p95(hosts, 10)
 		require.Less(t, after, before*11/10, "%d hosts", hosts)
+		require.Less(t, before, 4*simService)
 	}
 }
 
@@ -90,6 +92,7 @@
 	work("round-robin", 1)
 	work("round-robin", 2)
 	require.Greater(t, over, 0.95*at)
+	require.Greater(t, at, 0.85*80)
 }
 
 // TestRetryBudgetStopsStorms lets half of all attempts fail for a while.
--- a/fleet/upstream/net_test.go
+++ b/fleet/upstream/net_test.go
@@ -191,3 +191,25 @@
 		require.Greater(t, seen["worker-2"], 10)
 	})
 }
+
+// TestHungUpstreamIsEjectedThoughCallersGiveUp has callers whose deadlines end
+// before any bound of the gateway tells that the upstream is silent.
+func TestHungUpstreamIsEjectedThoughCallersGiveUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &source{}
+		svc := src.set(testService(3, 8))
+		p := newTestPool(src)
+		for range 60 {
+			l, err := p.Pick(t.Context(), queryOf(svc, "mokoena/yard"))
+			require.NoError(t, err)
+			if l.Upstream().ID == "worker-1" {
+				time.Sleep(3 * time.Second)
+				l.Done(dispatch.Result{Err: context.DeadlineExceeded, Cancelled: true, Started: true, Latency: 3 * time.Second})
+				continue
+			}
+			time.Sleep(100 * time.Millisecond)
+			l.Done(dispatch.Result{Status: http.StatusOK, Started: true, FirstByte: time.Millisecond, Latency: 100 * time.Millisecond})
+		}
+		require.Equal(t, "ejected", p.Statuses()[1].State)
+	})
+}
