--- a/cmd/internal/settingscmd/commands.go
+++ b/cmd/internal/settingscmd/commands.go
@@ -21,15 +21,18 @@
 	"github.com/hazelworks/hazelworks/fleet/settingsapi"
 )
 
-// Commands returns validate, plan, apply, get, history, status and key.
+// Commands returns validate, plan, apply, get, history, status, recover and key.
 func Commands(client *adminclient.Client) []*cobra.Command {
 	return []*cobra.Command{
 		newValidateCommand(),
 		newPlanCommand(client),
 		newApplyCommand(client),
+		newDrainCommand(client),
+		newUndrainCommand(client),
 		newGetCommand(client),
 		newHistoryCommand(client),
 		newStatusCommand(client),
+		newRecoverCommand(client),
 		newKeyCommand(),
 	}
 }
--- a/fleet/shard/service.go
+++ b/fleet/shard/service.go
@@ -117,8 +117,9 @@
 // reconcile follows the shards that this host should own and drops idle ones.
 func (s *Service) reconcile(now time.Time) {
 	count := s.opts.Shards()
+	hosts := s.candidates()
 	for id := record.ShardID(0); id < record.ShardID(count); id++ {
-		if s.pick(id, nil) != s.opts.Self.Host {
+		if host, _ := hosts.best(shardKey(id), nil); host != s.opts.Self.Host {
 			continue
 		}
 		if r, err := s.replica(id); err == nil {
@@ -131,14 +132,15 @@
 
 // dropIdle stops following shards that another host serves.
 func (s *Service) dropIdle(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, r := range s.replicas {
-		if r.idle(now) {
-			delete(s.replicas, id)
-			r.stop()
-			s.opts.Logger.V(1).Info("shard dropped", "shard", id)
+	for _, r := range s.all() {
+		if !r.idle(now) {
+			continue
 		}
+		s.mu.Lock()
+		delete(s.replicas, r.id)
+		s.mu.Unlock()
+		r.stop()
+		s.opts.Logger.V(1).Info("shard dropped", "shard", r.id)
 	}
 }
 
@@ -196,13 +198,15 @@
 	return r, ok
 }
 
-// goDo runs f in a goroutine that Stop waits for.
+// goDo runs f in a goroutine, which Stop waits for unless it began before.
 func (s *Service) goDo(f func()) {
-	s.wg.Add(1)
-	go func() {
-		defer s.wg.Done()
-		f()
-	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		go f()
+		return
+	}
+	s.wg.Go(f)
 }
 
 // jitter returns a random time from half of d to d.
