Check random histories of whole hosts; back off between grant requests

Cause: nothing tried faults in combination on whole hosts. Change: histories of 60 s with random cuts, silences, resets, log outages, lost replies, upstream faults and a dead host check that a booking has one effect at most, that what was only told as not run has none, that answers are whole and the caller's own, and that no more is spent than was prepaid. The bank waits as it meant to. Conclusion: the promises to callers hold in these histories.

--- a/fleet/bank/grants.go
+++ b/fleet/bank/grants.go
@@ -31,7 +31,7 @@
 func (a *account) runGrants() {
 	for {
 		next, wait := a.nextAsk(time.Now())
-		if next == nil {
+		if next == nil || wait > 0 {
 			if !a.sleep(a.grantSignal, wait) {
 				return
 			}
@@ -113,7 +113,6 @@
 // granted follows the fold's answer and serves those who wait.
 func (a *account) granted(now time.Time, k *ask, res *ledger.Result, reply *shard.Reply) {
 	h := k.holding
-	h.available = res.Available
 	h.follow(res.Offset, res.Outstanding, res.ReportSeq)
 	if res.Granted > 0 {
 		a.bank.grants.Inc(1)
--- a/fleet/host/fleet_test.go
+++ b/fleet/host/fleet_test.go
@@ -35,6 +35,8 @@
 	testPeer     = "peer-secret-of-tests"
 	testBudget   = record.BudgetID("firm/main")
 	testHosts    = 3
+	// callerTimeout bounds a request of a test's caller.
+	callerTimeout = 2 * time.Minute
 )
 
 const testTree = `{
@@ -83,7 +85,7 @@
 	ended chan error
 }
 
-func newTestFleet(t *testing.T) *testFleet {
+func newTestFleet(t *testing.T, prepaid int) *testFleet {
 	f := &testFleet{
 		t:      t,
 		net:    memnet.New(memnet.Options{Latency: func(string, string) time.Duration { return time.Millisecond }}),
@@ -99,7 +101,7 @@
 	}
 	t.Cleanup(f.close)
 	f.publish()
-	f.topUp(100_000)
+	f.topUp(prepaid)
 	time.Sleep(5 * time.Second) // lets the hosts hear of each other
 	return f
 }
@@ -188,7 +190,10 @@
 }
 
 func (f *testFleet) try(_ *testHost, addr netip.AddrPort, method, path, secret, id, body string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+addr.String()+path, strings.NewReader(body))
+	// A caller gives up at last, as its path may have gone silent.
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	f.t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 	req.Header.Set("Authorization", "Bearer "+secret)
 	if id != "" {
--- /dev/null
+++ b/fleet/host/history_test.go
@@ -0,0 +1,220 @@
+package host
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/standin/plain"
+)
+
+// Size of a random history.
+const (
+	historySeeds   = 5
+	historyTime    = 60 * time.Second
+	historyStep    = 150 * time.Millisecond
+	historyIDs     = 40
+	historyTokens  = 8
+	historyPrepaid = 600
+)
+
+// told is what callers were told about one request ID.
+type told struct {
+	answers  []string // of those answered
+	onlyNot  bool     // all said "not run"
+	attempts int
+}
+
+// history runs random requests against a fleet with random faults.
+type history struct {
+	*testFleet
+	rng *rand.Rand
+	all sync.WaitGroup
+
+	mu       sync.Mutex
+	chats    map[string]*told
+	bookings map[string]*told
+	killed   map[string]bool
+	outcomes map[string]int
+}
+
+func (h *history) tell(m map[string]*told, id, outcome, answer string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := m[id]
+	if e == nil {
+		e = &told{onlyNot: true}
+		m[id] = e
+	}
+	e.attempts++
+	e.onlyNot = e.onlyNot && outcome == "not-run"
+	if outcome == "answered" {
+		e.answers = append(e.answers, answer)
+	}
+	h.outcomes[outcome]++
+}
+
+func (h *history) request() {
+	host := h.hosts[h.rng.IntN(len(h.hosts))]
+	number := h.rng.IntN(historyIDs)
+	if h.rng.IntN(2) == 0 {
+		id := fmt.Sprint("b", number)
+		h.all.Go(func() { h.bookOnce(host, id) })
+		return
+	}
+	id := fmt.Sprint("c", number)
+	h.all.Go(func() { h.chatOnce(host, id) })
+}
+
+func (h *history) bookOnce(host *testHost, id string) {
+	resp, err := h.try(host, host.cfg.Listen.Caller, http.MethodPost, "/v1/services/firm/bookings/slabs", testKey, id, `{"slab":1}`)
+	if err != nil {
+		h.tell(h.bookings, id, "lost", "")
+		return
+	}
+	body, err := io.ReadAll(resp.Body)
+	outcome := resp.Header.Get(problem.HeaderOutcome)
+	if err != nil || outcome == "answered" && resp.StatusCode != http.StatusOK {
+		outcome = "lost" // answered, but not told to this caller
+	}
+	h.tell(h.bookings, id, outcome, string(body))
+}
+
+func (h *history) chatOnce(host *testHost, id string) {
+	body := fmt.Sprintf(`{"model":"cut","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"tokens=%d"}]}`, historyTokens, historyTokens)
+	resp, err := h.try(host, host.cfg.Listen.Caller, http.MethodPost, "/v1/chat/completions", testKey, id, body)
+	if err != nil {
+		h.tell(h.chats, id, "lost", "")
+		return
+	}
+	if resp.StatusCode != http.StatusOK {
+		h.tell(h.chats, id, resp.Header.Get(problem.HeaderOutcome), "")
+		return
+	}
+	text, answered := readTokens(resp, 0)
+	if !answered {
+		h.tell(h.chats, id, "lost", "")
+		return
+	}
+	h.tell(h.chats, id, "answered", text)
+}
+
+// fault starts a random fault and ends it some time later.
+func (h *history) fault() {
+	a, b := h.hosts[h.rng.IntN(testHosts)], h.hosts[h.rng.IntN(testHosts)]
+	length := time.Duration(h.rng.IntN(8000)) * time.Millisecond
+	upstream := []string{"e0", "p0"}[h.rng.IntN(2)]
+	switch h.rng.IntN(9) {
+	case 0:
+		h.net.Cut(a.name, b.name)
+		time.AfterFunc(length, func() { h.net.Heal(a.name, b.name) })
+	case 1:
+		h.net.Silence(a.name, upstream)
+	case 2:
+		h.net.Reset(a.name, upstream)
+	case 3:
+		h.log.SetDown(true)
+		time.AfterFunc(length, func() { h.log.SetDown(false) })
+	case 4:
+		a.link.SetCut(true)
+		time.AfterFunc(length, func() { h.relink(a) })
+	case 5:
+		lose := h.rng.IntN(2)
+		n := 0
+		a.link.SetLoseReply(func() bool { n++; return n%2 == lose })
+		time.AfterFunc(length, func() { a.link.SetLoseReply(nil) })
+	case 6:
+		h.net.Silence("caller", a.name)
+	case 7:
+		h.plain.SetFaults([]plain.Faults{{LoseReply: true}, {RefuseNotStarted: true}, {Delay: 2 * time.Second}, {Hang: true}}[h.rng.IntN(4)])
+		time.AfterFunc(length, func() { h.plain.SetFaults(plain.Faults{}) })
+	case 8:
+		if h.rng.IntN(4) == 0 && len(h.killed) == 0 {
+			h.killed[a.name] = true
+			h.kill(a)
+		}
+	}
+}
+
+func (h *history) relink(a *testHost) {
+	if !h.killed[a.name] {
+		a.link.SetCut(false)
+	}
+}
+
+// TestRandomHistories checks the promises to callers after random faults: a
+// booking has at most one effect, what only was told as not run has none, every
+// answer is whole and the caller's own, and no more is spent than was prepaid.
+func TestRandomHistories(t *testing.T) {
+	for seed := range uint64(historySeeds) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runHistory(t, seed) })
+		})
+	}
+}
+
+func runHistory(t *testing.T, seed uint64) {
+	h := &history{
+		testFleet: newTestFleet(t, historyPrepaid), rng: rand.New(rand.NewPCG(seed, 1)),
+		chats: map[string]*told{}, bookings: map[string]*told{}, killed: map[string]bool{}, outcomes: map[string]int{},
+	}
+	for began := time.Now(); time.Since(began) < historyTime; time.Sleep(historyStep) {
+		h.request()
+		if h.rng.IntN(10) == 0 {
+			h.fault()
+		}
+	}
+	h.all.Wait()
+	time.Sleep(2 * time.Minute)
+	t.Logf("seed %d: %v, effects %d, runs %d", seed, h.outcomes, len(h.plain.Effects()), len(h.engine.Runs()))
+	h.checkBookings()
+	h.checkChats()
+	for _, host := range h.hosts {
+		if !h.killed[host.name] {
+			require.LessOrEqual(t, h.testFleet.spent(host), record.Tokens(historyPrepaid))
+		}
+	}
+}
+
+func (h *history) checkBookings() {
+	effects := map[string]int{}
+	for _, e := range h.plain.Effects() {
+		effects[strings.TrimPrefix(e.RequestID, "firm/yard:")]++
+	}
+	for id, told := range h.bookings {
+		require.LessOrEqual(h.t, effects[id], 1, "booking %s ran twice", id)
+		if told.onlyNot {
+			require.Zero(h.t, effects[id], "booking %s was told as not run", id)
+		}
+		for _, answer := range told.answers {
+			require.Equal(h.t, 1, effects[id])
+			require.Contains(h.t, answer, `"firm/yard:`+id+`"`)
+			require.Equal(h.t, told.answers[0], answer)
+		}
+	}
+}
+
+func (h *history) checkChats() {
+	ran := map[string]bool{}
+	for _, r := range h.engine.Runs() {
+		ran[strings.TrimPrefix(r.RequestID, "firm/yard:")] = true
+	}
+	for id, told := range h.chats {
+		if told.onlyNot {
+			require.False(h.t, ran[id], "chat %s was told as not run", id)
+		}
+		for _, answer := range told.answers {
+			require.Equal(h.t, wantedText(id, 0, historyTokens), answer)
+		}
+	}
+}
--- a/fleet/host/requests_test.go
+++ b/fleet/host/requests_test.go
@@ -49,7 +49,7 @@
 
 func TestFleetServesAndBills(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t)
+		f := newTestFleet(t, 100_000)
 		var want record.Tokens
 		for i, h := range f.hosts {
 			id := fmt.Sprint("r", i)
@@ -67,7 +67,7 @@
 
 func TestRouterDiesWithAStreamOpen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t)
+		f := newTestFleet(t, 100_000)
 		text, _ := readTokens(f.chat(f.hosts[0], "r1", 20), 5)
 		require.Equal(t, wantedText("r1", 0, 5), text)
 		require.Equal(t, http.StatusOK, f.book(f.hosts[0], "b1").StatusCode)
@@ -88,7 +88,7 @@
 
 func TestCallOfADeadHostIsNotRunAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t)
+		f := newTestFleet(t, 100_000)
 		f.plain.SetFaults(plain.Faults{Delay: 5 * time.Second})
 		go func() {
 			_, _ = f.try(f.hosts[0], f.hosts[0].cfg.Listen.Caller, http.MethodPost, "/v1/services/firm/bookings/slabs", testKey, "b1", `{"slab":1}`)
@@ -105,7 +105,7 @@
 
 func TestCallerReconnectsThroughAnotherHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t)
+		f := newTestFleet(t, 100_000)
 		resp := f.chat(f.hosts[0], "r1", 20)
 		text, _ := readTokens(resp, 5)
 		_ = resp.Body.Close()
@@ -119,7 +119,7 @@
 
 func TestGracefulStopCutsOffNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t)
+		f := newTestFleet(t, 100_000)
 		resp := f.chat(f.hosts[0], "r1", 100)
 		stopped := make(chan error, 1)
 		go func() { stopped <- f.hosts[0].Shutdown(t.Context()) }()
@@ -134,7 +134,7 @@
 
 func TestLogOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t)
+		f := newTestFleet(t, 100_000)
 		require.Equal(t, http.StatusOK, f.book(f.hosts[0], "b0").StatusCode, "takes a grant")
 		f.log.SetDown(true)
 		began := time.Now()
