--- a/cmd/hazelctl/main.go
+++ b/cmd/hazelctl/main.go
@@ -36,6 +36,5 @@
 		newPlacementCommand(client),
 		newEntryCommand(),
 	)
-	root.AddCommand(settingscmd.Commands(client)...)
 	return root
 }
