--- a/cmd/hazelctl/main.go
+++ b/cmd/hazelctl/main.go
@@ -34,6 +34,7 @@
 		newRequestCommand(client),
 		newUpstreamCommand(client),
 		newPlacementCommand(client),
+		newPlacementCommand(client),
 		newEntryCommand(),
 	)
 	return root
