Keep requests that must not repeat off upstreams on trial

Cause: such requests were not chosen as probes, but the usual rules could still send them to an upstream on trial; a service with no other requests would never have brought an upstream back. Change: upstreams on trial are left out for them while another is free; answered polls count as successes of a trial, and failed ones end it.

--- a/core/route/decide.go
+++ b/core/route/decide.go
@@ -127,12 +127,10 @@
 }
 
 func (p *Pool) choose(q *Query, free []*Worker, perSlot float64) (*Worker, Reason) {
-	if !q.NoProbe {
-		for _, w := range free {
-			if w.health.probing {
-				return w, ReasonProbe
-			}
-		}
+	if q.NoProbe {
+		free = withoutProbing(free)
+	} else if at := slices.IndexFunc(free, onTrial); at >= 0 {
+		return free[at], ReasonProbe
 	}
 	if len(free) == 1 {
 		return free[0], ReasonOnly
@@ -145,6 +143,22 @@
 	return p.betterOfTwo(free), ReasonLeastLoaded
 }
 
+func onTrial(w *Worker) bool { return w.health.probing }
+
+// withoutProbing leaves out upstreams on trial, in place, unless all are.
+func withoutProbing(free []*Worker) []*Worker {
+	if !slices.ContainsFunc(free, func(w *Worker) bool { return !onTrial(w) }) {
+		return free
+	}
+	kept := free[:0]
+	for _, w := range free {
+		if !onTrial(w) {
+			kept = append(kept, w)
+		}
+	}
+	return kept
+}
+
 // byPrefix chooses the upstream with the longest prefix by cache events, else
 // the first in rendezvous order of the leading blocks, among those within the
 // load bound.
--- a/core/route/health.go
+++ b/core/route/health.go
@@ -143,14 +143,16 @@
 	return true
 }
 
-// probed applies the result of a re-entry probe.
+// probed applies the result of a poll of an upstream that is not live.
 func (h *health) probed(ok bool, c *Config, now time.Time) {
-	if h.state != StateEjected {
-		return
-	}
-	if ok {
+	switch {
+	case h.state == StateEjected && ok:
 		h.fire(eventProbeSucceeded)
-		return
+	case h.state == StateEjected:
+		h.eject(eventProbeFailed, c, now)
+	case h.state == StateProbing && ok:
+		h.succeeded(c, now)
+	case h.state == StateProbing:
+		h.eject(eventEject, c, now)
 	}
-	h.eject(eventProbeFailed, c, now)
 }
--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -215,7 +215,7 @@
 	return due
 }
 
-// Probed applies the result of a re-entry probe.
+// Probed applies the result of a poll to an upstream that is ejected or on trial.
 func (p *Pool) Probed(id string, ok bool, now time.Time) {
 	if w, known := p.workers[id]; known {
 		w.health.probed(ok, &p.cfg, now)
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -189,6 +189,27 @@
 	require.Equal(t, StateLive, bad.State())
 }
 
+// TestRequestsThatMustNotRepeatAreNoProbes also checks that an upstream returns by
+// its answers to polls if all requests are of that kind.
+func TestRequestsThatMustNotRepeatAreNoProbes(t *testing.T) {
+	p := newTestPool(Config{}, upstreams(3, 100))
+	bad := p.Workers()[0]
+	p.Decide(&Query{}, start)
+	fail(p, bad, 5)
+	later := start.Add(5 * time.Second)
+	p.Probed(bad.ID(), true, later)
+	for range 100 {
+		for _, prefix := range [][]uint64{nil, {p.rng.Uint64()}} {
+			require.NotEqual(t, bad, p.Decide(&Query{NoProbe: true, Prefix: prefix}, later).Chosen)
+		}
+	}
+	for range 3 {
+		require.Equal(t, StateProbing, bad.State())
+		p.Probed(bad.ID(), true, later)
+	}
+	require.Equal(t, StateLive, bad.State())
+}
+
 func TestEjectionKeepsTheFloor(t *testing.T) {
 	p := newTestPool(Config{}, upstreams(10, 8))
 	p.Decide(&Query{}, start)
--- a/fleet/upstream/poll.go
+++ b/fleet/upstream/poll.go
@@ -182,9 +182,7 @@
 	before, after := route.StateLive, route.StateLive
 	if r, ok := s.router.Worker(id); ok {
 		before = r.State()
-		if before == route.StateEjected {
-			s.router.Probed(id, err == nil, now)
-		}
+		s.router.Probed(id, err == nil, now)
 		after = r.State()
 	}
 	changed := false
