Keep the placement commands that had landed

Cause: the placement commands were written a second time over the first. Change: the first ones stand.

--- a/cmd/hazelctl/main.go
+++ b/cmd/hazelctl/main.go
@@ -34,7 +34,6 @@
 		newRequestCommand(client),
 		newUpstreamCommand(client),
 		newPlacementCommand(client),
-		newPlacementCommand(client),
 		newEntryCommand(),
 	)
 	return root
--- a/cmd/hazelctl/placement.go
+++ b/cmd/hazelctl/placement.go
@@ -3,22 +3,16 @@
 import (
 	"fmt"
 	"net/url"
-	"strconv"
-	"strings"
 
 	"github.com/spf13/cobra"
 
 	"github.com/hazelworks/hazelworks/cmd/internal/adminclient"
 	"github.com/hazelworks/hazelworks/cmd/internal/cli"
-	"github.com/hazelworks/hazelworks/core/placement"
 	"github.com/hazelworks/hazelworks/fleet/placer"
 )
 
 func newPlacementCommand(client *adminclient.Client) *cobra.Command {
-	cmd := &cobra.Command{
-		Use:   "placement",
-		Short: "Show which upstream serves which model, and resume halted roll-outs",
-	}
+	cmd := &cobra.Command{Use: "placement", Short: "Show which worker serves which model, and resume roll-outs"}
 	cmd.AddCommand(newPlacementShowCommand(client), newPlacementResumeCommand(client))
 	return cmd
 }
@@ -27,7 +21,7 @@
 	var output string
 	cmd := &cobra.Command{
 		Use:   "show",
-		Short: "Show the placement of the services that the asked host writes for",
+		Short: "Show the placement of the services that the host writes for",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var list []placer.Status
@@ -42,39 +36,21 @@
 }
 
 func placementTable(list []placer.Status) cli.Table {
-	t := cli.Table{
-		Header: []string{"SERVICE", "EPOCH", "UPSTREAM", "SERVES", "READY", "ORDER", "WANTED"},
-		Data:   list,
-	}
+	t := cli.Table{Header: []string{"SERVICE", "EPOCH", "WORKER", "MODEL", "VERSION", "READY", "ORDER"}, Data: list}
 	for _, s := range list {
 		for _, w := range s.Workers {
-			wanted := ""
-			if w.Wanted != nil {
-				wanted = targetText(*w.Wanted)
-			}
 			t.Rows = append(t.Rows, []string{
-				s.Service, strconv.FormatUint(uint64(s.Epoch), 10), w.ID,
-				targetText(w.Serving), strconv.FormatBool(w.Ready), w.Order, wanted,
+				s.Service, fmt.Sprint(s.Epoch), w.ID,
+				w.Serving.Model, w.Serving.Version, fmt.Sprint(w.Ready), w.Order,
 			})
 		}
 	}
 	return t
 }
 
-func targetText(t placement.Target) string {
-	text := t.Model
-	if t.Version != "" {
-		text += "@" + t.Version
-	}
-	if len(t.Adapters) > 0 {
-		text += "+" + strings.Join(t.Adapters, "+")
-	}
-	return text
-}
-
 func newPlacementResumeCommand(client *adminclient.Client) *cobra.Command {
 	return &cobra.Command{
-		Use:   "resume FIRM/SERVICE",
+		Use:   "resume SERVICE",
 		Short: "Lift the halts of a service's roll-outs",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -82,7 +58,7 @@
 			if err := client.Post(cmd.Context(), path, nil, nil); err != nil {
 				return err
 			}
-			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: resumed\n", args[0])
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: halts lifted\n", args[0])
 			return err
 		},
 	}
