--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +26,12 @@
 type cluster struct {
 	t    *testing.T
 	log  *memlog.Log
+	link map[record.HostID]*memlog.Link
+
+	// mu guards the fields below, which tests change while services look.
+	mu   sync.Mutex
 	ids  []record.HostID
 	svcs map[record.HostID]*Service
-	link map[record.HostID]*memlog.Link
 	// sees limits what a host knows of the others, all if it is missing.
 	sees map[record.HostID][]record.HostID
 }
@@ -52,6 +56,8 @@
 		Self: record.Holder{Host: id, Incarnation: incarnation}, Log: c.link[id], View: view{c, id},
 		Shards: func() uint32 { return 1 }, Rand: func() float64 { return 0.5 }, SnapshotInterval: time.Minute,
 	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.svcs[id] = s
 	return s
 }
@@ -62,14 +68,27 @@
 	}
 }
 
+// change alters which hosts there are while others look.
+func (c *cluster) change(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
 type view struct {
 	c  *cluster
 	id record.HostID
 }
 
-func (v view) Self() record.Holder { return v.c.svcs[v.id].opts.Self }
+func (v view) Self() record.Holder {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
+	return v.c.svcs[v.id].opts.Self
+}
 
 func (v view) Hosts() []member.Host {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
 	ids, limited := v.c.sees[v.id]
 	if !limited {
 		ids = v.c.ids
@@ -82,6 +101,8 @@
 }
 
 func (v view) Client(id record.HostID) (peerpbconnect.PeerServiceClient, bool) {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
 	s, ok := v.c.svcs[id]
 	return client{server: NewServer(s)}, ok
 }
@@ -255,8 +276,10 @@
 		time.Sleep(2 * time.Minute)
 		require.Empty(t, c.kept(), "the records themselves are trimmed")
 		a.Stop()
-		c.svcs = map[record.HostID]*Service{}
-		c.ids = []record.HostID{"b"}
+		c.change(func() {
+			c.svcs = map[record.HostID]*Service{}
+			c.ids = []record.HostID{"b"}
+		})
 		res, err := c.start("b", 1).Submit(t.Context(), 0, []record.Op{topUp(99, 1)})
 		require.NoError(t, err)
 		require.Equal(t, record.Tokens(11), res[0].Available)
@@ -282,13 +305,17 @@
 		require.NoError(t, err)
 		time.Sleep(2 * time.Minute)
 		copies := c.svcs
-		c.svcs = map[record.HostID]*Service{}
-		c.ids = []record.HostID{"b"}
+		c.change(func() {
+			c.svcs = map[record.HostID]*Service{}
+			c.ids = []record.HostID{"b"}
+		})
 		b := c.start("b", 1)
 		_, err = b.Submit(t.Context(), 0, []record.Op{topUp(2, 5)})
 		require.ErrorIs(t, err, ErrLogUnavailable)
-		c.svcs["a"] = copies["a"]
-		c.ids = []record.HostID{"a", "b"}
+		c.change(func() {
+			c.svcs["a"] = copies["a"]
+			c.ids = []record.HostID{"a", "b"}
+		})
 		time.Sleep(5 * time.Second)
 		state, err := b.State(t.Context(), 0)
 		require.NoError(t, err)
