Free workers that a stopped writer has left drained

Cause: a writer that ended in the middle of an order left its worker drained, and the next writer took it for one that leaves by itself. Change: workers tell that they are drained by an order, and the plan repairs them. What is read of a worker while an order is under way is not acted on.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -76,6 +76,8 @@
 	Ready bool
 	// Busy is true while an order to it is under way.
 	Busy bool
+	// Drained is true if an order has asked it to drain.
+	Drained bool
 	// MovedAt is when it last changed its model; zero if unknown.
 	MovedAt time.Time
 	// RetryAt is when an order may be given again after one has failed.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -50,12 +50,17 @@
 }
 
 // repairs returns orders to workers that serve something else than they were
-// ordered to, as after a late order of an earlier writer.
+// ordered to, as after a late order of an earlier writer, and to those that an
+// earlier writer has left drained.
 func (p *planner) repairs() []Decision {
 	var out []Decision
 	for _, w := range p.in.Workers {
 		wanted, ok := p.in.Wanted[w.ID]
-		if ok && w.Ready && !w.Busy && !w.Serving.Equal(wanted) && p.allowed(w) {
+		if !ok {
+			wanted = w.Serving
+		}
+		wrong := w.Ready && !w.Serving.Equal(wanted)
+		if (wrong || w.Drained) && !w.Busy && p.allowed(w) {
 			out = append(out, Decision{Worker: w.ID, Target: wanted, Reason: ReasonRepair})
 		}
 	}
--- a/fleet/placer/placer_test.go
+++ b/fleet/placer/placer_test.go
@@ -206,3 +206,22 @@
 		require.Equal(t, []string{"2", "2"}, b.versions())
 	})
 }
+
+// TestWorkerOfAStoppedWriterIsFreed stops the writer while a worker drains.
+func TestWorkerOfAStoppedWriterIsFreed(t *testing.T) {
+	inBench(t, 2, true, func(ctx context.Context, t *testing.T, b *bench) {
+		stopped, stop := context.WithCancel(ctx)
+		b.host(stopped, "old").opt.Weights = scarceStore{from: time.Now().Add(time.Hour)}
+		time.Sleep(11 * time.Second)
+		b.src.setVersion(b.svc, "2")
+		for len(b.engines[0].Orders()) == 0 && !b.engines[0].Draining() {
+			time.Sleep(100 * time.Millisecond)
+		}
+		stop()
+		b.src.setVersion(b.svc, "1")
+		p := b.host(ctx, "new")
+		time.Sleep(3 * time.Minute)
+		require.Zero(t, notReady(p))
+		require.False(t, b.engines[0].Draining())
+	})
+}
--- a/fleet/placer/service.go
+++ b/fleet/placer/service.go
@@ -35,6 +35,7 @@
 	up      settings.Upstream
 	serving placement.Target
 	ready   bool
+	drained bool
 	load    float64
 	idle    bool
 	// run is the order under way; nil if there is none.
@@ -119,11 +120,16 @@
 	var wg sync.WaitGroup
 	for _, up := range ups {
 		wg.Go(func() {
+			s.mu.Lock()
+			w := s.worker(up)
+			ordered := w.run != nil
+			s.mu.Unlock()
 			body, load, err := s.client.read(ctx, up.URL)
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			w := s.worker(up)
-			w.ready = err == nil && !body.Loading && !load.Leaving && !up.Leaving && len(body.Models) == 1
+			// What is read while an order is under way may be old when it ends.
+			w.ready = err == nil && !ordered && !body.Loading && !load.Leaving && !up.Leaving && len(body.Models) == 1
+			w.drained = err == nil && !ordered && body.Drain
 			if err == nil {
 				w.serving = body.target()
 				w.load = float64(load.Running + load.Waiting)
@@ -185,7 +191,7 @@
 		w := s.workers[up.ID]
 		in.Workers = append(in.Workers, placement.Worker{
 			ID: up.ID, Slots: slotsOf(up), Serving: w.serving, Ready: w.ready,
-			Busy: w.run != nil, MovedAt: w.movedAt, RetryAt: w.retryAt,
+			Busy: w.run != nil, Drained: w.drained, MovedAt: w.movedAt, RetryAt: w.retryAt,
 		})
 		home[homeOf(s.set, up)]++
 	}
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -120,11 +120,19 @@
 func (e *Engine) placement(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	placed := e.placed
+	placed.Drain = e.draining
 	placed.Loading = time.Now().Before(e.loadDone)
 	e.mu.Unlock()
 	writeJSON(w, placed)
 }
 
+// Draining tells whether an order has asked it to drain.
+func (e *Engine) Draining() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.draining
+}
+
 // Orders returns the placement orders that it took.
 func (e *Engine) Orders() []Placement {
 	e.mu.Lock()
