--- a/fleet/bank/fleet_test.go
+++ b/fleet/bank/fleet_test.go
@@ -60,6 +60,7 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	dead   bool
+	silent bool // calls to it hang, as to a paused process
 	belief member.State
 }
 
@@ -253,6 +254,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if h.isSilent() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	res, err := f(h)
 	time.Sleep(peerLatency)
 	if _, back := c.from.fleet.reach(c.to, c.from.self.Host); back != nil {
@@ -285,3 +290,9 @@
 		return h.bank.Holdings(ctx, req)
 	})
 }
+
+func (h *testHost) isSilent() bool {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	return h.silent
+}
--- a/fleet/bank/grants.go
+++ b/fleet/bank/grants.go
@@ -113,6 +113,7 @@
 // granted follows the fold's answer and serves those who wait.
 func (a *account) granted(now time.Time, k *ask, res *ledger.Result, reply *shard.Reply) {
 	h := k.holding
+	h.available = res.Available
 	h.follow(res.Offset, res.Outstanding, res.ReportSeq)
 	if res.Granted > 0 {
 		a.bank.grants.Inc(1)
--- a/fleet/bank/histories_test.go
+++ b/fleet/bank/histories_test.go
@@ -291,3 +291,46 @@
 		require.NotEqual(t, owner.self, f.owner(mill).self)
 	})
 }
+
+// TestSilentHolderDelaysNobody pauses a host that holds most of a budget. Others
+// are served from what the rest holds, and told who holds what is missing.
+func TestSilentHolderDelaysNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 1, memlog.Options{}, mill)
+		defer f.stop()
+		f.topUp(f.hosts[0], mill, "t", 20_000)
+		owner := f.hosts[0]
+		for i, h := range f.hosts {
+			if h.self.Host == owner.svc.Owner(0) {
+				owner = h
+			}
+			r, err := h.bank.Reserve(t.Context(), mill, record.RequestKey(i), 2000, time.Second)
+			require.NoError(t, err)
+			r.Release()
+		}
+		time.Sleep(time.Second)
+		var paused, asker *testHost
+		for _, h := range f.hosts {
+			if h == owner {
+				continue
+			}
+			paused, asker = asker, h
+		}
+		f.mu.Lock()
+		paused.silent = true
+		f.mu.Unlock()
+		paused.link.SetCut(true)
+		held := paused.bank.Held(mill)[0].Free
+		require.Positive(t, held)
+		start := time.Now()
+		_, err := asker.bank.Reserve(t.Context(), mill, 50, 19_900-held, time.Second)
+		require.NoError(t, err)
+		require.Less(t, time.Since(start), 700*time.Millisecond)
+		_, err = asker.bank.Reserve(t.Context(), mill, 51, 200, time.Second)
+		var refused *RefusedError
+		require.ErrorAs(t, err, &refused)
+		require.False(t, refused.Unreachable)
+		require.Contains(t, refused.Holders, paused.self)
+		require.GreaterOrEqual(t, refused.HeldElsewhere, held)
+	})
+}
--- a/fleet/bank/holding.go
+++ b/fleet/bank/holding.go
@@ -27,6 +27,8 @@
 	queued record.Tokens
 	// inFlight is in the report that has not been read back yet.
 	inFlight record.Tokens
+	// available is what the budget had left after the newest grant.
+	available record.Tokens
 	// asOf is the offset of the fold that the amounts follow.
 	asOf record.Offset
 
@@ -107,12 +109,23 @@
 }
 
 // target is the free amount that a grant should bring: the policy's slice at
-// the recent rate, at least its floor and two of the largest requests.
+// the recent rate, or two of the largest requests, but no more than a hundredth
+// of what the budget has left, so that little is stranded if this host dies; at
+// least the policy's floor.
 func (h *holding) target(now time.Time) record.Tokens {
 	slice := record.Tokens(h.rate.perSecond(now) * h.policy.Slice.Seconds())
-	return max(slice, h.policy.Floor, 2*h.largest)
+	return max(h.policy.Floor, min(max(slice, 2*h.largest), h.available/maxFreePart))
 }
 
+// lowWater is the free amount below which the next grant is asked for ahead.
+func (h *holding) lowWater(target record.Tokens) record.Tokens {
+	return max(target/2, min(target, h.largest))
+}
+
+// maxFreePart is the part of a budget's available amount that a host may hold
+// ahead of need, as a divisor.
+const maxFreePart = 100
+
 // wanted returns the amount to ask for and the least that serves the first
 // waiter, or zero if no grant is needed.
 func (h *holding) wanted(now time.Time) (amount, need record.Tokens) {
@@ -129,7 +142,7 @@
 		return waiting - free + target, h.waiters[0].amount - free
 	}
 	active := now.Sub(h.used) < h.policy.RecallDelay && !now.Before(h.quietUntil)
-	if active && h.free < target/2 {
+	if active && h.free < h.lowWater(target) {
 		return target - h.free, 0
 	}
 	return 0, 0
--- a/fleet/bank/measure_test.go
+++ b/fleet/bank/measure_test.go
@@ -133,19 +133,23 @@
 						l.topUp(f.hosts[0], id, "t", test.prepaid)
 					}
 					start, appends := time.Now(), f.log.Appends()
+					var held record.Tokens
+					var share float64
 					l.startAccounts(test.spread, start.Add(test.run))
 					if test.cut > 0 {
 						f.partition(f.hosts[:4], f.hosts[4:], true)
-						time.Sleep(test.cut)
-						f.partition(f.hosts[:4], f.hosts[4:], false)
 					}
-					time.Sleep(time.Until(start.Add(test.run)))
+					for time.Now().Before(start.Add(test.run)) {
+						time.Sleep(time.Second)
+						most, part := f.largestHolding(policy, test.prepaid)
+						held, share = max(held, most), max(share, part)
+					}
+					f.partition(f.hosts[:4], f.hosts[4:], false)
 					rate := float64(f.log.Appends()-appends) / time.Since(start).Seconds()
-					held, share := f.largestHolding(policy, test.prepaid, budgets)
 					l.wg.Wait()
 					total := l.served + l.refusals()
 					falseShare := 100 * float64(l.falseRefusals) / float64(total)
-					t.Logf("%d requests, refused %d (spent %d, held %d, unreachable %d), while unspent anywhere %d (%.3f%%), longest %v; wait p50 %v p95 %v p99 %v; %.1f appends/s; largest grant of a host %d (%.2f%%)",
+					t.Logf("%d requests, refused %d (spent %d, held %d, unreachable %d), while unspent anywhere %d (%.3f%%), longest %v; wait p50 %v p95 %v p99 %v; %.1f appends/s; largest unused grant of a host %d (%.2f%%)",
 						total, l.refusals(), l.spentRefusals, l.heldRefusals, l.unreachableRefusals,
 						l.falseRefusals, falseShare, l.longest, l.wait(50), l.wait(95), l.wait(99), rate, held, share)
 					require.False(t, l.overspend)
@@ -179,16 +183,17 @@
 	}
 }
 
-// largestHolding returns the largest outstanding grant of one host, which is
-// what its death would strand.
-func (f *testFleet) largestHolding(policy string, prepaid record.Tokens, budgets []record.BudgetID) (record.Tokens, float64) {
+// largestHolding returns the largest amount that one host holds of a budget
+// without a request that runs, which its death would strand unused, and its part
+// of what was prepaid in percent.
+func (f *testFleet) largestHolding(policy string, prepaid record.Tokens) (record.Tokens, float64) {
 	if policy != "grants" {
 		return 0, 0
 	}
 	var largest record.Tokens
-	for _, id := range budgets {
-		for _, h := range f.fold(f.shardOf(id)).Ledger().Holders(id) {
-			largest = max(largest, h.Outstanding)
+	for _, h := range f.hosts {
+		for _, held := range h.bank.Held("") {
+			largest = max(largest, held.Free)
 		}
 	}
 	return largest, 100 * float64(largest) / float64(prepaid)
--- a/fleet/bank/reports.go
+++ b/fleet/bank/reports.go
@@ -157,6 +157,7 @@
 }
 
 func (a *account) cutDraft() record.Op {
+	a.returnExcess(time.Now())
 	a.sent = a.draft
 	a.draft = record.Report{Seq: a.sent.Seq + 1}
 	a.draftUrgent = false
@@ -169,6 +170,24 @@
 	return record.Op{Kind: record.KindReport, Holder: &holder, Report: &report}
 }
 
+// returnExcess adds the return of free amounts far above their target to a
+// report that is sent anyway.
+func (a *account) returnExcess(now time.Time) {
+	if a.bank.closed {
+		return
+	}
+	for _, h := range a.holdings {
+		target := h.target(now)
+		if len(h.waiters) == 0 && h.free > excessFactor*target {
+			h.giveBack(h.free - target)
+		}
+	}
+}
+
+// excessFactor is the ratio of the free amount to its target above which the
+// excess is returned.
+const excessFactor = 2
+
 // reported takes in the fold's answer to a report and its outcomes.
 func (a *account) reported(ops []record.Op, outcomes int, results []ledger.Result, done chan struct{}, took time.Duration) {
 	a.bank.mu.Lock()
--- a/fleet/shard/grants.go
+++ b/fleet/shard/grants.go
@@ -149,7 +149,7 @@
 		if len(holders) == 0 {
 			return
 		}
-		round, wait := r.joinRecall(op.Budget, holders)
+		round, wait := r.joinRecall(op, holders)
 		if wait > 0 {
 			pause(ctx, wait)
 			continue
@@ -166,11 +166,11 @@
 
 // joinRecall returns the round that runs for a budget, or starts one. If the
 // last one has just ended, it returns how long to wait first.
-func (r *replica) joinRecall(budget record.BudgetID, holders []record.Holder) (*recall, time.Duration) {
+func (r *replica) joinRecall(op *record.Op, holders []record.Holder) (*recall, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	round, ok := r.recalls[budget]
+	round, ok := r.recalls[op.Budget]
 	if ok && round.end.IsZero() {
 		return round, 0
 	}
@@ -178,25 +178,29 @@
 		return nil, recallGap - now.Sub(round.end)
 	}
 	round = &recall{done: make(chan struct{}), start: now}
-	r.recalls[budget] = round
-	r.svc.goDo(func() { r.runRecall(round, budget, holders) })
+	r.recalls[op.Budget] = round
+	r.svc.goDo(func() { r.runRecall(round, op, holders) })
 	return round, 0
 }
 
-func (r *replica) runRecall(round *recall, budget record.BudgetID, holders []record.Holder) {
+// runRecall asks all holders at once. It ends early when enough has come back.
+func (r *replica) runRecall(round *recall, op *record.Op, holders []record.Holder) {
 	ctx, cancel := context.WithTimeout(r.ctx, r.svc.opts.RecallWait)
 	defer cancel()
 	r.queue.setEager(true)
 	defer r.queue.setEager(false)
 	done := make(chan record.Tokens, len(holders))
 	for _, h := range holders {
-		r.svc.goDo(func() { done <- r.svc.recallOne(ctx, h, r.id, budget) })
+		r.svc.goDo(func() { done <- r.svc.recallOne(ctx, h, r.id, op.Budget) })
 	}
 	var sum record.Tokens
 	for range holders {
 		sum += <-done
+		if _, short := r.shortOf(op); !short {
+			break
+		}
 	}
-	r.svc.opts.Logger.Info("grants recalled", "shard", r.id, "budget", budget, "holders", len(holders), "returned", sum)
+	r.svc.opts.Logger.Info("grants recalled", "shard", r.id, "budget", op.Budget, "holders", len(holders), "returned", sum)
 	r.mu.Lock()
 	round.end = time.Now()
 	r.mu.Unlock()
--- a/fleet/shard/options.go
+++ b/fleet/shard/options.go
@@ -77,7 +77,7 @@
 	defaultAppendTimeout    = 2 * time.Second
 	defaultReadBackWait     = 2 * time.Second
 	defaultLoadWait         = time.Second
-	defaultRecallWait       = time.Second
+	defaultRecallWait       = 300 * time.Millisecond
 	defaultPeerTimeout      = 3 * time.Second
 	defaultTakeoverWait     = 200 * time.Millisecond
 	defaultAvoidTime        = 5 * time.Second
--- a/fleet/shard/owner.go
+++ b/fleet/shard/owner.go
@@ -77,6 +77,11 @@
 	return s.opts.Self.Host
 }
 
+// Owner returns the host that this host would submit a shard's operations to.
+func (s *Service) Owner(id record.ShardID) record.HostID {
+	return s.route(id, nil)
+}
+
 // route returns the host to submit to: a hint that is still fresh, else the
 // first choice that has not failed lately. If all have, it is this host.
 func (s *Service) route(id record.ShardID, tried map[record.HostID]bool) record.HostID {
--- a/fleet/shard/queue.go
+++ b/fleet/shard/queue.go
@@ -29,7 +29,8 @@
 }
 
 // newCall returns a call for ops. Grants, claims and operators' operations are
-// urgent; reports and outcomes may wait for others to share their record.
+// urgent; reports and outcomes may wait for others to share their record, unless
+// grants are being recalled.
 func newCall(ctx context.Context, ops []record.Op) (*call, error) {
 	c := &call{ctx: ctx, ops: ops, at: time.Now(), done: make(chan callResult, 1)}
 	for i := range ops {
@@ -48,7 +49,7 @@
 	case record.KindOutcome:
 		return false
 	case record.KindReport:
-		return op.Report != nil && (op.Report.Closing || len(op.Report.Returns) > 0)
+		return op.Report != nil && op.Report.Closing
 	default:
 		return true
 	}
--- a/fleet/shard/rpc.go
+++ b/fleet/shard/rpc.go
@@ -89,6 +89,9 @@
 // recallOne asks one holder to give back and returns the amount, zero on failure.
 func (s *Service) recallOne(ctx context.Context, h record.Holder, id record.ShardID, budget record.BudgetID) record.Tokens {
 	amount, err := s.recallFrom(ctx, h, id, budget)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && h.Host != s.opts.Self.Host {
+		s.setAvoid(h.Host)
+	}
 	if err != nil {
 		s.opts.Logger.Info("recall failed", "shard", id, "budget", budget, "holder", h.String(), "error", err.Error())
 		return 0
