Go on watching upstreams on a quiet host; measure leaving and cut-off requests

Cause: a change of any upstream emptied the subsets that the polls follow until the host's next request. The fake plain service contradicted itself about leaving in its load report.

--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -19,8 +20,8 @@
 	self  uint64
 	hosts []uint64
 
-	// sets caches the able subset for each need; any change of what the
-	// upstreams serve or of the hosts empties it.
+	// sets caches the able subset for each need that decisions have had; any
+	// change of what the upstreams serve or of the hosts refreshes it.
 	sets map[Need][]*Worker
 
 	scratch []*Worker
@@ -50,7 +51,7 @@
 		return
 	}
 	p.self, p.hosts = selfHash, hashes
-	clear(p.sets)
+	p.refresh()
 }
 
 // Sync replaces the set of upstreams. State of those that stay is kept; those
@@ -78,7 +79,19 @@
 	}
 	p.synced = true
 	if changed {
-		clear(p.sets)
+		p.refresh()
+	}
+}
+
+// refresh chooses the subsets again. The needs are kept, so that a host without
+// requests goes on watching its upstreams; one that nobody can meet is dropped.
+func (p *Pool) refresh() {
+	needs := slices.Collect(maps.Keys(p.sets))
+	clear(p.sets)
+	for _, n := range needs {
+		if len(p.able(n)) == 0 {
+			delete(p.sets, n)
+		}
 	}
 }
 
@@ -98,8 +111,8 @@
 	return all
 }
 
-// Watched returns, by ID, the upstreams of the subsets that decisions have used
-// since the last change, and those that are leaving. Others need not be watched.
+// Watched returns, by ID, the upstreams of the subsets that decisions have used,
+// and those that are leaving. Others need not be watched.
 func (p *Pool) Watched() []*Worker {
 	used := make(map[*Worker]bool)
 	for _, set := range p.sets {
--- a/replay/audit.go
+++ b/replay/audit.go
@@ -35,6 +35,7 @@
 }
 
 type bill struct {
+	at   int64
 	cost record.Tokens
 	paid record.Tokens
 }
@@ -185,7 +186,7 @@
 	}
 	b.settled += paid
 	if paid > 0 || settlement.Cost == 0 {
-		s.bills[key] = append(s.bills[key], bill{cost: settlement.Cost, paid: paid})
+		s.bills[key] = append(s.bills[key], bill{at: s.now, cost: settlement.Cost, paid: paid})
 		b.changes = append(b.changes, change{at: s.now, amount: -paid})
 	}
 }
--- a/replay/books.go
+++ b/replay/books.go
@@ -29,6 +29,8 @@
 	text string
 	// firstByte is when the first token or byte of an answer arrived.
 	firstByte time.Time
+	// cutOff is true if the connection was open and broke before the reply's end.
+	cutOff bool
 	// retryAfter is what a refusal asked for.
 	retryAfter time.Duration
 }
--- a/replay/caller.go
+++ b/replay/caller.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/hazelworks/hazelworks/fleet/entry"
@@ -129,8 +131,8 @@
 }
 
 // try sends a request once. It gives up when no byte arrives for its patience.
-func (c *caller) try(ctx context.Context, r *request, e *Event, address string) attempt {
-	a := attempt{host: address, at: time.Now(), verdict: verdictBroken}
+func (c *caller) try(ctx context.Context, r *request, e *Event, address string) (a attempt) {
+	a = attempt{host: address, at: time.Now(), verdict: verdictBroken}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	patience := time.Duration(c.spec.Patience)
@@ -144,9 +146,11 @@
 	resp, err := c.client.Do(req)
 	if err != nil {
 		a.code = err.Error()
+		a.cutOff = !errors.Is(err, syscall.ECONNREFUSED) && ctx.Err() == nil
 		return a
 	}
 	defer func() { _ = resp.Body.Close() }()
+	defer func() { a.cutOff = a.verdict == verdictBroken && ctx.Err() == nil }()
 	body := &watchedBody{reader: resp.Body, watch: watch, patience: patience}
 	switch {
 	case resp.StatusCode != http.StatusOK:
--- a/replay/faults_test.go
+++ b/replay/faults_test.go
@@ -109,6 +109,8 @@
 			first(r, false).attempts = []attempt{{at: time.Now(), verdict: verdictNotRun, code: "budget-spent"}}
 		}},
 		{"given up without a fault", MeasureUnanswered, func(_ *testing.T, r *run) { first(r, true).attempts = nil }},
+		{"a reply that breaks off", MeasureCutOff, func(_ *testing.T, r *run) { first(r, false).attempts[0].cutOff = true }},
+		{"work for an upstream that left", MeasureSentLeaving, func(_ *testing.T, r *run) { r.left["mb/m/m1"] = r.began }},
 		{"a lost host that holds a grant", MeasureStranded, func(t *testing.T, r *run) { r.forgeGrant(t) }},
 	}
 	trace, err := Parse("faults", strings.NewReader(faultTrace))
@@ -121,7 +123,7 @@
 			test.breach(t, r)
 			report := r.report(1)
 			for _, m := range []Measure{MeasureOverspend, MeasureBilledTwice, MeasureBilledNever, MeasureBilledWrong, MeasureLedgerDiffers,
-				MeasureRanTwice, MeasureNotRunRan, MeasureWrongAnswer, MeasureRefusedHealthy, MeasureUnanswered, MeasureStranded} {
+				MeasureRanTwice, MeasureNotRunRan, MeasureWrongAnswer, MeasureRefusedHealthy, MeasureUnanswered, MeasureStranded, MeasureCutOff, MeasureSentLeaving} {
 				if m == test.measure {
 					require.Positive(t, report.Values[m], test.name)
 				} else if test.measure == "" {
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"strconv"
@@ -31,6 +32,8 @@
 	MeasureRefusedHealthy Measure = "false_refusals_without_fault"
 	MeasureStranded       Measure = "stranded_percent"
 	MeasureUnanswered     Measure = "unanswered_without_fault"
+	MeasureCutOff         Measure = "cut_off"
+	MeasureSentLeaving    Measure = "sent_to_leaving"
 	MeasureFirstTokenP50  Measure = "first_token_p50_ms"
 	MeasureFirstTokenP95  Measure = "first_token_p95_ms"
 	MeasureFirstTokenP99  Measure = "first_token_p99_ms"
@@ -42,7 +45,7 @@
 	return []Measure{
 		MeasureRequests, MeasureAnswered, MeasureOverspend, MeasureBilledTwice, MeasureBilledNever, MeasureBilledWrong,
 		MeasureLedgerDiffers, MeasureRanTwice, MeasureNotRunRan, MeasureWrongAnswer, MeasureFalseRefused,
-		MeasureRefusedHealthy, MeasureUnanswered, MeasureStranded, MeasureFirstTokenP50, MeasureFirstTokenP95,
+		MeasureRefusedHealthy, MeasureUnanswered, MeasureCutOff, MeasureSentLeaving, MeasureStranded, MeasureFirstTokenP50, MeasureFirstTokenP95,
 		MeasureFirstTokenP99, MeasureAppends,
 	}
 }
@@ -64,6 +67,9 @@
 	Met      bool    `json:"met"`
 }
 
+// leaveGrace is how long a leaving upstream may still get new work.
+const leaveGrace = 5 * time.Second
+
 // maxExamples bounds the requests that a report names for a measure.
 const maxExamples = 3
 
@@ -81,6 +87,7 @@
 	m.money()
 	m.answers()
 	m.refusals()
+	m.stops()
 	m.delays()
 	m.values[MeasureAppends] = float64(r.appends) / time.Duration(r.trace.Duration).Seconds()
 	report := &Report{Trace: r.trace.Trace, Seed: seed, Values: m.values, Examples: m.examples}
@@ -282,8 +289,7 @@
 		if !q.refusedForBudget() {
 			continue
 		}
-		b := m.audit.budget(q.budget)
-		if b.unspent(q.last().at.UnixMilli()) < q.bound {
+		if m.free(q.budget, q.last().at) < q.bound {
 			continue
 		}
 		m.count(MeasureFalseRefused, q)
@@ -294,6 +300,58 @@
 	m.values[MeasureFalseRefused] = percent(m.values[MeasureFalseRefused], m.values[MeasureRequests])
 }
 
+// free returns what a budget has left at a time, less the largest cost of the
+// requests that ran or were not billed yet.
+func (m *meter) free(id record.BudgetID, at time.Time) record.Tokens {
+	left := m.audit.budget(id).unspent(at.UnixMilli())
+	for _, q := range m.books.requests {
+		if q.budget != id || !q.started.Before(at) {
+			continue
+		}
+		bills := m.audit.bills[billKey{id, record.KeyOf(q.account, q.id)}]
+		if len(bills) > 0 && bills[0].at > at.UnixMilli() {
+			left -= q.bound
+		}
+	}
+	return left
+}
+
+// stops counts what went wrong by hosts and upstreams that leave.
+func (m *meter) stops() {
+	for _, q := range m.books.requests {
+		for _, a := range q.attempts {
+			if a.cutOff && !m.faulty(a.at) {
+				m.count(MeasureCutOff, q)
+			}
+		}
+	}
+	for id, at := range m.left {
+		m.sentTo(id, at.Add(leaveGrace))
+	}
+}
+
+// sentTo counts the work that an upstream began after a time.
+func (m *meter) sentTo(upstream string, limit time.Time) {
+	var late []string
+	if e, ok := m.engines[upstream]; ok {
+		for _, r := range e.Runs() {
+			if r.Started.After(limit) {
+				late = append(late, fmt.Sprintf("%s at %s %s after it left", r.RequestID, upstream, r.Started.Sub(limit)+leaveGrace))
+			}
+		}
+	}
+	if p, ok := m.plains[upstream]; ok {
+		for _, e := range p.Effects() {
+			if e.At.After(limit) {
+				late = append(late, fmt.Sprintf("%s at %s %s after it left", e.RequestID, upstream, e.At.Sub(limit)+leaveGrace))
+			}
+		}
+	}
+	m.values[MeasureSentLeaving] += float64(len(late))
+	named := append(m.examples[MeasureSentLeaving], late...)
+	m.examples[MeasureSentLeaving] = named[:min(len(named), maxExamples)]
+}
+
 func (m *meter) delays() {
 	var delays []float64
 	for _, q := range m.books.requests {
--- a/replay/run.go
+++ b/replay/run.go
@@ -34,6 +34,8 @@
 	paused  map[*node]chan struct{}
 	appends int64
 	topUps  int
+	// left is when each leaving upstream began to say so.
+	left map[string]time.Time
 	// ledger holds the options that the log is judged with.
 	ledger ledger.Options
 }
@@ -59,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{world: w, lost: make(map[record.Holder]bool), paused: make(map[*node]chan struct{})}
+	r := &run{world: w, lost: make(map[record.Holder]bool), paused: make(map[*node]chan struct{}), left: make(map[string]time.Time)}
 	err = r.play()
 	return r, errors.Join(err, w.end())
 }
@@ -232,6 +234,7 @@
 }
 
 func (r *run) leave(upstream string) {
+	r.left[upstream] = time.Now()
 	if e, ok := r.engines[upstream]; ok {
 		e.SetLeaving(true)
 	}
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -72,14 +72,19 @@
 // Handler returns the service's HTTP interface.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = io.WriteString(w, `{"running":0,"waiting":0,"slots":16}`)
-	})
+	mux.HandleFunc("GET /v1/load", s.load)
 	mux.HandleFunc("/", s.serve)
 	return mux
 }
 
+func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"running":0,"waiting":0,"slots":16,"leaving":%t}`, leaving)
+}
+
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	faults, leaving := s.faults, s.leaving
