--- a/fleet/bank/grants.go
+++ b/fleet/bank/grants.go
@@ -31,7 +31,7 @@
 func (a *account) runGrants() {
 	for {
 		next, wait := a.nextAsk(time.Now())
-		if next == nil {
+		if next == nil || wait > 0 {
 			if !a.sleep(a.grantSignal, wait) {
 				return
 			}
