--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -19,11 +20,13 @@
 	self  uint64
 	hosts []uint64
 
-	// sets caches the able subset for each need; any change of what the
-	// upstreams serve or of the hosts empties it.
+	// sets caches the able subset for each need that decisions have had; any
+	// change of what the upstreams serve or of the hosts refreshes it.
 	sets map[Need][]*Worker
 
 	scratch []*Worker
+
+	inFlight int
 }
 
 // NewPool returns an empty pool.
@@ -48,7 +51,7 @@
 		return
 	}
 	p.self, p.hosts = selfHash, hashes
-	clear(p.sets)
+	p.refresh()
 }
 
 // Sync replaces the set of upstreams. State of those that stay is kept; those
@@ -76,7 +79,19 @@
 	}
 	p.synced = true
 	if changed {
-		clear(p.sets)
+		p.refresh()
+	}
+}
+
+// refresh chooses the subsets again. The needs are kept, so that a host without
+// requests goes on watching its upstreams; one that nobody can meet is dropped.
+func (p *Pool) refresh() {
+	needs := slices.Collect(maps.Keys(p.sets))
+	clear(p.sets)
+	for _, n := range needs {
+		if len(p.able(n)) == 0 {
+			delete(p.sets, n)
+		}
 	}
 }
 
@@ -96,16 +111,16 @@
 	return all
 }
 
-// Used returns the upstreams of the subsets that decisions have used since the
-// last change, by ID. Others need not be watched.
-func (p *Pool) Used() []*Worker {
+// Watched returns, by ID, the upstreams of the subsets that decisions have used,
+// and those that are leaving. Others need not be watched.
+func (p *Pool) Watched() []*Worker {
 	used := make(map[*Worker]bool)
 	for _, set := range p.sets {
 		for _, w := range set {
 			used[w] = true
 		}
 	}
-	return slices.DeleteFunc(p.Workers(), func(w *Worker) bool { return !used[w] })
+	return slices.DeleteFunc(p.Workers(), func(w *Worker) bool { return !used[w] && !w.up.Leaving })
 }
 
 // SetLimit sets how many requests this host may have in flight at an upstream.
@@ -118,8 +133,13 @@
 // Start counts a request that is about to be sent to w.
 func (p *Pool) Start(w *Worker) {
 	w.inFlight++
+	p.inFlight++
 }
 
+// InFlight returns the number of this host's requests at all upstreams, those
+// included that have been removed.
+func (p *Pool) InFlight() int { return p.inFlight }
+
 // Outcome tells how an attempt ended.
 type Outcome uint8
 
@@ -134,6 +154,7 @@
 // Finish counts the end of a request that was started at w.
 func (p *Pool) Finish(w *Worker, o Outcome, now time.Time) {
 	w.inFlight--
+	p.inFlight--
 	switch o {
 	case Succeeded:
 		w.health.succeeded(&p.cfg, now)
@@ -207,7 +228,7 @@
 	return due
 }
 
-// Probed applies the result of a re-entry probe.
+// Probed applies the result of a poll to an upstream that is ejected or on trial.
 func (p *Pool) Probed(id string, ok bool, now time.Time) {
 	if w, known := p.workers[id]; known {
 		w.health.probed(ok, &p.cfg, now)
