--- a/fleet/placer/service.go
+++ b/fleet/placer/service.go
@@ -36,8 +36,10 @@
 	serving placement.Target
 	ready   bool
 	drained bool
-	load    float64
-	idle    bool
+	// stale is true if it was last read while an order was under way.
+	stale bool
+	load  float64
+	idle  bool
 	// run is the order under way; nil if there is none.
 	run     *run
 	movedAt time.Time
@@ -128,6 +130,7 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			// What is read while an order is under way may be old when it ends.
+			w.stale = ordered
 			w.ready = err == nil && !ordered && !body.Loading && !load.Leaving && !up.Leaving && len(body.Models) == 1
 			w.drained = err == nil && !ordered && body.Drain
 			if err == nil {
@@ -191,7 +194,7 @@
 		w := s.workers[up.ID]
 		in.Workers = append(in.Workers, placement.Worker{
 			ID: up.ID, Slots: slotsOf(up), Serving: w.serving, Ready: w.ready,
-			Busy: w.run != nil, Drained: w.drained, MovedAt: w.movedAt, RetryAt: w.retryAt,
+			Busy: w.run != nil || w.stale, Drained: w.drained, MovedAt: w.movedAt, RetryAt: w.retryAt,
 		})
 		home[homeOf(s.set, up)]++
 	}
