Hold the end of an answer back until its bill is in the log

Change: a settlement is reported at once on hosts in at most 16 shards, and the last event of an answer waits for the read-back, at most 500 ms; then it goes out all the same, since the log may be down. Ruled out: a copy at another host, which would be a store of our own.

--- a/fleet/bank/bank.go
+++ b/fleet/bank/bank.go
@@ -27,6 +27,10 @@
 	// Settle bills cost, at most Amount, and frees the rest. The settlement is
 	// queued for the log; it is not lost while the host lives.
 	Settle(cost record.Tokens)
+	// Billed returns a channel that is closed once the settlement has been read
+	// back from the log, from when on it outlives this host. It is nil without a
+	// settlement, and on a host that reports to too many shards to hurry.
+	Billed() <-chan struct{}
 	// Release frees the whole amount: the request did not run.
 	Release()
 }
--- a/fleet/bank/measure_test.go
+++ b/fleet/bank/measure_test.go
@@ -52,7 +52,9 @@
 
 func (r *baselineReservation) Amount() record.Tokens     { return r.amount }
 func (r *baselineReservation) Settle(cost record.Tokens) { r.back(r.amount - cost) }
-func (r *baselineReservation) Release()                  { r.back(r.amount) }
+func (r *baselineReservation) Billed() <-chan struct{}   { return nil }
+
+func (r *baselineReservation) Release() { r.back(r.amount) }
 
 // ownerReserver is the baseline that asks one owner of each budget every time.
 type ownerReserver struct {
--- a/fleet/bank/reports.go
+++ b/fleet/bank/reports.go
@@ -20,6 +20,9 @@
 	quickShards   = 4
 	flushPerShard = 600 * time.Millisecond
 	maxShardFlush = 20 * time.Second
+	// maxHurriedShards is the number of shards up to which each settlement is
+	// reported at once.
+	maxHurriedShards = 16
 	// submitSpacing is the least ratio of the time between two reports to the
 	// time that the last one took, so that a slow log gets larger reports.
 	submitSpacing = 4
@@ -54,6 +57,15 @@
 	return a.draftDone
 }
 
+// hurrySettlement is hurry for a host that reports to few shards. With many it
+// returns nil: a call for each request would cost too much.
+func (a *account) hurrySettlement() <-chan struct{} {
+	if len(a.bank.accounts) > maxHurriedShards {
+		return nil
+	}
+	return a.hurry()
+}
+
 // runReports sends reports, one at a time, until the bank stops.
 func (a *account) runReports() {
 	for {
--- a/fleet/bank/reserve.go
+++ b/fleet/bank/reserve.go
@@ -142,6 +142,7 @@
 	key     record.RequestKey
 	amount  record.Tokens
 	once    sync.Once
+	billed  <-chan struct{}
 }
 
 // Amount returns the amount reserved.
@@ -152,6 +153,13 @@
 	r.once.Do(func() { r.finish(cost, true) })
 }
 
+// Billed tells when the settlement is in the log.
+func (r *reservation) Billed() <-chan struct{} {
+	r.bank.mu.Lock()
+	defer r.bank.mu.Unlock()
+	return r.billed
+}
+
 // Release frees the whole amount.
 func (r *reservation) Release() {
 	r.once.Do(func() { r.finish(0, false) })
@@ -169,6 +177,7 @@
 	if bill {
 		b.settled.Inc(1)
 		h.account.queueSettlement(h.id, r.key, cost)
+		r.billed = h.account.hurrySettlement()
 	}
 	h.account.wake()
 }
--- /dev/null
+++ b/fleet/gateway/billed_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/standin/engine"
+)
+
+// A host that dies after it has told the caller that the answer is whole must
+// not take the bill with it.
+func TestAnswerEndsAfterItsBillIsInTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine.Options{}, Limits{BillWait: time.Second})
+		f.bank.billed = make(chan struct{})
+		const logTime = 300 * time.Millisecond
+		time.AfterFunc(logTime, func() { close(f.bank.billed) })
+		start := time.Now()
+		resp := f.send(f.client, chat("r1", chatBody("20", true)))
+		got := readEvents(t, resp, 0)
+		got.whole(t, 0)
+		require.GreaterOrEqual(t, time.Since(start), logTime)
+		require.Len(t, f.bank.spent(testAccount, "r1"), 1)
+	})
+}
+
+func TestAnswerEndsWithoutTheLogAfterABound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 500 * time.Millisecond
+		f := newFixture(t, engine.Options{}, Limits{BillWait: wait})
+		f.bank.billed = make(chan struct{}) // never closed: the log is down
+		start := time.Now()
+		resp := f.send(f.client, chat("r1", chatBody("20", true)))
+		got := readEvents(t, resp, 0)
+		got.whole(t, 0)
+		took := time.Since(start)
+		require.GreaterOrEqual(t, took, wait)
+		require.Less(t, took, wait+time.Second)
+	})
+}
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -88,6 +88,7 @@
 	if end.Outcome == record.OutcomeNotRun {
 		c.returnTicket()
 	}
+	c.awaitBilled()
 	c.req.Answer.Finish(end)
 	c.g.table.End(c.req)
 	c.g.metrics.outcome(end.Outcome)
@@ -154,6 +155,26 @@
 	c.reservation.Settle(cost)
 }
 
+// awaitBilled holds the end of an answer back until its bill is in the log, so
+// that a host that dies right after it takes no bill with it. While the log is
+// slow or down the answer ends without that.
+func (c *call) awaitBilled() {
+	if c.reservation == nil {
+		return
+	}
+	billed := c.reservation.Billed()
+	if billed == nil {
+		return
+	}
+	timer := time.NewTimer(c.g.limits.BillWait)
+	defer timer.Stop()
+	select {
+	case <-billed:
+	case <-timer.C:
+		c.g.metrics.unbilledEnds.Inc(1)
+	}
+}
+
 func (c *call) execute(ctx context.Context) stream.End {
 	if err := c.reserve(ctx); err != nil {
 		if end, ok := c.forwardToHolder(ctx, err); ok {
--- a/fleet/gateway/fakes_test.go
+++ b/fleet/gateway/fakes_test.go
@@ -33,6 +33,8 @@
 	finishDelay time.Duration
 	reserved    int // open reservations
 	holders     []record.Holder
+	// billed is what reservations return from Billed.
+	billed chan struct{}
 }
 
 func newFakeBank(amount record.Tokens) *fakeBank {
@@ -86,6 +88,8 @@
 	})
 }
 
+func (r *fakeReservation) Billed() <-chan struct{} { return r.bank.billed }
+
 func (r *fakeReservation) Release() {
 	r.once.Do(func() {
 		r.bank.mu.Lock()
--- a/fleet/gateway/metrics.go
+++ b/fleet/gateway/metrics.go
@@ -27,6 +27,8 @@
 	eventsBad    metrics.Counter
 	overCap      metrics.Counter
 	readers      metrics.Counter
+	// unbilledEnds counts answers that ended before their bill was in the log.
+	unbilledEnds metrics.Counter
 	// The histograms are in microseconds.
 	firstEvent metrics.Histogram
 	duration   metrics.Histogram
@@ -54,6 +56,7 @@
 		silent:       counter("upstream.silent"),
 		eventsPassed: counter("events.passed"),
 		eventsBad:    counter("events.dropped"),
+		unbilledEnds: counter("ended_before_billed"),
 		overCap:      counter("over_cap"),
 		readers:      counter("readers"),
 		firstEvent:   histogram("first_event_us"),
--- a/fleet/gateway/options.go
+++ b/fleet/gateway/options.go
@@ -79,6 +79,9 @@
 	BackoffMax  time.Duration
 	// ClaimTimeout bounds the wait for a claim to be read back from the log.
 	ClaimTimeout time.Duration
+	// BillWait bounds the wait for a bill to reach the log before the caller is
+	// told that the answer has ended.
+	BillWait time.Duration
 	// PeerTimeout bounds the wait for a host that is asked for an answer.
 	PeerTimeout time.Duration
 	// CancelTimeout bounds the call that cancels a request at an upstream.
@@ -105,6 +108,7 @@
 	l.BackoffBase = cmp.Or(l.BackoffBase, 50*time.Millisecond)
 	l.BackoffMax = cmp.Or(l.BackoffMax, 2*time.Second)
 	l.ClaimTimeout = cmp.Or(l.ClaimTimeout, 5*time.Second)
+	l.BillWait = cmp.Or(l.BillWait, 500*time.Millisecond)
 	l.PeerTimeout = cmp.Or(l.PeerTimeout, 2*time.Second)
 	l.CancelTimeout = cmp.Or(l.CancelTimeout, time.Second)
 	return l
