Bill an answer before its outcome is told

Cause: the last event says 'answered' and was sent before the bill was waited for; the wait came only before the closing mark. Found by printing the caller's attempts beside the host's waits. Change: a stream's last event and the last bytes of a plain answer of known length follow the bill; the wait is made once a request. TestPlainAnswerEndsAfterItsBillIsInTheLog fails without the change to plain calls (0 s where 300 ms are needed).

--- a/fleet/gateway/billed_test.go
+++ b/fleet/gateway/billed_test.go
@@ -41,3 +41,16 @@
 		require.Less(t, took, wait+time.Second)
 	})
 }
+
+func TestPlainAnswerEndsAfterItsBillIsInTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine.Options{}, Limits{BillWait: time.Second})
+		f.bank.billed = make(chan struct{})
+		const logTime = 300 * time.Millisecond
+		time.AfterFunc(logTime, func() { close(f.bank.billed) })
+		start := time.Now()
+		require.Contains(t, readBody(t, f.send(f.client, book("b1", `{"slab":7}`))), `"path":"/app/slabs"`)
+		require.GreaterOrEqual(t, time.Since(start), logTime)
+		require.Len(t, f.bank.spent(testAccount, "b1"), 1)
+	})
+}
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -71,7 +71,9 @@
 	// priority is passed on to the picker.
 	priority    int
 	reservation bank.Reservation
-	tried       []string
+	// awaited is true once the end of the answer has waited for its bill.
+	awaited bool
+	tried   []string
 }
 
 // run takes the request to its end.
@@ -141,27 +143,40 @@
 	}
 	cost, usage := c.work.cost(end.Outcome)
 	end.Usage = usage
+	end.Billed = c.bill(cost)
+}
+
+// bill settles a cost, at most what was reserved, and returns it. Only the first
+// call for a request takes effect.
+func (c *call) bill(cost record.Tokens) record.Tokens {
+	if c.reservation == nil {
+		return 0
+	}
+	if c.awaited {
+		return min(cost, c.reservation.Amount())
+	}
 	if cost > c.reservation.Amount() {
 		c.g.metrics.overCap.Inc(1)
 		c.g.log.Info("Upstream used more than was reserved.", "request", c.req.ID, "account", c.req.Account,
 			"cost", cost, "reserved", c.reservation.Amount())
 		cost = c.reservation.Amount()
 	}
-	end.Billed = cost
 	if cost == 0 {
 		c.reservation.Release()
-		return
+	} else {
+		c.reservation.Settle(cost)
 	}
-	c.reservation.Settle(cost)
+	return cost
 }
 
 // awaitBilled holds the end of an answer back until its bill is in the log, so
 // that a host that dies right after it takes no bill with it. While the log is
 // slow or down the answer ends without that.
 func (c *call) awaitBilled() {
-	if c.reservation == nil {
+	if c.reservation == nil || c.awaited {
 		return
 	}
+	c.awaited = true
 	billed := c.reservation.Billed()
 	if billed == nil {
 		return
--- a/fleet/gateway/modelstream.go
+++ b/fleet/gateway/modelstream.go
@@ -285,7 +285,7 @@
 	Problem *problem.Problem `json:"problem,omitempty"`
 }
 
-// finish sends the last event, with the outcome.
+// finish bills the answer and sends the last event, with the outcome.
 func (m *modelWork) finish(ctx context.Context, w *watch) error {
 	if m.sequence.Pending() > 0 && !m.wasCut {
 		return errGap
@@ -303,6 +303,10 @@
 	if err != nil {
 		return err
 	}
+	w.pause()
+	m.c.bill(cost)
+	m.c.awaitBilled()
+	w.resume()
 	return m.pass(ctx, w, data)
 }
 
--- a/fleet/gateway/plain.go
+++ b/fleet/gateway/plain.go
@@ -93,6 +93,9 @@
 	}
 	w.begin()
 	answer := p.c.req.Answer
+	if resp.ContentLength == 0 {
+		p.awaitBilled(w)
+	}
 	answer.Begin(stream.Head{Status: resp.StatusCode, Header: endToEnd(resp.Header)})
 	piece := make([]byte, pieceBytes)
 	for {
@@ -102,6 +105,9 @@
 		if p.price().PerKiB > 0 && p.received > p.maxBody() {
 			return errTooLarge
 		}
+		if n > 0 && p.received == resp.ContentLength {
+			p.awaitBilled(w)
+		}
 		if n > 0 {
 			if err := appendPiece(ctx, w, answer, piece[:n]); err != nil {
 				return err
@@ -116,6 +122,16 @@
 	}
 }
 
+// awaitBilled bills the call before the last byte of an answer of known length
+// is passed on. The end of an answer of unknown length follows its bill anyway.
+func (p *plainWork) awaitBilled(w *watch) {
+	cost, _ := p.cost(record.OutcomeAnswered)
+	w.pause()
+	defer w.resume()
+	p.c.bill(cost)
+	p.c.awaitBilled()
+}
+
 // appendBody adds a body to an answer in pieces.
 func appendBody(ctx context.Context, w *watch, answer *stream.Buffer, body []byte) error {
 	for len(body) > 0 {
--- a/fleet/member/fixture_test.go
+++ b/fleet/member/fixture_test.go
@@ -192,3 +192,11 @@
 func run(t *testing.T, test func(t *testing.T)) {
 	synctest.Test(t, test)
 }
+
+// watchers returns the hosts that probe a host, as the first host sees it.
+func (f *fixture) watchers(id record.HostID) []record.HostID {
+	m := f.hosts[hostID(0)].members
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Watchers(id)
+}
--- a/fleet/member/members_test.go
+++ b/fleet/member/members_test.go
@@ -77,7 +77,7 @@
 	run(t, func(t *testing.T) {
 		f := newFixture(t, 12, 4)
 		time.Sleep(5 * time.Second)
-		watcher := string(f.hosts[hostID(0)].members.table.Watchers(hostID(5))[0])
+		watcher := string(f.watchers(hostID(5))[0])
 		f.network.Cut(watcher, string(hostID(5)))
 		for range 60 {
 			time.Sleep(time.Second)
@@ -219,7 +219,7 @@
 		f := newFixture(t, 8, 4)
 		time.Sleep(5 * time.Second)
 		victim := hostID(2)
-		watchers := f.hosts[hostID(0)].members.table.Watchers(victim)
+		watchers := f.watchers(victim)
 		for _, w := range watchers {
 			f.network.Cut(string(w), string(victim))
 		}
