Count wire bytes in one place; log each routing decision once

Change: standin/wirecount; cmp.Or for defaults; the gateway's second line is for debugging; members name the other host as peer, not as host. Conclusion: no behaviour changed but the logs.

--- a/fleet/bank/options.go
+++ b/fleet/bank/options.go
@@ -1,6 +1,7 @@
 package bank
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -70,15 +71,9 @@
 	if o.Rand == nil {
 		o.Rand = rand.Float64
 	}
-	setDuration(&o.MinFlush, defaultMinFlush)
-	setDuration(&o.MaxFlush, defaultMaxFlush)
-	setDuration(&o.SubmitTimeout, defaultSubmitTimeout)
-	setDuration(&o.RateWindow, defaultRateWindow)
+	o.MinFlush = cmp.Or(o.MinFlush, defaultMinFlush)
+	o.MaxFlush = cmp.Or(o.MaxFlush, defaultMaxFlush)
+	o.SubmitTimeout = cmp.Or(o.SubmitTimeout, defaultSubmitTimeout)
+	o.RateWindow = cmp.Or(o.RateWindow, defaultRateWindow)
 	return o
 }
-
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -282,7 +282,7 @@
 	d := lease.Decision()
 	c.fire(request.EventPick, id, d.Reason)
 	c.tried = append(c.tried, id)
-	c.g.log.Info("Upstream chosen.", "request", c.req.ID, "account", c.req.Account, "service", c.service.Name,
+	c.g.log.V(1).Info("Upstream chosen.", "request", c.req.ID, "account", c.req.Account, "service", c.service.Name,
 		"candidates", d.Candidates, "chosen", id, "reason", d.Reason, "waited", d.Waited, "attempt", attempt)
 	return lease, nil
 }
--- a/fleet/member/members.go
+++ b/fleet/member/members.go
@@ -220,7 +220,7 @@
 	gone := false
 	for _, t := range m.table.Transitions() {
 		gone = gone || t.To == membership.StateGone
-		m.logger.Info("host changed", "host", t.Host, "from", t.From, "to", t.To, "reason", t.Reason)
+		m.logger.Info("host changed", "peer", t.Host, "from", t.From, "to", t.To, "reason", t.Reason)
 		m.meters.transitions.Inc(1)
 	}
 	if gone {
--- a/fleet/member/probe.go
+++ b/fleet/member/probe.go
@@ -63,7 +63,7 @@
 		m.logger.Info("ignored a failed probe, this process was paused", "host", id)
 		return
 	}
-	m.logger.V(1).Info("a host did not answer", "host", id, "error", err.Error())
+	m.logger.V(1).Info("a host did not answer", "peer", id, "error", err.Error())
 	m.update(func(now time.Time) { m.table.Failed(id, now) })
 	m.requestPush()
 }
--- a/fleet/peer/bench_test.go
+++ b/fleet/peer/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
 	"github.com/hazelworks/hazelworks/fleet/peer/peerpb/peerpbconnect"
+	"github.com/hazelworks/hazelworks/standin/wirecount"
 )
 
 // grantOpBytes is the size of an encoded grant, and about that of its result.
@@ -24,23 +25,6 @@
 	return connect.NewResponse(&peerpb.SubmitResponse{Results: r.Msg.GetOps()}), nil
 }
 
-type wireConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c wireConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c wireConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkSubmit measures a call between hosts over loopback: the time of both
 // ends together and the bytes in both directions.
 func BenchmarkSubmit(b *testing.B) {
@@ -56,10 +40,7 @@
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
 	var wire atomic.Int64
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
-		return wireConn{conn, &wire}, err
-	}
+	dial := wirecount.Dial(&wire)
 	client := peerpbconnect.NewPeerServiceClient(NewHTTPClient(dial, testSecret), "http://"+listener.Addr().String())
 	request := &peerpb.SubmitRequest{Shard: 7}
 	random := rand.NewChaCha8([32]byte{})
--- a/fleet/platformhttp/bench_test.go
+++ b/fleet/platformhttp/bench_test.go
@@ -1,8 +1,6 @@
 package platformhttp
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -13,35 +11,16 @@
 
 	"github.com/hazelworks/hazelworks/standin/loghttp"
 	"github.com/hazelworks/hazelworks/standin/memlog"
+	"github.com/hazelworks/hazelworks/standin/wirecount"
 )
 
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkEmptyRead measures a read of the log that finds nothing new: the time
 // of both ends together and the bytes in both directions.
 func BenchmarkEmptyRead(b *testing.B) {
 	server := httptest.NewServer(loghttp.Handler(loghttp.Services{Log: memlog.New(memlog.Options{})}))
 	defer server.Close()
 	var wire atomic.Int64
-	transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
-		return countingConn{conn, &wire}, err
-	}}
+	transport := &http.Transport{DialContext: wirecount.Dial(&wire)}
 	defer transport.CloseIdleConnections()
 	client := New(&http.Client{Transport: transport}, server.URL)
 	calls := 0
--- a/fleet/shard/options.go
+++ b/fleet/shard/options.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -100,32 +101,20 @@
 	if o.AppendsPerSecond <= 0 {
 		o.AppendsPerSecond = defaultAppendsPerSecond
 	}
-	setDuration(&o.PollWait, defaultPollWait)
-	setInt(&o.ReadLimit, defaultReadLimit)
-	setInt(&o.MaxBatchOps, defaultMaxBatchOps)
-	setInt(&o.MaxBatchBytes, defaultMaxBatchBytes)
-	setDuration(&o.ReportDelay, defaultReportDelay)
-	setDuration(&o.AppendTimeout, defaultAppendTimeout)
-	setDuration(&o.ReadBackWait, defaultReadBackWait)
-	setDuration(&o.LoadWait, defaultLoadWait)
-	setDuration(&o.RecallWait, defaultRecallWait)
-	setDuration(&o.PeerTimeout, defaultPeerTimeout)
-	setDuration(&o.TakeoverWait, defaultTakeoverWait)
-	setDuration(&o.AvoidTime, defaultAvoidTime)
-	setInt(&o.SnapshotRecords, defaultSnapshotRecords)
-	setDuration(&o.SnapshotInterval, defaultSnapshotInterval)
-	setDuration(&o.IdleTime, defaultIdleTime)
+	o.PollWait = cmp.Or(o.PollWait, defaultPollWait)
+	o.ReadLimit = cmp.Or(o.ReadLimit, defaultReadLimit)
+	o.MaxBatchOps = cmp.Or(o.MaxBatchOps, defaultMaxBatchOps)
+	o.MaxBatchBytes = cmp.Or(o.MaxBatchBytes, defaultMaxBatchBytes)
+	o.ReportDelay = cmp.Or(o.ReportDelay, defaultReportDelay)
+	o.AppendTimeout = cmp.Or(o.AppendTimeout, defaultAppendTimeout)
+	o.ReadBackWait = cmp.Or(o.ReadBackWait, defaultReadBackWait)
+	o.LoadWait = cmp.Or(o.LoadWait, defaultLoadWait)
+	o.RecallWait = cmp.Or(o.RecallWait, defaultRecallWait)
+	o.PeerTimeout = cmp.Or(o.PeerTimeout, defaultPeerTimeout)
+	o.TakeoverWait = cmp.Or(o.TakeoverWait, defaultTakeoverWait)
+	o.AvoidTime = cmp.Or(o.AvoidTime, defaultAvoidTime)
+	o.SnapshotRecords = cmp.Or(o.SnapshotRecords, defaultSnapshotRecords)
+	o.SnapshotInterval = cmp.Or(o.SnapshotInterval, defaultSnapshotInterval)
+	o.IdleTime = cmp.Or(o.IdleTime, defaultIdleTime)
 	return o
 }
-
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
-func setInt(n *int, value int) {
-	if *n == 0 {
-		*n = value
-	}
-}
--- a/fleet/upstream/bench_test.go
+++ b/fleet/upstream/bench_test.go
@@ -1,9 +1,7 @@
 package upstream
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -15,6 +13,7 @@
 
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
 	"github.com/hazelworks/hazelworks/standin/engine"
+	"github.com/hazelworks/hazelworks/standin/wirecount"
 )
 
 // BenchmarkPick is a whole lease, from the query to the result.
@@ -62,34 +61,13 @@
 	require.Less(t, perUpstream, 8192.0)
 }
 
-// countingConn counts the bytes of a connection.
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // TestBytesPerPoll measures what a load poll costs on a connection that is open.
 func TestBytesPerPoll(t *testing.T) {
 	e := engine.New(engine.Options{Name: "w", Models: []string{model}})
 	server := httptest.NewServer(e.Handler())
 	defer server.Close()
 	var bytes atomic.Int64
-	w := &worker{transport: newTransport(func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-		return countingConn{c, &bytes}, err
-	}, func(headers) {})}
+	w := &worker{transport: newTransport(wirecount.Dial(&bytes), func(headers) {})}
 	w.up.URL = server.URL
 	for range 10 {
 		a, err := fetchLoad(t.Context(), w)
