Wait for the usual report instead of one for each answer

Ruled out: the owner's collecting time of 100 ms; 20 and 5 ms gave the same. Change: the end of an answer waits for the next usual report (200 ms) on hosts in at most 16 shards, which also report without further delay. A fixture of the settings tests divided by the number of hosts while they were being stopped.

--- a/fleet/bank/reports.go
+++ b/fleet/bank/reports.go
@@ -15,14 +15,12 @@
 	maxReportItems = 2000
 	// maxOutcomes bounds the outcomes sent with one report.
 	maxOutcomes = 200
-	// quickShards is the number of shards that a host reports to without delay.
+	// quickShards is the number of shards that a host reports to without delay,
+	// and up to which the end of an answer waits for its report.
 	// Each further one adds flushPerShard, up to maxShardFlush.
-	quickShards   = 4
+	quickShards   = 16
 	flushPerShard = 600 * time.Millisecond
 	maxShardFlush = 20 * time.Second
-	// maxHurriedShards is the number of shards up to which each settlement is
-	// reported at once.
-	maxHurriedShards = 16
 	// submitSpacing is the least ratio of the time between two reports to the
 	// time that the last one took, so that a slow log gets larger reports.
 	submitSpacing = 4
@@ -57,13 +55,14 @@
 	return a.draftDone
 }
 
-// hurrySettlement is hurry for a host that reports to few shards. With many it
-// returns nil: a call for each request would cost too much.
-func (a *account) hurrySettlement() <-chan struct{} {
-	if len(a.bank.accounts) > maxHurriedShards {
+// settlementDone returns a channel that is closed once the settlements queued so
+// far have been read back. With many shards it returns nil, since their reports
+// collect for longer than the end of an answer should wait.
+func (a *account) settlementDone() <-chan struct{} {
+	if len(a.bank.accounts) > quickShards {
 		return nil
 	}
-	return a.hurry()
+	return a.draftDone
 }
 
 // runReports sends reports, one at a time, until the bank stops.
--- a/fleet/bank/reserve.go
+++ b/fleet/bank/reserve.go
@@ -177,7 +177,7 @@
 	if bill {
 		b.settled.Inc(1)
 		h.account.queueSettlement(h.id, r.key, cost)
-		r.billed = h.account.hurrySettlement()
+		r.billed = h.account.settlementDone()
 	}
 	h.account.wake()
 }
--- a/fleet/settingswatch/fixture_test.go
+++ b/fleet/settingswatch/fixture_test.go
@@ -135,6 +135,9 @@
 	_ = sleep(ctx, time.Duration(own*137%1400)*time.Millisecond)
 	for ctx.Err() == nil {
 		hosts := len(n.cluster.all())
+		if hosts == 0 {
+			return // the cluster is being stopped
+		}
 		var view []member.Host
 		for step := 1; step <= 3; step++ {
 			// Strides of different length stand for the rings.
--- a/replay/capacity/target.go
+++ b/replay/capacity/target.go
@@ -62,6 +62,6 @@
 }
 
 var plans = []plan{
-	{name: "default", shards: 128, flushSeconds: 17, sliceSeconds: 3, windowSeconds: 3600, snapshotSeconds: 600},
-	{name: "proposed", shards: 620, flushSeconds: 20, sliceSeconds: 300, windowSeconds: 900, snapshotSeconds: 900},
+	{name: "default", shards: 128, flushSeconds: 12, sliceSeconds: 3, windowSeconds: 3600, snapshotSeconds: 600},
+	{name: "proposed", shards: 620, flushSeconds: 12, sliceSeconds: 300, windowSeconds: 900, snapshotSeconds: 900},
 }
