Never run a billed request again

Cause: an answer is now billed before its last bytes are passed on. If passing them on failed, a repeatable request could be retried although its reservation had been given back: the second run would spend tokens that nobody has reserved. Besides, a whole JSON answer of an engine was passed on before its bill. Figures: TestBilledRequestIsNotRunAgain fails without the guard. The wait of whole answers has TestWholeAnswerFollowsItsBill. Conclusion: billing early opens no way to spend twice.

--- a/fleet/gateway/billed_test.go
+++ b/fleet/gateway/billed_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelworks/hazelworks/fleet/request"
 	"github.com/hazelworks/hazelworks/standin/engine"
 )
 
@@ -54,3 +55,35 @@
 		require.Len(t, f.bank.spent(testAccount, "b1"), 1)
 	})
 }
+
+// A run whose bill is settled has given the rest of its reservation back, so
+// that a second run would spend tokens that nobody has reserved.
+func TestBilledRequestIsNotRunAgain(t *testing.T) {
+	for _, billed := range []bool{false, true} {
+		f := newFakeBank(1000)
+		reservation, err := f.Reserve(t.Context(), "b", 1, 100, 0)
+		require.NoError(t, err)
+		c := &call{
+			req:         request.New(request.Spec{ID: "r1", Repeatable: true}, 1<<10, nil),
+			work:        &modelWork{},
+			reservation: reservation,
+		}
+		if billed {
+			require.EqualValues(t, 40, c.bill(40))
+		}
+		require.Equal(t, !billed, c.mayRetry(t.Context(), verdict{}))
+	}
+}
+
+func TestWholeAnswerFollowsItsBill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine.Options{}, Limits{BillWait: time.Second})
+		f.bank.billed = make(chan struct{})
+		const logTime = 300 * time.Millisecond
+		time.AfterFunc(logTime, func() { close(f.bank.billed) })
+		start := time.Now()
+		body := `{"model":"cut","tools":[],"messages":[{"role":"user","content":"tokens=3"}]}`
+		require.Contains(t, readBody(t, f.send(f.client, chat("r1", body))), answerText(testAccount, "r1", 0, 3))
+		require.GreaterOrEqual(t, time.Since(start), logTime)
+	})
+}
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -71,6 +71,9 @@
 	// priority is passed on to the picker.
 	priority    int
 	reservation bank.Reservation
+	// billed is true once the reservation has been settled or released. From then
+	// on another run would spend what is not reserved.
+	billed bool
 	// awaited is true once the end of the answer has waited for its bill.
 	awaited bool
 	tried   []string
@@ -152,9 +155,10 @@
 	if c.reservation == nil {
 		return 0
 	}
-	if c.awaited {
+	if c.billed {
 		return min(cost, c.reservation.Amount())
 	}
+	c.billed = true
 	if cost > c.reservation.Amount() {
 		c.g.metrics.overCap.Inc(1)
 		c.g.log.Info("Upstream used more than was reserved.", "request", c.req.ID, "account", c.req.Account,
@@ -169,6 +173,15 @@
 	return cost
 }
 
+// billEnd bills an answer that is complete and waits for the bill, while the
+// silence of the upstream counts for nothing.
+func (c *call) billEnd(w *watch, cost record.Tokens) {
+	w.pause()
+	defer w.resume()
+	c.bill(cost)
+	c.awaitBilled()
+}
+
 // awaitBilled holds the end of an answer back until its bill is in the log, so
 // that a host that dies right after it takes no bill with it. While the log is
 // slow or down the answer ends without that.
@@ -291,7 +304,7 @@
 // that may have run is repeated only if it is repeatable and no caller has a
 // part of its answer.
 func (c *call) mayRetry(ctx context.Context, v verdict) bool {
-	if ctx.Err() != nil || v.final || !c.work.replayable() {
+	if ctx.Err() != nil || v.final || c.billed || !c.work.replayable() {
 		return false
 	}
 	if v.fate == notStarted && c.req.Can(request.EventRefuse) {
--- a/fleet/gateway/modelstream.go
+++ b/fleet/gateway/modelstream.go
@@ -303,10 +303,7 @@
 	if err != nil {
 		return err
 	}
-	w.pause()
-	m.c.bill(cost)
-	m.c.awaitBilled()
-	w.resume()
+	m.c.billEnd(w, cost)
 	return m.pass(ctx, w, data)
 }
 
@@ -356,6 +353,8 @@
 	if resp.StatusCode == http.StatusOK && json.Unmarshal(body, &c) == nil {
 		m.usage = c.Usage
 	}
+	cost, _ := m.cost(record.OutcomeAnswered)
+	m.c.billEnd(w, cost)
 	m.c.req.Answer.Begin(stream.Head{Status: resp.StatusCode, Header: endToEnd(resp.Header)})
 	return appendBody(ctx, w, m.c.req.Answer, body)
 }
--- a/fleet/gateway/plain.go
+++ b/fleet/gateway/plain.go
@@ -126,10 +126,7 @@
 // is passed on. The end of an answer of unknown length follows its bill anyway.
 func (p *plainWork) awaitBilled(w *watch) {
 	cost, _ := p.cost(record.OutcomeAnswered)
-	w.pause()
-	defer w.resume()
-	p.c.bill(cost)
-	p.c.awaitBilled()
+	p.c.billEnd(w, cost)
 }
 
 // appendBody adds a body to an answer in pieces.
