--- a/cmd/hazelworks/main.go
+++ b/cmd/hazelworks/main.go
@@ -27,6 +27,7 @@
 	}
 	root.AddCommand(
 		newServeCommand(),
+		newPlatformCommand(),
 		newDemoCommand(),
 		newConfigCommand(),
 		newVersionCommand(),
--- /dev/null
+++ b/cmd/hazelworks/platform.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+	"github.com/spf13/cobra"
+
+	"github.com/hazelworks/hazelworks/cmd/internal/cli"
+	"github.com/hazelworks/hazelworks/fleet/logging"
+	"github.com/hazelworks/hazelworks/fleet/relayhost"
+	"github.com/hazelworks/hazelworks/fleet/sockets"
+	"github.com/hazelworks/hazelworks/platform/boot"
+	"github.com/hazelworks/hazelworks/platform/callers"
+	"github.com/hazelworks/hazelworks/platform/directory"
+	"github.com/hazelworks/hazelworks/platform/store"
+	"github.com/hazelworks/hazelworks/platform/topics"
+	"github.com/hazelworks/hazelworks/platform/upstreams"
+)
+
+func newPlatformCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "platform",
+		Short: "Run a host on the users' platform, with the settings file that " + boot.EnvPath + " names",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := boot.Load(os.Getenv(boot.EnvPath))
+			if err != nil {
+				return cli.Exit(cli.ExitUsage, err)
+			}
+			logger, err := logging.New(os.Stdout, "json", "info")
+			if err != nil {
+				return cli.Exit(cli.ExitUsage, err)
+			}
+			return runOnPlatform(cmd.Context(), cfg, logger)
+		},
+	}
+}
+
+// storeSockets bound the silence of the store, which answers within some
+// milliseconds.
+var storeSockets = sockets.Options{
+	ConnectTimeout: 500 * time.Millisecond,
+	UserTimeout:    2 * time.Second,
+	KeepAlive:      2 * time.Second,
+}
+
+// storeTimeout bounds a call to the store: its answers take 4 ms, and some
+// hundred while it is slow.
+const storeTimeout = time.Second
+
+func runOnPlatform(ctx context.Context, cfg *relayhost.Config, logger logr.Logger) error {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         storeSockets.Dialer().DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 8,
+	}}
+	host, err := relayhost.New(relayhost.Options{
+		Config: cfg,
+		Log:    store.New(client, cfg.StoreAddr.String(), storeTimeout),
+		Protocol: relayhost.Protocol{
+			Front:          callers.Front{},
+			Dialect:        upstreams.Dialect{},
+			OperatorStream: topics.OperatorStream,
+			ConfigKey:      topics.ConfigKey,
+			UpstreamStream: topics.UpstreamStream,
+			DecodeConfig:   topics.DecodeConfig,
+			DecodeUpstream: topics.DecodeUpstream,
+			Ready:          directory.ReadyHandler,
+			Directory:      directory.Handler,
+		},
+		Logger:  logger,
+		Metrics: metrics.NewRegistry(),
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group run.Group
+	group.Add(func() error { return host.Run(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return stopHostOnSignal(ctx, host) }, func(error) { cancel() })
+	return group.Run()
+}
+
+// stopHostOnSignal begins a graceful stop on the first signal.
+func stopHostOnSignal(ctx context.Context, host *relayhost.Host) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+		host.Stop()
+		<-ctx.Done()
+	case <-ctx.Done():
+	}
+	return nil
+}
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,133 @@
+// Package roster keeps what a host knows of the other hosts of the fleet: what
+// they have written about themselves in the platform's log, and which of them it
+// has heard lately.
+package roster
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Host is a host's own description of one of its runs.
+type Host struct {
+	ID            record.HostID  `json:"id"`
+	Run           uint64         `json:"run"`
+	Region        string         `json:"region"`
+	FailureDomain string         `json:"failure_domain"`
+	Caller        netip.AddrPort `json:"caller"`
+	Peer          netip.AddrPort `json:"peer"`
+	// Cores is the share of a processor core that the host has.
+	Cores float64 `json:"cores"`
+	// Leaving hosts take no new callers.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Silence after which a host is not given to callers: three heartbeats.
+const (
+	HeartbeatInterval = 500 * time.Millisecond
+	silenceLimit      = 3*HeartbeatInterval + HeartbeatInterval/2
+)
+
+// Table is what one host knows of all hosts. It takes the time from its callers.
+type Table struct {
+	self  Host
+	hosts map[record.HostID]*entry
+}
+
+type entry struct {
+	host    Host
+	heardAt time.Time
+}
+
+// NewTable returns a table that knows only the host itself.
+func NewTable(self Host) *Table {
+	return &Table{self: self, hosts: make(map[record.HostID]*entry)}
+}
+
+// Self returns the host's own description.
+func (t *Table) Self() Host { return t.self }
+
+// SetLeaving notes that this host leaves.
+func (t *Table) SetLeaving() { t.self.Leaving = true }
+
+// Listed takes in a host's description from the log. A run that was not known is
+// given the benefit of the doubt until it should have been heard.
+func (t *Table) Listed(h Host, now time.Time) {
+	if h.ID == t.self.ID {
+		return
+	}
+	e, ok := t.hosts[h.ID]
+	if !ok || e.host.Run != h.Run {
+		t.hosts[h.ID] = &entry{host: h, heardAt: now}
+		return
+	}
+	h.Leaving = h.Leaving || e.host.Leaving
+	e.host = h
+}
+
+// Unlisted drops a host whose description was removed.
+func (t *Table) Unlisted(id record.HostID) { delete(t.hosts, id) }
+
+// Heard notes a message of a host. It returns false if that run of the host is
+// not known.
+func (t *Table) Heard(id record.HostID, run uint64, leaving bool, now time.Time) bool {
+	e, ok := t.hosts[id]
+	if !ok || e.host.Run != run {
+		return false
+	}
+	e.heardAt = now
+	e.host.Leaving = leaving
+	return true
+}
+
+// Peers returns all other hosts that are known, by ID.
+func (t *Table) Peers() []Host {
+	out := make([]Host, 0, len(t.hosts))
+	for _, e := range t.hosts {
+		out = append(out, e.host)
+	}
+	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
+
+// Alive returns the hosts that were heard lately, this one included, by ID.
+func (t *Table) Alive(now time.Time) []Host {
+	out := []Host{t.self}
+	for _, e := range t.hosts {
+		if now.Sub(e.heardAt) < silenceLimit {
+			out = append(out, e.host)
+		}
+	}
+	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
+
+// minAddresses is the least number of addresses in an answer, if there are as
+// many hosts: a caller whose first choice has just failed needs another.
+const minAddresses = 3
+
+// maxAddresses bounds the addresses in an answer.
+const maxAddresses = 64
+
+// Resolve returns the addresses for a caller in a failure domain: the hosts of
+// that domain, and others if those are few.
+func (t *Table) Resolve(domain string, now time.Time, shuffle func(n int, swap func(i, j int))) []netip.AddrPort {
+	var near, far []netip.AddrPort
+	for _, h := range t.Alive(now) {
+		switch {
+		case h.Leaving:
+		case h.FailureDomain == domain:
+			near = append(near, h.Caller)
+		default:
+			far = append(far, h.Caller)
+		}
+	}
+	shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	missing := max(0, minAddresses-len(near))
+	near = append(near, far[:min(missing, len(far))]...)
+	return near[:min(len(near), maxAddresses)]
+}
--- /dev/null
+++ b/core/routes/routes.go
@@ -0,0 +1,202 @@
+// Package routes is the routing configuration of a fleet: which service answers
+// a host and path, who may call it and within which limits. A [Table] is one
+// version; it does not change after [Table.Seal] and is safe for concurrent use.
+package routes
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Kind tells what a route's requests may do.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	// KindUnsafe requests run at most once.
+	KindUnsafe Kind = iota
+	// KindIdempotent requests may run more than once.
+	KindIdempotent
+	// KindStream requests are answered with a stream of events. They run at
+	// most once unless the route is resumable.
+	KindStream
+)
+
+// String names the kind for logs.
+func (k Kind) String() string {
+	switch k {
+	case KindIdempotent:
+		return "idempotent"
+	case KindStream:
+		return "stream"
+	}
+	return "unsafe"
+}
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	// Timeout is the longest time that a caller is kept waiting; zero means no
+	// bound but the caller's own.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to the first event of a stream,
+	// within which it is of full use.
+	Objective time.Duration
+	// MaxGap is the longest pause between events of a stream that is on time.
+	MaxGap time.Duration
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+	// Attempts bounds the upstreams that one request may run on.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another upstream.
+	Resumable bool
+	// Targets are the services that share the route, by weight.
+	Targets []Target
+}
+
+// Repeatable tells whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
+}
+
+// Target is a service's share of a route.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a set of equal upstreams.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns bounds the connections that an upstream accepts from all hosts.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests in a batch.
+	Slots int
+	// CacheTokens is the memory for prompts and answers, in tokens.
+	CacheTokens int64
+	// EventTokens is the most tokens that one event of a stream holds.
+	EventTokens int64
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	Keys []string
+	// Priority takes precedence over the route's if HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// Prepaid is the amount that the account may use, in tokens; Metered is
+	// false for accounts without a budget.
+	Prepaid record.Tokens
+	Metered bool
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is one version of the routing configuration.
+type Table struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	Limits   Limits
+
+	byHost    map[string][]*Route
+	byKey     map[string]*Account
+	byName    map[string]*Account
+	byService map[string]*Service
+	needsKeys bool
+}
+
+// Seal builds the indexes. It is called once, before the table is shared.
+func (t *Table) Seal() *Table {
+	t.byHost = make(map[string][]*Route)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	t.byKey = make(map[string]*Account)
+	t.byName = make(map[string]*Account)
+	for i := range t.Accounts {
+		a := &t.Accounts[i]
+		t.byName[a.Name] = a
+		for _, key := range a.Keys {
+			t.byKey[key] = a
+		}
+	}
+	t.needsKeys = len(t.Accounts) > 0
+	t.byService = make(map[string]*Service)
+	for i := range t.Services {
+		t.byService[t.Services[i].Name] = &t.Services[i]
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// NeedsKey tells whether a request of the route must carry an account's key.
+func (t *Table) NeedsKey(r *Route) bool { return t.needsKeys && !r.Public }
+
+// ByKey returns the account that holds a key, or nil.
+func (t *Table) ByKey(key string) *Account { return t.byKey[key] }
+
+// Account returns the account of a name, or nil.
+func (t *Table) Account(name string) *Account { return t.byName[name] }
+
+// Service returns the service of a name, or nil.
+func (t *Table) Service(name string) *Service { return t.byService[name] }
+
+// Pick returns the service of a route for a point from 0 up to 1, which spreads
+// requests by the targets' weights. It returns "" if the route has none.
+func (r *Route) Pick(point float64) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := point * total
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/fleet/callerserver/callerserver.go
@@ -0,0 +1,149 @@
+// Package callerserver accepts callers' connections and serves them within the
+// limits in force. The limits may change while connections are open.
+package callerserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Server serves callers. New connections come under the limits of the moment;
+// open ones keep theirs.
+type Server struct {
+	handler http.Handler
+	failed  func(error)
+
+	mu      sync.Mutex
+	limits  Limits
+	current *generation
+	all     []*generation
+	closed  bool
+}
+
+// generation is a server with one set of limits.
+type generation struct {
+	server *http.Server
+	conns  *connQueue
+}
+
+// New returns a server; failed is told of errors that callers' connections met.
+func New(handler http.Handler, limits Limits, failed func(error)) *Server {
+	s := &Server{handler: handler, failed: failed}
+	s.SetLimits(limits)
+	return s
+}
+
+// SetLimits changes the limits for connections that are opened from now on.
+func (s *Server) SetLimits(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.current != nil && l == s.limits {
+		return
+	}
+	s.limits = l
+	g := &generation{
+		server: &http.Server{
+			Handler:           s.handler,
+			ReadHeaderTimeout: l.HeaderTimeout,
+			IdleTimeout:       l.IdleTimeout,
+			MaxHeaderBytes:    l.HeaderBytes,
+		},
+		conns: newConnQueue(),
+	}
+	s.current = g
+	s.all = append(s.all, g)
+	go func() {
+		if err := g.server.Serve(g.conns); !errors.Is(err, http.ErrServerClosed) {
+			s.failed(err)
+		}
+	}()
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			var temporary net.Error
+			if errors.As(err, &temporary) && temporary.Timeout() {
+				continue
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			s.failed(err)
+			time.Sleep(acceptRetry)
+			continue
+		}
+		s.mu.Lock()
+		g := s.current
+		s.mu.Unlock()
+		g.conns.push(c)
+	}
+}
+
+// acceptRetry is the pause after a failed accept, such as for lack of
+// descriptors: long enough that some are freed.
+const acceptRetry = 20 * time.Millisecond
+
+// Shutdown closes idle connections and waits for the others until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.closed = true
+	all := s.all
+	s.mu.Unlock()
+	var failures []error
+	for _, g := range all {
+		failures = append(failures, g.server.Shutdown(ctx))
+	}
+	return errors.Join(failures...)
+}
+
+// connQueue is a listener that is fed with accepted connections.
+type connQueue struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newConnQueue() *connQueue {
+	return &connQueue{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (q *connQueue) push(c net.Conn) {
+	select {
+	case q.conns <- c:
+	case <-q.done:
+		_ = c.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (q *connQueue) Accept() (net.Conn, error) {
+	select {
+	case c := <-q.conns:
+		return c, nil
+	case <-q.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (q *connQueue) Close() error {
+	q.once.Do(func() { close(q.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (q *connQueue) Addr() net.Addr { return &net.TCPAddr{} }
--- /dev/null
+++ b/fleet/follow/follow.go
@@ -0,0 +1,121 @@
+// Package follow keeps up with a keyed stream of the platform's log.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Options configure a [Follower].
+type Options struct {
+	Log    platform.KeyedLog
+	Stream string
+	// Wait is how long a read waits for records. It bounds the time until a
+	// connection that went silent is noticed.
+	Wait time.Duration
+	// Pause is the time between reads, in which records gather: each call to
+	// the log has its price.
+	Pause time.Duration
+	// Retry is the mean time between calls that fail.
+	Retry time.Duration
+	// Snapshot takes in all records when the history before them is not known;
+	// keys that are not among them are gone.
+	Snapshot func([]platform.KeyedRecord)
+	// Records takes in new records, in order.
+	Records func([]platform.KeyedRecord)
+	Logger  logr.Logger
+}
+
+// Follower reads a keyed stream from its newest records on.
+type Follower struct {
+	opt    Options
+	next   record.Offset
+	synced bool
+	lostAt time.Time
+}
+
+// New returns a follower; Run starts it.
+func New(opt Options) *Follower {
+	return &Follower{opt: opt}
+}
+
+// Run follows the stream until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := f.opt.Pause
+		if err := f.step(ctx); err != nil {
+			f.failed(ctx, err)
+			pause = f.opt.Retry/2 + rand.N(f.opt.Retry)
+		} else {
+			f.worked()
+		}
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+// step makes one call.
+func (f *Follower) step(ctx context.Context) error {
+	if !f.synced {
+		return f.load(ctx)
+	}
+	records, next, err := f.opt.Log.Follow(ctx, f.opt.Stream, f.next, f.opt.Wait)
+	if errors.Is(err, platform.ErrTrimmed) {
+		f.synced = false
+		return f.load(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if len(records) > 0 {
+		f.opt.Records(records)
+	}
+	f.next = next
+	return nil
+}
+
+func (f *Follower) load(ctx context.Context) error {
+	records, next, err := f.opt.Log.Newest(ctx, f.opt.Stream)
+	if err != nil {
+		return err
+	}
+	f.opt.Snapshot(records)
+	f.next = next
+	f.synced = true
+	return nil
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if !f.lostAt.IsZero() || ctx.Err() != nil {
+		return
+	}
+	f.lostAt = time.Now()
+	f.opt.Logger.Info("Stream lost.", "stream", f.opt.Stream, "offset", f.next, "error", err.Error())
+}
+
+func (f *Follower) worked() {
+	if f.lostAt.IsZero() {
+		return
+	}
+	f.opt.Logger.Info("Stream regained.", "stream", f.opt.Stream, "offset", f.next, "lost", time.Since(f.lostAt))
+	f.lostAt = time.Time{}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/fleet/gossip/gossip.go
@@ -0,0 +1,185 @@
+// Package gossip tells the other hosts, by datagrams, that this one lives and
+// what it has sent to upstreams. Datagrams may be lost: they make decisions
+// better, none relies on them.
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/balance"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/roster"
+)
+
+// EventKind tells the events of a request apart.
+type EventKind uint8
+
+// Kinds of events.
+const (
+	Begun EventKind = 1 // The request was sent.
+	First EventKind = 2 // The answer has begun.
+	Ended EventKind = 3 // The request has ended at the upstream.
+)
+
+// Event is one event of a request that this host has sent to an upstream.
+type Event struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     EventKind
+	Seq      uint64
+	Service  string
+	Upstream string
+	// Work is set on Begun, nil for plain services.
+	Work *balance.Work
+}
+
+// Message is one datagram.
+type Message struct {
+	_       struct{} `cbor:",toarray"`
+	Host    record.HostID
+	Run     uint64
+	Leaving bool
+	Events  []Event
+}
+
+const (
+	// gather is how long events wait for others: far below the time that an
+	// engine needs for a step.
+	gather = 2 * time.Millisecond
+	// maxDatagram fits into one packet of usual networks.
+	maxDatagram = 1400
+	// maxEvents keeps a message below maxDatagram with prompts of few parts.
+	maxEvents = 8
+)
+
+// Options configure a [Gossip].
+type Options struct {
+	Self roster.Host
+	// Peers returns the hosts that messages go to.
+	Peers func() []roster.Host
+	// Leaving tells whether this host leaves.
+	Leaving func() bool
+	// Receive takes in a message of another host.
+	Receive func(*Message)
+	Logger  logr.Logger
+	Metrics metrics.Registry
+}
+
+// Gossip sends and receives messages.
+type Gossip struct {
+	opt      Options
+	log      logr.Logger
+	sent     metrics.Counter
+	received metrics.Counter
+	bad      metrics.Counter
+
+	mu      sync.Mutex
+	pending []Event
+	wake    chan struct{}
+}
+
+// New returns a gossip; Run starts it.
+func New(opt Options) *Gossip {
+	return &Gossip{
+		opt:      opt,
+		log:      opt.Logger.WithName("gossip"),
+		sent:     metrics.GetOrRegisterCounter("gossip_sent", opt.Metrics),
+		received: metrics.GetOrRegisterCounter("gossip_received", opt.Metrics),
+		bad:      metrics.GetOrRegisterCounter("gossip_bad", opt.Metrics),
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// Tell adds an event to the next message.
+func (g *Gossip) Tell(e Event) {
+	g.mu.Lock()
+	g.pending = append(g.pending, e)
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends and receives until ctx ends.
+func (g *Gossip) Run(ctx context.Context, conn net.PacketConn) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	go g.sendLoop(ctx, conn)
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := conn.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			g.log.Error(err, "Receive failed.")
+			return err
+		}
+		g.receive(buf[:n])
+	}
+}
+
+func (g *Gossip) receive(data []byte) {
+	var m Message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		g.bad.Inc(1)
+		return
+	}
+	g.received.Inc(1)
+	g.opt.Receive(&m)
+}
+
+func (g *Gossip) sendLoop(ctx context.Context, conn net.PacketConn) {
+	tick := time.NewTicker(roster.HeartbeatInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			g.flush(conn, true)
+		case <-g.wake:
+			time.Sleep(gather)
+			g.flush(conn, false)
+		}
+	}
+}
+
+// flush sends the pending events. Heartbeats are sent even if there are none.
+func (g *Gossip) flush(conn net.PacketConn, heartbeat bool) {
+	g.mu.Lock()
+	events := g.pending
+	g.pending = nil
+	g.mu.Unlock()
+	for heartbeat || len(events) > 0 {
+		heartbeat = false
+		n := min(len(events), maxEvents)
+		g.send(conn, events[:n])
+		events = events[n:]
+	}
+}
+
+func (g *Gossip) send(conn net.PacketConn, events []Event) {
+	m := Message{Host: g.opt.Self.ID, Run: g.opt.Self.Run, Leaving: g.opt.Leaving(), Events: events}
+	data, err := cbor.Marshal(&m)
+	if err != nil {
+		g.log.Error(err, "Message could not be encoded.")
+		return
+	}
+	for _, peer := range g.opt.Peers() {
+		// A host that is down is no news here: its silence tells.
+		if _, err := conn.WriteTo(data, udpAddr(peer.Peer)); err == nil {
+			g.sent.Inc(1)
+		}
+	}
+}
+
+func udpAddr(a netip.AddrPort) *net.UDPAddr { return net.UDPAddrFromAddrPort(a) }
--- /dev/null
+++ b/fleet/relay/call.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/balance"
+	"github.com/hazelworks/hazelworks/core/routes"
+	"github.com/hazelworks/hazelworks/fleet/balancer"
+	"github.com/hazelworks/hazelworks/fleet/exchange"
+)
+
+var (
+	errTimeout = errors.New("the route's or the caller's time is over")
+	errBroken  = errors.New("the upstream's answer is not whole")
+	errForged  = errors.New("the answer is not an upstream's own")
+)
+
+// call is the run of one request.
+type call struct {
+	r       *Relay
+	w       http.ResponseWriter
+	req     *Request
+	route   *routes.Route
+	account *routes.Account
+	table   *routes.Table
+	service string
+
+	tried []string
+	// runs counts the sends after which the request may have run.
+	runs int
+	// begun is true once the caller has a part of the answer.
+	begun     bool
+	lastEvent string
+	events    int64
+}
+
+// fate tells what became of a send.
+type fate int
+
+const (
+	// fateDone means that the caller has the whole answer, or an upstream's own
+	// failure that is final.
+	fateDone fate = iota
+	// fateNotSent means that nothing has left.
+	fateNotSent
+	// fateNotRun means that the upstream states that it did not run it.
+	fateNotRun
+	// fateFailed means that the upstream answered with a failure that another
+	// one may not have.
+	fateFailed
+	// fateLost means that the request may have run and its answer is lost.
+	fateLost
+)
+
+// maxSends bounds the sends of one request, those included that did not run.
+const maxSends = 4
+
+func (c *call) run(ctx context.Context) {
+	if limit := c.patience(); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadlineCause(ctx, c.req.Arrived.Add(limit), errTimeout)
+		defer cancel()
+	}
+	var last fate
+	for sends := 0; sends < maxSends; sends++ {
+		if ctx.Err() != nil {
+			break
+		}
+		lease, err := c.r.opt.Balancer.Pick(c.service, &balance.Query{Work: c.req.Work, Exclude: c.tried})
+		if err != nil {
+			c.giveUp(ctx, err.Error())
+			return
+		}
+		c.tried = append(c.tried, lease.Upstream.ID)
+		last = c.send(ctx, lease)
+		if last == fateDone {
+			return
+		}
+		if !c.mayRepeat(last) {
+			break
+		}
+	}
+	c.giveUp(ctx, "")
+}
+
+// patience returns how long the caller is kept waiting; zero means no bound.
+func (c *call) patience() time.Duration {
+	limit := c.route.Timeout
+	if p := c.req.Patience; p > 0 && (limit == 0 || p < limit) {
+		limit = p
+	}
+	return limit
+}
+
+func (c *call) mayRepeat(f fate) bool {
+	switch f {
+	case fateNotSent, fateNotRun:
+		return true
+	}
+	return c.route.Repeatable() && c.runs < c.route.Attempts
+}
+
+// giveUp ends a request that has no answer.
+func (c *call) giveUp(ctx context.Context, reason string) {
+	cause := context.Cause(ctx)
+	switch {
+	case c.begun:
+		c.r.log.Info("Answer cut.", "request", c.req.ID, "events", c.events)
+		panic(http.ErrAbortHandler)
+	case cause != nil && !errors.Is(cause, errTimeout):
+		c.r.log.Info("Caller gone.", "request", c.req.ID)
+		panic(http.ErrAbortHandler)
+	case c.runs == 0:
+		c.r.refuse(c.w, c.req, refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: startRetry})
+	case cause != nil:
+		c.r.refuse(c.w, c.req, refusal{status: http.StatusGatewayTimeout, reason: cause.Error()})
+	default:
+		c.r.refuse(c.w, c.req, refusal{status: http.StatusBadGateway, reason: "answer lost"})
+	}
+}
+
+// send sends the request once and passes the answer on.
+func (c *call) send(ctx context.Context, lease *balancer.Lease) fate {
+	defer lease.End()
+	left := time.Duration(0)
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
+	account := ""
+	if c.account != nil {
+		account = c.account.Name
+	}
+	out := &exchange.Request{
+		ID:      c.req.ID,
+		Method:  c.req.Method,
+		Target:  c.req.Target,
+		Host:    c.req.Host,
+		Body:    c.req.Body,
+		HasBody: c.req.HasBody,
+		Header: c.r.opt.Dialect.Header(c.req, Sending{
+			Account: account, Upstream: lease.Upstream, Left: left, ResumeAfter: c.lastEvent,
+		}),
+	}
+	began := time.Now()
+	resp, err := lease.Conns.Send(ctx, out)
+	f := c.receive(resp, err, lease)
+	c.r.log.Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID,
+		"wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "took", time.Since(began), "fate", int(f), "error", errText(err))
+	return f
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (c *call) receive(resp *exchange.Response, err error, lease *balancer.Lease) fate {
+	if errors.Is(err, exchange.ErrNotSent) {
+		return fateNotSent
+	}
+	if err != nil {
+		c.runs++
+		return fateLost
+	}
+	defer resp.Close()
+	if c.r.opt.Dialect.NotRun(resp.Response) {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxRefusalBytes))
+		return fateNotRun
+	}
+	c.runs++
+	if !c.r.opt.Dialect.Genuine(resp.Response) {
+		return fateLost
+	}
+	if c.route.Kind == routes.KindStream && resp.StatusCode == http.StatusOK {
+		return c.stream(resp, lease)
+	}
+	if c.begun {
+		return fateLost // a resumed stream needs a stream
+	}
+	return c.whole(resp, lease)
+}
+
+// maxRefusalBytes bounds what is read of a refusal to keep its connection.
+const maxRefusalBytes = 16 << 10
+
+// maxWholeBytes bounds an answer that is held until it is complete.
+const maxWholeBytes = 4 << 20
+
+// whole passes on an answer that is not a stream once it is complete.
+func (c *call) whole(resp *exchange.Response, lease *balancer.Lease) fate {
+	body, err := io.ReadAll(io.LimitReader(resp, maxWholeBytes))
+	lease.First()
+	if err != nil {
+		return fateLost
+	}
+	if resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.runs < c.route.Attempts {
+		return fateFailed
+	}
+	copyHeader(c.w.Header(), resp.Header)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(resp.StatusCode)
+	_, _ = c.w.Write(body)
+	return fateDone
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Date"}
+
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = values
+	}
+	for _, name := range hopHeaders {
+		dst.Del(name)
+	}
+	dst["Date"] = src["Date"]
+}
--- /dev/null
+++ b/fleet/relay/relay.go
@@ -0,0 +1,155 @@
+// Package relay answers callers' requests by passing them on to upstreams. It
+// finds the route and the account, reserves the cost, chooses an upstream, sends
+// the request, repeats it where that is allowed, and settles the cost. What it
+// tells a caller is true: "not run" only if no upstream can have begun.
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/routes"
+	"github.com/hazelworks/hazelworks/fleet/balancer"
+)
+
+// Options configure a [Relay].
+type Options struct {
+	Front    Front
+	Dialect  Dialect
+	Table    func() *routes.Table
+	Balancer *balancer.Balancer
+	Logger   logr.Logger
+	Metrics  metrics.Registry
+}
+
+// Relay is the handler of callers' requests.
+type Relay struct {
+	opt      Options
+	log      logr.Logger
+	draining atomic.Bool
+	inflight sync.WaitGroup
+}
+
+// New returns a relay.
+func New(opt Options) *Relay {
+	return &Relay{opt: opt, log: opt.Logger.WithName("relay")}
+}
+
+// SetDraining makes callers' connections end with their next answer.
+func (r *Relay) SetDraining() { r.draining.Store(true) }
+
+// ServeHTTP answers a request.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	r.inflight.Add(1)
+	defer r.inflight.Done()
+	if r.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	// The answer is the upstream's: no header is added to it.
+	w.Header()["Date"] = nil
+	req, err := r.opt.Front.Decode(hr)
+	if err != nil {
+		r.refuse(w, nil, refusal{status: http.StatusBadRequest, reason: err.Error()})
+		return
+	}
+	req.Arrived = time.Now()
+	table := r.opt.Table()
+	if table == nil {
+		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: startRetry})
+		return
+	}
+	route := table.Match(req.Host, req.Path)
+	if route == nil {
+		r.refuse(w, req, refusal{status: http.StatusNotFound, reason: "no route"})
+		return
+	}
+	var account *routes.Account
+	if table.NeedsKey(route) {
+		account = table.ByKey(req.Key)
+		if account == nil {
+			r.refuse(w, req, refusal{status: http.StatusUnauthorized, reason: "unknown key"})
+			return
+		}
+	}
+	if status := readBody(w, hr, req, table.Limits.BodyBytes); status != 0 {
+		r.refuse(w, req, refusal{status: status, reason: "body"})
+		return
+	}
+	c := &call{r: r, w: w, req: req, route: route, account: account, table: table}
+	c.service = route.Pick(rand.Float64())
+	c.run(hr.Context())
+}
+
+// startRetry is when callers come back to a host that is starting: it loads its
+// configuration within some calls to the store.
+const startRetry = 200 * time.Millisecond
+
+// readBody reads the whole body. It returns the status of a refusal, or zero.
+func readBody(w http.ResponseWriter, hr *http.Request, req *Request, limit int64) int {
+	if hr.Body == nil || hr.Body == http.NoBody {
+		req.HasBody = hr.Header.Get("Content-Length") == "0"
+		return 0
+	}
+	req.HasBody = true
+	if limit > 0 {
+		if hr.ContentLength > limit {
+			return http.StatusRequestEntityTooLarge
+		}
+		hr.Body = http.MaxBytesReader(w, hr.Body, limit)
+	}
+	body, err := io.ReadAll(hr.Body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return http.StatusRequestEntityTooLarge
+	case err != nil:
+		return http.StatusBadRequest
+	}
+	req.Body = body
+	return 0
+}
+
+// refusal is an answer of the host's own.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+func (r *Relay) refuse(w http.ResponseWriter, req *Request, f refusal) {
+	id := ""
+	if req != nil {
+		id = req.ID
+	}
+	r.log.Info("Request refused.", "request", id, "status", f.status, "reason", f.reason, "retry_after", f.retryAfter)
+	if f.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(f.status)
+}
+
+// Wait waits until no request is being answered, or ctx ends.
+func (r *Relay) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		r.inflight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/fleet/relayhost/host.go
@@ -0,0 +1,335 @@
+package relayhost
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	mathrand "math/rand/v2"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/balance"
+	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/roster"
+	"github.com/hazelworks/hazelworks/core/routes"
+	"github.com/hazelworks/hazelworks/fleet/balancer"
+	"github.com/hazelworks/hazelworks/fleet/callerserver"
+	"github.com/hazelworks/hazelworks/fleet/follow"
+	"github.com/hazelworks/hazelworks/fleet/gossip"
+	"github.com/hazelworks/hazelworks/fleet/relay"
+	"github.com/hazelworks/hazelworks/fleet/sockets"
+)
+
+// hostStream holds the hosts' descriptions of themselves, by host.
+const hostStream = "keyed.hosts"
+
+// Times of the log's followers.
+const (
+	// watchWait is how long a read waits for records. A connection that went
+	// silent is noticed after it and the call's own timeout.
+	watchWait = time.Second
+	// tablePause lets the versions of a storm gather.
+	tablePause = 50 * time.Millisecond
+	// listPause lets the upstreams' heartbeats gather: entries may be late by
+	// far more before a leaving upstream has gone.
+	listPause = 400 * time.Millisecond
+	// watchRetry is the mean pause between calls that fail. Calls are priced
+	// also while the log is out of reach.
+	watchRetry = 250 * time.Millisecond
+)
+
+// Protocol is what the platform's adapter provides: names and formats.
+type Protocol struct {
+	Front          relay.Front
+	Dialect        relay.Dialect
+	OperatorStream string
+	ConfigKey      string
+	UpstreamStream string
+	DecodeConfig   func([]byte) (*routes.Table, error)
+	DecodeUpstream func(id string, value []byte) (catalog.Upstream, error)
+	// Ready and Directory return the handlers of the platform's and the
+	// callers' questions.
+	Ready     func(ready func() bool) http.Handler
+	Directory func(resolve func(domain string) ([]netip.AddrPort, time.Duration)) http.Handler
+}
+
+// Options configure a [Host].
+type Options struct {
+	Config   *Config
+	Log      platform.KeyedLog
+	Protocol Protocol
+	Logger   logr.Logger
+	Metrics  metrics.Registry
+}
+
+// Host is one host process.
+type Host struct {
+	opt      Options
+	cfg      *Config
+	log      logr.Logger
+	self     roster.Host
+	table    *tableWatch
+	ups      *upstreamWatch
+	hosts    *hostWatch
+	gossip   *gossip.Gossip
+	balancer *balancer.Balancer
+	relay    *relay.Relay
+	callers  *callerserver.Server
+	leaving  atomic.Bool
+	stop     chan struct{}
+}
+
+// New returns a host; Run starts it.
+func New(opt Options) (*Host, error) {
+	runID, err := newRunID()
+	if err != nil {
+		return nil, err
+	}
+	cfg := opt.Config
+	h := &Host{opt: opt, cfg: cfg, log: opt.Logger.WithName("host"), stop: make(chan struct{})}
+	h.self = roster.Host{
+		ID: cfg.Host, Run: runID, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
+		Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer, Cores: cfg.Limits.Cores,
+	}
+	h.build()
+	return h, nil
+}
+
+// newRunID returns a number that no other run of a host has.
+func newRunID() (uint64, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, fmt.Errorf("relayhost: random run ID: %w", err)
+	}
+	return binary.BigEndian.Uint64(b[:]), nil
+}
+
+// upstreamSockets bound the silence of upstreams: they are a millisecond away.
+var upstreamSockets = sockets.Options{
+	ConnectTimeout: 300 * time.Millisecond,
+	UserTimeout:    2 * time.Second,
+	KeepAlive:      3 * time.Second,
+}
+
+func (h *Host) build() {
+	p := h.opt.Protocol
+	h.balancer = balancer.New(balancer.Options{
+		Host:          string(h.cfg.Host),
+		FailureDomain: h.cfg.FailureDomain,
+		Dial:          upstreamSockets.Dialer().DialContext,
+		Dialect:       p.Dialect,
+		Logger:        h.opt.Logger,
+		Metrics:       h.opt.Metrics,
+		Tell:          func(e gossip.Event) { h.gossip.Tell(e) },
+	})
+	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, changed: h.setTable, log: h.opt.Logger.WithName("table")}
+	h.ups = &upstreamWatch{
+		decode: p.DecodeUpstream, changed: h.balancer.SetUpstreams,
+		log: h.opt.Logger.WithName("upstreams"), entries: make(map[string]catalog.Upstream),
+	}
+	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self)}
+	h.gossip = gossip.New(gossip.Options{
+		Self: h.self, Peers: h.hosts.peers, Leaving: h.leaving.Load, Receive: h.receive,
+		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+	})
+	h.relay = relay.New(relay.Options{
+		Front: p.Front, Dialect: p.Dialect, Table: h.table.current.Load, Balancer: h.balancer,
+		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+	})
+	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
+		func(err error) { h.log.Error(err, "Serving callers failed.") })
+}
+
+// Limits of callers' connections until the configuration says others.
+const (
+	startHeaderTimeout = 3 * time.Second
+	startIdleTimeout   = 15 * time.Second
+)
+
+func (h *Host) setTable(t *routes.Table) {
+	h.balancer.SetTable(t)
+	h.callers.SetLimits(callerserver.Limits{
+		HeaderBytes: t.Limits.HeaderBytes, HeaderTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout,
+	})
+}
+
+// receive takes in a message of another host.
+func (h *Host) receive(m *gossip.Message) {
+	h.hosts.mu.Lock()
+	known := h.hosts.table.Heard(m.Host, m.Run, m.Leaving, time.Now())
+	h.hosts.mu.Unlock()
+	if !known {
+		return
+	}
+	for _, e := range m.Events {
+		h.balancer.Hear(balance.Ticket{Host: string(m.Host), Seq: e.Seq}, e)
+	}
+}
+
+// Ready tells whether the host can serve callers.
+func (h *Host) Ready() bool {
+	return !h.leaving.Load() && h.table.current.Load() != nil
+}
+
+// directoryTTL is how long callers may keep an answer. Some keep it three times
+// as long; a leaving host waits for them.
+const directoryTTL = time.Second
+
+func (h *Host) resolve(domain string) ([]netip.AddrPort, time.Duration) {
+	h.hosts.mu.Lock()
+	defer h.hosts.mu.Unlock()
+	if h.table.current.Load() == nil {
+		return nil, 0
+	}
+	return h.hosts.table.Resolve(domain, time.Now(), mathrand.Shuffle), min(directoryTTL, h.cfg.Bounds.DirectoryTTL)
+}
+
+// Run serves until ctx ends or Stop is called.
+func (h *Host) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group run.Group
+	add := func(f func(context.Context) error) {
+		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
+	}
+	add(h.follower(h.opt.Protocol.OperatorStream, tablePause, h.table.take, h.table.take).Run)
+	add(h.follower(h.opt.Protocol.UpstreamStream, listPause, h.ups.snapshot, h.ups.records).Run)
+	add(h.follower(hostStream, listPause, h.hosts.take, h.hosts.take).Run)
+	add(h.runGossip)
+	add(h.announce)
+	add(h.serveCallers)
+	add(h.serve(h.cfg.Listen.Ready, h.opt.Protocol.Ready(h.Ready)))
+	add(h.serve(h.cfg.Listen.Directory, h.opt.Protocol.Directory(h.resolve)))
+	add(h.leave)
+	err := group.Run()
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+func (h *Host) follower(stream string, pause time.Duration, snapshot, records func([]platform.KeyedRecord)) *follow.Follower {
+	return follow.New(follow.Options{
+		Log: h.opt.Log, Stream: stream, Wait: watchWait, Pause: pause, Retry: watchRetry,
+		Snapshot: snapshot, Records: records, Logger: h.opt.Logger.WithName("follow"),
+	})
+}
+
+func (h *Host) runGossip(ctx context.Context) error {
+	conn, err := net.ListenPacket("udp", h.cfg.Listen.Peer.String())
+	if err != nil {
+		return fmt.Errorf("relayhost: peers: %w", err)
+	}
+	return h.gossip.Run(ctx, conn)
+}
+
+// announce writes this host's description until the log has it.
+func (h *Host) announce(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := h.putSelf(ctx); err == nil {
+			break
+		}
+		time.Sleep(watchRetry)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (h *Host) putSelf(ctx context.Context) error {
+	h.hosts.mu.Lock()
+	self := h.hosts.table.Self()
+	h.hosts.mu.Unlock()
+	value, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	_, err = h.opt.Log.Put(ctx, hostStream, platform.Writer{}, []platform.KeyedRecord{{Key: string(h.cfg.Host), Value: value}})
+	return err
+}
+
+func (h *Host) serveCallers(ctx context.Context) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", h.cfg.Listen.Caller.String())
+	if err != nil {
+		return fmt.Errorf("relayhost: callers: %w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	return h.callers.Serve(l)
+}
+
+func (h *Host) serve(addr netip.AddrPort, handler http.Handler) func(context.Context) error {
+	return func(ctx context.Context) error {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
+		if err != nil {
+			return fmt.Errorf("relayhost: listen: %w", err)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}
+}
+
+var errStopped = errors.New("relayhost: stopped")
+
+// Stop begins a graceful stop.
+func (h *Host) Stop() {
+	if h.leaving.CompareAndSwap(false, true) {
+		close(h.stop)
+	}
+}
+
+// Parts of the time between a request to stop and the forced end.
+const (
+	// lingerTTLs is how many lifetimes of a directory answer callers may keep it.
+	lingerTTLs = 3
+	// graceMargin is left for the end of the process itself.
+	graceMargin = 700 * time.Millisecond
+)
+
+// leave waits for a request to stop, then until callers have learned of it and
+// all answers are complete.
+func (h *Host) leave(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-h.stop:
+	}
+	began := time.Now()
+	h.log.Info("Leaving.")
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Bounds.Grace-graceMargin)
+	defer cancel()
+	h.hosts.mu.Lock()
+	h.hosts.table.SetLeaving()
+	h.hosts.mu.Unlock()
+	if err := h.putSelf(ctx); err != nil {
+		h.log.Info("Leaving could not be announced.", "error", err.Error())
+	}
+	h.relay.SetDraining()
+	linger := time.NewTimer(lingerTTLs * directoryTTL)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	if err := h.callers.Shutdown(ctx); err != nil {
+		h.log.Info("Answers were cut.", "error", err.Error())
+	}
+	h.log.Info("Left.", "took", time.Since(began))
+	return errStopped
+}
--- /dev/null
+++ b/fleet/relayhost/watch.go
@@ -0,0 +1,147 @@
+package relayhost
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/roster"
+	"github.com/hazelworks/hazelworks/core/routes"
+)
+
+// tableWatch holds the routing configuration in force. It never goes back to an
+// older version.
+type tableWatch struct {
+	key     string
+	decode  func([]byte) (*routes.Table, error)
+	changed func(*routes.Table)
+	log     logr.Logger
+	current atomic.Pointer[routes.Table]
+}
+
+func (t *tableWatch) take(records []platform.KeyedRecord) {
+	for _, r := range records {
+		if r.Key != t.key || r.Value == nil {
+			continue
+		}
+		table, err := t.decode(r.Value)
+		if err != nil {
+			t.log.Error(err, "Configuration could not be read; the old one stays in force.", "offset", r.Offset)
+			continue
+		}
+		old := t.current.Load()
+		if old != nil && table.Version <= old.Version {
+			continue
+		}
+		t.current.Store(table)
+		t.changed(table)
+		t.log.Info("Configuration in force.", "version", table.Version, "routes", len(table.Routes), "accounts", len(table.Accounts))
+	}
+}
+
+// upstreamWatch holds the upstreams' entries.
+type upstreamWatch struct {
+	decode  func(id string, value []byte) (catalog.Upstream, error)
+	changed func([]catalog.Upstream)
+	log     logr.Logger
+
+	mu      sync.Mutex
+	entries map[string]catalog.Upstream
+}
+
+func (u *upstreamWatch) snapshot(records []platform.KeyedRecord) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	old := u.entries
+	u.entries = make(map[string]catalog.Upstream)
+	for _, r := range records {
+		u.take(r)
+	}
+	for id := range old {
+		if _, ok := u.entries[id]; !ok {
+			u.log.Info("Upstream gone.", "upstream", id)
+		}
+	}
+	u.publish()
+}
+
+func (u *upstreamWatch) records(records []platform.KeyedRecord) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, r := range records {
+		u.take(r)
+	}
+	u.publish()
+}
+
+// take applies one record. An entry that can't be read names no upstream.
+func (u *upstreamWatch) take(r platform.KeyedRecord) {
+	old, known := u.entries[r.Key]
+	if r.Value == nil {
+		if known {
+			u.log.Info("Upstream gone.", "upstream", r.Key, "offset", r.Offset)
+		}
+		delete(u.entries, r.Key)
+		return
+	}
+	up, err := u.decode(r.Key, r.Value)
+	if err != nil {
+		u.log.Info("Entry names no upstream.", "entry", r.Key, "offset", r.Offset, "error", err.Error())
+		delete(u.entries, r.Key)
+		return
+	}
+	if !known || old != up {
+		u.log.Info("Upstream changed.", "upstream", up.ID, "service", up.Service, "address", up.Addr, "leaving", up.Leaving, "offset", r.Offset)
+	}
+	u.entries[r.Key] = up
+}
+
+func (u *upstreamWatch) publish() {
+	all := make([]catalog.Upstream, 0, len(u.entries))
+	for _, up := range u.entries {
+		all = append(all, up)
+	}
+	slices.SortFunc(all, func(a, b catalog.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	u.changed(all)
+}
+
+// hostWatch holds the other hosts.
+type hostWatch struct {
+	log logr.Logger
+
+	mu    sync.Mutex
+	table *roster.Table
+}
+
+func (h *hostWatch) take(records []platform.KeyedRecord) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range records {
+		id := record.HostID(r.Key)
+		if r.Value == nil {
+			h.table.Unlisted(id)
+			continue
+		}
+		var host roster.Host
+		if err := json.Unmarshal(r.Value, &host); err != nil {
+			h.log.Error(err, "Host entry could not be read.", "host", r.Key, "offset", r.Offset)
+			continue
+		}
+		h.table.Listed(host, time.Now())
+		h.log.Info("Host listed.", "host", host.ID, "run", host.Run, "leaving", host.Leaving, "offset", r.Offset)
+	}
+}
+
+func (h *hostWatch) peers() []roster.Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Peers()
+}
