--- /dev/null
+++ b/fleet/lending/lending.go
@@ -0,0 +1,116 @@
+// Package lending lets hosts hand parts of prepaid budgets to each other, for
+// the times when the platform's log can't help: while it is out of reach, and
+// when all of a budget is claimed.
+package lending
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-logr/logr"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/roster"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
+	"github.com/hazelworks/hazelworks/fleet/peer/peerpb/peerpbconnect"
+)
+
+const (
+	// callTimeout bounds one call: hosts are a millisecond away from each other.
+	callTimeout = 60 * time.Millisecond
+	// maxAsked bounds the hosts that are asked for one request.
+	maxAsked = 8
+	// fruitlessFor is how long nobody is asked again for as much as nobody had.
+	fruitlessFor = 300 * time.Millisecond
+)
+
+// Purses holds what this host can lend.
+type Purses interface {
+	// Lend takes at most an amount out of what is free and returns it.
+	Lend(budget record.BudgetID, amount record.Tokens) record.Tokens
+}
+
+type server struct {
+	purses Purses
+}
+
+// Handler answers the other hosts.
+func Handler(purses Purses) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerpbconnect.NewLendingServiceHandler(server{purses}))
+	return mux
+}
+
+// Lend implements the peers' service.
+func (s server) Lend(_ context.Context, r *connect.Request[peerpb.LendRequest]) (*connect.Response[peerpb.LendResponse], error) {
+	amount := s.purses.Lend(record.BudgetID(r.Msg.Budget), record.Tokens(r.Msg.Amount))
+	return connect.NewResponse(&peerpb.LendResponse{Amount: int64(amount)}), nil
+}
+
+// Client borrows from other hosts.
+type Client struct {
+	http  *http.Client
+	alive func() []roster.Host
+	log   logr.Logger
+
+	mu        sync.Mutex
+	fruitless map[record.BudgetID]failure
+}
+
+// failure is an amount that nobody had.
+type failure struct {
+	amount record.Tokens
+	until  time.Time
+}
+
+// NewClient returns a client that asks the hosts that alive returns.
+func NewClient(client *http.Client, alive func() []roster.Host, logger logr.Logger) *Client {
+	return &Client{http: client, alive: alive, log: logger.WithName("lending"), fruitless: make(map[record.BudgetID]failure)}
+}
+
+// Borrow asks one host after the other until they have given an amount.
+func (c *Client) Borrow(ctx context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens {
+	if c.hopeless(budget, amount) {
+		return 0
+	}
+	hosts := c.alive()
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	got := record.Tokens(0)
+	for _, h := range hosts[:min(len(hosts), maxAsked)] {
+		if got >= amount || ctx.Err() != nil {
+			break
+		}
+		got += c.ask(ctx, h, budget, amount-got)
+	}
+	if got < amount {
+		c.mu.Lock()
+		c.fruitless[budget] = failure{amount: amount - got, until: time.Now().Add(fruitlessFor)}
+		c.mu.Unlock()
+	}
+	return got
+}
+
+func (c *Client) hopeless(budget record.BudgetID, amount record.Tokens) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f, ok := c.fruitless[budget]
+	return ok && amount >= f.amount && time.Now().Before(f.until)
+}
+
+// ask returns what one host gives. If its answer is lost, so is the amount: it
+// counts as spent there.
+func (c *Client) ask(ctx context.Context, h roster.Host, budget record.BudgetID, amount record.Tokens) record.Tokens {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := peerpbconnect.NewLendingServiceClient(c.http, "http://"+h.Peer.String())
+	resp, err := client.Lend(ctx, connect.NewRequest(&peerpb.LendRequest{Budget: string(budget), Amount: int64(amount)}))
+	if err != nil {
+		c.log.Info("Host did not lend.", "host", h.ID, "budget", budget, "error", err.Error())
+		return 0
+	}
+	return record.Tokens(resp.Msg.Amount)
+}
--- a/fleet/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/fleet/peer/peerpb/peerpbconnect/peer.connect.go
@@ -24,6 +24,8 @@
 const (
 	// PeerServiceName is the fully-qualified name of the PeerService service.
 	PeerServiceName = "hazelworks.peer.v1.PeerService"
+	// LendingServiceName is the fully-qualified name of the LendingService service.
+	LendingServiceName = "hazelworks.peer.v1.LendingService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -50,6 +52,8 @@
 	PeerServiceAnswerProcedure = "/hazelworks.peer.v1.PeerService/Answer"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/hazelworks.peer.v1.PeerService/Forward"
+	// LendingServiceLendProcedure is the fully-qualified name of the LendingService's Lend RPC.
+	LendingServiceLendProcedure = "/hazelworks.peer.v1.LendingService/Lend"
 )
 
 // PeerServiceClient is a client for the hazelworks.peer.v1.PeerService service.
@@ -319,3 +323,75 @@
 func (UnimplementedPeerServiceHandler) Forward(context.Context, *connect.Request[peerpb.ForwardRequest], *connect.ServerStream[peerpb.AnswerEvent]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("hazelworks.peer.v1.PeerService.Forward is not implemented"))
 }
+
+// LendingServiceClient is a client for the hazelworks.peer.v1.LendingService service.
+type LendingServiceClient interface {
+	// Lend hands over a part of what the host holds of a budget.
+	Lend(context.Context, *connect.Request[peerpb.LendRequest]) (*connect.Response[peerpb.LendResponse], error)
+}
+
+// NewLendingServiceClient constructs a client for the hazelworks.peer.v1.LendingService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewLendingServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) LendingServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	lendingServiceMethods := peerpb.File_peerpb_peer_proto.Services().ByName("LendingService").Methods()
+	return &lendingServiceClient{
+		lend: connect.NewClient[peerpb.LendRequest, peerpb.LendResponse](
+			httpClient,
+			baseURL+LendingServiceLendProcedure,
+			connect.WithSchema(lendingServiceMethods.ByName("Lend")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// lendingServiceClient implements LendingServiceClient.
+type lendingServiceClient struct {
+	lend *connect.Client[peerpb.LendRequest, peerpb.LendResponse]
+}
+
+// Lend calls hazelworks.peer.v1.LendingService.Lend.
+func (c *lendingServiceClient) Lend(ctx context.Context, req *connect.Request[peerpb.LendRequest]) (*connect.Response[peerpb.LendResponse], error) {
+	return c.lend.CallUnary(ctx, req)
+}
+
+// LendingServiceHandler is an implementation of the hazelworks.peer.v1.LendingService service.
+type LendingServiceHandler interface {
+	// Lend hands over a part of what the host holds of a budget.
+	Lend(context.Context, *connect.Request[peerpb.LendRequest]) (*connect.Response[peerpb.LendResponse], error)
+}
+
+// NewLendingServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewLendingServiceHandler(svc LendingServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	lendingServiceMethods := peerpb.File_peerpb_peer_proto.Services().ByName("LendingService").Methods()
+	lendingServiceLendHandler := connect.NewUnaryHandler(
+		LendingServiceLendProcedure,
+		svc.Lend,
+		connect.WithSchema(lendingServiceMethods.ByName("Lend")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/hazelworks.peer.v1.LendingService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case LendingServiceLendProcedure:
+			lendingServiceLendHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedLendingServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedLendingServiceHandler struct{}
+
+func (UnimplementedLendingServiceHandler) Lend(context.Context, *connect.Request[peerpb.LendRequest]) (*connect.Response[peerpb.LendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelworks.peer.v1.LendingService.Lend is not implemented"))
+}
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/balance"
+	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
+	"github.com/hazelworks/hazelworks/fleet/bank"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 )
 
@@ -32,7 +34,10 @@
 
 	tried []string
 	// runs counts the sends after which the request may have run.
-	runs int
+	runs        int
+	reservation bank.Reservation
+	// doubtful is true if an upstream may have done more than is known of.
+	doubtful bool
 	// begun is true once the caller has a part of the answer.
 	begun     bool
 	lastEvent string
@@ -66,6 +71,11 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, c.req.Arrived.Add(limit), errTimeout)
 		defer cancel()
 	}
+	if err := c.reserve(ctx); err != nil {
+		c.refuseBudget(ctx, err)
+		return
+	}
+	defer c.settle()
 	var last fate
 	for sends := 0; sends < maxSends; sends++ {
 		if ctx.Err() != nil {
@@ -88,6 +98,60 @@
 	c.giveUp(ctx, "")
 }
 
+// reserveWait bounds the wait for a reservation: some calls to the log.
+const reserveWait = 500 * time.Millisecond
+
+// reserve sets aside the most that the request can cost: its input, and the
+// longest answer that it may get.
+func (c *call) reserve(ctx context.Context) error {
+	if c.account == nil || !c.account.Metered || c.req.Work == nil {
+		return nil
+	}
+	amount := record.Tokens(c.req.Work.Input + c.req.Work.MaxOutput)
+	res, err := c.r.opt.Reserver.Reserve(ctx, record.BudgetID(c.account.Name), 0, amount, reserveWait)
+	if err != nil {
+		return err
+	}
+	c.reservation = res
+	return nil
+}
+
+// settle bills the input once, and the events that the caller got. Where the
+// answer may have been longer than is known, it bills the most.
+func (c *call) settle() {
+	if c.reservation == nil {
+		return
+	}
+	switch {
+	case c.runs == 0:
+		c.reservation.Release()
+	case c.doubtful:
+		c.reservation.Settle(c.reservation.Amount())
+	default:
+		output := min(c.req.Work.MaxOutput, c.events*c.eventTokens())
+		c.reservation.Settle(record.Tokens(c.req.Work.Input + output))
+	}
+}
+
+func (c *call) eventTokens() int64 {
+	if svc := c.table.Service(c.service); svc != nil && svc.Engine != nil {
+		return svc.Engine.EventTokens
+	}
+	return 1
+}
+
+func (c *call) refuseBudget(ctx context.Context, err error) {
+	var refused *bank.RefusedError
+	switch {
+	case !errors.As(err, &refused):
+		c.giveUp(ctx, err.Error())
+	case refused.Unreachable:
+		c.r.refuse(c.w, c.req, refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: startRetry})
+	default:
+		c.r.refuse(c.w, c.req, refusal{status: http.StatusPaymentRequired, reason: err.Error()})
+	}
+}
+
 // patience returns how long the caller is kept waiting; zero means no bound.
 func (c *call) patience() time.Duration {
 	limit := c.route.Timeout
@@ -149,6 +213,7 @@
 	began := time.Now()
 	resp, err := lease.Conns.Send(ctx, out)
 	f := c.receive(resp, err, lease)
+	c.doubtful = c.doubtful || f == fateLost
 	c.r.log.Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID,
 		"wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "took", time.Since(began), "fate", int(f), "error", errText(err))
 	return f
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -20,6 +20,7 @@
 
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
+	"github.com/hazelworks/hazelworks/fleet/bank"
 )
 
 // Options configure a [Relay].
@@ -28,6 +29,7 @@
 	Dialect  Dialect
 	Table    func() *routes.Table
 	Balancer *balancer.Balancer
+	Reserver bank.Reserver
 	Logger   logr.Logger
 	Metrics  metrics.Registry
 }
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -21,6 +21,7 @@
 
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/escrow"
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/roster"
 	"github.com/hazelworks/hazelworks/core/routes"
@@ -28,8 +29,10 @@
 	"github.com/hazelworks/hazelworks/fleet/callerserver"
 	"github.com/hazelworks/hazelworks/fleet/follow"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
+	"github.com/hazelworks/hazelworks/fleet/lending"
 	"github.com/hazelworks/hazelworks/fleet/relay"
 	"github.com/hazelworks/hazelworks/fleet/sockets"
+	"github.com/hazelworks/hazelworks/fleet/wallet"
 )
 
 // hostStream holds the hosts' descriptions of themselves, by host.
@@ -85,6 +88,7 @@
 	hosts    *hostWatch
 	gossip   *gossip.Gossip
 	balancer *balancer.Balancer
+	wallet   *wallet.Wallet
 	relay    *relay.Relay
 	callers  *callerserver.Server
 	leaving  atomic.Bool
@@ -144,14 +148,34 @@
 		Self: h.self, Peers: h.hosts.peers, Leaving: h.leaving.Load, Receive: h.receive,
 		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
+	h.wallet = wallet.New(wallet.Options{
+		Host:    h.cfg.Host,
+		Log:     h.opt.Log,
+		Hosts:   func() int { return 1 + len(h.hosts.others()) },
+		Lender:  lending.NewClient(peerClient(), h.hosts.others, h.opt.Logger),
+		Policy:  escrow.DefaultPolicy(),
+		Logger:  h.opt.Logger,
+		Metrics: h.opt.Metrics,
+	})
 	h.relay = relay.New(relay.Options{
-		Front: p.Front, Dialect: p.Dialect, Table: h.table.current.Load, Balancer: h.balancer,
+		Front: p.Front, Dialect: p.Dialect, Table: h.table.current.Load, Balancer: h.balancer, Reserver: h.wallet,
 		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
 		func(err error) { h.log.Error(err, "Serving callers failed.") })
 }
 
+// peerSockets bound the silence of other hosts: they are a millisecond away.
+var peerSockets = sockets.Options{
+	ConnectTimeout: 50 * time.Millisecond,
+	UserTimeout:    time.Second,
+	KeepAlive:      2 * time.Second,
+}
+
+func peerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: peerSockets.Dialer().DialContext, DisableCompression: true}}
+}
+
 // Limits of callers' connections until the configuration says others.
 const (
 	startHeaderTimeout = 3 * time.Second
@@ -160,6 +184,7 @@
 
 func (h *Host) setTable(t *routes.Table) {
 	h.balancer.SetTable(t)
+	h.wallet.SetTable(t)
 	h.callers.SetLimits(callerserver.Limits{
 		HeaderBytes: t.Limits.HeaderBytes, HeaderTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout,
 	})
@@ -207,6 +232,8 @@
 	add(h.follower(h.opt.Protocol.OperatorStream, tablePause, h.table.take, h.table.take).Run)
 	add(h.follower(h.opt.Protocol.UpstreamStream, listPause, h.ups.snapshot, h.ups.records).Run)
 	add(h.follower(hostStream, listPause, h.hosts.take, h.hosts.take).Run)
+	add(h.wallet.Run)
+	add(h.serve(h.cfg.Listen.Peer, lending.Handler(h.wallet)))
 	add(h.runGossip)
 	add(h.announce)
 	add(h.serveCallers)
@@ -330,6 +357,9 @@
 	if err := h.callers.Shutdown(ctx); err != nil {
 		h.log.Info("Answers were cut.", "error", err.Error())
 	}
+	if err := h.wallet.Close(ctx); err != nil {
+		h.log.Info("Budgets were not given back.", "error", err.Error())
+	}
 	h.log.Info("Left.", "took", time.Since(began))
 	return errStopped
 }
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -145,3 +145,11 @@
 	defer h.mu.Unlock()
 	return h.table.Peers()
 }
+
+// others returns the other hosts that were heard lately.
+func (h *hostWatch) others() []roster.Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	self := h.table.Self().ID
+	return slices.DeleteFunc(h.table.Alive(time.Now()), func(o roster.Host) bool { return o.ID == self })
+}
