Cover outages only out of what is left over; log settlements

Change: a host claims cover for 10 s only while more than a quarter of a budget is left, rebuilds cover slowly after an outage, and holds 2 in 100 beyond that. Ruled out: releasing by time (a death in an outage looks the same in the log as one without); the upstreams' heartbeats as a clock (they stop with the store).

--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -31,7 +31,8 @@
 		Short: "Run a host on the users' platform, with the settings file that " + boot.EnvPath + " names",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := boot.Load(os.Getenv(boot.EnvPath))
+			path := os.Getenv(boot.EnvPath)
+			cfg, err := boot.Load(path)
 			if err != nil {
 				return cli.Exit(cli.ExitUsage, err)
 			}
@@ -39,7 +40,7 @@
 			if err != nil {
 				return cli.Exit(cli.ExitUsage, err)
 			}
-			return runOnPlatform(cmd.Context(), cfg, logger)
+			return runOnPlatform(cmd.Context(), path, cfg, logger)
 		},
 	}
 }
@@ -56,7 +57,7 @@
 // hundred while it is slow.
 const storeTimeout = time.Second
 
-func runOnPlatform(ctx context.Context, cfg *relayhost.Config, logger logr.Logger) error {
+func runOnPlatform(ctx context.Context, path string, cfg *relayhost.Config, logger logr.Logger) error {
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         storeSockets.Dialer().DialContext,
 		DisableCompression:  true,
@@ -87,6 +88,7 @@
 	var group run.Group
 	group.Add(func() error { return host.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return stopHostOnSignal(ctx, host) }, func(error) { cancel() })
+	group.Add(func() error { return followSettings(ctx, path, host, logger.WithName("settings")) }, func(error) { cancel() })
 	return group.Run()
 }
 
@@ -103,3 +105,35 @@
 	}
 	return nil
 }
+
+// settingsInterval is the time between looks at the settings file, which may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// followSettings takes in changes of the settings file, on SIGHUP and by looking.
+// A file with faults changes nothing.
+func followSettings(ctx context.Context, path string, host *relayhost.Host, logger logr.Logger) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	tick := time.NewTicker(settingsInterval)
+	defer tick.Stop()
+	for {
+		reason := "changed"
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangups:
+			reason = "signal"
+		case <-tick.C:
+		}
+		cfg, err := boot.Load(path)
+		if err != nil {
+			logger.Error(err, "Settings could not be read; the old ones stay in force.", "reason", reason)
+			continue
+		}
+		if host.SetConfig(cfg) {
+			logger.Info("Settings in force.", "reason", reason)
+		}
+	}
+}
--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -6,7 +6,10 @@
 	"github.com/hazelworks/hazelworks/core/record"
 )
 
-// Policy sizes what a host holds of a budget.
+// Policy sizes what a host holds of a budget. What all hosts hold is lost if they
+// lose power at once, since nobody can tell then what of it was spent. Early in a
+// budget that costs nothing: there is enough left. Late in it, each part that is
+// lost is refused to callers.
 type Policy struct {
 	// Cover is the time for which a host can spend without the log. It comes
 	// from the longest time that hosts are expected to be cut off from it.
@@ -14,14 +17,21 @@
 	// FirstShare is the part of a budget that all hosts together claim before
 	// they know what they spend.
 	FirstShare float64
-	// PoolShare is the part of what is left in a budget that all hosts together
-	// may claim at once, so that the last of it is not held by the first.
-	PoolShare float64
+	// KeepBack is the part of a budget that is not claimed to cover outages.
+	KeepBack float64
+	// Growth is how much of the cover a host may claim in a second, in seconds of
+	// spending. The cover that an outage has used up is claimed again slowly: it
+	// is needed next in some time, and is at risk from the first moment on.
+	Growth float64
+	// BaseShare is the part of a budget that all hosts together hold also when
+	// no more than KeepBack is left. Callers are owed no service from the last
+	// 3 in 100 of a budget, so that much may be lost.
+	BaseShare float64
 }
 
 // DefaultPolicy returns the policy for outages of the log of some seconds.
 func DefaultPolicy() Policy {
-	return Policy{Cover: 10 * time.Second, FirstShare: 0.15, PoolShare: 0.5}
+	return Policy{Cover: 10 * time.Second, FirstShare: 0.15, KeepBack: 0.25, BaseShare: 0.02, Growth: 0.5}
 }
 
 // rateWindow is the time over which the rate of spending is averaged.
@@ -34,7 +44,9 @@
 	// Reserved is set aside for requests that run.
 	Reserved record.Tokens
 
-	rate    float64 // tokens a second
+	rate float64 // tokens a second
+	// cover is the time for which the purse is to suffice now.
+	cover time.Duration
 	known   bool    // rate has been measured
 	since   time.Time
 	pending record.Tokens
@@ -74,30 +86,54 @@
 	p.since = now
 }
 
-// Target returns how much the host should hold, given the prepaid amount and the
-// number of hosts that share it.
+// Grow raises the cover over a time in which the log could be reached.
+func (p *Purse) Grow(policy Policy, elapsed time.Duration) {
+	p.cover = min(policy.Cover, p.cover+time.Duration(policy.Growth*float64(elapsed)))
+}
+
+// Rebuild begins to claim cover anew, from what an outage has left of it.
+func (p *Purse) Rebuild() {
+	if p.rate > 0 {
+		p.cover = min(p.cover, time.Duration(max(0, float64(p.Free)/p.rate)*float64(time.Second)))
+	}
+}
+
+// Target returns how much the host should hold to cover an outage, given the
+// prepaid amount and the number of hosts that share it.
 func (p *Purse) Target(policy Policy, prepaid record.Tokens, hosts int) record.Tokens {
 	if !p.known {
 		p.known = true
 		p.rate = policy.FirstShare * float64(prepaid) / float64(hosts) / policy.Cover.Seconds()
+		p.cover = policy.Cover
 	}
-	return record.Tokens(p.rate * policy.Cover.Seconds())
+	return record.Tokens(p.rate * p.cover.Seconds())
 }
 
 // refillBelow is the part of the target below which a purse is refilled, so that
 // one claim serves some seconds.
 const refillBelow = 0.75
 
-// Want returns how much to claim: what is missing to the target, at most a fair
-// share of what is left, and in any case what a waiting request needs.
+// Want returns how much to claim: what is missing to the target, as far as enough
+// is kept back, and in any case what waiting requests need. Left is what nobody
+// has claimed.
 func (p *Purse) Want(policy Policy, prepaid, left, need record.Tokens, hosts int) record.Tokens {
-	target := p.Target(policy, prepaid, hosts)
-	missing := target - p.Free
-	if float64(p.Free) > refillBelow*float64(target) {
-		missing = 0
-	}
-	share := record.Tokens(float64(left) * policy.PoolShare / float64(hosts))
-	want := max(0, min(missing, share))
-	want = max(want, need-p.Free)
+	spare := float64(left) - policy.KeepBack*float64(prepaid)
+	target := min(p.Target(policy, prepaid, hosts), p.Free+share(spare, hosts))
+	cover := p.missing(target)
+	base := p.missing(share(policy.BaseShare*float64(prepaid), hosts))
+	want := max(cover, base, need-p.Free)
 	return max(0, min(want, left))
 }
+
+// missing returns what a purse lacks to an amount, or zero if it is not far below.
+func (p *Purse) missing(amount record.Tokens) record.Tokens {
+	if float64(p.Free) > refillBelow*float64(amount) {
+		return 0
+	}
+	return amount - p.Free
+}
+
+// share returns a host's part of an amount.
+func share(amount float64, hosts int) record.Tokens {
+	return record.Tokens(max(0, amount) / float64(hosts))
+}
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -122,15 +122,21 @@
 	if c.reservation == nil {
 		return
 	}
+	cost := c.cost()
+	c.reservation.Settle(cost)
+	c.r.log.Info("Request settled.", "request", c.req.ID, "budget", c.account.Name, "reserved", c.reservation.Amount(),
+		"cost", cost, "runs", c.runs, "events", c.events, "doubtful", c.doubtful)
+}
+
+func (c *call) cost() record.Tokens {
 	switch {
 	case c.runs == 0:
-		c.reservation.Release()
+		return 0
 	case c.doubtful:
-		c.reservation.Settle(c.reservation.Amount())
-	default:
-		output := min(c.req.Work.MaxOutput, c.events*c.eventTokens())
-		c.reservation.Settle(record.Tokens(c.req.Work.Input + output))
+		return c.reservation.Amount()
 	}
+	output := min(c.req.Work.MaxOutput, c.events*c.eventTokens())
+	return record.Tokens(c.req.Work.Input + output)
 }
 
 func (c *call) eventTokens() int64 {
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -79,8 +79,10 @@
 
 // Host is one host process.
 type Host struct {
-	opt      Options
+	opt Options
+	// cfg is the configuration at the start; bounds are those in force.
 	cfg      *Config
+	bounds   atomic.Pointer[Bounds]
 	log      logr.Logger
 	self     roster.Host
 	table    *tableWatch
@@ -107,10 +109,22 @@
 		ID: cfg.Host, Run: runID, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
 		Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer, Cores: cfg.Limits.Cores,
 	}
+	h.bounds.Store(&cfg.Bounds)
 	h.build()
 	return h, nil
 }
 
+// SetConfig takes in changed settings and tells whether they differ. Addresses
+// and the machine's limits are those of the start.
+func (h *Host) SetConfig(cfg *Config) bool {
+	old := h.bounds.Load()
+	if *old == cfg.Bounds {
+		return false
+	}
+	h.bounds.Store(&cfg.Bounds)
+	return true
+}
+
 // newRunID returns a number that no other run of a host has.
 func newRunID() (uint64, error) {
 	var b [8]byte
@@ -218,7 +232,7 @@
 	if h.table.current.Load() == nil {
 		return nil, 0
 	}
-	return h.hosts.table.Resolve(domain, time.Now(), mathrand.Shuffle), min(directoryTTL, h.cfg.Bounds.DirectoryTTL)
+	return h.hosts.table.Resolve(domain, time.Now(), mathrand.Shuffle), min(directoryTTL, h.bounds.Load().DirectoryTTL)
 }
 
 // Run serves until ctx ends or Stop is called.
@@ -339,7 +353,7 @@
 	}
 	began := time.Now()
 	h.log.Info("Leaving.")
-	ctx, cancel := context.WithTimeout(ctx, h.cfg.Bounds.Grace-graceMargin)
+	ctx, cancel := context.WithTimeout(ctx, h.bounds.Load().Grace-graceMargin)
 	defer cancel()
 	h.hosts.mu.Lock()
 	h.hosts.table.SetLeaving()
--- a/fleet/wallet/claims.go
+++ b/fleet/wallet/claims.go
@@ -291,6 +291,9 @@
 	defer w.mu.Unlock()
 	if w.lost {
 		w.log.Info("Log regained.")
+		for _, p := range w.purses {
+			p.Rebuild()
+		}
 	}
 	w.lost = false
 	for id, p := range w.purses {
--- a/fleet/wallet/wallet.go
+++ b/fleet/wallet/wallet.go
@@ -185,6 +185,9 @@
 	defer w.mu.Unlock()
 	for id, p := range w.purses {
 		p.Measure(now)
+		if !w.lost {
+			p.Grow(w.opt.Policy, measureInterval)
+		}
 		p.cut = p.cut && w.book.Claimed(id) > p.prepaid
 	}
 }
