Bill what was delivered, not what may have been made

Cause: an answer that was lost was billed at the most that it could cost. Small requests were refused while up to a twentieth of a budget was left.

--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -36,8 +36,8 @@
 	// runs counts the sends after which the request may have run.
 	runs        int
 	reservation bank.Reservation
-	// doubtful is true if an upstream may have done more than is known of.
-	doubtful bool
+	// answered is true once the caller has a whole success.
+	answered bool
 	// begun is true once the caller has a part of the answer.
 	begun     bool
 	lastEvent string
@@ -116,8 +116,7 @@
 	return nil
 }
 
-// settle bills the input once, and the events that the caller got. Where the
-// answer may have been longer than is known, it bills the most.
+// settle bills what was delivered.
 func (c *call) settle() {
 	if c.reservation == nil {
 		return
@@ -125,15 +124,17 @@
 	cost := c.cost()
 	c.reservation.Settle(cost)
 	c.r.log.Info("Request settled.", "request", c.req.ID, "budget", c.account.Name, "reserved", c.reservation.Amount(),
-		"cost", cost, "runs", c.runs, "events", c.events, "doubtful", c.doubtful)
+		"cost", cost, "runs", c.runs, "events", c.events)
 }
 
+// cost is the input, once, and the output that was delivered. An answer of which
+// nothing was delivered costs nothing, whatever its upstreams did for it.
 func (c *call) cost() record.Tokens {
 	switch {
-	case c.runs == 0:
+	case c.answered && c.events == 0:
+		return c.reservation.Amount() // not a stream, its length is not known
+	case c.events == 0:
 		return 0
-	case c.doubtful:
-		return c.reservation.Amount()
 	}
 	output := min(c.req.Work.MaxOutput, c.events*c.eventTokens())
 	return record.Tokens(c.req.Work.Input + output)
@@ -219,7 +220,6 @@
 	began := time.Now()
 	resp, err := lease.Conns.Send(ctx, out)
 	f := c.receive(resp, err, lease)
-	c.doubtful = c.doubtful || f == fateLost
 	c.r.log.Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID,
 		"wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "took", time.Since(began), "fate", int(f), "error", errText(err))
 	return f
@@ -277,7 +277,9 @@
 	copyHeader(c.w.Header(), resp.Header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(resp.StatusCode)
+	// A caller that is gone notices nothing of a failed write.
 	_, _ = c.w.Write(body)
+	c.answered = resp.StatusCode < http.StatusMultipleChoices
 	return fateDone
 }
 
