Bound retries for the fleet, fetch cached prompts, avoid faulty upstreams

Cause: second sends were not bounded by the fleet's shared allowance; prompts that another worker keeps were read again (0.22 for a thousand tokens, a tenth of it for a transfer); a worker that fails or stalls went on being chosen. Change: core/admission gives each host a part of share and slack that holds in any window; core/balance names a worker to fetch from and adds the cost of recent faults; outcomes travel by gossip; requests that may repeat go elsewhere when they stall.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -163,13 +163,66 @@
 	for range 1000 {
 		b.Attempt()
 		for range 3 {
-			if b.Retry() {
+			if b.Retry(time.Time{}) {
 				allowed++
 			}
 		}
 	}
 	require.InDelta(t, 100, allowed, 2)
-	require.False(t, NewRetryBudget(0).Retry())
+	require.False(t, NewRetryBudget(0).Retry(time.Time{}))
+}
+
+// TestFleetKeepsItsRetriesInAnyWindow lets all hosts retry whenever they may, and
+// some of them start anew, and counts the retries in each window.
+func TestFleetKeepsItsRetriesInAnyWindow(t *testing.T) {
+	const hosts, share, slack, window = 8, 0.2, 54.0, 10 * time.Second
+	const step, perHost = 20 * time.Millisecond, 0.25 // first attempts of a host in a step
+	limits := FleetRetryLimits(share, slack, window, hosts)
+	budgets := make([]*RetryBudget, hosts)
+	for i := range budgets {
+		budgets[i] = NewFleetRetryBudget(limits)
+	}
+	var attempts, retries []float64 // in each step
+	credit, now := 0.0, time.Unix(0, 0)
+	for n := range int(6 * window / step) {
+		now = now.Add(step)
+		attempts, retries = append(attempts, 0), append(retries, 0)
+		if n%700 == 0 {
+			for i := range budgets {
+				budgets[i] = NewFleetRetryBudget(limits)
+			}
+		}
+		credit += perHost
+		busy := n/1000%2 == 0 // the load comes and goes
+		for _, b := range budgets {
+			for range int(credit) {
+				if busy {
+					b.Attempt()
+					attempts[n]++
+				}
+			}
+			for b.Retry(now) {
+				retries[n]++
+			}
+		}
+		credit -= float64(int(credit))
+	}
+	span := int(window / step)
+	most := 0.0
+	for end := span; end <= len(retries); end++ {
+		used := sum(retries[end-span : end])
+		most = max(most, used)
+		require.LessOrEqual(t, used, share*sum(attempts[end-span:end])+slack, "window that ends at step %d", end)
+	}
+	require.Greater(t, most, share*perHost*hosts*float64(span), "the budget is of use")
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
 }
 
 func TestLimiterFollowsTheDelay(t *testing.T) {
--- a/core/admission/retry.go
+++ b/core/admission/retry.go
@@ -1,38 +1,85 @@
 package admission
 
+import "time"
+
 // retryBurst bounds the retries that may be saved up while there are none.
 const retryBurst = 20
 
-// RetryBudget bounds retries to a share of the first attempts. Each first
-// attempt earns a part of a retry; unused parts are kept up to a small burst.
+// RetryLimits bound retries. In any time t there are at most
+// Share x first attempts + Burst + PerSecond x t of them.
+type RetryLimits struct {
+	// Share is the part of a retry that each first attempt earns.
+	Share float64
+	// Burst bounds what is saved up.
+	Burst float64
+	// PerSecond is what is earned by time.
+	PerSecond float64
+}
+
+// The parts of a fleet's slack that a host may use at once and over a window.
+// They add up to less than one, which leaves room for a host that is counted
+// late.
+const (
+	slackAtOnce   = 0.4
+	slackOverTime = 0.5
+)
+
+// FleetRetryLimits returns a host's part of limits that a fleet of hosts keeps
+// together: in any window, the share of the first attempts, plus a slack.
+func FleetRetryLimits(share, slack float64, window time.Duration, hosts int) RetryLimits {
+	part := slack / float64(max(1, hosts))
+	return RetryLimits{Share: share, Burst: slackAtOnce * part, PerSecond: slackOverTime * part / window.Seconds()}
+}
+
+// RetryBudget bounds retries to a share of the first attempts, and a slack.
 type RetryBudget struct {
-	share  float64
+	limits RetryLimits
 	earned float64
+	last   time.Time
 }
 
 // NewRetryBudget returns a budget for the given share, which allows a single
 // retry before the first attempts have earned more.
 func NewRetryBudget(share float64) *RetryBudget {
-	b := &RetryBudget{share: share}
+	b := &RetryBudget{limits: RetryLimits{Share: share, Burst: retryBurst}}
 	if share > 0 {
 		b.earned = 1
 	}
 	return b
 }
 
+// NewFleetRetryBudget returns a host's part of a fleet's budget. It begins empty,
+// since an earlier run of the host may have used what there was.
+func NewFleetRetryBudget(limits RetryLimits) *RetryBudget {
+	return &RetryBudget{limits: limits}
+}
+
 // SetShare changes the share for later attempts.
 func (b *RetryBudget) SetShare(share float64) {
-	b.share = share
+	b.limits.Share = share
+}
+
+// SetLimits changes the limits for what is earned from now on.
+func (b *RetryBudget) SetLimits(limits RetryLimits) {
+	b.limits = limits
 }
 
 // Attempt counts a first attempt.
 func (b *RetryBudget) Attempt() {
-	b.earned = min(b.earned+b.share, retryBurst)
+	b.earn(b.limits.Share)
+}
+
+func (b *RetryBudget) earn(part float64) {
+	b.earned = min(b.earned+part, max(b.limits.Burst, 1))
 }
 
 // Retry takes a retry out of the budget and tells whether there was one.
-func (b *RetryBudget) Retry() bool {
-	if b.share <= 0 || b.earned < 1 {
+func (b *RetryBudget) Retry(now time.Time) bool {
+	if !b.last.IsZero() && now.After(b.last) {
+		b.earn(b.limits.PerSecond * now.Sub(b.last).Seconds())
+	}
+	b.last = now
+	if b.limits.Share <= 0 || b.earned < 1 {
 		return false
 	}
 	b.earned--
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -1,16 +1,18 @@
 // Package balance chooses the upstream for a request. It estimates, from what
 // this host and the others have sent, how long each upstream would take to begin
 // the answer: the prompts that it has still to read, and the part of this prompt
-// that it does not keep in its cache.
+// that neither it nor another one that it could fetch from keeps in its cache.
 package balance
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/routes"
 )
 
 // Work is what a request asks of an engine.
@@ -42,30 +44,50 @@
 	Read time.Duration
 	// Cached is the number of prompt tokens that it probably keeps.
 	Cached int64
+	// FetchFrom is the address of another upstream that keeps more of the
+	// prompt, by Fetched tokens; it is not valid if there is none.
+	FetchFrom netip.AddrPort
+	Fetched   int64
+	// Running is the number of requests at the upstream.
+	Running int
+	// Trouble is the cost of its recent faults.
+	Trouble time.Duration
 }
 
-// Engine speeds that are assumed until answers show others. They are those of a
-// 70-billion-parameter model on one current accelerator.
+// Engine speeds that are assumed. They are those of a 70-billion-parameter model
+// on one current accelerator.
 const (
 	readTokensPerMilli = 40.0
 	// pairMillis is the time for a million pairs of a read token and one before it.
 	pairMillis = 0.6
+	// fetchSetup is the time to begin a transfer between caches.
+	fetchSetup = 2 * time.Millisecond
+	// minFetch is the least number of tokens for which a transfer is worth it.
+	minFetch = 256
 )
 
-// sameDomainBonus is taken off the cost of an upstream in the host's own failure
-// domain, as traffic between domains has its price. It is far below any
-// difference in load that callers would notice.
-const sameDomainBonus = 2 * time.Millisecond
-
-// readWeight weighs the time to read a prompt against the time to wait: reading
-// what another upstream keeps takes time from later requests, too.
-const readWeight = 1.5
+// Weights of the parts of the cost.
+const (
+	// sameDomainBonus is taken off the cost of an upstream in the host's own
+	// failure domain, as traffic between domains has its price. It is far below
+	// any difference in load that callers would notice.
+	sameDomainBonus = 2 * time.Millisecond
+	// readWeight weighs the time to read a prompt against the time to wait:
+	// reading what another upstream keeps takes time from later requests, too.
+	readWeight = 1.5
+	// fetchPer1000 is the cost of a thousand fetched tokens. A transfer has its
+	// price, a tenth of reading them again.
+	fetchPer1000 = 8 * time.Millisecond
+	// slotCost is the cost of having all slots of an upstream taken, which slows
+	// down each event of a stream.
+	slotCost = 20 * time.Millisecond
+)
 
 // Pool is the state of the upstreams of one service.
 type Pool struct {
 	domain  string
 	rng     *rand.Rand
-	cache   int64
+	engine  routes.Engine
 	workers map[string]*worker
 }
 
@@ -80,6 +102,7 @@
 	// keeps to the estimates.
 	busyUntil time.Time
 	tokens    int64
+	health    health
 }
 
 type running struct {
@@ -91,13 +114,14 @@
 // Ticket names a request that was sent, fleet-wide.
 type Ticket struct {
 	Host string
+	Run  uint64
 	Seq  uint64
 }
 
-// NewPool returns an empty pool for a host in a failure domain. Cache is the
-// memory of an engine in tokens, zero for plain services.
-func NewPool(domain string, cache int64, rng *rand.Rand) *Pool {
-	return &Pool{domain: domain, rng: rng, cache: cache, workers: make(map[string]*worker)}
+// NewPool returns an empty pool for a host in a failure domain. Engine is zero
+// for plain services.
+func NewPool(domain string, engine routes.Engine, rng *rand.Rand) *Pool {
+	return &Pool{domain: domain, rng: rng, engine: engine, workers: make(map[string]*worker)}
 }
 
 // Sync replaces the set of upstreams. A new start of one begins with nothing.
@@ -107,7 +131,7 @@
 		seen[up.ID] = true
 		w, ok := p.workers[up.ID]
 		if !ok || !w.up.SameStart(up) {
-			w = &worker{cache: newPrefixCache(p.cache), running: make(map[Ticket]*running)}
+			w = &worker{cache: newPrefixCache(p.engine.CacheTokens), running: make(map[Ticket]*running)}
 			p.workers[up.ID] = w
 		}
 		w.up = up
@@ -126,15 +150,20 @@
 		return Choice{}, false
 	}
 	var keys []uint64
+	var source *worker
+	most := int64(0)
 	if q.Work != nil {
 		keys = chainKeys(q.Work.Parts)
+		source, most = p.richest(keys, q.Work)
 	}
+	usual := p.usualFailures(candidates, now)
 	var best Choice
 	bestCost := time.Duration(0)
 	for _, i := range p.rng.Perm(len(candidates)) {
 		w := candidates[i]
-		c := w.estimate(q.Work, keys, now)
-		cost := w.cost(c, p.domain)
+		c := p.estimate(w, q.Work, keys, source, most, now)
+		c.Trouble = w.health.cost(usual, now)
+		cost := p.cost(w, c)
 		if best.Candidates == 0 || cost < bestCost {
 			best, bestCost = c, cost
 			best.Candidates = len(candidates)
@@ -143,6 +172,26 @@
 	return best, true
 }
 
+// richest returns the upstream that keeps most of a prompt, and how much.
+func (p *Pool) richest(keys []uint64, work *Work) (*worker, int64) {
+	var source *worker
+	most := int64(0)
+	for _, w := range p.workers {
+		if n := w.cached(keys, work); n > most {
+			source, most = w, n
+		}
+	}
+	return source, most
+}
+
+func (p *Pool) usualFailures(workers []*worker, now time.Time) float64 {
+	sum := 0.0
+	for _, w := range workers {
+		sum += w.health.failures(now)
+	}
+	return sum / float64(len(workers))
+}
+
 func (p *Pool) candidates(exclude []string) []*worker {
 	var fresh, tried []*worker
 	for _, w := range p.sorted() {
@@ -169,15 +218,39 @@
 	return all
 }
 
-func (w *worker) estimate(work *Work, keys []uint64, now time.Time) Choice {
-	c := Choice{Upstream: w.up, Wait: w.wait(now)}
-	if work != nil {
-		c.Cached = min(w.cache.cached(keys, work.Parts), work.Input-1)
-		c.Read = readTime(work.Input, c.Cached)
+// cached returns the prompt tokens that the upstream keeps. At least one is read.
+func (w *worker) cached(keys []uint64, work *Work) int64 {
+	return max(0, min(w.cache.cached(keys, work.Parts), work.Input-1))
+}
+
+func (p *Pool) estimate(w *worker, work *Work, keys []uint64, source *worker, most int64, now time.Time) Choice {
+	c := Choice{Upstream: w.up, Wait: w.wait(now), Running: len(w.running)}
+	if work == nil {
+		return c
+	}
+	c.Cached = w.cached(keys, work)
+	c.Read = readTime(work.Input, c.Cached)
+	more := most - c.Cached
+	if source == nil || source == w || more < minFetch {
+		return c
+	}
+	fetching := p.fetchTime(more) + readTime(work.Input, most)
+	if fetching < c.Read {
+		c.Read = fetching
+		c.FetchFrom, c.Fetched = source.up.Addr, more
 	}
 	return c
 }
 
+// fetchTime is the time to fetch tokens from another upstream's cache.
+func (p *Pool) fetchTime(tokens int64) time.Duration {
+	if p.engine.LinkBits <= 0 || p.engine.TokenBytes <= 0 {
+		return time.Hour // not possible
+	}
+	seconds := float64(tokens) * p.engine.TokenBytes * 8 / p.engine.LinkBits
+	return fetchSetup + time.Duration(seconds*float64(time.Second))
+}
+
 // readTime is the time to read a prompt of which some tokens are kept.
 func readTime(input, cached int64) time.Duration {
 	unread := float64(input - cached)
@@ -190,34 +263,30 @@
 	return max(0, min(w.unread, w.busyUntil.Sub(now)))
 }
 
-// plainSlotCost is the cost of one running request of a plain service, relative
-// to sameDomainBonus: the bonus decides only between equal loads.
-const plainSlotCost = 10 * time.Millisecond
-
-func (w *worker) cost(c Choice, domain string) time.Duration {
-	cost := c.Wait + time.Duration(float64(c.Read)*readWeight)
+func (p *Pool) cost(w *worker, c Choice) time.Duration {
+	cost := c.Wait + time.Duration(float64(c.Read)*readWeight) + c.Trouble
+	cost += time.Duration(c.Fetched) * fetchPer1000 / 1000
 	if w.up.Slots > 0 {
-		cost += time.Duration(len(w.running)) * plainSlotCost / time.Duration(w.up.Slots)
+		cost += time.Duration(len(w.running)) * slotCost / time.Duration(w.up.Slots)
 	}
-	if w.up.FailureDomain == domain {
+	if w.up.FailureDomain == p.domain {
 		cost -= sameDomainBonus
 	}
 	return cost
 }
 
-// Begin counts a request that is sent to an upstream.
-func (p *Pool) Begin(t Ticket, id string, work *Work, now time.Time) {
+// Begin counts a request that is sent to an upstream, and that takes a time to
+// read there.
+func (p *Pool) Begin(t Ticket, id string, work *Work, read time.Duration, now time.Time) {
 	w, ok := p.workers[id]
 	if !ok {
 		return
 	}
 	r := &running{}
 	if work != nil {
-		keys := chainKeys(work.Parts)
-		cached := min(w.cache.cached(keys, work.Parts), work.Input-1)
-		r.read = readTime(work.Input, cached)
+		r.read = read
 		r.tokens = work.Input + work.MaxOutput
-		w.cache.add(keys, work.Parts)
+		w.cache.add(chainKeys(work.Parts), work.Parts)
 		if w.busyUntil.Before(now) {
 			w.busyUntil = now
 		}
@@ -247,8 +316,8 @@
 	w.unread -= r.read
 }
 
-// End notes that a request has ended at its upstream.
-func (p *Pool) End(t Ticket, id string) {
+// End notes that a request has ended at its upstream, and what that says of it.
+func (p *Pool) End(t Ticket, id string, o Outcome, now time.Time) {
 	w, ok := p.workers[id]
 	if !ok {
 		return
@@ -257,6 +326,30 @@
 	if !ok {
 		return
 	}
+	w.health.note(o, now)
+	w.remove(t, r)
+}
+
+// Stall notes that a request gets no answer for much longer than expected.
+func (p *Pool) Stall(id string, now time.Time) {
+	if w, ok := p.workers[id]; ok {
+		w.health.note(Failed, now)
+	}
+}
+
+// Forget drops the requests of a run of a host that are older than one of them,
+// and those of the host's earlier runs: they have ended.
+func (p *Pool) Forget(host string, run, oldest uint64) {
+	for _, w := range p.workers {
+		for t, r := range w.running {
+			if t.Host == host && (t.Run != run || t.Seq < oldest) {
+				w.remove(t, r)
+			}
+		}
+	}
+}
+
+func (w *worker) remove(t Ticket, r *running) {
 	w.begun(r)
 	w.tokens -= r.tokens
 	delete(w.running, t)
--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -46,8 +46,8 @@
 
 	rate float64 // tokens a second
 	// cover is the time for which the purse is to suffice now.
-	cover time.Duration
-	known   bool    // rate has been measured
+	cover   time.Duration
+	known   bool // rate has been measured
 	since   time.Time
 	pending record.Tokens
 }
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -92,6 +92,10 @@
 	CacheTokens int64
 	// EventTokens is the most tokens that one event of a stream holds.
 	EventTokens int64
+	// TokenBytes is the size of a token in the cache, and LinkBits the bandwidth,
+	// in bits a second, at which engines fetch from each other's caches.
+	TokenBytes float64
+	LinkBits   float64
 }
 
 // Account is a client account.
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/routes"
@@ -30,15 +31,23 @@
 	maxIdle = 30 * time.Second
 )
 
-// ErrNone reports that a service has no upstream that could be used.
-var ErrNone = errors.New("balancer: no upstream")
+// Errors of [Balancer.Pick].
+var (
+	// ErrNone reports that a service has no upstream that could be used.
+	ErrNone = errors.New("balancer: no upstream")
+	// ErrRetryBudget reports that too many requests are sent again.
+	ErrRetryBudget = errors.New("balancer: the retry budget is used up")
+)
 
 // Options configure a [Balancer].
 type Options struct {
 	Host          string
+	Run           uint64
 	FailureDomain string
-	Dial          func(ctx context.Context, network, address string) (net.Conn, error)
-	Dialect       exchange.Dialect
+	// Retries returns this host's part of the limits on repeated sends.
+	Retries func() admission.RetryLimits
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Dialect exchange.Dialect
 	// Tell passes events of requests on to the other hosts.
 	Tell    func(gossip.Event)
 	Logger  logr.Logger
@@ -54,9 +63,17 @@
 	mu        sync.Mutex
 	table     *routes.Table
 	upstreams []catalog.Upstream
-	services  map[string]*balance.Pool
+	services  map[string]*service
 	conns     map[string]*upstreamConns
 	seq       uint64
+	// live holds the requests of this host that have not ended.
+	live map[uint64]struct{}
+}
+
+// service is the state of one service.
+type service struct {
+	pool    *balance.Pool
+	retries *admission.RetryBudget
 }
 
 type upstreamConns struct {
@@ -70,8 +87,9 @@
 		opt:      opt,
 		log:      opt.Logger.WithName("balancer"),
 		opened:   metrics.GetOrRegisterCounter("upstream_connections_opened", opt.Metrics),
-		services: make(map[string]*balance.Pool),
+		services: make(map[string]*service),
 		conns:    make(map[string]*upstreamConns),
+		live:     make(map[uint64]struct{}),
 	}
 }
 
@@ -102,17 +120,25 @@
 	}
 	for i := range b.table.Services {
 		svc := &b.table.Services[i]
-		pool, ok := b.services[svc.Name]
+		s, ok := b.services[svc.Name]
 		if !ok {
-			cache := int64(0)
-			if svc.Engine != nil {
-				cache = svc.Engine.CacheTokens
-			}
-			rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-			pool = balance.NewPool(b.opt.FailureDomain, cache, rng)
-			b.services[svc.Name] = pool
+			s = b.newService(svc)
+			b.services[svc.Name] = s
 		}
-		pool.Sync(byService[svc.Name])
+		s.retries.SetLimits(b.opt.Retries())
+		s.pool.Sync(byService[svc.Name])
+	}
+}
+
+func (b *Balancer) newService(svc *routes.Service) *service {
+	engine := routes.Engine{}
+	if svc.Engine != nil {
+		engine = *svc.Engine
+	}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &service{
+		pool:    balance.NewPool(b.opt.FailureDomain, engine, rng),
+		retries: admission.NewFleetRetryBudget(b.opt.Retries()),
 	}
 }
 
@@ -150,19 +176,29 @@
 	b       *Balancer
 	service string
 	ticket  balance.Ticket
-	begun   bool
+
+	mu    sync.Mutex
+	begun bool
+	ended bool
+	stall *time.Timer
 }
 
-// Pick leases the best upstream of a service.
-func (b *Balancer) Pick(service string, q *balance.Query) (*Lease, error) {
+// Pick leases the best upstream of a service. A retry needs a part of the retry
+// budget.
+func (b *Balancer) Pick(service string, q *balance.Query, retry bool) (*Lease, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	pool, ok := b.services[service]
+	s, ok := b.services[service]
 	if !ok {
 		return nil, ErrNone
 	}
 	now := time.Now()
-	choice, ok := pool.Choose(q, now)
+	if !retry {
+		s.retries.Attempt()
+	} else if !s.retries.Retry(now) {
+		return nil, ErrRetryBudget
+	}
+	choice, ok := s.pool.Choose(q, now)
 	if !ok {
 		return nil, ErrNone
 	}
@@ -172,54 +208,104 @@
 	}
 	b.seq++
 	l := &Lease{Choice: choice, Conns: conns.pool, b: b, service: service,
-		ticket: balance.Ticket{Host: b.opt.Host, Seq: b.seq}}
-	pool.Begin(l.ticket, choice.Upstream.ID, q.Work, now)
-	l.tell(gossip.Begun, q.Work)
+		ticket: balance.Ticket{Host: b.opt.Host, Run: b.opt.Run, Seq: b.seq}}
+	b.live[b.seq] = struct{}{}
+	s.pool.Begin(l.ticket, choice.Upstream.ID, q.Work, choice.Read, now)
+	b.opt.Tell(gossip.Event{Kind: gossip.Begun, Seq: b.seq, Service: service, Upstream: choice.Upstream.ID, Work: q.Work, Read: choice.Read})
 	return l, nil
 }
 
-func (l *Lease) tell(kind gossip.EventKind, work *balance.Work) {
-	l.b.opt.Tell(gossip.Event{Kind: kind, Seq: l.ticket.Seq, Service: l.service, Upstream: l.Upstream.ID, Work: work})
+// Oldest returns the number of the oldest request that has not ended.
+func (b *Balancer) Oldest() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	oldest := b.seq + 1
+	for seq := range b.live {
+		oldest = min(oldest, seq)
+	}
+	return oldest
 }
 
-// Hear takes in an event of another host's request.
-func (b *Balancer) Hear(t balance.Ticket, e gossip.Event) {
+// Hear takes in a message of another host.
+func (b *Balancer) Hear(m *gossip.Message) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	pool, ok := b.services[e.Service]
-	if !ok {
-		return
+	now := time.Now()
+	for _, e := range m.Events {
+		if s, ok := b.services[e.Service]; ok {
+			t := balance.Ticket{Host: string(m.Host), Run: m.Run, Seq: e.Seq}
+			s.apply(t, e, now)
+		}
 	}
+	for _, s := range b.services {
+		s.pool.Forget(string(m.Host), m.Run, m.Oldest)
+	}
+}
+
+func (s *service) apply(t balance.Ticket, e gossip.Event, now time.Time) {
 	switch e.Kind {
 	case gossip.Begun:
-		pool.Begin(t, e.Upstream, e.Work, time.Now())
+		s.pool.Begin(t, e.Upstream, e.Work, e.Read, now)
 	case gossip.First:
-		pool.First(t, e.Upstream)
+		s.pool.First(t, e.Upstream)
+	case gossip.Stalled:
+		s.pool.Stall(e.Upstream, now)
 	case gossip.Ended:
-		pool.End(t, e.Upstream)
+		s.pool.End(t, e.Upstream, e.Outcome, now)
 	}
 }
 
+func (l *Lease) event(kind gossip.EventKind, o balance.Outcome) {
+	e := gossip.Event{Kind: kind, Seq: l.ticket.Seq, Service: l.service, Upstream: l.Upstream.ID, Outcome: o}
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	if kind == gossip.Ended {
+		delete(l.b.live, l.ticket.Seq)
+	}
+	if s, ok := l.b.services[l.service]; ok {
+		s.apply(l.ticket, e, time.Now())
+	}
+	l.b.opt.Tell(e)
+}
+
+// Watch calls stalled if the answer has not begun after a time. The upstream then
+// counts as faulty, whatever becomes of the request.
+func (l *Lease) Watch(after time.Duration, stalled func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stall = time.AfterFunc(after, func() {
+		l.mu.Lock()
+		over := l.begun || l.ended
+		l.mu.Unlock()
+		if over {
+			return
+		}
+		l.event(gossip.Stalled, balance.Failed)
+		stalled()
+	})
+}
+
 // First notes that the answer has begun.
 func (l *Lease) First() {
-	if l.begun {
-		return
-	}
+	l.mu.Lock()
+	begun := l.begun
 	l.begun = true
-	l.tell(gossip.First, nil)
-	l.b.mu.Lock()
-	defer l.b.mu.Unlock()
-	if pool, ok := l.b.services[l.service]; ok {
-		pool.First(l.ticket, l.Upstream.ID)
+	if l.stall != nil {
+		l.stall.Stop()
+	}
+	l.mu.Unlock()
+	if !begun {
+		l.event(gossip.First, balance.Neutral)
 	}
 }
 
 // End ends the lease.
-func (l *Lease) End() {
-	l.tell(gossip.Ended, nil)
-	l.b.mu.Lock()
-	defer l.b.mu.Unlock()
-	if pool, ok := l.b.services[l.service]; ok {
-		pool.End(l.ticket, l.Upstream.ID)
+func (l *Lease) End(o balance.Outcome) {
+	l.mu.Lock()
+	l.ended = true
+	if l.stall != nil {
+		l.stall.Stop()
 	}
+	l.mu.Unlock()
+	l.event(gossip.Ended, o)
 }
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -27,6 +27,8 @@
 	Begun EventKind = 1 // The request was sent.
 	First EventKind = 2 // The answer has begun.
 	Ended EventKind = 3 // The request has ended at the upstream.
+	// Stalled means that an answer is long overdue.
+	Stalled EventKind = 4
 )
 
 // Event is one event of a request that this host has sent to an upstream.
@@ -36,8 +38,12 @@
 	Seq      uint64
 	Service  string
 	Upstream string
-	// Work is set on Begun, nil for plain services.
+	// Work is set on Begun, nil for plain services, and Read is the time that the
+	// upstream needs to read the prompt.
 	Work *balance.Work
+	Read time.Duration
+	// Outcome is set on Ended.
+	Outcome balance.Outcome
 }
 
 // Message is one datagram.
@@ -46,7 +52,10 @@
 	Host    record.HostID
 	Run     uint64
 	Leaving bool
-	Events  []Event
+	// Oldest is the lowest number of a request that has not ended. Datagrams
+	// that told of the end of an earlier one may have been lost.
+	Oldest uint64
+	Events []Event
 }
 
 const (
@@ -64,8 +73,10 @@
 	Self roster.Host
 	// Peers returns the hosts that messages go to.
 	Peers func() []roster.Host
-	// Leaving tells whether this host leaves.
+	// Leaving tells whether this host leaves, and Oldest what its oldest request
+	// is that has not ended.
 	Leaving func() bool
+	Oldest  func() uint64
 	// Receive takes in a message of another host.
 	Receive func(*Message)
 	Logger  logr.Logger
@@ -168,7 +179,7 @@
 }
 
 func (g *Gossip) send(conn net.PacketConn, events []Event) {
-	m := Message{Host: g.opt.Self.ID, Run: g.opt.Self.Run, Leaving: g.opt.Leaving(), Events: events}
+	m := Message{Host: g.opt.Self.ID, Run: g.opt.Self.Run, Leaving: g.opt.Leaving(), Oldest: g.opt.Oldest(), Events: events}
 	data, err := cbor.Marshal(&m)
 	if err != nil {
 		g.log.Error(err, "Message could not be encoded.")
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -76,12 +76,12 @@
 		return
 	}
 	defer c.settle()
-	var last fate
+	last := fateNotSent
 	for sends := 0; sends < maxSends; sends++ {
 		if ctx.Err() != nil {
 			break
 		}
-		lease, err := c.r.opt.Balancer.Pick(c.service, &balance.Query{Work: c.req.Work, Exclude: c.tried})
+		lease, err := c.r.opt.Balancer.Pick(c.service, &balance.Query{Work: c.req.Work, Exclude: c.tried}, last != fateNotSent)
 		if err != nil {
 			c.giveUp(ctx, err.Error())
 			return
@@ -95,7 +95,7 @@
 			break
 		}
 	}
-	c.giveUp(ctx, "")
+	c.giveUp(ctx, "no upstream took it")
 }
 
 // reserveWait bounds the wait for a reservation: some calls to the log.
@@ -195,9 +195,48 @@
 	}
 }
 
+// errStalled ends a send whose answer is long overdue.
+var errStalled = errors.New("the upstream does not begin its answer")
+
+// Times after which an answer is long overdue.
+const (
+	// stallFactor is how much longer than expected an answer may take.
+	stallFactor = 3
+	// stallMargin is allowed on top, for the upstream's own queue.
+	stallMargin = 400 * time.Millisecond
+)
+
 // send sends the request once and passes the answer on.
 func (c *call) send(ctx context.Context, lease *balancer.Lease) fate {
-	defer lease.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	lease.Watch(stallFactor*(lease.Wait+lease.Read)+stallMargin, func() {
+		// Only a request that may run again is given another chance.
+		if c.route.Repeatable() && c.runs+1 < c.route.Attempts {
+			cancel(errStalled)
+		}
+	})
+	f := c.sendOnce(ctx, lease)
+	lease.End(outcomeOf(ctx, f))
+	return f
+}
+
+// outcomeOf tells what a send says about its upstream.
+func outcomeOf(ctx context.Context, f fate) balance.Outcome {
+	switch {
+	case f == fateDone:
+		return balance.Succeeded
+	case f == fateNotRun:
+		return balance.Refused
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
+		return balance.Neutral // the caller left, or its time is over
+	case errors.Is(context.Cause(ctx), errStalled):
+		return balance.Neutral // counted when it stalled
+	}
+	return balance.Failed
+}
+
+func (c *call) sendOnce(ctx context.Context, lease *balancer.Lease) fate {
 	left := time.Duration(0)
 	if deadline, ok := ctx.Deadline(); ok {
 		left = time.Until(deadline)
@@ -215,16 +254,34 @@
 		HasBody: c.req.HasBody,
 		Header: c.r.opt.Dialect.Header(c.req, Sending{
 			Account: account, Upstream: lease.Upstream, Left: left, ResumeAfter: c.lastEvent,
+			FetchFrom: lease.FetchFrom, Urgency: c.urgency(),
 		}),
 	}
 	began := time.Now()
 	resp, err := lease.Conns.Send(ctx, out)
 	f := c.receive(resp, err, lease)
 	c.r.log.Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID,
-		"wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "took", time.Since(began), "fate", int(f), "error", errText(err))
+		"wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "trouble", lease.Trouble, "took", time.Since(began), "fate", int(f), "error", errText(err))
 	return f
 }
 
+// Ranks at an engine: those of routes are spread around the middle one, which
+// requests of others have.
+const (
+	firstUrgency = 3
+	urgencyStep  = 2
+)
+
+// urgency returns the rank of the request. An account's own goes before the
+// route's.
+func (c *call) urgency() int {
+	rank := c.route.Priority
+	if c.account != nil && c.account.HasPriority {
+		rank = c.account.Priority
+	}
+	return firstUrgency + urgencyStep*rank
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
--- a/fleet/relay/request.go
+++ b/fleet/relay/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/balance"
@@ -38,6 +39,11 @@
 	Left time.Duration
 	// ResumeAfter is the ID of the last event that the caller has, or empty.
 	ResumeAfter string
+	// FetchFrom is the address of an upstream whose cache has more of the prompt;
+	// not valid if there is none.
+	FetchFrom netip.AddrPort
+	// Urgency is the rank among requests at the upstream; 0 is the most urgent.
+	Urgency int
 }
 
 // Front decodes callers' requests.
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -19,7 +19,7 @@
 	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/hazelworks/hazelworks/core/balance"
+	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/escrow"
 	"github.com/hazelworks/hazelworks/core/platform"
@@ -145,7 +145,9 @@
 	p := h.opt.Protocol
 	h.balancer = balancer.New(balancer.Options{
 		Host:          string(h.cfg.Host),
+		Run:           h.self.Run,
 		FailureDomain: h.cfg.FailureDomain,
+		Retries:       h.retryLimits,
 		Dial:          upstreamSockets.Dialer().DialContext,
 		Dialect:       p.Dialect,
 		Logger:        h.opt.Logger,
@@ -159,7 +161,7 @@
 	}
 	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self)}
 	h.gossip = gossip.New(gossip.Options{
-		Self: h.self, Peers: h.hosts.peers, Leaving: h.leaving.Load, Receive: h.receive,
+		Self: h.self, Peers: h.hosts.peers, Leaving: h.leaving.Load, Oldest: h.balancer.Oldest, Receive: h.receive,
 		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.wallet = wallet.New(wallet.Options{
@@ -212,9 +214,14 @@
 	if !known {
 		return
 	}
-	for _, e := range m.Events {
-		h.balancer.Hear(balance.Ticket{Host: string(m.Host), Seq: e.Seq}, e)
-	}
+	h.balancer.Hear(m)
+}
+
+// retryLimits returns this host's part of the fleet's retry budget. Hosts that are
+// known and not heard may be alive beyond a partition, so they count.
+func (h *Host) retryLimits() admission.RetryLimits {
+	b := h.bounds.Load()
+	return admission.FleetRetryLimits(b.RetryShare, b.RetrySlack, b.RetryWindow, 1+len(h.hosts.peers()))
 }
 
 // Ready tells whether the host can serve callers.
--- a/fleet/upstream/service.go
+++ b/fleet/upstream/service.go
@@ -255,7 +255,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if w.query.Retry {
-		if !s.retries.Retry() {
+		if !s.retries.Retry(now) {
 			return s.refusal(dispatch.ReasonRetryShare, s.wait(it))
 		}
 	} else {
