--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -26,7 +28,8 @@
 )
 
 func newPlatformCommand() *cobra.Command {
-	return &cobra.Command{
+	var metricsPort uint16
+	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Run a host on the users' platform, with the settings file that " + boot.EnvPath + " names",
 		Args:  cobra.NoArgs,
@@ -36,13 +39,19 @@
 			if err != nil {
 				return cli.Exit(cli.ExitUsage, err)
 			}
-			logger, err := logging.New(os.Stdout, "json", "info")
+			if metricsPort > 0 {
+				cfg.Listen.Metrics = netip.AddrPortFrom(cfg.Listen.Peer.Addr(), metricsPort)
+			}
+			logger, err := logging.NewBounded(os.Stdout, "info", logging.DefaultLimits())
 			if err != nil {
 				return cli.Exit(cli.ExitUsage, err)
 			}
-			return runOnPlatform(cmd.Context(), path, cfg, logger)
+			defer logger.Close()
+			return runOnPlatform(cmd.Context(), path, cfg, logger.Logger)
 		},
 	}
+	cmd.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "port on the host's own address that serves /metrics; 0 means none")
+	return cmd
 }
 
 // storeSockets bound the silence of the store, which answers within some
@@ -57,7 +66,14 @@
 // hundred while it is slow.
 const storeTimeout = time.Second
 
+// memoryShare is the part of the machine's memory that the collector works to
+// keep to. The rest is for what it doesn't count, such as unread bytes of
+// connections.
+const memoryShare = 0.6
+
 func runOnPlatform(ctx context.Context, path string, cfg *relayhost.Config, logger logr.Logger) error {
+	logger.Info("Starting.", "host", cfg.Host, "failure_domain", cfg.FailureDomain, "memory", cfg.Limits.MemoryBytes, "cores", cfg.Limits.Cores)
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryBytes)))
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         storeSockets.Dialer().DialContext,
 		DisableCompression:  true,
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -30,7 +30,10 @@
 	Snapshot func([]platform.KeyedRecord)
 	// Records takes in new records, in order.
 	Records func([]platform.KeyedRecord)
-	Logger  logr.Logger
+	// Regained is called after the log could be reached again, before its news
+	// are taken in, with the time that it was lost; nil means nothing to do.
+	Regained func(lost time.Duration)
+	Logger   logr.Logger
 }
 
 // Follower reads a keyed stream from its newest records on.
@@ -53,8 +56,6 @@
 		if err := f.step(ctx); err != nil {
 			f.failed(ctx, err)
 			pause = f.opt.Retry/2 + rand.N(f.opt.Retry)
-		} else {
-			f.worked()
 		}
 		sleep(ctx, pause)
 	}
@@ -74,6 +75,7 @@
 	if err != nil {
 		return err
 	}
+	f.worked()
 	if len(records) > 0 {
 		f.opt.Records(records)
 	}
@@ -86,6 +88,7 @@
 	if err != nil {
 		return err
 	}
+	f.worked()
 	f.opt.Snapshot(records)
 	f.next = next
 	f.synced = true
@@ -104,8 +107,12 @@
 	if f.lostAt.IsZero() {
 		return
 	}
-	f.opt.Logger.Info("Stream regained.", "stream", f.opt.Stream, "offset", f.next, "lost", time.Since(f.lostAt))
+	lost := time.Since(f.lostAt)
 	f.lostAt = time.Time{}
+	f.opt.Logger.Info("Stream regained.", "stream", f.opt.Stream, "offset", f.next, "lost", lost)
+	if f.opt.Regained != nil {
+		f.opt.Regained(lost)
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -38,6 +38,10 @@
 	reservation bank.Reservation
 	// answered is true once the caller has a whole success.
 	answered bool
+	// status is that of the whole answer that the caller got, or zero.
+	status     int
+	firstAfter time.Duration
+	billed     record.Tokens
 	// begun is true once the caller has a part of the answer.
 	begun     bool
 	lastEvent string
@@ -66,6 +70,7 @@
 const maxSends = 4
 
 func (c *call) run(ctx context.Context) {
+	defer c.logEnd()
 	if limit := c.patience(); limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadlineCause(ctx, c.req.Arrived.Add(limit), errTimeout)
@@ -87,6 +92,10 @@
 			return
 		}
 		c.tried = append(c.tried, lease.Upstream.ID)
+		c.r.meters.queued(c.service, lease.Wait)
+		if sends > 0 {
+			c.r.meters.repeats.Inc(1)
+		}
 		last = c.send(ctx, lease)
 		if last == fateDone {
 			return
@@ -108,6 +117,8 @@
 		return nil
 	}
 	amount := record.Tokens(c.req.Work.Input + c.req.Work.MaxOutput)
+	began := time.Now()
+	defer func() { c.r.meters.reserve.Update(time.Since(began).Microseconds()) }()
 	res, err := c.r.opt.Reserver.Reserve(ctx, record.BudgetID(c.account.Name), 0, amount, reserveWait)
 	if err != nil {
 		return err
@@ -121,10 +132,10 @@
 	if c.reservation == nil {
 		return
 	}
-	cost := c.cost()
-	c.reservation.Settle(cost)
+	c.billed = c.cost()
+	c.reservation.Settle(c.billed)
 	c.r.log.Info("Request settled.", "request", c.req.ID, "budget", c.account.Name, "reserved", c.reservation.Amount(),
-		"cost", cost, "runs", c.runs, "events", c.events)
+		"cost", c.billed, "runs", c.runs, "events", c.events)
 }
 
 // cost is the input, once, and the output that was delivered. An answer of which
@@ -147,18 +158,37 @@
 	return 1
 }
 
+// refuse ends the request with an answer of the host's own.
+func (c *call) refuse(f refusal) {
+	c.status = f.status
+	c.r.refuse(c.w, c.req, f)
+}
+
 func (c *call) refuseBudget(ctx context.Context, err error) {
 	var refused *bank.RefusedError
 	switch {
 	case !errors.As(err, &refused):
 		c.giveUp(ctx, err.Error())
 	case refused.Unreachable:
-		c.r.refuse(c.w, c.req, refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: startRetry})
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: startRetry})
 	default:
-		c.r.refuse(c.w, c.req, refusal{status: http.StatusPaymentRequired, reason: err.Error()})
+		c.refuse(refusal{status: http.StatusPaymentRequired, reason: err.Error()})
 	}
 }
 
+// logEnd writes the line that sums up the request.
+func (c *call) logEnd() {
+	took := time.Since(c.req.Arrived)
+	c.r.meters.ended(c.service, c.status, took)
+	account := ""
+	if c.account != nil {
+		account = c.account.Name
+	}
+	c.r.log.Info("Request ended.", "request", c.req.ID, "account", account, "route", c.route.Name, "service", c.service,
+		"table", c.table.Version, "status", c.status, "took", took, "first", c.firstAfter, "runs", c.runs, "events", c.events,
+		"cost", c.billed)
+}
+
 // patience returns how long the caller is kept waiting; zero means no bound.
 func (c *call) patience() time.Duration {
 	limit := c.route.Timeout
@@ -187,11 +217,11 @@
 		c.r.log.Info("Caller gone.", "request", c.req.ID)
 		panic(http.ErrAbortHandler)
 	case c.runs == 0:
-		c.r.refuse(c.w, c.req, refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: startRetry})
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: startRetry})
 	case cause != nil:
-		c.r.refuse(c.w, c.req, refusal{status: http.StatusGatewayTimeout, reason: cause.Error()})
+		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: cause.Error()})
 	default:
-		c.r.refuse(c.w, c.req, refusal{status: http.StatusBadGateway, reason: "answer lost"})
+		c.refuse(refusal{status: http.StatusBadGateway, reason: "answer lost"})
 	}
 }
 
@@ -315,6 +345,15 @@
 	return c.whole(resp, lease)
 }
 
+// first notes that the answer has begun.
+func (c *call) first(lease *balancer.Lease) {
+	lease.First()
+	if c.firstAfter == 0 {
+		c.firstAfter = time.Since(c.req.Arrived)
+		c.r.meters.first(c.service, c.firstAfter)
+	}
+}
+
 // maxRefusalBytes bounds what is read of a refusal to keep its connection.
 const maxRefusalBytes = 16 << 10
 
@@ -324,7 +363,7 @@
 // whole passes on an answer that is not a stream once it is complete.
 func (c *call) whole(resp *exchange.Response, lease *balancer.Lease) fate {
 	body, err := io.ReadAll(io.LimitReader(resp, maxWholeBytes))
-	lease.First()
+	c.first(lease)
 	if err != nil {
 		return fateLost
 	}
@@ -337,6 +376,7 @@
 	// A caller that is gone notices nothing of a failed write.
 	_, _ = c.w.Write(body)
 	c.answered = resp.StatusCode < http.StatusMultipleChoices
+	c.status = resp.StatusCode
 	return fateDone
 }
 
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -38,13 +38,14 @@
 type Relay struct {
 	opt      Options
 	log      logr.Logger
+	meters   *meters
 	draining atomic.Bool
 	inflight sync.WaitGroup
 }
 
 // New returns a relay.
 func New(opt Options) *Relay {
-	return &Relay{opt: opt, log: opt.Logger.WithName("relay")}
+	return &Relay{opt: opt, log: opt.Logger.WithName("relay"), meters: newMeters(opt.Metrics)}
 }
 
 // SetDraining makes callers' connections end with their next answer.
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -25,7 +25,7 @@
 		n, err := resp.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if end := eventsEnd(buf); end > 0 {
-			lease.First()
+			c.first(lease)
 			if writeErr := c.pass(resp, buf[:end]); writeErr != nil {
 				return fateLost
 			}
@@ -78,6 +78,7 @@
 			continue
 		}
 		c.events++
+		c.r.meters.events.Inc(1)
 		if id := c.r.opt.Dialect.EventID(event); id != "" {
 			c.lastEvent = id
 		}
@@ -86,5 +87,6 @@
 
 func (c *call) endStream(resp *exchange.Response) fate {
 	c.beginStream(resp)
+	c.status = resp.StatusCode
 	return fateDone
 }
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -25,6 +25,7 @@
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/roster"
 	"github.com/hazelworks/hazelworks/core/routes"
+	"github.com/hazelworks/hazelworks/fleet/admin"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/callerserver"
 	"github.com/hazelworks/hazelworks/fleet/follow"
@@ -155,10 +156,7 @@
 		Tell:          func(e gossip.Event) { h.gossip.Tell(e) },
 	})
 	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, changed: h.setTable, log: h.opt.Logger.WithName("table")}
-	h.ups = &upstreamWatch{
-		decode: p.DecodeUpstream, changed: h.balancer.SetUpstreams,
-		log: h.opt.Logger.WithName("upstreams"), entries: make(map[string]catalog.Upstream),
-	}
+	h.ups = newUpstreamWatch(func() time.Duration { return h.bounds.Load().UpstreamHeartbeat }, p.DecodeUpstream, h.balancer.SetUpstreams, h.opt.Logger.WithName("upstreams"))
 	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self)}
 	h.gossip = gossip.New(gossip.Options{
 		Self: h.self, Peers: h.hosts.peers, Leaving: h.leaving.Load, Oldest: h.balancer.Oldest, Receive: h.receive,
@@ -250,9 +248,16 @@
 	add := func(f func(context.Context) error) {
 		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	add(h.follower(h.opt.Protocol.OperatorStream, tablePause, h.table.take, h.table.take).Run)
-	add(h.follower(h.opt.Protocol.UpstreamStream, listPause, h.ups.snapshot, h.ups.records).Run)
-	add(h.follower(hostStream, listPause, h.hosts.take, h.hosts.take).Run)
+	add(h.follower(follow.Options{
+		Stream: h.opt.Protocol.OperatorStream, Pause: tablePause, Snapshot: h.table.take, Records: h.table.take,
+	}))
+	add(h.follower(follow.Options{
+		Stream: h.opt.Protocol.UpstreamStream, Pause: listPause,
+		Snapshot: h.ups.snapshot, Records: h.ups.records, Regained: h.ups.regained,
+	}))
+	add(h.follower(follow.Options{
+		Stream: hostStream, Pause: listPause, Snapshot: h.hosts.take, Records: h.hosts.take,
+	}))
 	add(h.wallet.Run)
 	add(h.serve(h.cfg.Listen.Peer, lending.Handler(h.wallet)))
 	add(h.runGossip)
@@ -260,6 +265,9 @@
 	add(h.serveCallers)
 	add(h.serve(h.cfg.Listen.Ready, h.opt.Protocol.Ready(h.Ready)))
 	add(h.serve(h.cfg.Listen.Directory, h.opt.Protocol.Directory(h.resolve)))
+	if h.cfg.Listen.Metrics.IsValid() {
+		add(h.serve(h.cfg.Listen.Metrics, http.HandlerFunc(h.serveMetrics)))
+	}
 	add(h.leave)
 	err := group.Run()
 	if errors.Is(err, errStopped) {
@@ -268,11 +276,11 @@
 	return err
 }
 
-func (h *Host) follower(stream string, pause time.Duration, snapshot, records func([]platform.KeyedRecord)) *follow.Follower {
-	return follow.New(follow.Options{
-		Log: h.opt.Log, Stream: stream, Wait: watchWait, Pause: pause, Retry: watchRetry,
-		Snapshot: snapshot, Records: records, Logger: h.opt.Logger.WithName("follow"),
-	})
+// follower returns an actor that follows a stream of the log.
+func (h *Host) follower(opt follow.Options) func(context.Context) error {
+	opt.Log, opt.Wait, opt.Retry = h.opt.Log, watchWait, watchRetry
+	opt.Logger = h.opt.Logger.WithName("follow")
+	return follow.New(opt).Run
 }
 
 func (h *Host) runGossip(ctx context.Context) error {
@@ -307,6 +315,11 @@
 	return err
 }
 
+func (h *Host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	admin.WritePrometheus(w, h.opt.Metrics)
+}
+
 func (h *Host) serveCallers(ctx context.Context) error {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", h.cfg.Listen.Caller.String())
 	if err != nil {
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -47,29 +47,77 @@
 	}
 }
 
+// returnGrace is how long an entry that lapsed while the log was away is believed
+// after the log's return: the upstream needs that long to renew it.
+const returnGrace = 2 * time.Second
+
+// lapseBeats is the number of heartbeats that an outage must last before entries
+// can lapse in it: they do after three without a sign.
+const lapseBeats = 2
+
 // upstreamWatch holds the upstreams' entries.
 type upstreamWatch struct {
-	decode  func(id string, value []byte) (catalog.Upstream, error)
-	changed func([]catalog.Upstream)
-	log     logr.Logger
+	// heartbeat is the time between an upstream's renewals of its entry.
+	heartbeat func() time.Duration
+	decode    func(id string, value []byte) (catalog.Upstream, error)
+	changed   func([]catalog.Upstream)
+	log       logr.Logger
 
 	mu      sync.Mutex
 	entries map[string]catalog.Upstream
+	// returned is when the log was last regained, and lapsed holds the entries
+	// that were missing then.
+	returned time.Time
+	lapsed   map[string]catalog.Upstream
+}
+
+func newUpstreamWatch(heartbeat func() time.Duration, decode func(string, []byte) (catalog.Upstream, error), changed func([]catalog.Upstream), log logr.Logger) *upstreamWatch {
+	return &upstreamWatch{
+		heartbeat: heartbeat, decode: decode, changed: changed, log: log,
+		entries: make(map[string]catalog.Upstream), lapsed: make(map[string]catalog.Upstream),
+	}
+}
+
+// regained notes that the log could be reached again after a time.
+func (u *upstreamWatch) regained(lost time.Duration) {
+	if lost < lapseBeats*u.heartbeat() {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.returned = time.Now()
+	time.AfterFunc(returnGrace, u.dropLapsed)
+}
+
+// dropLapsed gives up on entries that were not renewed in time.
+func (u *upstreamWatch) dropLapsed() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if time.Since(u.returned) < returnGrace || len(u.lapsed) == 0 {
+		return
+	}
+	for id := range u.lapsed {
+		u.log.Info("Upstream gone.", "upstream", id, "reason", "its entry was not renewed after the log's return")
+	}
+	clear(u.lapsed)
+	u.publish()
 }
 
 func (u *upstreamWatch) snapshot(records []platform.KeyedRecord) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	old := u.entries
-	u.entries = make(map[string]catalog.Upstream)
+	seen := make(map[string]bool, len(records))
 	for _, r := range records {
-		u.take(r)
+		seen[r.Key] = true
 	}
-	for id := range old {
-		if _, ok := u.entries[id]; !ok {
-			u.log.Info("Upstream gone.", "upstream", id)
+	for id := range u.entries {
+		if !seen[id] {
+			u.remove(id)
 		}
 	}
+	for _, r := range records {
+		u.take(r)
+	}
 	u.publish()
 }
 
@@ -84,14 +132,11 @@
 
 // take applies one record. An entry that can't be read names no upstream.
 func (u *upstreamWatch) take(r platform.KeyedRecord) {
-	old, known := u.entries[r.Key]
 	if r.Value == nil {
-		if known {
-			u.log.Info("Upstream gone.", "upstream", r.Key, "offset", r.Offset)
-		}
-		delete(u.entries, r.Key)
+		u.remove(r.Key)
 		return
 	}
+	old, known := u.entries[r.Key]
 	up, err := u.decode(r.Key, r.Value)
 	if err != nil {
 		u.log.Info("Entry names no upstream.", "entry", r.Key, "offset", r.Offset, "error", err.Error())
@@ -102,13 +147,33 @@
 		u.log.Info("Upstream changed.", "upstream", up.ID, "service", up.Service, "address", up.Addr, "leaving", up.Leaving, "offset", r.Offset)
 	}
 	u.entries[r.Key] = up
+	delete(u.lapsed, r.Key)
+}
+
+// remove drops an entry. One that is missing just after the log's return may only
+// have lapsed.
+func (u *upstreamWatch) remove(id string) {
+	up, known := u.entries[id]
+	if !known {
+		return
+	}
+	delete(u.entries, id)
+	if time.Since(u.returned) < returnGrace {
+		u.lapsed[id] = up
+		u.log.Info("Upstream's entry lapsed.", "upstream", id)
+		return
+	}
+	u.log.Info("Upstream gone.", "upstream", id, "reason", "its entry was removed")
 }
 
 func (u *upstreamWatch) publish() {
-	all := make([]catalog.Upstream, 0, len(u.entries))
+	all := make([]catalog.Upstream, 0, len(u.entries)+len(u.lapsed))
 	for _, up := range u.entries {
 		all = append(all, up)
 	}
+	for _, up := range u.lapsed {
+		all = append(all, up)
+	}
 	slices.SortFunc(all, func(a, b catalog.Upstream) int { return strings.Compare(a.ID, b.ID) })
 	u.changed(all)
 }
