--- /dev/null
+++ b/fleet/wallet/wallet_test.go
@@ -0,0 +1,226 @@
+package wallet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/fleet/bank"
+	"github.com/hazelworks/hazelworks/standin/memkeyed"
+)
+
+// TestHistories spends from four hosts while the log, the hosts and the loans
+// between them fail in random ways, and checks after each step that no more is
+// spent than was prepaid.
+func TestHistories(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runHistory(t, seed) })
+		})
+	}
+}
+
+func runHistory(t *testing.T, seed uint64) {
+	f := newFleet(t, 4, 400_000, seed)
+	defer f.stopAll()
+	f.loseLoans = 0.1
+	for step := range 1500 {
+		f.randomStep(seed, step)
+		time.Sleep(time.Duration(f.draw() * float64(40*time.Millisecond)))
+		spent, prepaid := f.balance()
+		require.LessOrEqual(t, spent, prepaid, "step %d", step)
+	}
+	spent, _ := f.balance()
+	require.Greater(t, spent, record.Tokens(100_000), "the fleet serves")
+}
+
+func (f *fleet) randomStep(seed uint64, step int) {
+	h := f.hosts[int(f.draw()*float64(len(f.hosts)))]
+	switch draw := f.draw(); {
+	case draw < 0.01:
+		h.link.Set(randomFaults(f))
+	case draw < 0.02:
+		h.link.Set(memkeyed.Faults{})
+	case draw < 0.023: // killed, and started anew
+		h.stop()
+		h.start(seed*1000 + uint64(step))
+	case draw < 0.026: // stopped gracefully
+		h.stop()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_ = h.wallet.Close(ctx) // the log may be away
+		cancel()
+		h.start(seed*1000 + uint64(step))
+	case draw < 0.03:
+		h.cut = !h.cut
+	case draw < 0.032:
+		_, prepaid := f.balance()
+		f.setPrepaid(prepaid + 20_000)
+	case draw < 0.035:
+		f.log.Compact(Stream)
+	default:
+		bound := record.Tokens(200 + f.draw()*6000)
+		cost := record.Tokens(float64(bound) * f.draw())
+		go func() { _ = h.spend(bound, cost, 300*time.Millisecond) }()
+	}
+}
+
+func randomFaults(f *fleet) memkeyed.Faults {
+	switch int(f.draw() * 6) {
+	case 0:
+		return memkeyed.Faults{Unavailable: true}
+	case 1:
+		return memkeyed.Faults{Silent: true}
+	case 2:
+		return memkeyed.Faults{Throttled: true}
+	case 3:
+		return memkeyed.Faults{Slow: 60}
+	case 4:
+		return memkeyed.Faults{LoseAnswer: 0.5}
+	}
+	return memkeyed.Faults{Late: 0.5, LateBy: time.Duration(f.draw() * float64(5*time.Second))}
+}
+
+// TestBudgetIsServedToItsEnd spends all of a budget with the log in reach: no
+// request is refused while more than 3 in 100 are neither spent nor reserved.
+func TestBudgetIsServedToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const prepaid = 1_000_000
+		f := newFleet(t, 8, prepaid, 7)
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		refused := 0
+		for step := 0; refused < 50 && step < 3000; step++ {
+			h := f.hosts[step%len(f.hosts)]
+			bound := record.Tokens(500 + f.draw()*9000)
+			err := h.spend(bound, bound*9/10, 200*time.Millisecond)
+			if err != nil {
+				refused++
+				spent, _ := f.balance()
+				require.Greater(t, float64(spent+bound), 0.97*prepaid, "refused too soon: %v", err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Equal(t, 50, refused)
+	})
+}
+
+// TestOutageIsCovered takes the log away for 9 s early in a budget. Requests go on
+// from what the hosts hold.
+func TestOutageIsCovered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const prepaid, perSecond = 3_000_000, 60_000
+		f := newFleet(t, 8, prepaid, 11)
+		defer f.stopAll()
+		serve := func(d time.Duration) (served, refused int) {
+			for range int(d / (50 * time.Millisecond)) {
+				h := f.hosts[int(f.draw()*8)]
+				if h.spend(perSecond/20, perSecond/20, time.Millisecond) != nil {
+					refused++
+				} else {
+					served++
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			return served, refused
+		}
+		time.Sleep(time.Second)
+		_, refused := serve(8 * time.Second)
+		require.Zero(t, refused)
+		for _, h := range f.hosts {
+			h.link.Set(memkeyed.Faults{Silent: true})
+		}
+		_, refused = serve(9 * time.Second)
+		require.Zero(t, refused, "in the outage")
+		for _, h := range f.hosts {
+			h.link.Set(memkeyed.Faults{})
+		}
+		_, refused = serve(5 * time.Second)
+		require.Zero(t, refused, "after the outage")
+	})
+}
+
+// TestPowerLossLateInABudgetStrandsLittle kills all hosts when a quarter of the
+// budget is left, and counts what can't be spent any more.
+func TestPowerLossLateInABudgetStrandsLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const prepaid = 2_000_000
+		f := newFleet(t, 8, prepaid, 3)
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		for step := 0; ; step++ {
+			if spent, _ := f.balance(); spent > prepaid*80/100 {
+				break
+			}
+			require.NoError(t, f.hosts[step%8].spend(4000, 4000, time.Millisecond))
+			time.Sleep(50 * time.Millisecond)
+		}
+		for i, h := range f.hosts {
+			h.stop()
+			h.start(100 + uint64(i))
+		}
+		time.Sleep(time.Second)
+		for step := 0; ; step++ {
+			if f.hosts[step%8].spend(4000, 4000, time.Millisecond) != nil {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		spent, _ := f.balance()
+		require.Greater(t, float64(spent), 0.95*prepaid)
+	})
+}
+
+// TestLateClaimOfAnEndedRunIsHarmless lets a claim take effect after the run that
+// made it has been replaced: nobody spends it.
+func TestLateClaimOfAnEndedRunIsHarmless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 100_000, 5)
+		defer f.stopAll()
+		h := f.hosts[0]
+		time.Sleep(time.Second)
+		h.link.Set(memkeyed.Faults{Late: 1, LateBy: 3 * time.Second})
+		require.Error(t, h.spend(40_000, 40_000, time.Millisecond), "the claim gets no answer")
+		h.stop()
+		h.start(2)
+		for range 40 {
+			_ = h.spend(10_000, 10_000, time.Millisecond)
+			time.Sleep(250 * time.Millisecond)
+			spent, prepaid := f.balance()
+			require.LessOrEqual(t, spent, prepaid)
+		}
+		spent, _ := f.balance()
+		require.Greater(t, spent, record.Tokens(50_000))
+	})
+}
+
+// TestCutBudgetIsNotSpentOn lowers a budget below what is spent: no host spends on
+// from what it holds.
+func TestCutBudgetIsNotSpentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 1_000_000, 9)
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		for step := range 100 {
+			require.NoError(t, f.hosts[step%4].spend(5000, 3000, 500*time.Millisecond))
+		}
+		time.Sleep(time.Second)
+		before, _ := f.balance()
+		f.setPrepaid(200_000)
+		for step := range 40 {
+			err := f.hosts[step%4].spend(100, 100, time.Millisecond)
+			var refused *bank.RefusedError
+			require.True(t, errors.As(err, &refused), "step %d: %v", step, err)
+		}
+		after, _ := f.balance()
+		require.Equal(t, before, after)
+		f.setPrepaid(before + 10_000)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, f.hosts[0].spend(9000, 9000, time.Millisecond), "a top-up is spent")
+	})
+}
