--- a/cmd/hazelworks/config.go
+++ b/cmd/hazelworks/config.go
@@ -6,23 +6,43 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hazelworks/hazelworks/cmd/internal/cli"
+	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/fleet/config"
+	"github.com/hazelworks/hazelworks/platform/boot"
 )
 
 func newConfigCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "config", Short: "Work with a host's process settings"}
-	cmd.AddCommand(&cobra.Command{
+	var onPlatform bool
+	check := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Report all faults of a process settings file; nothing is started",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			cfg, err := config.Load(args[0])
+			host, domain, err := checkSettings(args[0], onPlatform)
 			if err != nil {
 				return cli.Exit(cli.ExitUsage, err)
 			}
-			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: no faults; host %s in failure domain %s\n", args[0], cfg.Host.ID, cfg.Host.FailureDomain)
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: no faults; host %s in failure domain %s\n", args[0], host, domain)
 			return err
 		},
-	})
+	}
+	check.Flags().BoolVar(&onPlatform, "platform", false, "the file is in the form that the users' platform writes")
+	cmd.AddCommand(check)
 	return cmd
 }
+
+func checkSettings(path string, onPlatform bool) (host record.HostID, domain string, err error) {
+	if onPlatform {
+		cfg, err := boot.Load(path)
+		if err != nil {
+			return "", "", err
+		}
+		return cfg.Host, cfg.FailureDomain, nil
+	}
+	cfg, err := config.Load(path)
+	if err != nil {
+		return "", "", err
+	}
+	return cfg.Host.ID, cfg.Host.FailureDomain, nil
+}
--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -19,12 +19,9 @@
 	"github.com/hazelworks/hazelworks/fleet/logging"
 	"github.com/hazelworks/hazelworks/fleet/relayhost"
 	"github.com/hazelworks/hazelworks/fleet/sockets"
+	"github.com/hazelworks/hazelworks/platform"
 	"github.com/hazelworks/hazelworks/platform/boot"
-	"github.com/hazelworks/hazelworks/platform/callers"
-	"github.com/hazelworks/hazelworks/platform/directory"
 	"github.com/hazelworks/hazelworks/platform/store"
-	"github.com/hazelworks/hazelworks/platform/topics"
-	"github.com/hazelworks/hazelworks/platform/upstreams"
 )
 
 func newPlatformCommand() *cobra.Command {
@@ -74,27 +71,19 @@
 func runOnPlatform(ctx context.Context, path string, cfg *relayhost.Config, logger logr.Logger) error {
 	logger.Info("Starting.", "host", cfg.Host, "failure_domain", cfg.FailureDomain, "memory", cfg.Limits.MemoryBytes, "cores", cfg.Limits.Cores)
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryBytes)))
+	network := sockets.System{}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         storeSockets.Dialer().DialContext,
+		DialContext:         network.Dialer(storeSockets),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
 	}}
 	host, err := relayhost.New(relayhost.Options{
-		Config: cfg,
-		Log:    store.New(client, cfg.StoreAddr.String(), storeTimeout),
-		Protocol: relayhost.Protocol{
-			Front:          callers.Front{},
-			Dialect:        upstreams.Dialect{},
-			OperatorStream: topics.OperatorStream,
-			ConfigKey:      topics.ConfigKey,
-			UpstreamStream: topics.UpstreamStream,
-			DecodeConfig:   topics.DecodeConfig,
-			DecodeUpstream: topics.DecodeUpstream,
-			Ready:          directory.ReadyHandler,
-			Directory:      directory.Handler,
-		},
-		Logger:  logger,
-		Metrics: metrics.NewRegistry(),
+		Config:   cfg,
+		Log:      store.New(client, cfg.StoreAddr.String(), storeTimeout),
+		Network:  network,
+		Protocol: platform.Protocol(),
+		Logger:   logger,
+		Metrics:  metrics.NewRegistry(),
 	})
 	if err != nil {
 		return err
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -180,7 +180,7 @@
 	limits := FleetRetryLimits(share, slack, window, hosts)
 	budgets := make([]*RetryBudget, hosts)
 	for i := range budgets {
-		budgets[i] = NewFleetRetryBudget(limits)
+		budgets[i] = NewFleetRetryBudget(limits, time.Unix(0, 0))
 	}
 	var attempts, retries []float64 // in each step
 	credit, now := 0.0, time.Unix(0, 0)
@@ -189,7 +189,7 @@
 		attempts, retries = append(attempts, 0), append(retries, 0)
 		if n%700 == 0 {
 			for i := range budgets {
-				budgets[i] = NewFleetRetryBudget(limits)
+				budgets[i] = NewFleetRetryBudget(limits, now)
 			}
 		}
 		credit += perHost
--- a/core/admission/retry.go
+++ b/core/admission/retry.go
@@ -50,8 +50,8 @@
 
 // NewFleetRetryBudget returns a host's part of a fleet's budget. It begins empty,
 // since an earlier run of the host may have used what there was.
-func NewFleetRetryBudget(limits RetryLimits) *RetryBudget {
-	return &RetryBudget{limits: limits}
+func NewFleetRetryBudget(limits RetryLimits, now time.Time) *RetryBudget {
+	return &RetryBudget{limits: limits, last: now}
 }
 
 // SetShare changes the share for later attempts.
@@ -59,9 +59,10 @@
 	b.limits.Share = share
 }
 
-// SetLimits changes the limits for what is earned from now on.
+// SetLimits changes the limits. What was saved up beyond them is lost.
 func (b *RetryBudget) SetLimits(limits RetryLimits) {
 	b.limits = limits
+	b.earn(0)
 }
 
 // Attempt counts a first attempt.
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -125,7 +125,6 @@
 			s = b.newService(svc)
 			b.services[svc.Name] = s
 		}
-		s.retries.SetLimits(b.opt.Retries())
 		s.pool.Sync(byService[svc.Name])
 	}
 }
@@ -138,7 +137,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &service{
 		pool:    balance.NewPool(b.opt.FailureDomain, engine, rng),
-		retries: admission.NewFleetRetryBudget(b.opt.Retries()),
+		retries: admission.NewFleetRetryBudget(b.opt.Retries(), time.Now()),
 	}
 }
 
@@ -193,6 +192,7 @@
 		return nil, ErrNone
 	}
 	now := time.Now()
+	s.retries.SetLimits(b.opt.Retries())
 	if !retry {
 		s.retries.Attempt()
 	} else if !s.retries.Retry(now) {
--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -61,10 +61,14 @@
 		},
 		conns: newConnQueue(),
 	}
+	if s.current != nil {
+		_ = s.current.conns.Close()
+	}
 	s.current = g
 	s.all = append(s.all, g)
 	go func() {
-		if err := g.server.Serve(g.conns); !errors.Is(err, http.ErrServerClosed) {
+		err := g.server.Serve(g.conns)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.failed(err)
 		}
 	}()
@@ -110,6 +114,18 @@
 	return errors.Join(failures...)
 }
 
+// Close closes all connections at once.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	all := s.all
+	s.mu.Unlock()
+	for _, g := range all {
+		_ = g.conns.Close()
+		_ = g.server.Close()
+	}
+}
+
 // connQueue is a listener that is fed with accepted connections.
 type connQueue struct {
 	conns chan net.Conn
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -27,6 +27,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Fresh requests get a new connection: idle ones are suspected to have been
+	// forgotten on their path.
+	Fresh bool
 	// HasBody is false if the request has no body at all, not even an empty one.
 	HasBody bool
 }
@@ -70,7 +73,7 @@
 // closed when ctx ends. An error that wraps ErrNotSent is certain; any other one
 // leaves open whether the request ran.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx)
+	c, err := p.connect(ctx, r.Fresh)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/fleet/exchange/pool.go
+++ b/fleet/exchange/pool.go
@@ -78,9 +78,9 @@
 	}
 }
 
-// get returns the connection that was used last, or a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
-	for {
+// connect returns the connection that was used last, or a new one.
+func (p *Pool) connect(ctx context.Context, fresh bool) (*conn, error) {
+	for !fresh {
 		c := p.takeIdle()
 		if c == nil {
 			return p.open(ctx)
@@ -91,6 +91,7 @@
 		}
 		_ = c.Close()
 	}
+	return p.open(ctx)
 }
 
 func (p *Pool) takeIdle() *conn {
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -62,9 +62,8 @@
 	// gather is how long events wait for others: far below the time that an
 	// engine needs for a step.
 	gather = 2 * time.Millisecond
-	// maxDatagram fits into one packet of usual networks.
-	maxDatagram = 1400
-	// maxEvents keeps a message below maxDatagram with prompts of few parts.
+	// maxEvents keeps a message within one packet of usual networks, of 1,400
+	// bytes, with prompts of few parts.
 	maxEvents = 8
 )
 
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -16,11 +16,7 @@
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 )
 
-var (
-	errTimeout = errors.New("the route's or the caller's time is over")
-	errBroken  = errors.New("the upstream's answer is not whole")
-	errForged  = errors.New("the answer is not an upstream's own")
-)
+var errTimeout = errors.New("the route's or the caller's time is over")
 
 // call is the run of one request.
 type call struct {
@@ -36,6 +32,8 @@
 	// runs counts the sends after which the request may have run.
 	runs        int
 	reservation bank.Reservation
+	// stalled is true once an answer was long overdue.
+	stalled bool
 	// answered is true once the caller has a whole success.
 	answered bool
 	// status is that of the whole answer that the caller got, or zero.
@@ -234,23 +232,37 @@
 	stallFactor = 3
 	// stallMargin is allowed on top, for the upstream's own queue.
 	stallMargin = 400 * time.Millisecond
+	// stallObjectives is the number of a route's objectives that an answer of a
+	// plain service may take: then it is late anyway.
+	stallObjectives = 2
 )
 
 // send sends the request once and passes the answer on.
 func (c *call) send(ctx context.Context, lease *balancer.Lease) fate {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	lease.Watch(stallFactor*(lease.Wait+lease.Read)+stallMargin, func() {
+	lease.Watch(c.stallAfter(lease), func() {
+		// The other idle connections were probably forgotten on the same path.
+		lease.Conns.Drop()
 		// Only a request that may run again is given another chance.
 		if c.route.Repeatable() && c.runs+1 < c.route.Attempts {
 			cancel(errStalled)
 		}
 	})
 	f := c.sendOnce(ctx, lease)
+	c.stalled = c.stalled || errors.Is(context.Cause(ctx), errStalled)
 	lease.End(outcomeOf(ctx, f))
 	return f
 }
 
+// stallAfter returns the time after which the answer is long overdue.
+func (c *call) stallAfter(lease *balancer.Lease) time.Duration {
+	if c.req.Work == nil && c.route.Objective > 0 {
+		return stallObjectives * c.route.Objective
+	}
+	return stallFactor*(lease.Wait+lease.Read) + stallMargin
+}
+
 // outcomeOf tells what a send says about its upstream.
 func outcomeOf(ctx context.Context, f fate) balance.Outcome {
 	switch {
@@ -282,6 +294,7 @@
 		Host:    c.req.Host,
 		Body:    c.req.Body,
 		HasBody: c.req.HasBody,
+		Fresh:   c.stalled,
 		Header: c.r.opt.Dialect.Header(c.req, Sending{
 			Account: account, Upstream: lease.Upstream, Left: left, ResumeAfter: c.lastEvent,
 			FetchFrom: lease.FetchFrom, Urgency: c.urgency(),
@@ -372,7 +385,7 @@
 	}
 	copyHeader(c.w.Header(), resp.Header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.w.WriteHeader(resp.StatusCode)
+	c.r.writeHead(c.w, resp.StatusCode)
 	// A caller that is gone notices nothing of a failed write.
 	_, _ = c.w.Write(body)
 	c.answered = resp.StatusCode < http.StatusMultipleChoices
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -55,9 +55,6 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	r.inflight.Add(1)
 	defer r.inflight.Done()
-	if r.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	// The answer is the upstream's: no header is added to it.
 	w.Header()["Date"] = nil
 	req, err := r.opt.Front.Decode(hr)
@@ -139,7 +136,16 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Length", "0")
-	w.WriteHeader(f.status)
+	r.writeHead(w, f.status)
+}
+
+// writeHead sends the head of an answer. While the host leaves, it asks callers to
+// go elsewhere.
+func (r *Relay) writeHead(w http.ResponseWriter, status int) {
+	if r.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.WriteHeader(status)
 }
 
 // Wait waits until no request is being answered, or ctx ends.
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -68,7 +68,7 @@
 	}
 	c.begun = true
 	copyHeader(c.w.Header(), resp.Header)
-	c.w.WriteHeader(resp.StatusCode)
+	c.r.writeHead(c.w, resp.StatusCode)
 }
 
 // note counts events and keeps the ID of the last one.
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -73,6 +72,7 @@
 type Options struct {
 	Config   *Config
 	Log      platform.KeyedLog
+	Network  sockets.Network
 	Protocol Protocol
 	Logger   logr.Logger
 	Metrics  metrics.Registry
@@ -149,7 +149,7 @@
 		Run:           h.self.Run,
 		FailureDomain: h.cfg.FailureDomain,
 		Retries:       h.retryLimits,
-		Dial:          upstreamSockets.Dialer().DialContext,
+		Dial:          h.opt.Network.Dialer(upstreamSockets),
 		Dialect:       p.Dialect,
 		Logger:        h.opt.Logger,
 		Metrics:       h.opt.Metrics,
@@ -166,7 +166,7 @@
 		Host:    h.cfg.Host,
 		Log:     h.opt.Log,
 		Hosts:   func() int { return 1 + len(h.hosts.others()) },
-		Lender:  lending.NewClient(peerClient(), h.hosts.others, h.opt.Logger),
+		Lender:  lending.NewClient(h.peerClient(), h.hosts.others, h.opt.Logger),
 		Policy:  escrow.DefaultPolicy(),
 		Logger:  h.opt.Logger,
 		Metrics: h.opt.Metrics,
@@ -186,8 +186,14 @@
 	KeepAlive:      2 * time.Second,
 }
 
-func peerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: peerSockets.Dialer().DialContext, DisableCompression: true}}
+func (h *Host) peerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: h.opt.Network.Dialer(peerSockets), DisableCompression: true}}
+}
+
+// callerSockets bound the silence of callers, whose paths may be lossy.
+var callerSockets = sockets.Options{
+	UserTimeout: 5 * time.Second,
+	KeepAlive:   5 * time.Second,
 }
 
 // Limits of callers' connections until the configuration says others.
@@ -215,11 +221,16 @@
 	h.balancer.Hear(m)
 }
 
-// retryLimits returns this host's part of the fleet's retry budget. Hosts that are
-// known and not heard may be alive beyond a partition, so they count.
+// retryLimits returns this host's part of the fleet's retry budget. Until it knows
+// how many hosts there are, it has no part of the slack.
 func (h *Host) retryLimits() admission.RetryLimits {
 	b := h.bounds.Load()
-	return admission.FleetRetryLimits(b.RetryShare, b.RetrySlack, b.RetryWindow, 1+len(h.hosts.peers()))
+	hosts, known := h.hosts.count()
+	slack := b.RetrySlack
+	if !known {
+		slack = 0
+	}
+	return admission.FleetRetryLimits(b.RetryShare, slack, b.RetryWindow, hosts)
 }
 
 // Ready tells whether the host can serve callers.
@@ -256,7 +267,7 @@
 		Snapshot: h.ups.snapshot, Records: h.ups.records, Regained: h.ups.regained,
 	}))
 	add(h.follower(follow.Options{
-		Stream: hostStream, Pause: listPause, Snapshot: h.hosts.take, Records: h.hosts.take,
+		Stream: hostStream, Pause: listPause, Snapshot: h.hosts.snapshot, Records: h.hosts.take,
 	}))
 	add(h.wallet.Run)
 	add(h.serve(h.cfg.Listen.Peer, lending.Handler(h.wallet)))
@@ -270,6 +281,7 @@
 	}
 	add(h.leave)
 	err := group.Run()
+	h.callers.Close()
 	if errors.Is(err, errStopped) {
 		return nil
 	}
@@ -284,7 +296,7 @@
 }
 
 func (h *Host) runGossip(ctx context.Context) error {
-	conn, err := net.ListenPacket("udp", h.cfg.Listen.Peer.String())
+	conn, err := h.opt.Network.ListenPacket(ctx, h.cfg.Listen.Peer.String())
 	if err != nil {
 		return fmt.Errorf("relayhost: peers: %w", err)
 	}
@@ -321,7 +333,7 @@
 }
 
 func (h *Host) serveCallers(ctx context.Context) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", h.cfg.Listen.Caller.String())
+	l, err := h.opt.Network.Listen(ctx, h.cfg.Listen.Caller.String(), callerSockets)
 	if err != nil {
 		return fmt.Errorf("relayhost: callers: %w", err)
 	}
@@ -332,7 +344,7 @@
 
 func (h *Host) serve(addr netip.AddrPort, handler http.Handler) func(context.Context) error {
 	return func(ctx context.Context) error {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
+		l, err := h.opt.Network.Listen(ctx, addr.String(), callerSockets)
 		if err != nil {
 			return fmt.Errorf("relayhost: listen: %w", err)
 		}
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -184,6 +184,24 @@
 
 	mu    sync.Mutex
 	table *roster.Table
+	// known is true once the other hosts have been read from the log.
+	known bool
+}
+
+func (h *hostWatch) snapshot(records []platform.KeyedRecord) {
+	h.take(records)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known = true
+}
+
+// count returns the number of hosts that may be alive, this one included, or
+// false if it is not known yet. Hosts that are not heard may be beyond a
+// partition, so they count.
+func (h *hostWatch) count() (int, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return 1 + len(h.table.Peers()), h.known
 }
 
 func (h *hostWatch) take(records []platform.KeyedRecord) {
--- a/fleet/sockets/sockets.go
+++ b/fleet/sockets/sockets.go
@@ -3,6 +3,7 @@
 package sockets
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -10,6 +11,38 @@
 	"golang.org/x/sys/unix"
 )
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Network is where a host's connections come from. Tests put one in memory in
+// its place.
+type Network interface {
+	// Dialer returns a function that opens TCP connections.
+	Dialer(Options) DialFunc
+	// Listen accepts TCP connections at an ip:port.
+	Listen(ctx context.Context, address string, o Options) (net.Listener, error)
+	// ListenPacket receives datagrams at an ip:port.
+	ListenPacket(ctx context.Context, address string) (net.PacketConn, error)
+}
+
+// System is the network of the machine.
+type System struct{}
+
+var _ Network = System{}
+
+// Dialer implements Network.
+func (System) Dialer(o Options) DialFunc { return o.dialer().DialContext }
+
+// Listen implements Network.
+func (System) Listen(ctx context.Context, address string, o Options) (net.Listener, error) {
+	return o.listenConfig().Listen(ctx, "tcp", address)
+}
+
+// ListenPacket implements Network.
+func (System) ListenPacket(ctx context.Context, address string) (net.PacketConn, error) {
+	return (&net.ListenConfig{}).ListenPacket(ctx, "udp", address)
+}
+
 // Options bound the silence on a connection.
 type Options struct {
 	// ConnectTimeout bounds the time to open a connection.
@@ -24,8 +57,7 @@
 // keepAliveProbes is the number of unanswered probes that end a connection.
 const keepAliveProbes = 3
 
-// Dialer returns a dialer with these bounds.
-func (o Options) Dialer() *net.Dialer {
+func (o Options) dialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout: o.ConnectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -35,8 +67,7 @@
 	}
 }
 
-// ListenConfig returns a listener configuration with these bounds.
-func (o Options) ListenConfig() *net.ListenConfig {
+func (o Options) listenConfig() *net.ListenConfig {
 	return &net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: o.KeepAlive > 0, Idle: o.KeepAlive, Interval: o.KeepAlive, Count: keepAliveProbes,
--- a/fleet/wallet/fixture_test.go
+++ b/fleet/wallet/fixture_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,16 +42,17 @@
 	f      *fleet
 	name   record.HostID
 	link   *memkeyed.Link
-	wallet *Wallet
+	wallet atomic.Pointer[Wallet]
 	stop   context.CancelFunc
-	cut    bool // from the other hosts
+	cut    atomic.Bool // from the other hosts
 }
 
 func newFleet(t *testing.T, hosts int, prepaid record.Tokens, seed uint64) *fleet {
 	f := &fleet{t: t, log: memkeyed.New(), rng: rand.New(rand.NewPCG(seed, 1)), prepaid: prepaid}
 	for i := range hosts {
-		h := &testHost{f: f, name: record.HostID(fmt.Sprintf("h%d", i))}
-		f.hosts = append(f.hosts, h)
+		f.hosts = append(f.hosts, &testHost{f: f, name: record.HostID(fmt.Sprintf("h%d", i))})
+	}
+	for i, h := range f.hosts {
 		h.start(seed + uint64(i))
 	}
 	return f
@@ -61,22 +63,23 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.link = h.f.log.Link(seed)
 	h.stop = cancel
-	h.wallet = New(Options{
+	wallet := New(Options{
 		Host: h.name, Log: h.link, Hosts: func() int { return len(h.f.hosts) }, Lender: h,
 		Policy: escrow.DefaultPolicy(), Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
 	})
-	h.wallet.SetTable(h.f.table())
-	go func() { _ = h.wallet.Run(ctx) }()
+	wallet.SetTable(h.f.table())
+	h.wallet.Store(wallet)
+	go func() { _ = wallet.Run(ctx) }()
 }
 
 // Borrow implements Lender: it asks the other hosts in turn.
 func (h *testHost) Borrow(_ context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens {
 	got := record.Tokens(0)
 	for _, other := range h.f.hosts {
-		if other == h || other.cut || h.cut || got >= amount {
+		if other == h || other.cut.Load() || h.cut.Load() || got >= amount {
 			continue
 		}
-		lent := other.wallet.Lend(budget, amount-got)
+		lent := other.wallet.Load().Lend(budget, amount-got)
 		if h.f.draw() >= h.f.loseLoans {
 			got += lent
 		}
@@ -104,7 +107,7 @@
 	f.version++
 	f.mu.Unlock()
 	for _, h := range f.hosts {
-		h.wallet.SetTable(f.table())
+		h.wallet.Load().SetTable(f.table())
 	}
 }
 
@@ -119,19 +122,19 @@
 // spend runs a request of a cost and a bound for a time. It returns false if it
 // was refused.
 func (h *testHost) spend(bound, cost record.Tokens, d time.Duration) error {
-	res, err := h.wallet.Reserve(context.Background(), testBudget, 0, bound, 500*time.Millisecond)
+	wallet := h.wallet.Load()
+	res, err := wallet.Reserve(context.Background(), testBudget, 0, bound, 500*time.Millisecond)
 	if err != nil {
 		return err
 	}
 	h.f.count(bound)
-	wallet := h.wallet
 	time.AfterFunc(d, func() { h.end(wallet, res, cost) })
 	return nil
 }
 
 // end settles a request, unless its host has died: then it counts at its most.
 func (h *testHost) end(wallet *Wallet, res bank.Reservation, cost record.Tokens) {
-	if h.wallet != wallet {
+	if h.wallet.Load() != wallet {
 		return
 	}
 	h.f.count(cost - res.Amount())
--- a/fleet/wallet/wallet_test.go
+++ b/fleet/wallet/wallet_test.go
@@ -53,11 +53,11 @@
 	case draw < 0.026: // stopped gracefully
 		h.stop()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		_ = h.wallet.Close(ctx) // the log may be away
+		_ = h.wallet.Load().Close(ctx) // the log may be away
 		cancel()
 		h.start(seed*1000 + uint64(step))
 	case draw < 0.03:
-		h.cut = !h.cut
+		h.cut.Store(!h.cut.Load())
 	case draw < 0.032:
 		_, prepaid := f.balance()
 		f.setPrepaid(prepaid + 20_000)
--- a/standin/memnet/network.go
+++ b/standin/memnet/network.go
@@ -29,6 +29,7 @@
 
 	mu        sync.Mutex
 	listeners map[string]*listener
+	packets   map[string]*packetConn
 	cuts      map[direction]bool
 	conns     map[*Conn]struct{}
 	changed   chan struct{}
@@ -48,6 +49,7 @@
 	return &Network{
 		opts:      opts,
 		listeners: make(map[string]*listener),
+		packets:   make(map[string]*packetConn),
 		cuts:      make(map[direction]bool),
 		conns:     make(map[*Conn]struct{}),
 		changed:   make(chan struct{}),
