Let a host that reaches the log claim for those that don't

Change: a lender claims what it lacks; hosts tell by gossip whether they are isolated and the others are asked first; a log whose answer is overdue by 200 ms no longer holds requests up.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -24,6 +24,8 @@
 	Cores float64 `json:"cores"`
 	// Leaving hosts take no new callers.
 	Leaving bool `json:"leaving,omitempty"`
+	// Isolated hosts don't reach the platform's log. They say so to the others.
+	Isolated bool `json:"-"`
 }
 
 // Silence after which a host is not given to callers: three heartbeats.
@@ -66,6 +68,7 @@
 		return
 	}
 	h.Leaving = h.Leaving || e.host.Leaving
+	h.Isolated = e.host.Isolated
 	e.host = h
 }
 
@@ -74,13 +77,13 @@
 
 // Heard notes a message of a host. It returns false if that run of the host is
 // not known.
-func (t *Table) Heard(id record.HostID, run uint64, leaving bool, now time.Time) bool {
+func (t *Table) Heard(id record.HostID, run uint64, leaving, isolated bool, now time.Time) bool {
 	e, ok := t.hosts[id]
 	if !ok || e.host.Run != run {
 		return false
 	}
 	e.heardAt = now
-	e.host.Leaving = leaving
+	e.host.Leaving, e.host.Isolated = leaving, isolated
 	return true
 }
 
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -52,6 +52,8 @@
 	Host    record.HostID
 	Run     uint64
 	Leaving bool
+	// Isolated hosts don't reach the platform's log.
+	Isolated bool
 	// Oldest is the lowest number of a request that has not ended. Datagrams
 	// that told of the end of an earlier one may have been lost.
 	Oldest uint64
@@ -72,10 +74,11 @@
 	Self roster.Host
 	// Peers returns the hosts that messages go to.
 	Peers func() []roster.Host
-	// Leaving tells whether this host leaves, and Oldest what its oldest request
-	// is that has not ended.
-	Leaving func() bool
-	Oldest  func() uint64
+	// Leaving and Isolated tell this host's state, and Oldest what its oldest
+	// request is that has not ended.
+	Leaving  func() bool
+	Isolated func() bool
+	Oldest   func() uint64
 	// Receive takes in a message of another host.
 	Receive func(*Message)
 	Logger  logr.Logger
@@ -178,7 +181,7 @@
 }
 
 func (g *Gossip) send(conn net.PacketConn, events []Event) {
-	m := Message{Host: g.opt.Self.ID, Run: g.opt.Self.Run, Leaving: g.opt.Leaving(), Oldest: g.opt.Oldest(), Events: events}
+	m := Message{Host: g.opt.Self.ID, Run: g.opt.Self.Run, Leaving: g.opt.Leaving(), Isolated: g.opt.Isolated(), Oldest: g.opt.Oldest(), Events: events}
 	data, err := cbor.Marshal(&m)
 	if err != nil {
 		g.log.Error(err, "Message could not be encoded.")
--- a/fleet/lending/lending.go
+++ b/fleet/lending/lending.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,9 @@
 )
 
 const (
-	// callTimeout bounds one call: hosts are a millisecond away from each other.
-	callTimeout = 60 * time.Millisecond
+	// callTimeout bounds one call: hosts are a millisecond away from each other,
+	// and one that claims needs some calls to the log.
+	callTimeout = 130 * time.Millisecond
 	// maxAsked bounds the hosts that are asked for one request.
 	maxAsked = 8
 	// fruitlessFor is how long nobody is asked again for as much as nobody had.
@@ -30,8 +32,9 @@
 
 // Purses holds what this host can lend.
 type Purses interface {
-	// Lend takes at most an amount out of what is free and returns it.
-	Lend(budget record.BudgetID, amount record.Tokens) record.Tokens
+	// Lend takes at most an amount out of what the host holds, or can claim, and
+	// returns it.
+	Lend(ctx context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens
 }
 
 type server struct {
@@ -46,8 +49,8 @@
 }
 
 // Lend implements the peers' service.
-func (s server) Lend(_ context.Context, r *connect.Request[peerpb.LendRequest]) (*connect.Response[peerpb.LendResponse], error) {
-	amount := s.purses.Lend(record.BudgetID(r.Msg.Budget), record.Tokens(r.Msg.Amount))
+func (s server) Lend(ctx context.Context, r *connect.Request[peerpb.LendRequest]) (*connect.Response[peerpb.LendResponse], error) {
+	amount := s.purses.Lend(ctx, record.BudgetID(r.Msg.Budget), record.Tokens(r.Msg.Amount))
 	return connect.NewResponse(&peerpb.LendResponse{Amount: int64(amount)}), nil
 }
 
@@ -79,6 +82,8 @@
 	}
 	hosts := c.alive()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	// Those that reach the log can give what they don't hold.
+	slices.SortStableFunc(hosts, func(a, b roster.Host) int { return compareBool(a.Isolated, b.Isolated) })
 	got := record.Tokens(0)
 	for _, h := range hosts[:min(len(hosts), maxAsked)] {
 		if got >= amount || ctx.Err() != nil {
@@ -94,6 +99,16 @@
 	return got
 }
 
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 func (c *Client) hopeless(budget record.BudgetID, amount record.Tokens) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -158,10 +158,6 @@
 	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, changed: h.setTable, log: h.opt.Logger.WithName("table")}
 	h.ups = newUpstreamWatch(func() time.Duration { return h.bounds.Load().UpstreamHeartbeat }, p.DecodeUpstream, h.balancer.SetUpstreams, h.opt.Logger.WithName("upstreams"))
 	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self)}
-	h.gossip = gossip.New(gossip.Options{
-		Self: h.self, Peers: h.hosts.peers, Leaving: h.leaving.Load, Oldest: h.balancer.Oldest, Receive: h.receive,
-		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
-	})
 	h.wallet = wallet.New(wallet.Options{
 		Host:    h.cfg.Host,
 		Log:     h.opt.Log,
@@ -171,6 +167,10 @@
 		Logger:  h.opt.Logger,
 		Metrics: h.opt.Metrics,
 	})
+	h.gossip = gossip.New(gossip.Options{
+		Self: h.self, Peers: h.hosts.peers, Leaving: h.leaving.Load, Isolated: h.wallet.Isolated, Oldest: h.balancer.Oldest,
+		Receive: h.receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+	})
 	h.relay = relay.New(relay.Options{
 		Front: p.Front, Dialect: p.Dialect, Table: h.table.current.Load, Balancer: h.balancer, Reserver: h.wallet,
 		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
@@ -213,7 +213,7 @@
 // receive takes in a message of another host.
 func (h *Host) receive(m *gossip.Message) {
 	h.hosts.mu.Lock()
-	known := h.hosts.table.Heard(m.Host, m.Run, m.Leaving, time.Now())
+	known := h.hosts.table.Heard(m.Host, m.Run, m.Leaving, m.Isolated, time.Now())
 	h.hosts.mu.Unlock()
 	if !known {
 		return
--- a/fleet/wallet/fixture_test.go
+++ b/fleet/wallet/fixture_test.go
@@ -73,13 +73,13 @@
 }
 
 // Borrow implements Lender: it asks the other hosts in turn.
-func (h *testHost) Borrow(_ context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens {
+func (h *testHost) Borrow(ctx context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens {
 	got := record.Tokens(0)
 	for _, other := range h.f.hosts {
 		if other == h || other.cut.Load() || h.cut.Load() || got >= amount {
 			continue
 		}
-		lent := other.wallet.Load().Lend(budget, amount-got)
+		lent := other.wallet.Load().Lend(ctx, budget, amount-got)
 		if h.f.draw() >= h.f.loseLoans {
 			got += lent
 		}
--- a/fleet/wallet/reserve.go
+++ b/fleet/wallet/reserve.go
@@ -11,14 +11,27 @@
 	"github.com/hazelworks/hazelworks/fleet/bank"
 )
 
-// Reserve implements bank.Reserver. It asks the log first and then the other
-// hosts; the key is not needed, since each reservation is settled once, here.
+// Times of a reservation.
+const (
+	// claimWait is the usual time for a claim: three calls to the log. Other hosts
+	// are asked after it.
+	claimWait = 60 * time.Millisecond
+	// lendWait bounds the time that another host waits for a claim of this one.
+	lendWait = 100 * time.Millisecond
+)
+
+// Reserve implements bank.Reserver. It asks the log first, then the other hosts,
+// and goes on waiting for the log if neither had it. The key is not needed, since
+// each reservation is settled once, here.
 func (w *Wallet) Reserve(ctx context.Context, budget record.BudgetID, _ record.RequestKey, amount record.Tokens, wait time.Duration) (bank.Reservation, error) {
-	err := w.reserve(ctx, budget, amount, wait)
+	err := w.reserve(ctx, budget, amount, min(claimWait, wait))
 	var refused *bank.RefusedError
 	if errors.As(err, &refused) && w.borrow(ctx, budget, amount) {
 		err = nil
 	}
+	if errors.As(err, &refused) && refused.Unreachable && wait > claimWait {
+		err = w.reserve(ctx, budget, amount, wait-claimWait)
+	}
 	if err != nil {
 		w.meters.refused.Inc(1)
 		return nil, err
@@ -26,6 +39,8 @@
 	return &reservation{w: w, budget: budget, amount: amount}, nil
 }
 
+// reserve waits for what this host holds and claims. A wait that was in vain
+// counts as a log that is out of reach.
 func (w *Wallet) reserve(ctx context.Context, budget record.BudgetID, amount record.Tokens, wait time.Duration) error {
 	w.mu.Lock()
 	p := w.purse(budget)
@@ -95,19 +110,32 @@
 	return ok
 }
 
-// Lend gives a part of what is free to another host, at most an amount. The
-// caller must hand it over: it counts as spent here.
-func (w *Wallet) Lend(budget record.BudgetID, amount record.Tokens) record.Tokens {
+// Lend gives another host an amount, or what is free of it. A host that reaches
+// the log claims for those that don't. The caller must hand it over: it counts as
+// spent here.
+func (w *Wallet) Lend(ctx context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens {
+	if amount <= 0 {
+		return 0
+	}
+	err := w.reserve(ctx, budget, amount, lendWait)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p, ok := w.purses[budget]
-	if !ok || len(p.waiting) > 0 {
-		return 0
+	p := w.purse(budget)
+	if err == nil {
+		p.Settle(amount, amount)
+	} else {
+		amount = max(0, min(amount, p.Free))
+		p.Free -= amount
 	}
-	lent := max(0, min(amount, p.Free))
-	p.Free -= lent
-	w.meters.lent.Inc(int64(lent))
-	return lent
+	w.meters.lent.Inc(int64(amount))
+	return amount
+}
+
+// Isolated tells whether the log is out of reach.
+func (w *Wallet) Isolated() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost || !w.synced
 }
 
 // reservation is an amount that is set aside for one request.
--- a/fleet/wallet/wallet.go
+++ b/fleet/wallet/wallet.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -31,8 +32,11 @@
 	freshFor = 200 * time.Millisecond
 	// retryPause is the time between calls to the log that fail.
 	retryPause = 250 * time.Millisecond
-	// borrowTimeout bounds a call to another host; they are a millisecond away.
-	borrowTimeout = 200 * time.Millisecond
+	// borrowTimeout bounds the time to ask the other hosts.
+	borrowTimeout = 250 * time.Millisecond
+	// lostAfter is the time without an answer after which requests no longer wait
+	// for the log: some dozens of its usual answers.
+	lostAfter = 200 * time.Millisecond
 )
 
 // Lender borrows from other hosts.
@@ -164,13 +168,18 @@
 			w.measure(now)
 		case <-w.wake:
 		}
-		if err := w.round(ctx); err != nil {
+		overdue := time.AfterFunc(lostAfter, func() { w.failed(ctx, errOverdue) })
+		err := w.round(ctx)
+		overdue.Stop()
+		if err != nil {
 			w.failed(ctx, err)
 			pause(ctx, retryPause)
 		}
 	}
 }
 
+var errOverdue = errors.New("wallet: the log's answer is overdue")
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/fleet/wallet/wallet_test.go
+++ b/fleet/wallet/wallet_test.go
@@ -224,3 +224,20 @@
 		require.NoError(t, f.hosts[0].spend(9000, 9000, time.Millisecond), "a top-up is spent")
 	})
 }
+
+// TestOneHostClaimsForThoseThatAreCutOff takes the log away from all hosts but one
+// for far longer than they hold cover.
+func TestOneHostClaimsForThoseThatAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 2_000_000, 13)
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		for _, h := range f.hosts[1:] {
+			h.link.Set(memkeyed.Faults{Silent: true})
+		}
+		for step := range 600 {
+			require.NoError(t, f.hosts[step%4].spend(3000, 3000, time.Millisecond), "step %d", step)
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
