--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -31,7 +31,7 @@
 
 // DefaultPolicy returns the policy for outages of the log of some seconds.
 func DefaultPolicy() Policy {
-	return Policy{Cover: 10 * time.Second, FirstShare: 0.15, KeepBack: 0.25, BaseShare: 0.02, Growth: 0.5}
+	return Policy{Cover: 10 * time.Second, FirstShare: 0.15, KeepBack: 0.25, BaseShare: 0.005, Growth: 0.5}
 }
 
 // rateWindow is the time over which the rate of spending is averaged.
