Send callers to large hosts and events only to hosts that serve

Cause: on the grown sites most hosts are small (0.19 cores, 10 Mbit/s) and one tenant's clients go to one of them whatever the directory says; each request of it was told to 72 hosts. Change: the directory names hosts with at least half of the largest one's cores; gossip of requests goes to hosts that have served lately, heartbeats to all.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -24,8 +24,18 @@
 	Cores float64 `json:"cores"`
 	// Leaving hosts take no new callers.
 	Leaving bool `json:"leaving,omitempty"`
-	// Isolated hosts don't reach the platform's log. They say so to the others.
-	Isolated bool `json:"-"`
+	// State is what the host said last to the others.
+	State State `json:"-"`
+}
+
+// State is what a host tells the others of itself, some times a second.
+type State struct {
+	_       struct{} `cbor:",toarray"`
+	Leaving bool
+	// Isolated hosts don't reach the platform's log.
+	Isolated bool
+	// Active hosts have served requests lately.
+	Active bool
 }
 
 // Silence after which a host is not given to callers: three heartbeats.
@@ -68,7 +78,7 @@
 		return
 	}
 	h.Leaving = h.Leaving || e.host.Leaving
-	h.Isolated = e.host.Isolated
+	h.State = e.host.State
 	e.host = h
 }
 
@@ -77,13 +87,14 @@
 
 // Heard notes a message of a host. It returns false if that run of the host is
 // not known.
-func (t *Table) Heard(id record.HostID, run uint64, leaving, isolated bool, now time.Time) bool {
+func (t *Table) Heard(id record.HostID, run uint64, state State, now time.Time) bool {
 	e, ok := t.hosts[id]
 	if !ok || e.host.Run != run {
 		return false
 	}
 	e.heardAt = now
-	e.host.Leaving, e.host.Isolated = leaving, isolated
+	e.host.State = state
+	e.host.Leaving = state.Leaving
 	return true
 }
 
@@ -109,28 +120,48 @@
 	return out
 }
 
-// minAddresses is the least number of addresses in an answer, if there are as
-// many hosts: a caller whose first choice has just failed needs another.
-const minAddresses = 3
-
-// maxAddresses bounds the addresses in an answer.
-const maxAddresses = 64
+const (
+	// minAddresses is the least number of addresses in an answer, if there are as
+	// many hosts: a caller whose first choice has just failed needs another.
+	minAddresses = 2
+	// maxAddresses bounds the addresses in an answer.
+	maxAddresses = 64
+	// smallShare is the part of the largest host's capacity below which a host is
+	// not given to callers while larger ones are there. Callers choose evenly, and
+	// some stay with their choice, so that a small host may get as much as a large
+	// one.
+	smallShare = 0.5
+)
 
-// Resolve returns the addresses for a caller in a failure domain: the hosts of
-// that domain, and others if those are few.
+// Resolve returns the addresses for a caller in a failure domain: the large hosts
+// of that domain, then those of others, then the small ones of its own.
 func (t *Table) Resolve(domain string, now time.Time, shuffle func(n int, swap func(i, j int))) []netip.AddrPort {
-	var near, far []netip.AddrPort
-	for _, h := range t.Alive(now) {
-		switch {
-		case h.Leaving:
-		case h.FailureDomain == domain:
-			near = append(near, h.Caller)
-		default:
-			far = append(far, h.Caller)
+	alive := slices.DeleteFunc(t.Alive(now), func(h Host) bool { return h.Leaving })
+	shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	largest := 0.0
+	for _, h := range alive {
+		largest = max(largest, h.Cores)
+	}
+	large := func(h Host) bool { return h.Cores >= smallShare*largest }
+	near := func(h Host) bool { return h.FailureDomain == domain }
+	out := addresses(alive, func(h Host) bool { return near(h) && large(h) })
+	for _, wanted := range []func(Host) bool{
+		func(h Host) bool { return !near(h) && large(h) },
+		func(h Host) bool { return near(h) && !large(h) },
+		func(h Host) bool { return !near(h) && !large(h) },
+	} {
+		more := addresses(alive, wanted)
+		out = append(out, more[:max(0, min(len(more), minAddresses-len(out)))]...)
+	}
+	return out[:min(len(out), maxAddresses)]
+}
+
+func addresses(hosts []Host, wanted func(Host) bool) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, h := range hosts {
+		if wanted(h) {
+			out = append(out, h.Caller)
 		}
 	}
-	shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	missing := max(0, minAddresses-len(near))
-	near = append(near, far[:min(missing, len(far))]...)
-	return near[:min(len(near), maxAddresses)]
+	return out
 }
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -66,6 +66,7 @@
 	services  map[string]*service
 	conns     map[string]*upstreamConns
 	seq       uint64
+	lastPick  time.Time
 	// live holds the requests of this host that have not ended.
 	live map[uint64]struct{}
 }
@@ -210,11 +211,19 @@
 	l := &Lease{Choice: choice, Conns: conns.pool, b: b, service: service,
 		ticket: balance.Ticket{Host: b.opt.Host, Run: b.opt.Run, Seq: b.seq}}
 	b.live[b.seq] = struct{}{}
+	b.lastPick = now
 	s.pool.Begin(l.ticket, choice.Upstream.ID, q.Work, choice.Read, now)
 	b.opt.Tell(gossip.Event{Kind: gossip.Begun, Seq: b.seq, Service: service, Upstream: choice.Upstream.ID, Work: q.Work, Read: choice.Read})
 	return l, nil
 }
 
+// LastPick returns when an upstream was last leased.
+func (b *Balancer) LastPick() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lastPick
+}
+
 // Oldest returns the number of the oldest request that has not ended.
 func (b *Balancer) Oldest() uint64 {
 	b.mu.Lock()
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,12 +49,10 @@
 
 // Message is one datagram.
 type Message struct {
-	_       struct{} `cbor:",toarray"`
-	Host    record.HostID
-	Run     uint64
-	Leaving bool
-	// Isolated hosts don't reach the platform's log.
-	Isolated bool
+	_     struct{} `cbor:",toarray"`
+	Host  record.HostID
+	Run   uint64
+	State roster.State
 	// Oldest is the lowest number of a request that has not ended. Datagrams
 	// that told of the end of an earlier one may have been lost.
 	Oldest uint64
@@ -74,11 +73,10 @@
 	Self roster.Host
 	// Peers returns the hosts that messages go to.
 	Peers func() []roster.Host
-	// Leaving and Isolated tell this host's state, and Oldest what its oldest
-	// request is that has not ended.
-	Leaving  func() bool
-	Isolated func() bool
-	Oldest   func() uint64
+	// State is this host's, and Oldest the number of its oldest request that has
+	// not ended.
+	State  func() roster.State
+	Oldest func() uint64
 	// Receive takes in a message of another host.
 	Receive func(*Message)
 	Logger  logr.Logger
@@ -166,28 +164,33 @@
 	}
 }
 
-// flush sends the pending events. Heartbeats are sent even if there are none.
+// flush sends the pending events to those who serve callers, too. Heartbeats go to
+// all hosts, even if there are no events.
 func (g *Gossip) flush(conn net.PacketConn, heartbeat bool) {
 	g.mu.Lock()
 	events := g.pending
 	g.pending = nil
 	g.mu.Unlock()
-	for heartbeat || len(events) > 0 {
-		heartbeat = false
+	peers := g.opt.Peers()
+	active := slices.DeleteFunc(slices.Clone(peers), func(h roster.Host) bool { return !h.State.Active })
+	for len(events) > 0 {
 		n := min(len(events), maxEvents)
-		g.send(conn, events[:n])
+		g.send(conn, events[:n], active)
 		events = events[n:]
 	}
+	if heartbeat {
+		g.send(conn, nil, peers)
+	}
 }
 
-func (g *Gossip) send(conn net.PacketConn, events []Event) {
-	m := Message{Host: g.opt.Self.ID, Run: g.opt.Self.Run, Leaving: g.opt.Leaving(), Isolated: g.opt.Isolated(), Oldest: g.opt.Oldest(), Events: events}
+func (g *Gossip) send(conn net.PacketConn, events []Event, peers []roster.Host) {
+	m := Message{Host: g.opt.Self.ID, Run: g.opt.Self.Run, State: g.opt.State(), Oldest: g.opt.Oldest(), Events: events}
 	data, err := cbor.Marshal(&m)
 	if err != nil {
 		g.log.Error(err, "Message could not be encoded.")
 		return
 	}
-	for _, peer := range g.opt.Peers() {
+	for _, peer := range peers {
 		// A host that is down is no news here: its silence tells.
 		if _, err := conn.WriteTo(data, udpAddr(peer.Peer)); err == nil {
 			g.sent.Inc(1)
--- a/fleet/lending/lending.go
+++ b/fleet/lending/lending.go
@@ -83,7 +83,7 @@
 	hosts := c.alive()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	// Those that reach the log can give what they don't hold.
-	slices.SortStableFunc(hosts, func(a, b roster.Host) int { return compareBool(a.Isolated, b.Isolated) })
+	slices.SortStableFunc(hosts, func(a, b roster.Host) int { return compareBool(a.State.Isolated, b.State.Isolated) })
 	got := record.Tokens(0)
 	for _, h := range hosts[:min(len(hosts), maxAsked)] {
 		if got >= amount || ctx.Err() != nil {
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -168,7 +168,7 @@
 		Metrics: h.opt.Metrics,
 	})
 	h.gossip = gossip.New(gossip.Options{
-		Self: h.self, Peers: h.hosts.peers, Leaving: h.leaving.Load, Isolated: h.wallet.Isolated, Oldest: h.balancer.Oldest,
+		Self: h.self, Peers: h.hosts.peers, State: h.state, Oldest: h.balancer.Oldest,
 		Receive: h.receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
@@ -210,10 +210,22 @@
 	})
 }
 
+// activeFor is how long a host counts as serving callers after its last request.
+const activeFor = 10 * time.Second
+
+// state is what this host tells the others of itself.
+func (h *Host) state() roster.State {
+	return roster.State{
+		Leaving:  h.leaving.Load(),
+		Isolated: h.wallet.Isolated(),
+		Active:   time.Since(h.balancer.LastPick()) < activeFor,
+	}
+}
+
 // receive takes in a message of another host.
 func (h *Host) receive(m *gossip.Message) {
 	h.hosts.mu.Lock()
-	known := h.hosts.table.Heard(m.Host, m.Run, m.Leaving, m.Isolated, time.Now())
+	known := h.hosts.table.Heard(m.Host, m.Run, m.State, time.Now())
 	h.hosts.mu.Unlock()
 	if !known {
 		return
@@ -248,7 +260,11 @@
 	if h.table.current.Load() == nil {
 		return nil, 0
 	}
-	return h.hosts.table.Resolve(domain, time.Now(), mathrand.Shuffle), min(directoryTTL, h.bounds.Load().DirectoryTTL)
+	now := time.Now()
+	addresses := h.hosts.table.Resolve(domain, now, mathrand.Shuffle)
+	h.log.Info("Directory answered.", "domain", domain, "addresses", len(addresses),
+		"alive", len(h.hosts.table.Alive(now)), "known", 1+len(h.hosts.table.Peers()))
+	return addresses, min(directoryTTL, h.bounds.Load().DirectoryTTL)
 }
 
 // Run serves until ctx ends or Stop is called.
