Compact events; give back what spending no longer justifies; claim cover where it is spent

Cause: a hot small host sent 1.4 MB/s of events over a 1.25 MB/s link; idle hosts kept 13 in 100 of each budget; a host's claim for cover was a 73rd of what is left, though one host may have all of an account's callers. Change: events name upstreams by hash and gather for 6 ms; only hosts with a request every two seconds get them; a purse gives back what is twice its target; cover is claimed by the rate alone, a quarter of what is left at once.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -17,6 +17,7 @@
 
 // Work is what a request asks of an engine.
 type Work struct {
+	_ struct{} `cbor:",toarray"`
 	// Input and MaxOutput are in tokens.
 	Input     int64
 	MaxOutput int64
--- a/core/balance/cache.go
+++ b/core/balance/cache.go
@@ -9,6 +9,7 @@
 // Part is one part of a prompt. Requests that share their leading parts can use
 // each other's cached state on an engine.
 type Part struct {
+	_      struct{} `cbor:",toarray"`
 	ID     uint64
 	Tokens int64
 }
--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -113,12 +113,30 @@
 // one claim serves some seconds.
 const refillBelow = 0.75
 
+// atOnce is the part of what is not kept back that one claim may take: others may
+// claim at the same time.
+const atOnce = 0.25
+
+// surplus is the multiple of its target above which a purse gives back the rest:
+// callers have gone elsewhere.
+const surplus = 2
+
+// Excess returns how much of what is free the spending no longer justifies.
+func (p *Purse) Excess(policy Policy, prepaid record.Tokens, hosts int) record.Tokens {
+	base := share(policy.BaseShare*float64(prepaid), hosts)
+	target := max(base, record.Tokens(p.rate*policy.Cover.Seconds()))
+	if p.Free <= surplus*target+base {
+		return 0
+	}
+	return p.Free - target
+}
+
 // Want returns how much to claim: what is missing to the target, as far as enough
 // is kept back, and in any case what waiting requests need. Left is what nobody
 // has claimed.
 func (p *Purse) Want(policy Policy, prepaid, left, need record.Tokens, hosts int) record.Tokens {
 	spare := float64(left) - policy.KeepBack*float64(prepaid)
-	target := min(p.Target(policy, prepaid, hosts), p.Free+share(spare, hosts))
+	target := min(p.Target(policy, prepaid, hosts), p.Free+record.Tokens(max(0, spare)*atOnce))
 	cover := p.missing(target)
 	base := p.missing(share(policy.BaseShare*float64(prepaid), hosts))
 	want := max(cover, base, need-p.Free)
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -65,8 +66,11 @@
 	upstreams []catalog.Upstream
 	services  map[string]*service
 	conns     map[string]*upstreamConns
+	byHash    map[uint32]*upstreamConns
 	seq       uint64
 	lastPick  time.Time
+	// recent counts the leases of the last seconds, each worth less with its age.
+	recent float64
 	// live holds the requests of this host that have not ended.
 	live map[uint64]struct{}
 }
@@ -161,11 +165,14 @@
 			Opened:         func() { b.opened.Inc(1) },
 		})}
 	}
+	b.byHash = make(map[uint32]*upstreamConns, len(b.conns))
 	for id, c := range b.conns {
 		if !seen[id] {
 			c.pool.Close()
 			delete(b.conns, id)
+			continue
 		}
+		b.byHash[gossip.UpstreamHash(id)] = c
 	}
 }
 
@@ -211,17 +218,28 @@
 	l := &Lease{Choice: choice, Conns: conns.pool, b: b, service: service,
 		ticket: balance.Ticket{Host: b.opt.Host, Run: b.opt.Run, Seq: b.seq}}
 	b.live[b.seq] = struct{}{}
+	b.recent = b.recentAt(now) + 1
 	b.lastPick = now
 	s.pool.Begin(l.ticket, choice.Upstream.ID, q.Work, choice.Read, now)
-	b.opt.Tell(gossip.Event{Kind: gossip.Begun, Seq: b.seq, Service: service, Upstream: choice.Upstream.ID, Work: q.Work, Read: choice.Read})
+	b.opt.Tell(gossip.Event{
+		Kind: gossip.Begun, Seq: b.seq, Upstream: gossip.UpstreamHash(choice.Upstream.ID),
+		Begun: &gossip.Begin{ReadMillis: uint32(choice.Read.Milliseconds()), Work: q.Work},
+	})
 	return l, nil
 }
 
-// LastPick returns when an upstream was last leased.
-func (b *Balancer) LastPick() time.Time {
+// rateWindow is the time over which the rate of leases is averaged.
+const rateWindow = 5 * time.Second
+
+func (b *Balancer) recentAt(now time.Time) float64 {
+	return b.recent * math.Exp(-now.Sub(b.lastPick).Seconds()/rateWindow.Seconds())
+}
+
+// Rate returns the leases a second of the last seconds.
+func (b *Balancer) Rate() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.lastPick
+	return b.recentAt(time.Now()) / rateWindow.Seconds()
 }
 
 // Oldest returns the number of the oldest request that has not ended.
@@ -241,9 +259,13 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	for _, e := range m.Events {
-		if s, ok := b.services[e.Service]; ok {
+		c, ok := b.byHash[e.Upstream]
+		if !ok {
+			continue // not listed here yet, or gone
+		}
+		if s, ok := b.services[c.up.Service]; ok {
 			t := balance.Ticket{Host: string(m.Host), Run: m.Run, Seq: e.Seq}
-			s.apply(t, e, now)
+			s.apply(t, c.up.ID, e, now)
 		}
 	}
 	for _, s := range b.services {
@@ -251,28 +273,29 @@
 	}
 }
 
-func (s *service) apply(t balance.Ticket, e gossip.Event, now time.Time) {
-	switch e.Kind {
-	case gossip.Begun:
-		s.pool.Begin(t, e.Upstream, e.Work, e.Read, now)
-	case gossip.First:
-		s.pool.First(t, e.Upstream)
-	case gossip.Stalled:
-		s.pool.Stall(e.Upstream, now)
-	case gossip.Ended:
-		s.pool.End(t, e.Upstream, e.Outcome, now)
+// apply takes in an event of a request at an upstream.
+func (s *service) apply(t balance.Ticket, id string, e gossip.Event, now time.Time) {
+	switch {
+	case e.Kind == gossip.Begun && e.Begun != nil:
+		s.pool.Begin(t, id, e.Begun.Work, time.Duration(e.Begun.ReadMillis)*time.Millisecond, now)
+	case e.Kind == gossip.First:
+		s.pool.First(t, id)
+	case e.Kind == gossip.Stalled:
+		s.pool.Stall(id, now)
+	case e.Kind == gossip.Ended:
+		s.pool.End(t, id, e.Outcome, now)
 	}
 }
 
 func (l *Lease) event(kind gossip.EventKind, o balance.Outcome) {
-	e := gossip.Event{Kind: kind, Seq: l.ticket.Seq, Service: l.service, Upstream: l.Upstream.ID, Outcome: o}
+	e := gossip.Event{Kind: kind, Seq: l.ticket.Seq, Upstream: gossip.UpstreamHash(l.Upstream.ID), Outcome: o}
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
 	if kind == gossip.Ended {
 		delete(l.b.live, l.ticket.Seq)
 	}
 	if s, ok := l.b.services[l.service]; ok {
-		s.apply(l.ticket, e, time.Now())
+		s.apply(l.ticket, l.Upstream.ID, e, time.Now())
 	}
 	l.b.opt.Tell(e)
 }
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
@@ -34,19 +35,29 @@
 
 // Event is one event of a request that this host has sent to an upstream.
 type Event struct {
-	_        struct{} `cbor:",toarray"`
-	Kind     EventKind
-	Seq      uint64
-	Service  string
-	Upstream string
-	// Work is set on Begun, nil for plain services, and Read is the time that the
-	// upstream needs to read the prompt.
-	Work *balance.Work
-	Read time.Duration
+	_    struct{} `cbor:",toarray"`
+	Kind EventKind
+	Seq  uint64
+	// Upstream is a hash of the upstream's ID.
+	Upstream uint32
 	// Outcome is set on Ended.
 	Outcome balance.Outcome
+	// Begun is set on Begun.
+	Begun *Begin
 }
 
+// Begin describes a request that was sent.
+type Begin struct {
+	_ struct{} `cbor:",toarray"`
+	// ReadMillis is the time that the upstream needs to read the prompt.
+	ReadMillis uint32
+	// Work is nil for plain services.
+	Work *balance.Work
+}
+
+// UpstreamHash returns the hash of an upstream's ID in events.
+func UpstreamHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // Message is one datagram.
 type Message struct {
 	_     struct{} `cbor:",toarray"`
@@ -60,12 +71,13 @@
 }
 
 const (
-	// gather is how long events wait for others: far below the time that an
-	// engine needs for a step.
-	gather = 2 * time.Millisecond
+	// gather is how long events wait for others: not much more than the time that
+	// an engine needs for a step. Each datagram costs a small host's link as much
+	// as an event.
+	gather = 6 * time.Millisecond
 	// maxEvents keeps a message within one packet of usual networks, of 1,400
 	// bytes, with prompts of few parts.
-	maxEvents = 8
+	maxEvents = 16
 )
 
 // Options configure a [Gossip].
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -210,15 +210,16 @@
 	})
 }
 
-// activeFor is how long a host counts as serving callers after its last request.
-const activeFor = 10 * time.Second
+// activeRate is the number of requests a second from which a host counts as
+// serving callers. The few requests of others are seen in the upstreams' answers.
+const activeRate = 0.5
 
 // state is what this host tells the others of itself.
 func (h *Host) state() roster.State {
 	return roster.State{
 		Leaving:  h.leaving.Load(),
 		Isolated: h.wallet.Isolated(),
-		Active:   time.Since(h.balancer.LastPick()) < activeFor,
+		Active:   h.balancer.Rate() >= activeRate,
 	}
 }
 
--- a/fleet/wallet/claims.go
+++ b/fleet/wallet/claims.go
@@ -183,6 +183,7 @@
 	next := &write{seq: w.seq + 1, returns: make(map[record.BudgetID]record.Tokens)}
 	hosts := max(1, w.opt.Hosts())
 	for id, p := range w.purses {
+		w.giveExcessBack(p, hosts)
 		by := -p.giveBack
 		if p.giveBack == 0 && !w.closing {
 			by = p.Want(w.opt.Policy, p.prepaid, w.left(id, p), p.need(), hosts)
@@ -212,6 +213,17 @@
 	return true
 }
 
+// giveExcessBack returns what a purse holds beyond what its spending justifies.
+// The caller holds mu.
+func (w *Wallet) giveExcessBack(p *purse, hosts int) {
+	if len(p.waiting) > 0 || p.Reserved > 0 {
+		return
+	}
+	excess := p.Excess(w.opt.Policy, p.prepaid, hosts)
+	p.Free -= excess
+	p.giveBack += excess
+}
+
 // need returns what the requests that wait for the purse need in all.
 func (p *purse) need() record.Tokens {
 	sum := record.Tokens(0)
