Estimate waits from what upstreams have begun, learn their speed

Cause: at twice the usual load answers began after twice the estimate: the backlog was taken to shrink as fast as the estimates say, and a step of the engine for each chunk was left out. Change: a backlog shrinks when answers begin, and by at most the first prompt's time between; each chunk costs a step; a factor is learned from the answers.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -55,12 +56,16 @@
 	Trouble time.Duration
 }
 
-// Engine speeds that are assumed. They are those of a 70-billion-parameter model
-// on one current accelerator.
+// Engine speeds that are assumed at first. They are those of a 70-billion-parameter
+// model on one current accelerator; a factor is learned from the answers.
 const (
 	readTokensPerMilli = 40.0
 	// pairMillis is the time for a million pairs of a read token and one before it.
 	pairMillis = 0.6
+	// An engine reads prompts in chunks, each beside a step of the answers that it
+	// is making.
+	chunkTokens = 2048
+	stepTime    = 6 * time.Millisecond
 	// fetchSetup is the time to begin a transfer between caches.
 	fetchSetup = 2 * time.Millisecond
 	// minFetch is the least number of tokens for which a transfer is worth it.
@@ -90,6 +95,9 @@
 	rng     *rand.Rand
 	engine  routes.Engine
 	workers map[string]*worker
+	// slowness is the learned factor between the times that answers took to begin
+	// and the estimates.
+	slowness float64
 }
 
 type worker struct {
@@ -97,13 +105,13 @@
 	cache *prefixCache
 	// running holds the requests that were sent and have not ended.
 	running map[Ticket]*running
-	// unread is the time to read the prompts of those that have not begun.
-	unread time.Duration
-	// busyUntil is when the prompts that were sent are read, if the upstream
-	// keeps to the estimates.
-	busyUntil time.Time
-	tokens    int64
-	health    health
+	// unread is the time to read the prompts of those that have not begun, and
+	// since is when the upstream began with the first of them.
+	unread  time.Duration
+	waiting int
+	since   time.Time
+	tokens  int64
+	health  health
 }
 
 type running struct {
@@ -122,7 +130,7 @@
 // NewPool returns an empty pool for a host in a failure domain. Engine is zero
 // for plain services.
 func NewPool(domain string, engine routes.Engine, rng *rand.Rand) *Pool {
-	return &Pool{domain: domain, rng: rng, engine: engine, workers: make(map[string]*worker)}
+	return &Pool{domain: domain, rng: rng, engine: engine, workers: make(map[string]*worker), slowness: 1}
 }
 
 // Sync replaces the set of upstreams. A new start of one begins with nothing.
@@ -230,12 +238,12 @@
 		return c
 	}
 	c.Cached = w.cached(keys, work)
-	c.Read = readTime(work.Input, c.Cached)
+	c.Read = p.readTime(work.Input, c.Cached)
 	more := most - c.Cached
 	if source == nil || source == w || more < minFetch {
 		return c
 	}
-	fetching := p.fetchTime(more) + readTime(work.Input, most)
+	fetching := p.fetchTime(more) + p.readTime(work.Input, most)
 	if fetching < c.Read {
 		c.Read = fetching
 		c.FetchFrom, c.Fetched = source.up.Addr, more
@@ -253,15 +261,39 @@
 }
 
 // readTime is the time to read a prompt of which some tokens are kept.
-func readTime(input, cached int64) time.Duration {
+func (p *Pool) readTime(input, cached int64) time.Duration {
 	unread := float64(input - cached)
 	pairs := unread * (float64(cached) + unread/2) / 1e6
-	return time.Duration((unread/readTokensPerMilli + pairs*pairMillis) * float64(time.Millisecond))
+	reading := time.Duration((unread/readTokensPerMilli + pairs*pairMillis) * float64(time.Millisecond))
+	steps := time.Duration((input-cached+chunkTokens-1)/chunkTokens) * stepTime
+	return time.Duration(float64(reading+steps) * p.slowness)
 }
 
-// wait estimates when the prompts that were sent before will have been read.
+// Weight of the newest answer in the learned slowness, and its bounds.
+const (
+	slownessWeight = 0.02
+	minSlowness    = 0.25
+	maxSlowness    = 4
+)
+
+// Learn takes in how long an answer took to begin, against its estimate.
+func (p *Pool) Learn(c Choice, took time.Duration) {
+	expected := c.Wait + c.Read
+	if c.Read <= 0 || expected <= 0 || took <= 0 {
+		return
+	}
+	ratio := min(max(took.Seconds()/expected.Seconds(), 1.0/maxSlowness), maxSlowness)
+	p.slowness = min(max(p.slowness*math.Pow(ratio, slownessWeight), minSlowness), maxSlowness)
+}
+
+// wait estimates when the prompts that were sent before will have been read. The
+// first of them is being read since the last one was done.
 func (w *worker) wait(now time.Time) time.Duration {
-	return max(0, min(w.unread, w.busyUntil.Sub(now)))
+	if w.waiting == 0 {
+		return 0
+	}
+	progress := min(now.Sub(w.since), w.unread/time.Duration(w.waiting))
+	return max(0, w.unread-progress)
 }
 
 func (p *Pool) cost(w *worker, c Choice) time.Duration {
@@ -288,33 +320,37 @@
 		r.read = read
 		r.tokens = work.Input + work.MaxOutput
 		w.cache.add(chainKeys(work.Parts), work.Parts)
-		if w.busyUntil.Before(now) {
-			w.busyUntil = now
+		if w.waiting == 0 {
+			w.since = now
 		}
-		w.busyUntil = w.busyUntil.Add(r.read)
+		w.waiting++
 		w.unread += r.read
 		w.tokens += r.tokens
+	} else {
+		r.begun = true
 	}
 	w.running[t] = r
 }
 
 // First notes that the answer of a request has begun.
-func (p *Pool) First(t Ticket, id string) {
+func (p *Pool) First(t Ticket, id string, now time.Time) {
 	w, ok := p.workers[id]
 	if !ok {
 		return
 	}
 	if r, ok := w.running[t]; ok {
-		w.begun(r)
+		w.begun(r, now)
 	}
 }
 
-func (w *worker) begun(r *running) {
+func (w *worker) begun(r *running, now time.Time) {
 	if r.begun {
 		return
 	}
 	r.begun = true
 	w.unread -= r.read
+	w.waiting--
+	w.since = now
 }
 
 // End notes that a request has ended at its upstream, and what that says of it.
@@ -328,7 +364,7 @@
 		return
 	}
 	w.health.note(o, now)
-	w.remove(t, r)
+	w.remove(t, r, now)
 }
 
 // Stall notes that a request gets no answer for much longer than expected.
@@ -340,18 +376,18 @@
 
 // Forget drops the requests of a run of a host that are older than one of them,
 // and those of the host's earlier runs: they have ended.
-func (p *Pool) Forget(host string, run, oldest uint64) {
+func (p *Pool) Forget(host string, run, oldest uint64, now time.Time) {
 	for _, w := range p.workers {
 		for t, r := range w.running {
 			if t.Host == host && (t.Run != run || t.Seq < oldest) {
-				w.remove(t, r)
+				w.remove(t, r, now)
 			}
 		}
 	}
 }
 
-func (w *worker) remove(t Ticket, r *running) {
-	w.begun(r)
+func (w *worker) remove(t Ticket, r *running, now time.Time) {
+	w.begun(r, now)
 	w.tokens -= r.tokens
 	delete(w.running, t)
 }
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -183,6 +183,7 @@
 	b       *Balancer
 	service string
 	ticket  balance.Ticket
+	at      time.Time
 
 	mu    sync.Mutex
 	begun bool
@@ -215,7 +216,7 @@
 		return nil, ErrNone
 	}
 	b.seq++
-	l := &Lease{Choice: choice, Conns: conns.pool, b: b, service: service,
+	l := &Lease{Choice: choice, Conns: conns.pool, b: b, service: service, at: now,
 		ticket: balance.Ticket{Host: b.opt.Host, Run: b.opt.Run, Seq: b.seq}}
 	b.live[b.seq] = struct{}{}
 	b.recent = b.recentAt(now) + 1
@@ -269,7 +270,7 @@
 		}
 	}
 	for _, s := range b.services {
-		s.pool.Forget(string(m.Host), m.Run, m.Oldest)
+		s.pool.Forget(string(m.Host), m.Run, m.Oldest, now)
 	}
 }
 
@@ -279,7 +280,7 @@
 	case e.Kind == gossip.Begun && e.Begun != nil:
 		s.pool.Begin(t, id, e.Begun.Work, time.Duration(e.Begun.ReadMillis)*time.Millisecond, now)
 	case e.Kind == gossip.First:
-		s.pool.First(t, id)
+		s.pool.First(t, id, now)
 	case e.Kind == gossip.Stalled:
 		s.pool.Stall(id, now)
 	case e.Kind == gossip.Ended:
@@ -326,8 +327,19 @@
 		l.stall.Stop()
 	}
 	l.mu.Unlock()
-	if !begun {
-		l.event(gossip.First, balance.Neutral)
+	if begun {
+		return
+	}
+	l.event(gossip.First, balance.Neutral)
+	l.b.learn(l)
+}
+
+// learn compares the time to the first part of an answer with its estimate.
+func (b *Balancer) learn(l *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.services[l.service]; ok {
+		s.pool.Learn(l.Choice, time.Since(l.at))
 	}
 }
 
