Let the caller have a part of the answer before the rest is lost

Cause: all events and the loss came at the same instant of virtual time, so that the gateway could see the loss before any caller had taken an event; then it rightly runs the request at the other engine. Traced by logging the loss and the attempts: 'unexpected EOF' with 3 events received, then a second attempt that answered. Ruled out: lost bytes in the connection's stand-in and the transport's race between response and close.

The test now lets a millisecond pass between events; what it asks for is the same.

--- a/fleet/gateway/resume_test.go
+++ b/fleet/gateway/resume_test.go
@@ -131,7 +131,9 @@
 
 func TestLostAfterTheFirstEventEndsAsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, engine.Options{}, Limits{})
+		// Time passes between events, so that the caller has some when the rest
+		// is lost. An answer of which no caller has a part may run elsewhere.
+		f := newFixture(t, engine.Options{TokenInterval: time.Millisecond}, Limits{})
 		f.engines[0].SetFaults(engine.Faults{DropAfter: 3, NoResume: true})
 		got := readEvents(t, f.send(f.client, chat("r1", chatBody("20", true))), 0)
 		require.NotNil(t, got.err)
