Turn requests away that would begin or end too late; estimate waits by rank

Change: a gate turns a request away whose estimated wait leaves no time of its objective, the less urgent first, or whose answer would not end before its caller leaves (expected tokens times the learned pace of events). Waits are estimated for each rank: what is no less urgent, stretched by what overtakes. Callers that came back go before new ones; they are told from the rest by the time that they still wait. They come back within a third of the time left, and after a log outage within a quarter to a half of it.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -22,8 +22,13 @@
 	// Input and MaxOutput are in tokens.
 	Input     int64
 	MaxOutput int64
+	// Hint is the number of tokens that the caller expects in the answer, or zero.
+	Hint int64
 	// Parts are the parts of the prompt, in order.
 	Parts []Part
+	// Rank is the urgency with which the engine takes the request from its queue;
+	// 0 is first.
+	Rank int
 }
 
 // Query describes a request that needs an upstream.
@@ -44,6 +49,8 @@
 	// Read the time that it takes to read the prompt.
 	Wait time.Duration
 	Read time.Duration
+	// Generate is the time that the answer takes from its begin to its end.
+	Generate time.Duration
 	// Cached is the number of prompt tokens that it probably keeps.
 	Cached int64
 	// FetchFrom is the address of another upstream that keeps more of the
@@ -98,6 +105,8 @@
 	// slowness is the learned factor between the times that answers took to begin
 	// and the estimates.
 	slowness float64
+	// pace is the learned time between the events of an answer.
+	pace time.Duration
 }
 
 type worker struct {
@@ -105,16 +114,14 @@
 	cache *prefixCache
 	// running holds the requests that were sent and have not ended.
 	running map[Ticket]*running
-	// unread is the time to read the prompts of those that have not begun, and
-	// since is when the upstream began with the first of them.
-	unread  time.Duration
-	waiting int
-	since   time.Time
-	tokens  int64
-	health  health
+	// queue holds those that have not begun.
+	queue  queue
+	tokens int64
+	health health
 }
 
 type running struct {
+	rank   int
 	read   time.Duration
 	tokens int64
 	begun  bool
@@ -130,7 +137,7 @@
 // NewPool returns an empty pool for a host in a failure domain. Engine is zero
 // for plain services.
 func NewPool(domain string, engine routes.Engine, rng *rand.Rand) *Pool {
-	return &Pool{domain: domain, rng: rng, engine: engine, workers: make(map[string]*worker), slowness: 1}
+	return &Pool{domain: domain, rng: rng, engine: engine, workers: make(map[string]*worker), slowness: 1, pace: stepTime}
 }
 
 // Sync replaces the set of upstreams. A new start of one begins with nothing.
@@ -233,10 +240,11 @@
 }
 
 func (p *Pool) estimate(w *worker, work *Work, keys []uint64, source *worker, most int64, now time.Time) Choice {
-	c := Choice{Upstream: w.up, Wait: w.wait(now), Running: len(w.running)}
+	c := Choice{Upstream: w.up, Running: len(w.running)}
 	if work == nil {
 		return c
 	}
+	c.Wait, c.Generate = w.queue.wait(work.Rank, now), p.generateTime(work)
 	c.Cached = w.cached(keys, work)
 	c.Read = p.readTime(work.Input, c.Cached)
 	more := most - c.Cached
@@ -286,16 +294,6 @@
 	p.slowness = min(max(p.slowness*math.Pow(ratio, slownessWeight), minSlowness), maxSlowness)
 }
 
-// wait estimates when the prompts that were sent before will have been read. The
-// first of them is being read since the last one was done.
-func (w *worker) wait(now time.Time) time.Duration {
-	if w.waiting == 0 {
-		return 0
-	}
-	progress := min(now.Sub(w.since), w.unread/time.Duration(w.waiting))
-	return max(0, w.unread-progress)
-}
-
 func (p *Pool) cost(w *worker, c Choice) time.Duration {
 	cost := c.Wait + time.Duration(float64(c.Read)*readWeight) + c.Trouble
 	cost += time.Duration(c.Fetched) * fetchPer1000 / 1000
@@ -308,6 +306,21 @@
 	return cost
 }
 
+// paceWeight is the weight of the newest answer in the learned pace: some dozen
+// answers tell a change of load.
+const paceWeight = 0.1
+
+// Pace takes in how long an answer took from event to event.
+func (p *Pool) Pace(gap time.Duration) {
+	p.pace += time.Duration(paceWeight * float64(gap-p.pace))
+}
+
+// generateTime is the time that an answer takes from its begin to its end.
+func (p *Pool) generateTime(work *Work) time.Duration {
+	tokens := min(work.Hint, work.MaxOutput)
+	return p.pace * time.Duration(tokens) / time.Duration(max(1, p.engine.EventTokens))
+}
+
 // Begin counts a request that is sent to an upstream, and that takes a time to
 // read there.
 func (p *Pool) Begin(t Ticket, id string, work *Work, read time.Duration, now time.Time) {
@@ -317,14 +330,10 @@
 	}
 	r := &running{}
 	if work != nil {
-		r.read = read
+		r.rank, r.read = work.Rank, read
 		r.tokens = work.Input + work.MaxOutput
 		w.cache.add(chainKeys(work.Parts), work.Parts)
-		if w.waiting == 0 {
-			w.since = now
-		}
-		w.waiting++
-		w.unread += r.read
+		w.queue.add(r.rank, r.read, now)
 		w.tokens += r.tokens
 	} else {
 		r.begun = true
@@ -348,9 +357,7 @@
 		return
 	}
 	r.begun = true
-	w.unread -= r.read
-	w.waiting--
-	w.since = now
+	w.queue.remove(r.rank, r.read, now)
 }
 
 // End notes that a request has ended at its upstream, and what that says of it.
--- /dev/null
+++ b/core/balance/queue_test.go
@@ -0,0 +1,59 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestQueueWaits(t *testing.T) {
+	const read = 100 * time.Millisecond
+	now := time.Unix(1000, 0)
+	var q queue
+	require.Zero(t, q.wait(5, now))
+
+	// Two of rank 1; the first of them is being read.
+	q.add(1, read, now)
+	q.add(1, read, now)
+	require.Zero(t, q.wait(0, now), "the more urgent goes first")
+	require.Equal(t, 2*read, q.wait(1, now))
+	half := now.Add(read / 2)
+	require.Equal(t, 2*read-read/2, q.wait(1, half))
+
+	// The least urgent waits for both, and for what overtakes it meanwhile.
+	require.Greater(t, q.wait(2, half), q.wait(1, half))
+
+	// An estimate that was too short is not counted down below the next one.
+	require.Equal(t, read, q.wait(1, now.Add(time.Hour)))
+
+	q.remove(1, read, half)
+	require.Equal(t, read, q.wait(1, half))
+	q.remove(1, read, half)
+	require.Zero(t, q.wait(9, half))
+}
+
+func TestOvertakingIsBoundedAndFades(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var q queue
+	for range 100 {
+		q.add(0, 100*time.Millisecond, now)
+		q.remove(0, 100*time.Millisecond, now)
+	}
+	q.add(2, 100*time.Millisecond, now)
+	require.Equal(t, time.Duration(float64(100*time.Millisecond)/(1-maxOvertaking)).Round(time.Millisecond),
+		q.wait(2, now).Round(time.Millisecond))
+	require.InDelta(t, 0, q.wait(2, now.Add(20*loadWindow))-0, float64(100*time.Millisecond))
+}
+
+func TestRanksOutsideTheRangeAreClamped(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var q queue
+	q.add(-1, time.Second, now)
+	q.add(100, time.Second, now)
+	require.Equal(t, time.Second, q.wait(0, now))
+	require.GreaterOrEqual(t, q.wait(maxRank, now), 2*time.Second)
+	q.remove(-1, time.Second, now)
+	q.remove(100, time.Second, now)
+	require.Zero(t, q.waiting())
+}
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -185,15 +186,32 @@
 	ticket  balance.Ticket
 	at      time.Time
 
-	mu    sync.Mutex
-	begun bool
-	ended bool
-	stall *time.Timer
+	mu      sync.Mutex
+	begun   bool
+	begunAt time.Time
+	ended   bool
+	stall   *time.Timer
 }
 
-// Pick leases the best upstream of a service. A retry needs a part of the retry
-// budget.
-func (b *Balancer) Pick(service string, q *balance.Query, retry bool) (*Lease, error) {
+// TurnedAwayError reports that a service has more to do than it can.
+type TurnedAwayError struct {
+	// Wait is the estimated wait at the best upstream.
+	Wait time.Duration
+	// ComeBack is when the caller should come back.
+	ComeBack time.Duration
+}
+
+// Error describes the refusal.
+func (e *TurnedAwayError) Error() string {
+	return fmt.Sprintf("balancer: a wait of %v at the best upstream", e.Wait)
+}
+
+// Gate decides whether a request is sent to the upstream that was chosen for it.
+type Gate func(balance.Choice) error
+
+// Pick leases the best upstream of a service, if the gate lets the request pass. A
+// retry needs a part of the retry budget.
+func (b *Balancer) Pick(service string, q *balance.Query, retry bool, gate Gate) (*Lease, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.services[service]
@@ -211,6 +229,9 @@
 	if !ok {
 		return nil, ErrNone
 	}
+	if err := gate(choice); err != nil {
+		return nil, err
+	}
 	conns, ok := b.conns[choice.Upstream.ID]
 	if !ok {
 		return nil, ErrNone
@@ -322,7 +343,9 @@
 func (l *Lease) First() {
 	l.mu.Lock()
 	begun := l.begun
-	l.begun = true
+	if !begun {
+		l.begun, l.begunAt = true, time.Now()
+	}
 	if l.stall != nil {
 		l.stall.Stop()
 	}
@@ -334,6 +357,24 @@
 	l.b.learn(l)
 }
 
+// minPaced is the least number of events whose pace tells the load.
+const minPaced = 4
+
+// Paced tells how many events the answer had since its begin.
+func (l *Lease) Paced(events int64) {
+	l.mu.Lock()
+	begun, at := l.begun, l.begunAt
+	l.mu.Unlock()
+	if !begun || events < minPaced {
+		return
+	}
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	if s, ok := l.b.services[l.service]; ok {
+		s.pool.Pace(time.Since(at) / time.Duration(events-1))
+	}
+}
+
 // learn compares the time to the first part of an answer with its estimate.
 func (b *Balancer) learn(l *Lease) {
 	b.mu.Lock()
--- a/fleet/bank/bank.go
+++ b/fleet/bank/bank.go
@@ -67,6 +67,8 @@
 	Holders []record.Holder
 	// Unreachable is true if neither the shard's owner nor the log answered.
 	Unreachable bool
+	// Outage is true if the log had been out of reach before the request came.
+	Outage bool
 }
 
 // Error describes the refusal.
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/routes"
@@ -27,6 +29,8 @@
 	account *routes.Account
 	table   *routes.Table
 	service string
+	// returned is true if the caller was turned away before.
+	returned bool
 
 	tried []string
 	// runs counts the sends after which the request may have run.
@@ -69,6 +73,9 @@
 
 func (c *call) run(ctx context.Context) {
 	defer c.logEnd()
+	if c.req.Work != nil {
+		c.req.Work.Rank = c.rank()
+	}
 	if limit := c.patience(); limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadlineCause(ctx, c.req.Arrived.Add(limit), errTimeout)
@@ -84,9 +91,9 @@
 		if ctx.Err() != nil {
 			break
 		}
-		lease, err := c.r.opt.Balancer.Pick(c.service, &balance.Query{Work: c.req.Work, Exclude: c.tried}, last != fateNotSent)
+		lease, err := c.r.opt.Balancer.Pick(c.service, &balance.Query{Work: c.req.Work, Exclude: c.tried}, last != fateNotSent, c.gate)
 		if err != nil {
-			c.giveUp(ctx, err.Error())
+			c.giveUp(ctx, err)
 			return
 		}
 		c.tried = append(c.tried, lease.Upstream.ID)
@@ -102,7 +109,31 @@
 			break
 		}
 	}
-	c.giveUp(ctx, "no upstream took it")
+	c.giveUp(ctx, errNotTaken)
+}
+
+// errNotTaken reports that no upstream took a request.
+var errNotTaken = errors.New("no upstream took it")
+
+// gate turns the request away if the upstream that was chosen for it would begin
+// with it too late. One that has been sent before is not turned away.
+func (c *call) gate(choice balance.Choice) error {
+	if c.req.Work == nil || len(c.tried) > 0 {
+		return nil
+	}
+	away, comeBack := admission.TurnAway(admission.Arrival{
+		Rank:      c.rank(),
+		Objective: c.route.Objective,
+		Left:      c.patience() - time.Since(c.req.Arrived),
+		Returned:  c.returned,
+		Wait:      choice.Wait,
+		Generate:  choice.Generate,
+		Read:      choice.Read,
+	}, rand.Float64())
+	if !away {
+		return nil
+	}
+	return &balancer.TurnedAwayError{Wait: choice.Wait, ComeBack: comeBack}
 }
 
 // reserveWait bounds the wait for a reservation: some calls to the log.
@@ -166,9 +197,9 @@
 	var refused *bank.RefusedError
 	switch {
 	case !errors.As(err, &refused):
-		c.giveUp(ctx, err.Error())
+		c.giveUp(ctx, err)
 	case refused.Unreachable:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: startRetry})
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: c.returnAfter(refused)})
 	default:
 		c.refuse(refusal{status: http.StatusPaymentRequired, reason: err.Error()})
 	}
@@ -196,6 +227,14 @@
 	return limit
 }
 
+// returnAfter returns when a caller whose tokens could not be claimed comes back.
+func (c *call) returnAfter(refused *bank.RefusedError) time.Duration {
+	if !refused.Outage {
+		return startRetry
+	}
+	return admission.ReturnAfterOutage(c.patience()-time.Since(c.req.Arrived), rand.Float64())
+}
+
 func (c *call) mayRepeat(f fate) bool {
 	switch f {
 	case fateNotSent, fateNotRun:
@@ -205,8 +244,13 @@
 }
 
 // giveUp ends a request that has no answer.
-func (c *call) giveUp(ctx context.Context, reason string) {
+func (c *call) giveUp(ctx context.Context, reason error) {
 	cause := context.Cause(ctx)
+	comeBack := startRetry
+	var away *balancer.TurnedAwayError
+	if errors.As(reason, &away) {
+		comeBack = away.ComeBack
+	}
 	switch {
 	case c.begun:
 		c.r.log.Info("Answer cut.", "request", c.req.ID, "events", c.events)
@@ -215,7 +259,7 @@
 		c.r.log.Info("Caller gone.", "request", c.req.ID)
 		panic(http.ErrAbortHandler)
 	case c.runs == 0:
-		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: startRetry})
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason.Error(), retryAfter: comeBack})
 	case cause != nil:
 		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: cause.Error()})
 	default:
@@ -249,7 +293,9 @@
 			cancel(errStalled)
 		}
 	})
+	before := c.events
 	f := c.sendOnce(ctx, lease)
+	lease.Paced(c.events - before)
 	c.stalled = c.stalled || errors.Is(context.Cause(ctx), errStalled)
 	lease.End(outcomeOf(ctx, f))
 	return f
@@ -315,14 +361,16 @@
 	urgencyStep  = 2
 )
 
-// urgency returns the rank of the request. An account's own goes before the
+// urgency returns the rank of the request at an engine.
+func (c *call) urgency() int { return firstUrgency + urgencyStep*c.rank() }
+
+// rank returns the urgency of the request. An account's own goes before the
 // route's.
-func (c *call) urgency() int {
-	rank := c.route.Priority
+func (c *call) rank() int {
 	if c.account != nil && c.account.HasPriority {
-		rank = c.account.Priority
+		return c.account.Priority
 	}
-	return firstUrgency + urgencyStep*rank
+	return c.route.Priority
 }
 
 func errText(err error) string {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -39,13 +39,14 @@
 	opt      Options
 	log      logr.Logger
 	meters   *meters
+	patience patienceTable
 	draining atomic.Bool
 	inflight sync.WaitGroup
 }
 
 // New returns a relay.
 func New(opt Options) *Relay {
-	return &Relay{opt: opt, log: opt.Logger.WithName("relay"), meters: newMeters(opt.Metrics)}
+	return &Relay{opt: opt, log: opt.Logger.WithName("relay"), meters: newMeters(opt.Metrics), patience: newPatienceTable()}
 }
 
 // SetDraining makes callers' connections end with their next answer.
@@ -87,6 +88,7 @@
 	}
 	c := &call{r: r, w: w, req: req, route: route, account: account, table: table}
 	c.service = route.Pick(rand.Float64())
+	c.returned = r.patience.returned(route.Name, req.Patience)
 	c.run(hr.Context())
 }
 
--- a/fleet/wallet/reserve.go
+++ b/fleet/wallet/reserve.go
@@ -51,7 +51,7 @@
 	if w.lost || !w.synced {
 		defer w.mu.Unlock()
 		w.nudge()
-		return &bank.RefusedError{Budget: budget, Wanted: amount, Unreachable: true}
+		return &bank.RefusedError{Budget: budget, Wanted: amount, Unreachable: true, Outage: true}
 	}
 	me := &waiter{amount: amount, done: make(chan error, 1)}
 	p.waiting = append(p.waiting, me)
