Refuse requests for a spent budget at once, and notice that an outage is over

Cause: a round of the wallet in which no purse wanted more ended without a look at the log and without an answer to the requests that waited. With a budget that is spent (nothing left to want) they waited out their time (0.75 s) and were refused as if the log were away (503), came back and were refused again; and an outage stayed on record until some purse wanted more. Requests that a loan had covered could be left waiting, too.

Two tests, which failed before: a spent budget is refused within 50 ms and not as an outage; an outage that is over is not given as the reason.

--- a/fleet/wallet/claims.go
+++ b/fleet/wallet/claims.go
@@ -27,7 +27,8 @@
 		return err
 	}
 	if w.pendingWrite() == nil {
-		if !w.prepare() {
+		wanted := w.prepare()
+		if !wanted && !w.owesAnswer() {
 			return nil
 		}
 		if w.stale() {
@@ -35,10 +36,11 @@
 			if err := w.catchUp(ctx, 0); err != nil {
 				return err
 			}
-			if !w.prepare() {
-				w.worked()
-				return nil
-			}
+			wanted = w.prepare()
+		}
+		if !wanted {
+			w.worked()
+			return nil
 		}
 	}
 	end, err := w.put(ctx)
@@ -233,6 +235,14 @@
 	return sum
 }
 
+// owesAnswer tells whether the log has to be looked at although no purse wants
+// more: requests wait that it can't cover, or the end of an outage is not known.
+func (w *Wallet) owesAnswer() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost || slices.ContainsFunc(w.all(), func(p *purse) bool { return len(p.waiting) > 0 })
+}
+
 // cancel drops a write that was not sent, or that had no effect.
 func (w *Wallet) cancel() {
 	w.mu.Lock()
@@ -309,7 +319,8 @@
 	}
 	w.lost = false
 	for id, p := range w.purses {
-		if len(p.waiting) > 0 && w.left(id, p) < p.waiting[0].amount-p.Free {
+		w.serveWaiting(p)
+		if len(p.waiting) > 0 && (w.closing || w.left(id, p) < p.waiting[0].amount-p.Free) {
 			w.refuseWaiting(id, p, false)
 		}
 	}
--- a/fleet/wallet/reserve.go
+++ b/fleet/wallet/reserve.go
@@ -106,6 +106,7 @@
 	p.Free += got
 	w.meters.borrowed.Inc(int64(got))
 	ok := p.Reserve(amount)
+	w.serveWaiting(p)
 	w.log.Info("Borrowed.", "budget", budget, "missing", missing, "got", got, "enough", ok)
 	return ok
 }
--- a/fleet/wallet/wallet_test.go
+++ b/fleet/wallet/wallet_test.go
@@ -241,3 +241,56 @@
 		}
 	})
 }
+
+// TestSpentBudgetIsRefusedAtOnce asks for more than is left of a budget, with the
+// log in reach. The answer is final: it is no outage, and takes a look at the log
+// and at the other hosts.
+func TestSpentBudgetIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 100_000, 17)
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		for range 4 {
+			for f.hosts[0].spend(5000, 5000, time.Millisecond) == nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		for step := range 40 {
+			began := time.Now()
+			err := f.hosts[step%4].spend(50_000, 50_000, time.Millisecond)
+			var refused *bank.RefusedError
+			require.True(t, errors.As(err, &refused), "step %d: %v", step, err)
+			require.False(t, refused.Unreachable, "step %d", step)
+			require.Less(t, time.Since(began), 50*time.Millisecond, "step %d", step)
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+}
+
+// TestOutageEndsForASpentBudget takes the log away and back when no host has a
+// wish for more: an outage that is over is not given as the reason.
+func TestOutageEndsForASpentBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 20_000, 19)
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		for _, h := range f.hosts {
+			for h.spend(1000, 1000, time.Millisecond) == nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+			h.link.Set(memkeyed.Faults{Unavailable: true})
+		}
+		time.Sleep(time.Second)
+		for _, h := range f.hosts {
+			_ = h.spend(5000, 5000, time.Millisecond) // notices the outage
+			h.link.Set(memkeyed.Faults{})
+		}
+		time.Sleep(2 * time.Second)
+		for _, h := range f.hosts {
+			var refused *bank.RefusedError
+			require.True(t, errors.As(h.spend(5000, 5000, time.Millisecond), &refused))
+			require.False(t, refused.Unreachable)
+			require.False(t, h.wallet.Load().Isolated())
+		}
+	})
+}
