An emulator of engines under overload, with baselines, table and plot

replay/overload plays drawn loads against a model of engines (chunked reading beside answers, rank order, cache) with hosts that decide from late news. It runs the product's own decisions (core/balance, core/admission) and four baselines, prints a table and draws a plot.

--- /dev/null
+++ b/replay/overload/engine.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/balance"
+)
+
+// Figures of an engine: a 70-billion-parameter model on one accelerator.
+const (
+	stepTime       = 5230 * time.Microsecond
+	stepTimePerRun = 4 * time.Microsecond
+	readPerMilli   = 38.4
+	chunkTokens    = 2048
+	maxRuns        = 64
+	eventTokens    = 3
+	cacheTokens    = 370_000
+)
+
+// engine reads prompts in chunks, one after another and the most urgent first.
+// Beside each chunk it makes one token of each answer that has begun.
+type engine struct {
+	waiting []*Request
+	// reading is the request whose prompt is read, with unread tokens left.
+	reading *Request
+	unread  int64
+	running []*run
+	// stepEnds is when the current step ends, zero when the engine is idle.
+	stepEnds time.Duration
+	cache    cache
+	// readTokens and againTokens count prompt tokens read, and those of shared
+	// parts that this engine or another had read before.
+	readTokens  int64
+	againTokens int64
+}
+
+type run struct {
+	r    *Request
+	left int64
+}
+
+func (e *engine) add(r *Request) {
+	at, _ := slices.BinarySearchFunc(e.waiting, r.Kind.Rank, func(x *Request, rank int) int {
+		if x.Kind.Rank <= rank {
+			return -1
+		}
+		return 1
+	})
+	e.waiting = slices.Insert(e.waiting, at, r)
+}
+
+// begin starts the next step, if there is work.
+func (e *engine) begin(now time.Duration, seen map[uint64]bool) {
+	if e.reading == nil && len(e.waiting) > 0 && len(e.running) < maxRuns {
+		e.reading, e.waiting = e.waiting[0], e.waiting[1:]
+		e.unread = e.read(e.reading.Work, seen)
+	}
+	if e.reading == nil && len(e.running) == 0 {
+		e.stepEnds = 0
+		return
+	}
+	took := stepTime + time.Duration(len(e.running))*stepTimePerRun
+	if e.reading != nil {
+		took += time.Duration(float64(min(e.unread, chunkTokens)) / readPerMilli * float64(time.Millisecond))
+	}
+	e.stepEnds = now + took
+}
+
+// read returns the tokens that are not in the cache, and puts the parts there.
+func (e *engine) read(work balance.Work, seen map[uint64]bool) int64 {
+	unread := work.Input
+	for _, part := range work.Parts {
+		if !e.cache.has(part.ID) {
+			break
+		}
+		unread -= part.Tokens
+	}
+	for _, part := range work.Parts {
+		if !e.cache.has(part.ID) && seen[part.ID] {
+			e.againTokens += part.Tokens
+		}
+		seen[part.ID] = true
+		e.cache.put(part.ID, part.Tokens)
+	}
+	e.readTokens += unread
+	return max(1, unread)
+}
+
+// end ends the current step. It returns the requests whose answers began and those
+// whose answers ended with it.
+func (e *engine) end() (begun, ended []*Request) {
+	kept := e.running[:0]
+	for _, x := range e.running {
+		x.left--
+		if x.left <= 0 {
+			ended = append(ended, x.r)
+			continue
+		}
+		kept = append(kept, x)
+	}
+	e.running = kept
+	if e.reading == nil {
+		return nil, ended
+	}
+	e.unread -= min(e.unread, chunkTokens)
+	if e.unread > 0 {
+		return nil, ended
+	}
+	r := e.reading
+	e.reading = nil
+	e.running = append(e.running, &run{r: r, left: r.Output})
+	return []*Request{r}, ended
+}
+
+// cancel drops a request whose caller has left.
+func (e *engine) cancel(r *Request) {
+	e.waiting = slices.DeleteFunc(e.waiting, func(x *Request) bool { return x == r })
+	e.running = slices.DeleteFunc(e.running, func(x *run) bool { return x.r == r })
+	if e.reading == r {
+		e.reading = nil
+	}
+}
+
+// cache keeps the parts of prompts that were used last.
+type cache struct {
+	order  []uint64 // oldest first
+	tokens map[uint64]int64
+	sum    int64
+}
+
+func (c *cache) has(id uint64) bool { return c.tokens[id] > 0 }
+
+func (c *cache) put(id uint64, tokens int64) {
+	if c.tokens == nil {
+		c.tokens = make(map[uint64]int64)
+	}
+	if at := slices.Index(c.order, id); at >= 0 {
+		c.order = slices.Delete(c.order, at, at+1)
+		c.sum -= c.tokens[id]
+	}
+	c.order = append(c.order, id)
+	c.tokens[id] = tokens
+	c.sum += tokens
+	for c.sum > cacheTokens && len(c.order) > 1 {
+		c.sum -= c.tokens[c.order[0]]
+		delete(c.tokens, c.order[0])
+		c.order = c.order[1:]
+	}
+}
--- /dev/null
+++ b/replay/overload/overload_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// capacity is the multiple of the usual load that the engines can just serve: the
+// highest at which nine tenths of the credit are earned. TestCapacity shows it.
+const capacity = 1.8
+
+var (
+	ungated = Policy{Name: "least cost", Placement: LeastCost}
+	gated   = Policy{Name: "least cost, gate", Placement: LeastCost, Gate: true}
+)
+
+func play(p Policy, times float64, seed uint64) Result {
+	return Run(Experiment{Policy: p, Times: times, Hosts: 7, Engines: usualEngines, Length: 20 * time.Second, Seed: seed})
+}
+
+func forSeeds(t *testing.T, check func(t *testing.T, seed uint64)) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { check(t, seed) })
+	}
+}
+
+func TestCapacity(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		require.Greater(t, play(gated, capacity, seed).Credit, 0.9)
+		require.Less(t, play(gated, 1.25*capacity, seed).Credit, 0.9)
+	})
+}
+
+// TestGoodputHoldsBeyondCapacity plays twice the capacity: at least 95 in 100 of
+// the goodput at capacity are left. Without the gate nothing begins in time.
+func TestGoodputHoldsBeyondCapacity(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		at, beyond := play(gated, capacity, seed), play(gated, 2*capacity, seed)
+		require.GreaterOrEqual(t, beyond.Goodput, 0.95*at.Goodput)
+		require.Less(t, play(ungated, 2*capacity, seed).Goodput, 0.95*at.Goodput, "the load that the gate answers")
+	})
+}
+
+// TestGateIsIdleBelowCapacity plays the usual load: hardly anything is turned away.
+func TestGateIsIdleBelowCapacity(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		require.GreaterOrEqual(t, play(gated, 1, seed).Credit, play(ungated, 1, seed).Credit-0.01)
+	})
+}
+
+// TestLessUrgentAreTurnedAwayFirst compares the kinds at each load beyond capacity.
+func TestLessUrgentAreTurnedAwayFirst(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		for _, times := range []float64{2.5, 3, 4} {
+			kinds := play(gated, times, seed).Kinds
+			require.Greater(t, kinds[0].Served(), 0.9, "the most urgent, at %v", times)
+			for i := 1; i < len(kinds); i++ {
+				require.LessOrEqual(t, kinds[i].Served(), kinds[i-1].Served(), "%s at %v", kinds[i].Name, times)
+			}
+		}
+	})
+}
+
+// TestPlacementReadsLessThanBaselines compares, at the usual load, how many tokens
+// of shared parts are read again.
+func TestPlacementReadsLessThanBaselines(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		ours := play(gated, 1, seed).AgainTokens
+		for _, p := range policies()[:LeastCost] {
+			require.Less(t, ours, play(p, 1, seed).AgainTokens, p.Name)
+		}
+	})
+}
+
+// TestManyHostsDecideAlike plays a large fleet, whose hosts decide at once from
+// what they knew a moment before: they earn nearly what few hosts do.
+func TestManyHostsDecideAlike(t *testing.T) {
+	x := Experiment{Policy: gated, Times: capacity, Engines: 3 * usualEngines, Length: 5 * time.Second, Seed: 1}
+	x.Hosts = 2
+	few := Run(x)
+	x.Hosts = 80
+	many := Run(x)
+	require.Greater(t, many.Credit, 0.95*few.Credit)
+}
+
+func TestTableAndPlot(t *testing.T) {
+	results := compare(Experiment{Hosts: 2, Engines: 2, Length: time.Second, Seed: 1}, []float64{1, 2})
+	var table bytes.Buffer
+	require.NoError(t, writeTable(&table, results))
+	require.Equal(t, 2+2*len(policies()), bytes.Count(table.Bytes(), []byte("\n")))
+	file := filepath.Join(t.TempDir(), "plot.svg")
+	require.NoError(t, drawPlot(file, results))
+	require.FileExists(t, file)
+	require.Error(t, drawPlot(filepath.Join(t.TempDir(), "no", "plot.svg"), results))
+}
--- /dev/null
+++ b/replay/overload/result.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Result sums up one experiment.
+type Result struct {
+	Experiment
+	// Credit is what the answers earned, as a part of what all requests could,
+	// and Goodput the same in credit a second.
+	Credit  float64
+	Goodput float64
+	Kinds   []KindResult
+	// ReadTokens counts prompt tokens read; AgainTokens those of parts that some
+	// engine had read before.
+	ReadTokens, AgainTokens int64
+}
+
+// KindResult is the part of one kind of request.
+type KindResult struct {
+	Name                        string
+	Asked, InTime, Late, Failed int
+	// First is the median time to the first event of those answered.
+	First time.Duration
+}
+
+// Served is the part of the requests that were answered whole.
+func (k KindResult) Served() float64 { return float64(k.InTime+k.Late) / float64(max(1, k.Asked)) }
+
+func summarize(x Experiment, requests []*Request, engines []*engine) Result {
+	out := Result{Experiment: x}
+	byKind := make(map[string]*KindResult)
+	firsts := make(map[string][]time.Duration)
+	owed := 0.0
+	for _, r := range requests {
+		k, ok := byKind[r.Kind.Name]
+		if !ok {
+			k = &KindResult{Name: r.Kind.Name}
+			byKind[r.Kind.Name] = k
+		}
+		k.Asked++
+		owed += r.Kind.Worth
+		switch {
+		case r.doneAt == 0:
+			k.Failed++
+			continue
+		case r.firstAt-r.Arrived <= r.Kind.Objective:
+			k.InTime++
+			out.Credit += r.Kind.Worth
+		default:
+			k.Late++
+			out.Credit += r.Kind.LateWorth
+		}
+		firsts[r.Kind.Name] = append(firsts[r.Kind.Name], r.firstAt-r.Arrived)
+	}
+	out.Goodput = out.Credit / x.Length.Seconds()
+	out.Credit /= owed
+	for _, kind := range usualKinds() {
+		if k, ok := byKind[kind.Name]; ok {
+			if f := firsts[kind.Name]; len(f) > 0 {
+				slices.Sort(f)
+				k.First = f[len(f)/2]
+			}
+			out.Kinds = append(out.Kinds, *k)
+		}
+	}
+	for _, e := range engines {
+		out.ReadTokens += e.readTokens
+		out.AgainTokens += e.againTokens
+	}
+	return out
+}
+
+// writeTable writes the results as a Markdown table.
+func writeTable(w io.Writer, results []Result) error {
+	var b strings.Builder
+	b.WriteString("| policy | load | credit | goodput /s | in time, late, failed (of 100) by kind | shared tokens read again |\n")
+	b.WriteString("|---|---:|---:|---:|---|---:|\n")
+	for _, r := range results {
+		fmt.Fprintf(&b, "| %s | %.1f | %.3f | %.1f | ", r.Policy.Name, r.Times, r.Credit, r.Goodput)
+		for i, k := range r.Kinds {
+			if i > 0 {
+				b.WriteString("; ")
+			}
+			n := float64(max(1, k.Asked)) / 100
+			fmt.Fprintf(&b, "%s %.0f, %.0f, %.0f", k.Name, float64(k.InTime)/n, float64(k.Late)/n, float64(k.Failed)/n)
+		}
+		fmt.Fprintf(&b, " | %dk |\n", r.AgainTokens/1000)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
