Tell the story of a request from logs; measure log calls and purses

hazelctl request explain ID reads the logs of all hosts and prints a request's lines in order of time, with those of its budget and upstreams around it and the last that its hosts said of the log and the settings. A request that is turned away says what it would have taken; sends say their result by name. New metrics: budget_free_tokens, budget_reserved_tokens, budget_difference_tokens (must be zero; checked in each step of the wallet's histories) and log calls by outcome.

Found on the way, from a story of a burst in an outage: a request that borrowed just what was missing to it was refused (got=773 missing=773 enough=false), since another had taken what was free meanwhile. What is free is now set aside first; the test for it failed before.

--- a/cmd/hazelctl/request.go
+++ b/cmd/hazelctl/request.go
@@ -2,11 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
 	"net/url"
+	"os"
+	"path/filepath"
 
 	"github.com/spf13/cobra"
 
 	"github.com/hazelworks/hazelworks/cmd/internal/adminclient"
+	"github.com/hazelworks/hazelworks/cmd/internal/story"
 )
 
 func newRequestCommand(client *adminclient.Client) *cobra.Command {
@@ -25,5 +30,53 @@
 			return encoder.Encode(raw)
 		},
 	})
+	cmd.AddCommand(newExplainCommand())
 	return cmd
 }
+
+// errNoStory reports that no line names a request.
+var errNoStory = errors.New("no line of the logs names the request")
+
+func newExplainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID [FILE...]",
+		Short: "Tell from log files, or standard input, what became of a request and why",
+		Long: `Reads the logs of all hosts and prints the lines of one request in order of time.
+Lines marked with ~ are not its own: those of its budget and its upstreams around
+it, and the last that its hosts said of the log and the settings before it.`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			lines, err := readLogs(cmd.InOrStdin(), args[1:])
+			if err != nil {
+				return err
+			}
+			told := story.Of(lines, args[0])
+			if len(told) == 0 {
+				return errNoStory
+			}
+			return story.Write(cmd.OutOrStdout(), told)
+		},
+	}
+}
+
+// readLogs reads log files, or standard input if there are none.
+func readLogs(stdin io.Reader, files []string) ([]story.Line, error) {
+	if len(files) == 0 {
+		lines, _, err := story.Read(stdin, "stdin")
+		return lines, err
+	}
+	var all []story.Line
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		lines, _, err := story.Read(file, filepath.Base(name))
+		_ = file.Close() // only read
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/cmd/internal/story/story.go
@@ -0,0 +1,248 @@
+// Package story finds what the logs of a fleet say about one request: its own lines
+// and those of its budget, its upstreams and its host's dependencies around them.
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one line of a log.
+type Line struct {
+	// Source names the log it is from: a file, or the process that a collector
+	// has put before the line.
+	Source  string
+	Time    time.Time
+	Part    string
+	Message string
+	// Fields holds all other fields.
+	Fields map[string]any
+	// Related is true for a line that is not the request's own.
+	Related bool
+}
+
+// Text returns a field as text, or "".
+func (l *Line) Text(field string) string {
+	text, _ := l.Fields[field].(string)
+	return text
+}
+
+// Fields that the project's logs use in the same meaning everywhere.
+const (
+	fieldRequest  = "request"
+	fieldBudget   = "budget"
+	fieldAccount  = "account"
+	fieldUpstream = "upstream"
+)
+
+// maxLineBytes bounds a line of a log; longer ones are not the project's.
+const maxLineBytes = 1 << 20
+
+// Read reads the lines of a log. Lines that are not the project's are left out and
+// counted. What a collector has put before a line names its source.
+func Read(r io.Reader, source string) (lines []Line, others int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		line, ok := parse(scanner.Bytes(), source)
+		if !ok {
+			others++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, 0, fmt.Errorf("story: read %s: %w", source, err)
+	}
+	return lines, others, nil
+}
+
+func parse(text []byte, source string) (Line, bool) {
+	at := bytes.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	if before := strings.Fields(string(text[:at])); len(before) > 0 {
+		source = before[len(before)-1]
+	}
+	fields := make(map[string]any)
+	decoder := json.NewDecoder(bytes.NewReader(text[at:]))
+	decoder.UseNumber()
+	if err := decoder.Decode(&fields); err != nil {
+		return Line{}, false
+	}
+	line := Line{Source: source, Fields: fields, Part: "main"}
+	if part, ok := fields["part"].(string); ok {
+		line.Part = part
+	}
+	line.Message, _ = fields["msg"].(string)
+	stamp, _ := fields["time"].(string)
+	when, err := time.Parse(time.RFC3339Nano, stamp)
+	if err != nil || line.Message == "" {
+		return Line{}, false
+	}
+	line.Time = when
+	for _, name := range []string{"time", "part", "msg", "level"} {
+		delete(fields, name)
+	}
+	return line, true
+}
+
+const (
+	// window is the time before a request's first line from which lines of its
+	// budget and upstreams are told: the longest that a decision looks back.
+	window = 2 * time.Second
+	// maxAlike bounds the lines of one message about one thing: the last ones
+	// before the request's end are what its decisions rest on.
+	maxAlike = 3
+)
+
+// Of returns the story of a request, in order of time: its own lines from all
+// hosts, and those that explain them. It returns nil if no line names the request.
+func Of(lines []Line, request string) []Line {
+	s := newSubject(request)
+	for i := range lines {
+		if lines[i].Text(fieldRequest) == request {
+			s.note(&lines[i])
+		}
+	}
+	if len(s.sources) == 0 {
+		return nil
+	}
+	var out, related []Line
+	for _, line := range lines {
+		switch {
+		case line.Text(fieldRequest) == request:
+			out = append(out, line)
+		case s.explains(&line):
+			line.Related = true
+			related = append(related, line)
+		}
+	}
+	out = append(out, lastAlike(related)...)
+	out = append(out, s.dependencies(lines)...)
+	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return out
+}
+
+// lastAlike keeps the last lines of each message about each thing.
+func lastAlike(lines []Line) []Line {
+	slices.SortStableFunc(lines, func(a, b Line) int { return b.Time.Compare(a.Time) })
+	count := make(map[string]int)
+	return slices.DeleteFunc(lines, func(l Line) bool {
+		key := strings.Join([]string{l.Source, l.Message, l.Text(fieldBudget), l.Text(fieldUpstream)}, "/")
+		count[key]++
+		return count[key] > maxAlike
+	})
+}
+
+// subject is what the lines of a request name.
+type subject struct {
+	request     string
+	sources     map[string]bool
+	budgets     map[string]bool
+	upstreams   map[string]bool
+	first, last time.Time
+}
+
+func newSubject(request string) *subject {
+	return &subject{request: request, sources: make(map[string]bool), budgets: make(map[string]bool), upstreams: make(map[string]bool)}
+}
+
+func (s *subject) note(l *Line) {
+	s.sources[l.Source] = true
+	for _, field := range []string{fieldBudget, fieldAccount} {
+		if name := l.Text(field); name != "" {
+			s.budgets[name] = true
+		}
+	}
+	if id := l.Text(fieldUpstream); id != "" {
+		s.upstreams[id] = true
+	}
+	if s.first.IsZero() || l.Time.Before(s.first) {
+		s.first = l.Time
+	}
+	if l.Time.After(s.last) {
+		s.last = l.Time
+	}
+}
+
+// explains tells whether a line without a request is about the request's budget at
+// its host, or about one of its upstreams.
+func (s *subject) explains(l *Line) bool {
+	if l.Text(fieldRequest) != "" || l.Time.Before(s.first.Add(-window)) || l.Time.After(s.last) {
+		return false
+	}
+	if !s.sources[l.Source] {
+		return false
+	}
+	return s.budgets[l.Text(fieldBudget)] || s.upstreams[l.Text(fieldUpstream)]
+}
+
+// stateMessages are the messages that say what a host believes of the things that
+// all its requests need. The last of each before the request held for it.
+var stateMessages = []string{"Log lost.", "Log regained.", "Stream lost.", "Stream regained.", "Configuration in force.", "Starting.", "Leaving."}
+
+// dependencies returns the last line of each kind of state before the request at its
+// hosts.
+func (s *subject) dependencies(lines []Line) []Line {
+	type key struct{ source, about, stream string }
+	newest := make(map[key]Line)
+	for _, l := range lines {
+		if !s.sources[l.Source] || l.Time.After(s.last) || !slices.Contains(stateMessages, l.Message) {
+			continue
+		}
+		about, _, _ := strings.Cut(l.Message, " ")
+		k := key{l.Source, l.Part + about, l.Text("stream")}
+		if old, ok := newest[k]; !ok || !l.Time.Before(old.Time) {
+			l.Related = true
+			newest[k] = l
+		}
+	}
+	out := make([]Line, 0, len(newest))
+	for _, l := range newest {
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(a, b Line) int {
+		return cmp.Or(a.Time.Compare(b.Time), strings.Compare(a.Source, b.Source), strings.Compare(a.Message, b.Message))
+	})
+	return out
+}
+
+// Write prints a story, a line each. Lines that are not the request's own are marked.
+func Write(w io.Writer, lines []Line) error {
+	for i := range lines {
+		l := &lines[i]
+		mark := " "
+		if l.Related {
+			mark = "~"
+		}
+		if _, err := fmt.Fprintf(w, "%s %s %s %s: %s%s\n", mark, l.Time.UTC().Format("15:04:05.000"), l.Source, l.Part, l.Message, fieldsText(l)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fieldsText returns the fields in the order of their names.
+func fieldsText(l *Line) string {
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		if name != fieldRequest {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+	}
+	return b.String()
+}
--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -43,6 +43,9 @@
 	Free record.Tokens
 	// Reserved is set aside for requests that run.
 	Reserved record.Tokens
+	// received and gone sum up what came into the purse and what left it.
+	received record.Tokens
+	gone     record.Tokens
 
 	rate float64 // tokens a second
 	// cover is the time for which the purse is to suffice now.
@@ -68,8 +71,25 @@
 	p.Reserved -= reserved
 	p.Free += reserved - cost
 	p.pending += cost
+	p.gone += cost
 }
 
+// Receive takes in an amount that was claimed or borrowed.
+func (p *Purse) Receive(amount record.Tokens) {
+	p.Free += amount
+	p.received += amount
+}
+
+// Remove takes out a free amount that is lent or given back.
+func (p *Purse) Remove(amount record.Tokens) {
+	p.Free -= amount
+	p.gone += amount
+}
+
+// Difference returns what the purse has received less what it has spent, given
+// away and holds. It must be zero.
+func (p *Purse) Difference() record.Tokens { return p.received - p.gone - p.Free - p.Reserved }
+
 // Measure updates the rate of spending.
 func (p *Purse) Measure(now time.Time) {
 	if p.since.IsZero() {
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -195,15 +195,19 @@
 
 // TurnedAwayError reports that a service has more to do than it can.
 type TurnedAwayError struct {
-	// Wait is the estimated wait at the best upstream.
-	Wait time.Duration
+	// Wait, Read and Generate are the estimated times at the best upstream until
+	// it begins with the request, begins the answer and ends it.
+	Wait, Read, Generate time.Duration
+	// Left is the time until the caller leaves.
+	Left time.Duration
 	// ComeBack is when the caller should come back.
 	ComeBack time.Duration
 }
 
 // Error describes the refusal.
 func (e *TurnedAwayError) Error() string {
-	return fmt.Sprintf("balancer: a wait of %v at the best upstream", e.Wait)
+	return fmt.Sprintf("balancer: the best upstream begins in %v, reads for %v and answers for %v, with %v left",
+		e.Wait.Round(time.Millisecond), e.Read.Round(time.Millisecond), e.Generate.Round(time.Millisecond), e.Left.Round(time.Millisecond))
 }
 
 // Gate decides whether a request is sent to the upstream that was chosen for it.
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -68,6 +68,23 @@
 	fateLost
 )
 
+// String names the fate in logs.
+func (f fate) String() string {
+	switch f {
+	case fateDone:
+		return "answered"
+	case fateNotSent:
+		return "not sent"
+	case fateNotRun:
+		return "not run"
+	case fateFailed:
+		return "failed"
+	case fateLost:
+		return "lost"
+	}
+	return "unknown"
+}
+
 // maxSends bounds the sends of one request, those included that did not run.
 const maxSends = 4
 
@@ -121,10 +138,11 @@
 	if c.req.Work == nil || len(c.tried) > 0 {
 		return nil
 	}
+	left := c.patience() - time.Since(c.req.Arrived)
 	away, comeBack := admission.TurnAway(admission.Arrival{
 		Rank:      c.rank(),
 		Objective: c.route.Objective,
-		Left:      c.patience() - time.Since(c.req.Arrived),
+		Left:      left,
 		Returned:  c.returned,
 		Wait:      choice.Wait,
 		Generate:  choice.Generate,
@@ -133,7 +151,7 @@
 	if !away {
 		return nil
 	}
-	return &balancer.TurnedAwayError{Wait: choice.Wait, ComeBack: comeBack}
+	return &balancer.TurnedAwayError{Wait: choice.Wait, Read: choice.Read, Generate: choice.Generate, Left: left, ComeBack: comeBack}
 }
 
 // reserveWait bounds the wait for a reservation: some calls to the log.
@@ -350,7 +368,7 @@
 	resp, err := lease.Conns.Send(ctx, out)
 	f := c.receive(resp, err, lease)
 	c.r.log.Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID,
-		"wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "trouble", lease.Trouble, "took", time.Since(began), "fate", int(f), "error", errText(err))
+		"wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "trouble", lease.Trouble, "took", time.Since(began), "result", f.String(), "error", errText(err))
 	return f
 }
 
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -105,6 +105,7 @@
 		return nil, err
 	}
 	cfg := opt.Config
+	opt.Log = &meteredLog{log: opt.Log, registry: opt.Metrics}
 	h := &Host{opt: opt, cfg: cfg, log: opt.Logger.WithName("host"), stop: make(chan struct{})}
 	h.self = roster.Host{
 		ID: cfg.Host, Run: runID, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
--- /dev/null
+++ b/fleet/relayhost/metered.go
@@ -0,0 +1,58 @@
+package relayhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// Reservoir of a histogram, weighted towards the last five minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// meteredLog counts the calls to the log, and how long they take in microseconds.
+type meteredLog struct {
+	log      platform.KeyedLog
+	registry metrics.Registry
+}
+
+func (m *meteredLog) Newest(ctx context.Context, stream string) ([]platform.KeyedRecord, record.Offset, error) {
+	began := time.Now()
+	records, next, err := m.log.Newest(ctx, stream)
+	m.note("newest", began, 0, err)
+	return records, next, err
+}
+
+// Follow counts a read that waits for records without the time it may wait.
+func (m *meteredLog) Follow(ctx context.Context, stream string, from record.Offset, wait time.Duration) ([]platform.KeyedRecord, record.Offset, error) {
+	began := time.Now()
+	records, next, err := m.log.Follow(ctx, stream, from, wait)
+	m.note("follow", began, wait, err)
+	return records, next, err
+}
+
+func (m *meteredLog) Put(ctx context.Context, stream string, w platform.Writer, records []platform.KeyedRecord) (record.Offset, error) {
+	began := time.Now()
+	end, err := m.log.Put(ctx, stream, w, records)
+	m.note("put", began, 0, err)
+	return end, err
+}
+
+func (m *meteredLog) note(call string, began time.Time, waited time.Duration, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	metrics.GetOrRegisterCounter("log_calls."+call+"."+outcome, m.registry).Inc(1)
+	if waited > 0 {
+		return
+	}
+	metrics.GetOrRegisterHistogram("log_call_us."+call, m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)).
+		Update(time.Since(began).Microseconds())
+}
--- a/fleet/wallet/claims.go
+++ b/fleet/wallet/claims.go
@@ -118,7 +118,7 @@
 	}
 	p := w.purse(c.Budget)
 	fits := w.book.Fits(c.Budget, by, p.prepaid)
-	p.Free += fits
+	p.Receive(fits)
 	p.giveBack += by - fits
 	w.meters.claimed.Inc(int64(fits))
 	w.log.Info("Claim in force.", "budget", c.Budget, "by", by, "fits", fits, "free", p.Free,
@@ -222,7 +222,7 @@
 		return
 	}
 	excess := p.Excess(w.opt.Policy, p.prepaid, hosts)
-	p.Free -= excess
+	p.Remove(excess)
 	p.giveBack += excess
 }
 
--- a/fleet/wallet/fixture_test.go
+++ b/fleet/wallet/fixture_test.go
@@ -45,6 +45,8 @@
 	wallet atomic.Pointer[Wallet]
 	stop   context.CancelFunc
 	cut    atomic.Bool // from the other hosts
+	// slowLoans is the time that each question to the other hosts takes.
+	slowLoans time.Duration
 }
 
 func newFleet(t *testing.T, hosts int, prepaid record.Tokens, seed uint64) *fleet {
@@ -74,6 +76,7 @@
 
 // Borrow implements Lender: it asks the other hosts in turn.
 func (h *testHost) Borrow(ctx context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens {
+	time.Sleep(h.slowLoans)
 	got := record.Tokens(0)
 	for _, other := range h.f.hosts {
 		if other == h || other.cut.Load() || h.cut.Load() || got >= amount {
@@ -152,3 +155,14 @@
 	defer f.mu.Unlock()
 	return f.spent, f.prepaid
 }
+
+// difference returns the sum of the purses' differences.
+func (w *Wallet) difference() record.Tokens {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := record.Tokens(0)
+	for _, p := range w.purses {
+		sum += p.Difference()
+	}
+	return sum
+}
--- a/fleet/wallet/meters.go
+++ b/fleet/wallet/meters.go
@@ -8,6 +8,11 @@
 	borrowed metrics.Counter
 	lent     metrics.Counter
 	refused  metrics.Counter
+
+	free     metrics.Gauge
+	reserved metrics.Gauge
+	// difference is the sum of the purses' differences, which must be zero.
+	difference metrics.Gauge
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -17,5 +22,9 @@
 		borrowed: metrics.GetOrRegisterCounter("budget_borrowed_tokens", r),
 		lent:     metrics.GetOrRegisterCounter("budget_lent_tokens", r),
 		refused:  metrics.GetOrRegisterCounter("budget_refused_requests", r),
+
+		free:       metrics.GetOrRegisterGauge("budget_free_tokens", r),
+		reserved:   metrics.GetOrRegisterGauge("budget_reserved_tokens", r),
+		difference: metrics.GetOrRegisterGauge("budget_difference_tokens", r),
 	}
 }
--- a/fleet/wallet/reserve.go
+++ b/fleet/wallet/reserve.go
@@ -91,9 +91,13 @@
 	if w.opt.Lender == nil {
 		return false
 	}
+	// What is free is set aside first: another request could take it meanwhile.
 	w.mu.Lock()
-	missing := amount - w.purse(budget).Free
+	p := w.purse(budget)
+	part := max(0, min(amount, p.Free))
+	p.Reserve(part)
 	w.mu.Unlock()
+	missing := amount - part
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	got := record.Tokens(0)
@@ -102,10 +106,15 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.purse(budget)
-	p.Free += got
+	p.Receive(got)
 	w.meters.borrowed.Inc(int64(got))
-	ok := p.Reserve(amount)
+	ok := p.Reserve(missing)
+	if !ok {
+		p.Settle(part, 0)
+		if w.closing || p.cut {
+			p.returnFree()
+		}
+	}
 	w.serveWaiting(p)
 	w.log.Info("Borrowed.", "budget", budget, "missing", missing, "got", got, "enough", ok)
 	return ok
@@ -126,7 +135,7 @@
 		p.Settle(amount, amount)
 	} else {
 		amount = max(0, min(amount, p.Free))
-		p.Free -= amount
+		p.Remove(amount)
 	}
 	w.meters.lent.Inc(int64(amount))
 	return amount
--- a/fleet/wallet/wallet.go
+++ b/fleet/wallet/wallet.go
@@ -136,8 +136,9 @@
 
 // returnFree gives back all that is free.
 func (p *purse) returnFree() {
-	p.giveBack += max(0, p.Free)
-	p.Free = min(0, p.Free)
+	free := max(0, p.Free)
+	p.giveBack += free
+	p.Remove(free)
 }
 
 func (w *Wallet) purse(id record.BudgetID) *purse {
@@ -199,6 +200,20 @@
 		}
 		p.cut = p.cut && w.book.Claimed(id) > p.prepaid
 	}
+	w.gauge()
+}
+
+// gauge sets the metrics of what the purses hold. The caller holds mu.
+func (w *Wallet) gauge() {
+	free, reserved, difference := record.Tokens(0), record.Tokens(0), record.Tokens(0)
+	for _, p := range w.purses {
+		free += p.Free
+		reserved += p.Reserved
+		difference += p.Difference()
+	}
+	w.meters.free.Update(int64(free))
+	w.meters.reserved.Update(int64(reserved))
+	w.meters.difference.Update(int64(difference))
 }
 
 func (w *Wallet) failed(ctx context.Context, err error) {
--- a/fleet/wallet/wallet_test.go
+++ b/fleet/wallet/wallet_test.go
@@ -35,6 +35,9 @@
 		time.Sleep(time.Duration(f.draw() * float64(40*time.Millisecond)))
 		spent, prepaid := f.balance()
 		require.LessOrEqual(t, spent, prepaid, "step %d", step)
+		for _, h := range f.hosts {
+			require.Zero(t, h.wallet.Load().difference(), "step %d", step)
+		}
 	}
 	spent, _ := f.balance()
 	require.Greater(t, spent, record.Tokens(100_000), "the fleet serves")
@@ -294,3 +297,30 @@
 		}
 	})
 }
+
+// TestBorrowerKeepsWhatItHas lets a second request come while the first borrows
+// what is missing to it: the second borrows, too, and doesn't take from the first.
+func TestBorrowerKeepsWhatItHas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 2_000_000, 23)
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		for _, h := range f.hosts {
+			h.link.Set(memkeyed.Faults{Unavailable: true})
+		}
+		time.Sleep(time.Second)
+		h := f.hosts[0]
+		h.slowLoans = 20 * time.Millisecond
+		wallet := h.wallet.Load()
+		wallet.mu.Lock()
+		free := wallet.purse(testBudget).Free
+		wallet.mu.Unlock()
+		require.Greater(t, free, record.Tokens(1000))
+		errs := make(chan error, 2)
+		go func() { errs <- h.spend(free+1000, free, time.Second) }()
+		time.Sleep(10 * time.Millisecond)
+		go func() { errs <- h.spend(free, free, time.Second) }()
+		require.NoError(t, <-errs)
+		require.NoError(t, <-errs)
+	})
+}
