--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -121,8 +121,10 @@
 }
 
 type running struct {
-	rank   int
-	read   time.Duration
+	rank int
+	read time.Duration
+	// keys are those of the prompt's parts.
+	keys   []uint64
 	tokens int64
 	begun  bool
 }
@@ -188,12 +190,13 @@
 	return best, true
 }
 
-// richest returns the upstream that keeps most of a prompt, and how much.
+// richest returns the upstream from which most of a prompt can be fetched, and how
+// much.
 func (p *Pool) richest(keys []uint64, work *Work) (*worker, int64) {
 	var source *worker
 	most := int64(0)
 	for _, w := range p.workers {
-		if n := w.cached(keys, work); n > most {
+		if n := min(w.cache.fetchable(keys, work.Parts), work.Input-1); n > most {
 			source, most = w, n
 		}
 	}
@@ -332,7 +335,8 @@
 	if work != nil {
 		r.rank, r.read = work.Rank, read
 		r.tokens = work.Input + work.MaxOutput
-		w.cache.add(chainKeys(work.Parts), work.Parts)
+		r.keys = chainKeys(work.Parts)
+		w.cache.add(r.keys, work.Parts)
 		w.queue.add(r.rank, r.read, now)
 		w.tokens += r.tokens
 	} else {
@@ -349,6 +353,7 @@
 	}
 	if r, ok := w.running[t]; ok {
 		w.begun(r, now)
+		w.cache.confirm(r.keys)
 	}
 }
 
--- a/core/balance/cache.go
+++ b/core/balance/cache.go
@@ -38,17 +38,31 @@
 type cachedPart struct {
 	key    uint64
 	tokens int64
+	// read is true once an answer to a request with the part has begun: before,
+	// no other engine can fetch it.
+	read bool
 }
 
 func newPrefixCache(capacity int64) *prefixCache {
 	return &prefixCache{capacity: capacity, order: list.New(), parts: make(map[uint64]*list.Element)}
 }
 
-// cached returns the tokens of the leading parts that are kept.
+// cached returns the tokens of the leading parts that are kept, or will be by the
+// time at which the engine begins with a request sent now.
 func (c *prefixCache) cached(keys []uint64, parts []Part) int64 {
+	return c.leading(keys, parts, func(*cachedPart) bool { return true })
+}
+
+// fetchable returns the tokens of the leading parts that others can fetch now.
+func (c *prefixCache) fetchable(keys []uint64, parts []Part) int64 {
+	return c.leading(keys, parts, func(p *cachedPart) bool { return p.read })
+}
+
+func (c *prefixCache) leading(keys []uint64, parts []Part, counts func(*cachedPart) bool) int64 {
 	total := int64(0)
 	for i, key := range keys {
-		if c.parts[key] == nil {
+		e := c.parts[key]
+		if e == nil || !counts(e.Value.(*cachedPart)) {
 			break
 		}
 		total += parts[i].Tokens
@@ -56,7 +70,16 @@
 	return total
 }
 
-// add notes that all parts were read.
+// confirm notes that parts were read.
+func (c *prefixCache) confirm(keys []uint64) {
+	for _, key := range keys {
+		if e := c.parts[key]; e != nil {
+			e.Value.(*cachedPart).read = true
+		}
+	}
+}
+
+// add notes that a request with the parts was sent.
 func (c *prefixCache) add(keys []uint64, parts []Part) {
 	// Later parts are of no use without the earlier ones, so these yield last.
 	for i := len(keys) - 1; i >= 0; i-- {
@@ -64,7 +87,7 @@
 			c.order.MoveToBack(e)
 			continue
 		}
-		c.parts[keys[i]] = c.order.PushBack(&cachedPart{keys[i], parts[i].Tokens})
+		c.parts[keys[i]] = c.order.PushBack(&cachedPart{key: keys[i], tokens: parts[i].Tokens})
 		c.used += parts[i].Tokens
 	}
 	for c.used > c.capacity && c.order.Len() > 0 {
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,82 @@
+package roster
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+func host(i int, domain string, cores float64) Host {
+	return Host{
+		ID: record.HostID(fmt.Sprintf("h%d", i)), Run: 1, FailureDomain: domain, Cores: cores,
+		Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+	}
+}
+
+func keepOrder(int, func(i, j int)) {}
+
+func resolve(t *Table, domain string, now time.Time) []string {
+	var out []string
+	for _, addr := range t.Resolve(domain, now, keepOrder) {
+		out = append(out, fmt.Sprintf("h%d", addr.Addr().As4()[3]))
+	}
+	return out
+}
+
+func TestResolve(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(host(0, "a", 0.8))
+	table.Listed(host(1, "a", 0.19), now)
+	table.Listed(host(2, "a", 0.8), now)
+	table.Listed(host(3, "b", 0.8), now)
+	table.Listed(host(4, "c", 0.19), now)
+
+	require.Equal(t, []string{"h0", "h2"}, resolve(table, "a", now), "large hosts of the domain")
+	require.Equal(t, []string{"h3", "h0"}, resolve(table, "b", now), "one alone gets company")
+	require.Equal(t, []string{"h0", "h2"}, resolve(table, "c", now), "large ones elsewhere before small ones")
+
+	leaving := host(2, "a", 0.8)
+	leaving.Leaving = true
+	table.Listed(leaving, now)
+	require.Equal(t, []string{"h0", "h3"}, resolve(table, "a", now))
+
+	later := now.Add(2 * silenceLimit)
+	require.Equal(t, []string{"h0"}, resolve(table, "a", later), "silent hosts are not given")
+	table.SetLeaving()
+	require.Empty(t, resolve(table, "a", later))
+}
+
+func TestOnlyTheKnownRunIsHeard(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(host(0, "a", 1))
+	require.False(t, table.Heard("h1", 1, State{}, now), "not listed")
+	table.Listed(host(1, "a", 1), now)
+	require.True(t, table.Heard("h1", 1, State{Isolated: true}, now))
+	require.False(t, table.Heard("h1", 2, State{}, now), "another run")
+	require.True(t, table.Peers()[0].State.Isolated)
+
+	// The same description again changes nothing that was heard since; a new run
+	// begins anew.
+	table.Listed(host(1, "a", 1), now)
+	require.True(t, table.Peers()[0].State.Isolated)
+	next := host(1, "a", 1)
+	next.Run = 2
+	table.Listed(next, now)
+	require.False(t, table.Peers()[0].State.Isolated)
+	table.Unlisted("h1")
+	require.Empty(t, table.Peers())
+}
+
+func TestLeavingIsNotForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(host(0, "a", 1))
+	table.Listed(host(1, "a", 1), now)
+	table.Heard("h1", 1, State{Leaving: true}, now)
+	table.Listed(host(1, "a", 1), now) // a description from before
+	require.True(t, table.Peers()[0].Leaving)
+}
