--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -69,7 +69,7 @@
 const memoryShare = 0.6
 
 func runOnPlatform(ctx context.Context, path string, cfg *relayhost.Config, logger logr.Logger) error {
-	logger.Info("Starting.", "host", cfg.Host, "failure_domain", cfg.FailureDomain, "memory", cfg.Limits.MemoryBytes, "cores", cfg.Limits.Cores)
+	logger.WithName("main").Info("Starting.", "host", cfg.Host, "failure_domain", cfg.FailureDomain, "memory", cfg.Limits.MemoryBytes, "cores", cfg.Limits.Cores)
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryBytes)))
 	network := sockets.System{}
 	client := &http.Client{Transport: &http.Transport{
