--- a/core/admission/turnaway.go
+++ b/core/admission/turnaway.go
@@ -37,7 +37,8 @@
 	minReturn   = 50 * time.Millisecond
 	usualReturn = time.Second
 	// leftShare is the part of the time left after which callers come back at the
-	// latest: most bursts are over by then, and enough time is left for the answer.
+	// latest, which is the longest that they wait: most bursts are over by then,
+	// and enough time is left for the answer.
 	// firstReturn is the part of that at the earliest: returns are spread.
 	leftShare   = 1.0 / 3
 	firstReturn = 0.5
@@ -46,10 +47,10 @@
 const (
 	// outageFirst and outageLatest are the parts of the time left between which
 	// callers come back that an outage of the log has turned away. Outages last
-	// for seconds: an early return is in vain, and a late one leaves no time for
-	// the answer. The returns are spread.
+	// for seconds, so that an early return is in vain; callers wait for a third of
+	// the time they have left at most. The returns are spread.
 	outageFirst  = 0.25
-	outageLatest = 0.5
+	outageLatest = 1.0 / 3
 )
 
 // ReturnAfterOutage returns when callers come back that are refused since the log
