Believe the removal of an upstream after an outage of one host alone

An upstream that had left meanwhile was taken for one whose entry had lapsed while the store was away, and used for 2 s more: 3.2 s after it had said that it leaves, where 3 s is the bound.

Change: while the store itself is away all entries lapse and return as new records. If most are as they were, a missing one was removed, and is gone at once.

--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -70,12 +70,14 @@
 	// that were missing then.
 	returned time.Time
 	lapsed   map[string]catalog.Upstream
+	// offsets are those of the records of entries.
+	offsets map[string]record.Offset
 }
 
 func newUpstreamWatch(heartbeat func() time.Duration, decode func(string, []byte) (catalog.Upstream, error), changed func([]catalog.Upstream), log logr.Logger) *upstreamWatch {
 	return &upstreamWatch{
 		heartbeat: heartbeat, decode: decode, changed: changed, log: log,
-		entries: make(map[string]catalog.Upstream), lapsed: make(map[string]catalog.Upstream),
+		entries: make(map[string]catalog.Upstream), lapsed: make(map[string]catalog.Upstream), offsets: make(map[string]record.Offset),
 	}
 }
 
@@ -108,9 +110,15 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	seen := make(map[string]bool, len(records))
+	touched := make(map[string]bool, len(records))
 	for _, r := range records {
 		seen[r.Key] = true
+		touched[r.Key] = r.Offset != u.offsets[r.Key]
 	}
+	for id := range u.entries {
+		touched[id] = touched[id] || !seen[id]
+	}
+	u.judgeOutage(touched)
 	for id := range u.entries {
 		if !seen[id] {
 			u.remove(id)
@@ -122,9 +130,29 @@
 	u.publish()
 }
 
+// judgeOutage ends the grace for missing entries if the outage was this host's alone:
+// while the log itself is away all entries lapse, and return as new records. If most
+// are as they were, one that is missing has been removed.
+func (u *upstreamWatch) judgeOutage(touched map[string]bool) {
+	untouched := 0
+	for id := range u.entries {
+		if !touched[id] {
+			untouched++
+		}
+	}
+	if 2*untouched > len(u.entries)+len(u.lapsed) {
+		u.returned = time.Time{}
+	}
+}
+
 func (u *upstreamWatch) records(records []platform.KeyedRecord) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	touched := make(map[string]bool, len(records))
+	for _, r := range records {
+		touched[r.Key] = true
+	}
+	u.judgeOutage(touched)
 	for _, r := range records {
 		u.take(r)
 	}
@@ -137,6 +165,7 @@
 		u.remove(r.Key)
 		return
 	}
+	u.offsets[r.Key] = r.Offset
 	old, known := u.entries[r.Key]
 	up, err := u.decode(r.Key, r.Value)
 	if err != nil {
@@ -159,6 +188,7 @@
 		return
 	}
 	delete(u.entries, id)
+	delete(u.offsets, id)
 	if time.Since(u.returned) < returnGrace {
 		u.lapsed[id] = up
 		u.log.Info("Upstream's entry lapsed.", "upstream", id)
