Name hosts that reach the log to callers, if enough do

Change: hosts that don't reach the log are named only if fewer than a quarter of the hosts (or than two) do.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -63,6 +63,9 @@
 // Self returns the host's own description.
 func (t *Table) Self() Host { return t.self }
 
+// SetIsolated notes whether this host reaches the platform's log.
+func (t *Table) SetIsolated(isolated bool) { t.self.State.Isolated = isolated }
+
 // SetLeaving notes that this host leaves.
 func (t *Table) SetLeaving() { t.self.Leaving = true }
 
@@ -131,13 +134,20 @@
 	// some stay with their choice, so that a small host may get as much as a large
 	// one.
 	smallShare = 0.5
+	// connectedShare is the part of the hosts that must reach the log for the others
+	// not to be named: the load of a host grows fourfold at most, and usually hosts
+	// use a tenth of what they have.
+	connectedShare = 0.25
 )
 
 // Resolve returns the addresses for a caller in a failure domain: the large hosts
-// of that domain, then those of others, then the small ones of its own.
+// of that domain, then those of others, then the small ones of its own. Hosts that
+// don't reach the log can claim no money, so they are named only if there are not
+// enough others.
 func (t *Table) Resolve(domain string, now time.Time, shuffle func(n int, swap func(i, j int))) []netip.AddrPort {
 	alive := slices.DeleteFunc(t.Alive(now), func(h Host) bool { return h.Leaving })
 	shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	alive = preferConnected(alive)
 	largest := 0.0
 	for _, h := range alive {
 		largest = max(largest, h.Cores)
@@ -156,6 +166,20 @@
 	return out[:min(len(out), maxAddresses)]
 }
 
+// preferConnected drops isolated hosts if enough others are there.
+func preferConnected(hosts []Host) []Host {
+	connected := make([]Host, 0, len(hosts))
+	for _, h := range hosts {
+		if !h.State.Isolated {
+			connected = append(connected, h)
+		}
+	}
+	if len(connected) < minAddresses || float64(len(connected)) < connectedShare*float64(len(hosts)) {
+		return hosts
+	}
+	return connected
+}
+
 func addresses(hosts []Host, wanted func(Host) bool) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, h := range hosts {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -80,3 +80,25 @@
 	table.Listed(host(1, "a", 1), now) // a description from before
 	require.True(t, table.Peers()[0].Leaving)
 }
+
+// TestIsolatedHostsAreNotNamed replays a cut of some hosts from the log: the others
+// can claim money, so callers are sent there, as long as these can carry the load.
+func TestIsolatedHostsAreNotNamed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(host(0, "a", 0.8))
+	for i := 1; i < 8; i++ {
+		table.Listed(host(i, "a", 0.8), now)
+	}
+	isolate := func(ids ...record.HostID) {
+		for _, id := range ids {
+			table.Heard(id, 1, State{Isolated: true}, now)
+		}
+	}
+	isolate("h1", "h2")
+	require.Equal(t, []string{"h0", "h3", "h4", "h5", "h6", "h7"}, resolve(table, "a", now))
+	isolate("h3", "h4", "h5", "h6")
+	require.Equal(t, []string{"h0", "h7"}, resolve(table, "a", now))
+	require.Equal(t, []string{"h0", "h7"}, resolve(table, "b", now))
+	table.SetIsolated(true)
+	require.Len(t, resolve(table, "a", now), 8, "too few are left")
+}
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -263,6 +263,7 @@
 		return nil, 0
 	}
 	now := time.Now()
+	h.hosts.table.SetIsolated(h.wallet.Isolated())
 	addresses := h.hosts.table.Resolve(domain, now, mathrand.Shuffle)
 	h.log.Info("Directory answered.", "domain", domain, "addresses", len(addresses),
 		"alive", len(h.hosts.table.Alive(now)), "known", 1+len(h.hosts.table.Peers()))
