--- a/fleet/relay/meters.go
+++ b/fleet/relay/meters.go
@@ -35,7 +35,12 @@
 	}
 }
 
+// histogram returns a histogram. Its reservoir is made only if it is new: it takes
+// tens of kilobytes.
 func histogram(name string, r metrics.Registry) metrics.Histogram {
+	if h, ok := r.Get(name).(metrics.Histogram); ok {
+		return h
+	}
 	return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 }
 
--- a/fleet/relayhost/metered.go
+++ b/fleet/relayhost/metered.go
@@ -53,6 +53,10 @@
 	if waited > 0 {
 		return
 	}
-	metrics.GetOrRegisterHistogram("log_call_us."+call, m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)).
-		Update(time.Since(began).Microseconds())
+	name := "log_call_us." + call
+	h, ok := m.registry.Get(name).(metrics.Histogram)
+	if !ok {
+		h = metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	h.Update(time.Since(began).Microseconds())
 }
