Pace calls to the log by the size of the fleet; back off when it refuses

Change: hosts' and upstreams' lists are read less often in fleets of over 50 hosts; calls that fail are spaced by an exponential, spread backoff, the settings' least.

--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/record"
 )
@@ -20,11 +21,11 @@
 	// Wait is how long a read waits for records. It bounds the time until a
 	// connection that went silent is noticed.
 	Wait time.Duration
-	// Pause is the time between reads, in which records gather: each call to
-	// the log has its price.
-	Pause time.Duration
-	// Retry is the mean time between calls that fail.
-	Retry time.Duration
+	// Pause returns the time between reads, in which records gather: each call to
+	// the log has its price, and all hosts share a limit on them.
+	Pause func() time.Duration
+	// Retry spaces calls that fail.
+	Retry admission.Backoff
 	// Snapshot takes in all records when the history before them is not known;
 	// keys that are not among them are gone.
 	Snapshot func([]platform.KeyedRecord)
@@ -42,6 +43,8 @@
 	next   record.Offset
 	synced bool
 	lostAt time.Time
+	// failures counts the calls that failed in a row.
+	failures int
 }
 
 // New returns a follower; Run starts it.
@@ -52,12 +55,14 @@
 // Run follows the stream until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := f.opt.Pause
 		if err := f.step(ctx); err != nil {
 			f.failed(ctx, err)
-			pause = f.opt.Retry/2 + rand.N(f.opt.Retry)
+			f.failures++
+			sleep(ctx, f.opt.Retry.Pause(f.failures, rand.Float64()))
+			continue
 		}
-		sleep(ctx, pause)
+		f.failures = 0
+		sleep(ctx, f.opt.Pause())
 	}
 	return nil
 }
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -48,11 +48,31 @@
 	// listPause lets the upstreams' heartbeats gather: entries may be late by
 	// far more before a leaving upstream has gone.
 	listPause = 400 * time.Millisecond
-	// watchRetry is the mean pause between calls that fail. Calls are priced
+	// maxListPause bounds the pause in a large fleet: upstreams that leave must be
+	// seen within drain_ms. Hosts that come may be seen later by far.
+	maxListPause  = 1200 * time.Millisecond
+	maxHostsPause = 10 * time.Second
+	// unhurriedHosts is the number of hosts up to which all make their calls at the
+	// usual pace: each makes some six a second, and the log takes some 2,000.
+	unhurriedHosts = 50
+	// watchRetry is the mean pause between other calls that fail. Calls are priced
 	// also while the log is out of reach.
 	watchRetry = 250 * time.Millisecond
 )
 
+// Pauses after calls that fail. The settings are read first once the log takes calls
+// again: without them, or with old ones, nothing can be served.
+var (
+	tableRetry = admission.Backoff{First: 250 * time.Millisecond, Most: 500 * time.Millisecond}
+	listRetry  = admission.Backoff{First: 250 * time.Millisecond, Most: time.Second}
+)
+
+// paced returns the pause between calls of a kind, in a fleet of this size.
+func (h *Host) paced(usual, most time.Duration) time.Duration {
+	hosts, _ := h.hosts.count()
+	return min(most, time.Duration(float64(usual)*admission.Share(hosts, unhurriedHosts)))
+}
+
 // Protocol is what the platform's adapter provides: names and formats.
 type Protocol struct {
 	Front          relay.Front
@@ -279,14 +299,16 @@
 		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
 	add(h.follower(follow.Options{
-		Stream: h.opt.Protocol.OperatorStream, Pause: tablePause, Snapshot: h.table.take, Records: h.table.take,
+		Stream: h.opt.Protocol.OperatorStream, Snapshot: h.table.take, Records: h.table.take,
+		Pause: func() time.Duration { return tablePause }, Retry: tableRetry,
 	}))
 	add(h.follower(follow.Options{
-		Stream: h.opt.Protocol.UpstreamStream, Pause: listPause,
+		Stream: h.opt.Protocol.UpstreamStream, Pause: func() time.Duration { return h.paced(listPause, maxListPause) }, Retry: listRetry,
 		Snapshot: h.ups.snapshot, Records: h.ups.records, Regained: h.ups.regained,
 	}))
 	add(h.follower(follow.Options{
-		Stream: hostStream, Pause: listPause, Snapshot: h.hosts.snapshot, Records: h.hosts.take,
+		Stream: hostStream, Snapshot: h.hosts.snapshot, Records: h.hosts.take,
+		Pause: func() time.Duration { return h.paced(listPause, maxHostsPause) }, Retry: listRetry,
 	}))
 	add(h.wallet.Run)
 	add(h.serve(h.cfg.Listen.Peer, lending.Handler(h.wallet)))
@@ -309,7 +331,7 @@
 
 // follower returns an actor that follows a stream of the log.
 func (h *Host) follower(opt follow.Options) func(context.Context) error {
-	opt.Log, opt.Wait, opt.Retry = h.opt.Log, watchWait, watchRetry
+	opt.Log, opt.Wait = h.opt.Log, watchWait
 	opt.Logger = h.opt.Logger.WithName("follow")
 	return follow.New(opt).Run
 }
--- a/fleet/wallet/wallet.go
+++ b/fleet/wallet/wallet.go
@@ -7,12 +7,14 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/escrow"
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/record"
@@ -30,7 +32,7 @@
 	measureInterval = 500 * time.Millisecond
 	// freshFor is how long the sum of claims may be trusted without a read.
 	freshFor = 200 * time.Millisecond
-	// retryPause is the time between calls to the log that fail.
+	// retryPause is the mean time between calls to the log that fail.
 	retryPause = 250 * time.Millisecond
 	// borrowTimeout bounds the time to ask the other hosts.
 	borrowTimeout = 250 * time.Millisecond
@@ -39,6 +41,9 @@
 	lostAfter = 200 * time.Millisecond
 )
 
+// retry spaces the calls of Run that fail, as the limit on calls is shared by all hosts.
+var retry = admission.Backoff{First: retryPause, Most: 4 * retryPause}
+
 // Lender borrows from other hosts.
 type Lender interface {
 	// Borrow asks the other hosts for an amount and returns what they gave,
@@ -164,6 +169,7 @@
 func (w *Wallet) Run(ctx context.Context) error {
 	tick := time.NewTicker(measureInterval)
 	defer tick.Stop()
+	failures := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -175,10 +181,13 @@
 		overdue := time.AfterFunc(lostAfter, func() { w.failed(ctx, errOverdue) })
 		err := w.round(ctx)
 		overdue.Stop()
-		if err != nil {
-			w.failed(ctx, err)
-			pause(ctx, retryPause)
+		if err == nil {
+			failures = 0
+			continue
 		}
+		failures++
+		w.failed(ctx, err)
+		pause(ctx, retry.Pause(failures, rand.Float64()))
 	}
 }
 
