--- a/cmd/internal/e2e/platform_test.go
+++ b/cmd/internal/e2e/platform_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,61 +16,28 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelworks/hazelworks/platform/boot"
+	"github.com/hazelworks/hazelworks/platform/standin"
 )
 
-// platformSettings is a settings file of the platform. Its store does not answer.
-const platformSettings = `node=front-1
-role=router
-zone=z1
-region=r1
-ip=127.0.0.1
-listen.front=127.0.0.1:%d
-listen.ready=127.0.0.1:%d
-listen.directory=127.0.0.1:%d
-port_range=%d,%d
-limits.cpu_share=1
-limits.cores=1
-limits.memory_mb=256
-limits.max_fds=1024
-limits.link_mbps=1000
-heartbeat_ms=1200
-bounds.drain_ms=2000
-bounds.grace_s=1
-bounds.ttl_max_s=1
-bounds.reuse_after_s=2
-bounds.budget_ratio=0.2
-bounds.budget_slack=%d
-bounds.budget_window_s=10
-platform.address=127.0.0.1:%d
-`
+// platformIP is the loopback address of the host; nobody listens at its store's.
+const platformIP = "127.9.8.7"
 
-// freePorts returns ports that nobody listens on.
-func freePorts(t *testing.T, n int) []any {
-	var ports []any
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	return ports
-}
+// metricsPort is the port of the host's metrics.
+const metricsPort = 9100
 
 // platformHost is one host process on the platform.
 type platformHost struct {
-	t     *testing.T
-	cmd   *exec.Cmd
-	file  string
-	ports []any
+	t    *testing.T
+	cmd  *exec.Cmd
+	file string
 
 	mu  sync.Mutex
 	log strings.Builder
 }
 
 func startPlatformHost(t *testing.T) *platformHost {
-	h := &platformHost{t: t, file: filepath.Join(t.TempDir(), "boot.conf"), ports: freePorts(t, 6)}
-	h.write(h.settings(54))
-	metricsPort := freePorts(t, 1)[0]
+	h := &platformHost{t: t, file: filepath.Join(t.TempDir(), "boot.conf")}
+	h.write(settings(54))
 	h.cmd = exec.Command(filepath.Join(binaries, "hazelworks"), "platform", "--metrics-port", fmt.Sprint(metricsPort))
 	h.cmd.Env = append(os.Environ(), boot.EnvPath+"="+h.file)
 	out, err := h.cmd.StdoutPipe()
@@ -91,7 +57,7 @@
 		}
 	}()
 	require.Eventually(t, func() bool {
-		resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", metricsPort))
+		resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", platformIP, metricsPort))
 		if err != nil {
 			return false
 		}
@@ -101,9 +67,10 @@
 	return h
 }
 
-func (h *platformHost) settings(slack int) string {
-	p := h.ports
-	return fmt.Sprintf(platformSettings, p[0], p[1], p[2], p[3], p[4], slack, p[5])
+func settings(slack int) string {
+	return standin.HostSettings(standin.HostPlace{
+		Name: "front-1", Zone: "z1", IP: platformIP, Store: platformIP + ":8223", Grace: time.Second, RetrySlack: slack,
+	})
 }
 
 func (h *platformHost) write(text string) {
@@ -125,13 +92,13 @@
 	t.Parallel()
 	h := startPlatformHost(t)
 	hangup := func() { require.NoError(t, h.cmd.Process.Signal(syscall.SIGHUP)) }
-	h.write(h.settings(40))
+	h.write(settings(40))
 	hangup()
 	require.Eventually(t, h.logged("Settings in force."), waitTime, 10*time.Millisecond)
 	h.write("nonsense\n")
 	hangup()
 	require.Eventually(t, h.logged("the old ones stay in force"), waitTime, 10*time.Millisecond)
-	h.write(h.settings(40))
+	h.write(settings(40))
 	for range 20 {
 		hangup()
 	}
--- a/core/admission/backoff_test.go
+++ b/core/admission/backoff_test.go
@@ -1,10 +1,13 @@
 package admission
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/platform"
 )
 
 func TestBackoffDoublesUpToItsBound(t *testing.T) {
@@ -19,6 +22,13 @@
 	require.Equal(t, 1500*ms, b.Pause(100, 1))
 }
 
+func TestOnlyRefusalsByTheLimitAreCounted(t *testing.T) {
+	n := Throttled(0, fmt.Errorf("read: %w", platform.ErrThrottled))
+	require.Equal(t, 1, n)
+	require.Equal(t, 2, Throttled(n, platform.ErrThrottled))
+	require.Zero(t, Throttled(n, platform.ErrUnavailable))
+}
+
 func TestShareOfManyHosts(t *testing.T) {
 	require.Equal(t, 1.0, Share(7, 50))
 	require.Equal(t, 6.0, Share(300, 50))
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -43,8 +43,8 @@
 	next   record.Offset
 	synced bool
 	lostAt time.Time
-	// failures counts the calls that failed in a row.
-	failures int
+	// throttled counts the calls in a row that the log's limit refused.
+	throttled int
 }
 
 // New returns a follower; Run starts it.
@@ -57,11 +57,11 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil {
 			f.failed(ctx, err)
-			f.failures++
-			sleep(ctx, f.opt.Retry.Pause(f.failures, rand.Float64()))
+			f.throttled = admission.Throttled(f.throttled, err)
+			sleep(ctx, f.opt.Retry.Pause(1+f.throttled, rand.Float64()))
 			continue
 		}
-		f.failures = 0
+		f.throttled = 0
 		sleep(ctx, f.opt.Pause())
 	}
 	return nil
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -35,9 +35,6 @@
 	"github.com/hazelworks/hazelworks/fleet/wallet"
 )
 
-// hostStream holds the hosts' descriptions of themselves, by host.
-const hostStream = "keyed.hosts"
-
 // Times of the log's followers.
 const (
 	// watchWait is how long a read waits for records. A connection that went
@@ -80,6 +77,10 @@
 	OperatorStream string
 	ConfigKey      string
 	UpstreamStream string
+	// HostStream holds the hosts' descriptions of themselves, by host, and
+	// BudgetStream their claims.
+	HostStream     string
+	BudgetStream   string
 	DecodeConfig   func([]byte) (*routes.Table, error)
 	DecodeUpstream func(id string, value []byte) (catalog.Upstream, error)
 	// Ready and Directory return the handlers of the platform's and the
@@ -182,6 +183,7 @@
 	h.wallet = wallet.New(wallet.Options{
 		Host:    h.cfg.Host,
 		Log:     h.opt.Log,
+		Stream:  h.opt.Protocol.BudgetStream,
 		Hosts:   func() int { return 1 + len(h.hosts.others()) },
 		Lender:  lending.NewClient(h.peerClient(), h.hosts.others, h.opt.Logger),
 		Policy:  escrow.DefaultPolicy(),
@@ -307,7 +309,7 @@
 		Snapshot: h.ups.snapshot, Records: h.ups.records, Regained: h.ups.regained,
 	}))
 	add(h.follower(follow.Options{
-		Stream: hostStream, Snapshot: h.hosts.snapshot, Records: h.hosts.take,
+		Stream: h.opt.Protocol.HostStream, Snapshot: h.hosts.snapshot, Records: h.hosts.take,
 		Pause: func() time.Duration { return h.paced(listPause, maxHostsPause) }, Retry: listRetry,
 	}))
 	add(h.wallet.Run)
@@ -364,7 +366,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = h.opt.Log.Put(ctx, hostStream, platform.Writer{}, []platform.KeyedRecord{{Key: string(h.cfg.Host), Value: value}})
+	_, err = h.opt.Log.Put(ctx, h.opt.Protocol.HostStream, platform.Writer{}, []platform.KeyedRecord{{Key: string(h.cfg.Host), Value: value}})
 	return err
 }
 
--- a/fleet/wallet/claims.go
+++ b/fleet/wallet/claims.go
@@ -63,7 +63,7 @@
 	if synced {
 		return nil
 	}
-	records, next, err := w.opt.Log.Newest(ctx, Stream)
+	records, next, err := w.opt.Log.Newest(ctx, w.opt.Stream)
 	if err != nil {
 		return err
 	}
@@ -153,7 +153,7 @@
 		w.mu.Lock()
 		from := w.next
 		w.mu.Unlock()
-		records, next, err := w.opt.Log.Follow(ctx, Stream, from, 0)
+		records, next, err := w.opt.Log.Follow(ctx, w.opt.Stream, from, 0)
 		if errors.Is(err, platform.ErrTrimmed) {
 			w.mu.Lock()
 			w.synced = false
@@ -283,7 +283,7 @@
 	w.mu.Unlock()
 	w.meters.writes.Inc(1)
 	writer := platform.Writer{Name: string(w.opt.Host), Epoch: epoch, Seq: pending.seq}
-	end, err := w.opt.Log.Put(ctx, Stream, writer, pending.records)
+	end, err := w.opt.Log.Put(ctx, w.opt.Stream, writer, pending.records)
 	var sequence *platform.SequenceError
 	switch {
 	case err == nil:
--- a/fleet/wallet/fixture_test.go
+++ b/fleet/wallet/fixture_test.go
@@ -19,7 +19,10 @@
 	"github.com/hazelworks/hazelworks/standin/memkeyed"
 )
 
-const testBudget record.BudgetID = "acme"
+const (
+	testBudget record.BudgetID = "acme"
+	testStream                 = "budgets"
+)
 
 // fleet is a set of hosts that share a log, and the audit of what they spend.
 type fleet struct {
@@ -66,7 +69,7 @@
 	h.link = h.f.log.Link(seed)
 	h.stop = cancel
 	wallet := New(Options{
-		Host: h.name, Log: h.link, Hosts: func() int { return len(h.f.hosts) }, Lender: h,
+		Host: h.name, Log: h.link, Stream: testStream, Hosts: func() int { return len(h.f.hosts) }, Lender: h,
 		Policy: escrow.DefaultPolicy(), Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
 	})
 	wallet.SetTable(h.f.table())
--- a/fleet/wallet/wallet.go
+++ b/fleet/wallet/wallet.go
@@ -22,9 +22,6 @@
 	"github.com/hazelworks/hazelworks/fleet/bank"
 )
 
-// Stream is the stream of the hosts' claims.
-const Stream = "keyed.budgets"
-
 // Times of the wallet's own work.
 const (
 	// measureInterval is the time between looks at the purses. Refills that are
@@ -55,6 +52,8 @@
 type Options struct {
 	Host record.HostID
 	Log  platform.KeyedLog
+	// Stream is the stream of the hosts' claims.
+	Stream string
 	// Hosts returns the number of hosts that are alive, this one included.
 	Hosts   func() int
 	Lender  Lender
@@ -169,7 +168,7 @@
 func (w *Wallet) Run(ctx context.Context) error {
 	tick := time.NewTicker(measureInterval)
 	defer tick.Stop()
-	failures := 0
+	throttled := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -182,12 +181,12 @@
 		err := w.round(ctx)
 		overdue.Stop()
 		if err == nil {
-			failures = 0
+			throttled = 0
 			continue
 		}
-		failures++
+		throttled = admission.Throttled(throttled, err)
 		w.failed(ctx, err)
-		pause(ctx, retry.Pause(failures, rand.Float64()))
+		pause(ctx, retry.Pause(1+throttled, rand.Float64()))
 	}
 }
 
--- a/fleet/wallet/wallet_test.go
+++ b/fleet/wallet/wallet_test.go
@@ -65,7 +65,7 @@
 		_, prepaid := f.balance()
 		f.setPrepaid(prepaid + 20_000)
 	case draw < 0.035:
-		f.log.Compact(Stream)
+		f.log.Compact(testStream)
 	default:
 		bound := record.Tokens(200 + f.draw()*6000)
 		cost := record.Tokens(float64(bound) * f.draw())
