--- a/fleet/wallet/fixture_test.go
+++ b/fleet/wallet/fixture_test.go
@@ -21,7 +21,7 @@
 
 const (
 	testBudget record.BudgetID = "acme"
-	testStream                 = "budgets"
+	testStream string          = "budgets"
 )
 
 // fleet is a set of hosts that share a log, and the audit of what they spend.
