--- a/cmd/internal/e2e/platform_test.go
+++ b/cmd/internal/e2e/platform_test.go
@@ -19,8 +19,9 @@
 	"github.com/hazelworks/hazelworks/platform/standin"
 )
 
-// platformIP is the loopback address of the host; nobody listens at its store's.
-const platformIP = "127.9.8.7"
+// platformIP is the loopback address of the host, one of this test process alone.
+// Nobody listens at its store's.
+var platformIP = fmt.Sprintf("127.9.%d.%d", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
 
 // metricsPort is the port of the host's metrics.
 const metricsPort = 9100
--- a/cmd/internal/soak/world.go
+++ b/cmd/internal/soak/world.go
@@ -36,7 +36,7 @@
 	dir    string
 	binary string
 	// net is the second number of all loopback addresses, so that worlds of
-	// several processes don't meet.
+	// several processes seldom meet.
 	net     int
 	log     *memkeyed.Log
 	books   standin.Books
