Never count hosts under the wallet's lock, nor ask the wallet under that of the hosts

Cause: since the directory names hosts that reach the log it asked the wallet under the lock of the list of hosts, while the wallet counted the hosts under its own.

Neither asks under its lock any more. The test hung before. Ruled out: paused processes (the fault's end comes before the last checks; one request that needs no lock was still answered), an endless loop (other answers would have come).

--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -279,13 +279,14 @@
 const directoryTTL = time.Second
 
 func (h *Host) resolve(domain string) ([]netip.AddrPort, time.Duration) {
-	h.hosts.mu.Lock()
-	defer h.hosts.mu.Unlock()
 	if h.table.current.Load() == nil {
 		return nil, 0
 	}
+	isolated := h.wallet.Isolated()
+	h.hosts.mu.Lock()
+	defer h.hosts.mu.Unlock()
 	now := time.Now()
-	h.hosts.table.SetIsolated(h.wallet.Isolated())
+	h.hosts.table.SetIsolated(isolated)
 	addresses := h.hosts.table.Resolve(domain, now, mathrand.Shuffle)
 	h.log.Info("Directory answered.", "domain", domain, "addresses", len(addresses),
 		"alive", len(h.hosts.table.Alive(now)), "known", 1+len(h.hosts.table.Peers()))
--- a/fleet/wallet/claims.go
+++ b/fleet/wallet/claims.go
@@ -199,10 +199,11 @@
 // prepare makes the next write from what the purses want. It returns false if
 // they want nothing.
 func (w *Wallet) prepare() bool {
+	// Not under the lock: who counts the hosts may hold one and ask the wallet.
+	hosts := max(1, w.opt.Hosts())
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := &write{seq: w.seq + 1, returns: make(map[record.BudgetID]record.Tokens)}
-	hosts := max(1, w.opt.Hosts())
 	for id, p := range w.purses {
 		w.giveExcessBack(p, hosts)
 		by := -p.giveBack
--- a/fleet/wallet/fixture_test.go
+++ b/fleet/wallet/fixture_test.go
@@ -48,6 +48,8 @@
 	wallet atomic.Pointer[Wallet]
 	stop   context.CancelFunc
 	cut    atomic.Bool // from the other hosts
+	// counting is called whenever the wallet counts the hosts.
+	counting func()
 	// slowLoans is the time that each question to the other hosts takes.
 	slowLoans time.Duration
 }
@@ -69,7 +71,7 @@
 	h.link = h.f.log.Link(seed)
 	h.stop = cancel
 	wallet := New(Options{
-		Host: h.name, Log: h.link, Stream: testStream, Hosts: func() int { return len(h.f.hosts) }, Lender: h,
+		Host: h.name, Log: h.link, Stream: testStream, Hosts: h.count, Lender: h,
 		Policy: escrow.DefaultPolicy(), Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
 	})
 	wallet.SetTable(h.f.table())
@@ -77,6 +79,13 @@
 	go func() { _ = wallet.Run(ctx) }()
 }
 
+func (h *testHost) count() int {
+	if h.counting != nil {
+		h.counting()
+	}
+	return len(h.f.hosts)
+}
+
 // Borrow implements Lender: it asks the other hosts in turn.
 func (h *testHost) Borrow(ctx context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens {
 	time.Sleep(h.slowLoans)
--- a/fleet/wallet/wallet_test.go
+++ b/fleet/wallet/wallet_test.go
@@ -245,6 +245,20 @@
 	})
 }
 
+// TestNoLockIsHeldWhileHostsAreCounted counts hosts by a function that asks the wallet
+// itself, as one does that holds the lock of the list of hosts.
+func TestNoLockIsHeldWhileHostsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 100_000, 31)
+		defer f.stopAll()
+		f.hosts[0].counting = func() { f.hosts[0].wallet.Load().Isolated() }
+		f.hosts[0].stop()
+		f.hosts[0].start(32)
+		time.Sleep(time.Second)
+		require.NoError(t, f.hosts[0].spend(1000, 1000, time.Millisecond))
+	})
+}
+
 // TestSpentBudgetIsRefusedAtOnce asks for more than is left of a budget, with the
 // log in reach. The answer is final: it is no outage, and takes a look at the log
 // and at the other hosts.
