Read an upstream's URL under its service's lock

Cause: the poll took the worker out of the map under the lock and read its settings after it. It reads the URL under the lock now. The load is the only part of it: the test is as it was.

--- a/fleet/upstream/poll.go
+++ b/fleet/upstream/poll.go
@@ -165,11 +165,13 @@
 func (s *service) poll(ctx context.Context, id string) {
 	s.mu.Lock()
 	w, ok := s.workers[id]
-	s.mu.Unlock()
 	if !ok {
+		s.mu.Unlock()
 		return
 	}
-	answer, err := fetchLoad(ctx, w)
+	url := w.up.URL
+	s.mu.Unlock()
+	answer, err := fetchLoad(ctx, w, url)
 	if ctx.Err() != nil {
 		return
 	}
@@ -232,10 +234,10 @@
 
 // fetchLoad returns the load answer of an upstream, or nil without an error if
 // it answers but has none to give.
-func fetchLoad(ctx context.Context, w *worker) (*LoadAnswer, error) {
+func fetchLoad(ctx context.Context, w *worker, url string) (*LoadAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.up.URL+PathLoad, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+PathLoad, nil)
 	if err != nil {
 		return nil, err
 	}
