--- a/fleet/upstream/bench_test.go
+++ b/fleet/upstream/bench_test.go
@@ -70,7 +70,7 @@
 	w := &worker{transport: newTransport(wirecount.Dial(&bytes), func(headers) {})}
 	w.up.URL = server.URL
 	for range 10 {
-		a, err := fetchLoad(t.Context(), w)
+		a, err := fetchLoad(t.Context(), w, w.up.URL)
 		require.NoError(t, err)
 		require.NotNil(t, a)
 	}
