Log a length hint that can't be read

Cause: an unreadable Length-Hint became 0 without a line, against the rule that no error turns into a zero silently; found in the last reading of the diff. Change: the request says what of its head is ignored, and the relay logs it ("Header ignored.", docs/LOGS.md). Ruled out: a 400. The request is proper without the hint, and refusing it would deny service.

--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -64,6 +64,9 @@
 		return
 	}
 	req.Arrived = time.Now()
+	if req.Ignored != "" {
+		r.log.Info("Header ignored.", "request", req.ID, "reason", req.Ignored)
+	}
 	table := r.opt.Table()
 	if table == nil {
 		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: startRetry})
--- a/fleet/relay/request.go
+++ b/fleet/relay/request.go
@@ -29,6 +29,8 @@
 	// Work is nil for requests that ask nothing of an engine.
 	Work    *balance.Work
 	Arrived time.Time
+	// Ignored says what of the head could not be read and is left out, or is empty.
+	Ignored string
 }
 
 // Sending is what changes from one send of a request to the next.
