Small hosts tell their news through a large one

Cause: on the grown sites hosts with 0.19 cores and 10 Mbit/s serve whole accounts, up to 100 requests/s, whatever the directory says. Bodies take 0.9 of the link's 1.25 MB/s each way, and telling some 40 serving hosts of each event as much again. Change: a host with less than half the cores of the largest one sends events once, to a large host picked by rendezvous among those alive, which passes them on. Heartbeats go to all directly, as before. Ruled out: longer gathering (bytes are mostly the events times the hosts); leaving out the event of the first token (placement needs it); refusing by a budget of bytes (callers have sent the body with the head by then). Tests: TestSmallHostsTellTheirNewsThroughLargeOnes, TestNewsOfASmallHostGoOutOnce (neither could pass before: each host was sent its own datagram).

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/rendezvous"
 )
 
 // Host is a host's own description of one of its runs.
@@ -148,11 +149,7 @@
 	alive := slices.DeleteFunc(t.Alive(now), func(h Host) bool { return h.Leaving })
 	shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 	alive = preferConnected(alive)
-	largest := 0.0
-	for _, h := range alive {
-		largest = max(largest, h.Cores)
-	}
-	large := func(h Host) bool { return h.Cores >= smallShare*largest }
+	large := largeAmong(alive)
 	near := func(h Host) bool { return h.FailureDomain == domain }
 	out := addresses(alive, func(h Host) bool { return near(h) && large(h) })
 	for _, wanted := range []func(Host) bool{
@@ -166,6 +163,35 @@
 	return out[:min(len(out), maxAddresses)]
 }
 
+// largeAmong returns what tells the large ones of some hosts from the small ones.
+func largeAmong(hosts []Host) func(Host) bool {
+	largest := 0.0
+	for _, h := range hosts {
+		largest = max(largest, h.Cores)
+	}
+	return func(h Host) bool { return h.Cores >= smallShare*largest }
+}
+
+// Relay returns the large host that passes the news of a small one on to the others.
+// A small host that serves a whole account would fill its link by telling each of
+// dozens of hosts itself. The choice is stable, and spreads over the large hosts. It
+// returns false if this host is large itself, or alone with small ones.
+func Relay(self Host, others []Host) (Host, bool) {
+	large := largeAmong(append([]Host{self}, others...))
+	if large(self) {
+		return Host{}, false
+	}
+	var best Host
+	var highest uint64
+	key := rendezvous.KeyOf(string(self.ID))
+	for _, h := range others {
+		if score := rendezvous.Mix(key, rendezvous.KeyOf(string(h.ID))); large(h) && !h.Leaving && (best.ID == "" || score > highest) {
+			best, highest = h, score
+		}
+	}
+	return best, best.ID != ""
+}
+
 // preferConnected drops isolated hosts if enough others are there.
 func preferConnected(hosts []Host) []Host {
 	connected := make([]Host, 0, len(hosts))
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -102,3 +102,37 @@
 	table.SetIsolated(true)
 	require.Len(t, resolve(table, "a", now), 8, "too few are left")
 }
+
+// TestSmallHostsTellTheirNewsThroughLargeOnes: 80 small hosts and 8 large ones, as on
+// the grown sites.
+func TestSmallHostsTellTheirNewsThroughLargeOnes(t *testing.T) {
+	var hosts []Host
+	for i := range 88 {
+		cores := 0.19
+		if i < 8 {
+			cores = 0.8
+		}
+		hosts = append(hosts, host(i, "a", cores))
+	}
+	_, ok := Relay(hosts[0], hosts[1:])
+	require.False(t, ok, "a large host tells all itself")
+
+	small := hosts[8:]
+	load := make(map[record.HostID]int)
+	for i, self := range small {
+		relay, ok := Relay(self, append(append([]Host(nil), hosts[:8]...), small[:i]...))
+		require.True(t, ok)
+		require.Equal(t, 0.8, relay.Cores)
+		load[relay.ID]++
+		// The loss of another host doesn't move it.
+		again, _ := Relay(self, append([]Host{relay}, small[:i]...))
+		require.Equal(t, relay.ID, again.ID)
+	}
+	for id, n := range load {
+		require.Less(t, n, 3*len(small)/8, "%s", id)
+	}
+	require.Len(t, load, 8)
+
+	_, ok = Relay(small[0], small[1:])
+	require.False(t, ok, "all are of one size")
+}
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -68,6 +68,8 @@
 	// that told of the end of an earlier one may have been lost.
 	Oldest uint64
 	Events []Event
+	// PassOn asks the receiver to send the message on to the hosts that serve.
+	PassOn bool
 }
 
 const (
@@ -85,6 +87,8 @@
 	Self roster.Host
 	// Peers returns the hosts that messages go to.
 	Peers func() []roster.Host
+	// Alive returns those of the peers that were heard lately.
+	Alive func() []roster.Host
 	// State is this host's, and Oldest the number of its oldest request that has
 	// not ended.
 	State  func() roster.State
@@ -146,20 +150,34 @@
 			g.log.Error(err, "Receive failed.")
 			return err
 		}
-		g.receive(buf[:n])
+		g.receive(conn, buf[:n])
 	}
 }
 
-func (g *Gossip) receive(data []byte) {
+func (g *Gossip) receive(conn net.PacketConn, data []byte) {
 	var m Message
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		g.bad.Inc(1)
 		return
 	}
 	g.received.Inc(1)
+	if m.PassOn {
+		g.passOn(conn, m)
+	}
 	g.opt.Receive(&m)
 }
 
+// passOn sends a small host's message to the others that serve.
+func (g *Gossip) passOn(conn net.PacketConn, m Message) {
+	m.PassOn = false
+	g.send(conn, m, slices.DeleteFunc(serving(g.opt.Peers()), func(h roster.Host) bool { return h.ID == m.Host }))
+}
+
+// serving returns the hosts that serve callers.
+func serving(hosts []roster.Host) []roster.Host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h roster.Host) bool { return !h.State.Active })
+}
+
 func (g *Gossip) sendLoop(ctx context.Context, conn net.PacketConn) {
 	tick := time.NewTicker(roster.HeartbeatInterval)
 	defer tick.Stop()
@@ -176,27 +194,36 @@
 	}
 }
 
-// flush sends the pending events to those who serve callers, too. Heartbeats go to
-// all hosts, even if there are no events.
+// flush sends the pending events to those who serve callers, too, or lets a large
+// host do so. Heartbeats go to all hosts, even if there are no events.
 func (g *Gossip) flush(conn net.PacketConn, heartbeat bool) {
 	g.mu.Lock()
 	events := g.pending
 	g.pending = nil
 	g.mu.Unlock()
 	peers := g.opt.Peers()
-	active := slices.DeleteFunc(slices.Clone(peers), func(h roster.Host) bool { return !h.State.Active })
+	active := serving(peers)
+	relay, small := roster.Relay(g.opt.Self, g.opt.Alive())
+	if small {
+		active = []roster.Host{relay}
+	}
 	for len(events) > 0 {
 		n := min(len(events), maxEvents)
-		g.send(conn, events[:n], active)
+		m := g.message(events[:n])
+		m.PassOn = small
+		g.send(conn, m, active)
 		events = events[n:]
 	}
 	if heartbeat {
-		g.send(conn, nil, peers)
+		g.send(conn, g.message(nil), peers)
 	}
 }
 
-func (g *Gossip) send(conn net.PacketConn, events []Event, peers []roster.Host) {
-	m := Message{Host: g.opt.Self.ID, Run: g.opt.Self.Run, State: g.opt.State(), Oldest: g.opt.Oldest(), Events: events}
+func (g *Gossip) message(events []Event) Message {
+	return Message{Host: g.opt.Self.ID, Run: g.opt.Self.Run, State: g.opt.State(), Oldest: g.opt.Oldest(), Events: events}
+}
+
+func (g *Gossip) send(conn net.PacketConn, m Message, peers []roster.Host) {
 	data, err := cbor.Marshal(&m)
 	if err != nil {
 		g.log.Error(err, "Message could not be encoded.")
--- /dev/null
+++ b/fleet/gossip/gossip_test.go
@@ -0,0 +1,118 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/roster"
+)
+
+// testHost is a host on a loopback address, and what it has received.
+type testHost struct {
+	self   roster.Host
+	gossip *Gossip
+	conn   net.PacketConn
+
+	mu sync.Mutex
+	// newsSent counts the datagrams with events that the host has sent.
+	newsSent int
+	events   map[record.HostID][]uint64
+}
+
+func startHosts(t *testing.T, cores ...float64) []*testHost {
+	var hosts []*testHost
+	for i, c := range cores {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		hosts = append(hosts, &testHost{conn: conn, events: make(map[record.HostID][]uint64), self: roster.Host{
+			ID: record.HostID(fmt.Sprintf("h%d", i)), Run: 1, Cores: c,
+			Peer: netip.MustParseAddrPort(conn.LocalAddr().String()), State: roster.State{Active: true},
+		}})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i, h := range hosts {
+		var peers []roster.Host
+		for k, other := range hosts {
+			if k != i {
+				peers = append(peers, other.self)
+			}
+		}
+		h.gossip = New(Options{
+			Self: h.self, Peers: func() []roster.Host { return peers }, Alive: func() []roster.Host { return peers }, State: func() roster.State { return h.self.State },
+			Oldest: func() uint64 { return 1 }, Receive: h.receive, Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
+		})
+		wg.Go(func() { _ = h.gossip.Run(ctx, &countingConn{PacketConn: h.conn, host: h}) })
+	}
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return hosts
+}
+
+// countingConn counts what its host sends.
+type countingConn struct {
+	net.PacketConn
+	host *testHost
+}
+
+func (c *countingConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	var m Message
+	if err := cbor.Unmarshal(data, &m); err == nil && len(m.Events) > 0 {
+		c.host.mu.Lock()
+		c.host.newsSent++
+		c.host.mu.Unlock()
+	}
+	return c.PacketConn.WriteTo(data, to)
+}
+
+func (h *testHost) receive(m *Message) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range m.Events {
+		h.events[m.Host] = append(h.events[m.Host], e.Seq)
+	}
+}
+
+func (h *testHost) heard(from record.HostID) []uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]uint64(nil), h.events[from]...)
+}
+
+// TestNewsOfASmallHostGoOutOnce: a host with a small link sends each event to one large
+// host, and all others hear of it once.
+func TestNewsOfASmallHostGoOutOnce(t *testing.T) {
+	hosts := startHosts(t, 0.8, 0.8, 0.19, 0.19, 0.19, 0.19)
+	small := hosts[2]
+	small.gossip.Tell(Event{Kind: Begun, Seq: 7})
+	for _, h := range hosts {
+		if h != small {
+			require.Eventually(t, func() bool { return len(h.heard("h2")) > 0 }, 5*time.Second, time.Millisecond, "%s", h.self.ID)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	for _, h := range hosts {
+		if h != small {
+			require.Equal(t, []uint64{7}, h.heard("h2"), "%s", h.self.ID)
+		}
+	}
+	small.mu.Lock()
+	require.Equal(t, 1, small.newsSent)
+	small.mu.Unlock()
+
+	// A large host tells all itself.
+	hosts[0].gossip.Tell(Event{Kind: Ended, Seq: 9})
+	for _, h := range hosts[1:] {
+		require.Eventually(t, func() bool { return len(h.heard("h0")) > 0 }, 5*time.Second, time.Millisecond, "%s", h.self.ID)
+	}
+}
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -191,7 +191,7 @@
 		Metrics: h.opt.Metrics,
 	})
 	h.gossip = gossip.New(gossip.Options{
-		Self: h.self, Peers: h.hosts.peers, State: h.state, Oldest: h.balancer.Oldest,
+		Self: h.self, Peers: h.hosts.peers, Alive: h.hosts.others, State: h.state, Oldest: h.balancer.Oldest,
 		Receive: h.receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
