Lines about failed requests have a share of their own

Cause: the budget of log lines is for each message. Change: a line marked as failed counts against a second budget of the same size; the mark is in the line ("failed":true). The relay marks sends that were not answered and requests that ended with 4xx, 5xx or no status. Ruled out: other messages for failures (pages, walks and the story of a request name these); a larger budget (the flood would grow with it).

--- a/fleet/logging/bounded.go
+++ b/fleet/logging/bounded.go
@@ -14,7 +14,7 @@
 // Limits bound what a process logs.
 type Limits struct {
 	// PerSecond is the number of lines of each kind, that is of each message,
-	// that are written in a second.
+	// that are written in a second, and as many again about failed requests.
 	PerSecond int
 	// Buffered is the number of lines that wait for a slow reader. Lines beyond
 	// it are left out: logging never blocks.
@@ -52,8 +52,10 @@
 	}
 	b := &Bounded{out: newQueueWriter(out, limits.Buffered), stop: make(chan struct{}), stopped: make(chan struct{})}
 	core := zapcore.NewCore(encoder, b.out, minimum)
-	sampled := zapcore.NewSamplerWithOptions(core, time.Second, limits.PerSecond, 0, zapcore.SamplerHook(b.count))
-	b.Logger = zapr.NewLogger(zap.New(sampled))
+	sampled := func() zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, time.Second, limits.PerSecond, 0, zapcore.SamplerHook(b.count))
+	}
+	b.Logger = zapr.NewLogger(zap.New(&budgets{Core: sampled(), failed: sampled()}))
 	go b.report(zapr.NewLogger(zap.New(core)).WithName("logging"))
 	return b, nil
 }
--- a/fleet/logging/bounded_test.go
+++ b/fleet/logging/bounded_test.go
@@ -55,6 +55,27 @@
 	})
 }
 
+// TestFailedRequestsKeepTheirLines floods a kind of line with requests that went well.
+func TestFailedRequestsKeepTheirLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out lockedBuffer
+		b, err := NewBounded(&out, "info", Limits{PerSecond: 10, Buffered: 1000})
+		require.NoError(t, err)
+		log := b.Logger.WithName("relay")
+		failed := Failed(log)
+		for i := range 500 {
+			log.Info("Request ended.", "status", 200)
+			if i%100 == 99 {
+				failed.Info("Request ended.", "status", 503)
+			}
+		}
+		b.Close()
+		require.Equal(t, 5, strings.Count(out.String(), `"status":503`))
+		require.Equal(t, 10, strings.Count(out.String(), `"status":200`))
+		require.Equal(t, 5, strings.Count(out.String(), `"part":"relay","msg":"Request ended.","failed":true`))
+	})
+}
+
 // TestStoppedReaderBlocksNobody logs to a pipe that nobody reads.
 func TestStoppedReaderBlocksNobody(t *testing.T) {
 	reader, writer := io.Pipe()
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -232,7 +232,8 @@
 	if c.account != nil {
 		account = c.account.Name
 	}
-	c.r.log.Info("Request ended.", "request", c.req.ID, "account", account, "route", c.route.Name, "service", c.service,
+	failed := c.status == 0 || c.status >= http.StatusBadRequest
+	c.r.logFor(failed).Info("Request ended.", "request", c.req.ID, "account", account, "route", c.route.Name, "service", c.service,
 		"table", c.table.Version, "status", c.status, "took", took, "first", c.firstAfter, "runs", c.runs, "events", c.events,
 		"cost", c.billed)
 }
@@ -371,7 +372,7 @@
 	began := time.Now()
 	resp, err := lease.Conns.Send(ctx, out)
 	f := c.receive(resp, err, lease)
-	c.r.log.Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID,
+	c.r.logFor(f != fateDone).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID,
 		"wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "trouble", lease.Trouble, "took", time.Since(began), "result", f.String(), "error", errText(err))
 	return f
 }
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/bank"
+	"github.com/hazelworks/hazelworks/fleet/logging"
 )
 
 // Options configure a [Relay].
@@ -36,17 +37,28 @@
 
 // Relay is the handler of callers' requests.
 type Relay struct {
-	opt      Options
-	log      logr.Logger
-	meters   *meters
-	patience patienceTable
-	draining atomic.Bool
-	inflight sync.WaitGroup
+	opt Options
+	log logr.Logger
+	// failedLog is for lines of which failed requests get their own share.
+	failedLog logr.Logger
+	meters    *meters
+	patience  patienceTable
+	draining  atomic.Bool
+	inflight  sync.WaitGroup
 }
 
 // New returns a relay.
 func New(opt Options) *Relay {
-	return &Relay{opt: opt, log: opt.Logger.WithName("relay"), meters: newMeters(opt.Metrics), patience: newPatienceTable()}
+	log := opt.Logger.WithName("relay")
+	return &Relay{opt: opt, log: log, failedLog: logging.Failed(log), meters: newMeters(opt.Metrics), patience: newPatienceTable()}
+}
+
+// logFor returns the logger for a line about a request that failed or didn't.
+func (r *Relay) logFor(failed bool) logr.Logger {
+	if failed {
+		return r.failedLog
+	}
+	return r.log
 }
 
 // SetDraining makes callers' connections end with their next answer.
