Large fleets read the settings through a few hosts

Second: parts of budgets of 300 to 1,500 tokens, of which each request had to claim anew, until the limit of 600 writes refused 103 of 301 hosts within two seconds. Change: above 100 hosts a few large ones read the settings from the log, the others ask these, compressed, and read themselves if three don't answer. Parts under 500 tokens aren't claimed ahead. Rounds of claims are spaced by the limits in the settings file. Conclusion: the settings reach 300 hosts in time.

--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -28,11 +28,15 @@
 	// no more than KeepBack is left. Callers are owed no service from the last
 	// 3 in 100 of a budget, so that much may be lost.
 	BaseShare float64
+	// LeastHeld is the least amount, in tokens, that a host holds ahead of requests:
+	// a smaller one serves none of them. It comes from the cost of the shortest
+	// requests.
+	LeastHeld record.Tokens
 }
 
 // DefaultPolicy returns the policy for outages of the log of some seconds.
 func DefaultPolicy() Policy {
-	return Policy{Cover: 10 * time.Second, FirstShare: 0.15, KeepBack: 0.25, BaseShare: 0.005, Growth: 0.5}
+	return Policy{Cover: 10 * time.Second, FirstShare: 0.15, KeepBack: 0.25, BaseShare: 0.005, Growth: 0.5, LeastHeld: 500}
 }
 
 // crashCover is the cover that a run holds whose predecessor ended without a word:
@@ -141,7 +145,22 @@
 		p.rate = policy.FirstShare * float64(prepaid) / float64(hosts) / policy.Cover.Seconds()
 		p.cover = policy.Cover
 	}
-	return record.Tokens(p.rate * p.cover.Seconds())
+	return policy.worthHolding(record.Tokens(p.rate * p.cover.Seconds()))
+}
+
+// worthHolding returns an amount, or zero if it is too small to serve a request. In a
+// large fleet each host's part of a budget is: all would claim it, and each claim
+// is read by all.
+func (p Policy) worthHolding(amount record.Tokens) record.Tokens {
+	if amount < p.LeastHeld {
+		return 0
+	}
+	return amount
+}
+
+// base returns what a host holds of a budget in any case.
+func (p Policy) base(prepaid record.Tokens, hosts int) record.Tokens {
+	return p.worthHolding(share(p.BaseShare*float64(prepaid), hosts))
 }
 
 // refillBelow is the part of the target below which a purse is refilled, so that
@@ -158,7 +177,7 @@
 
 // Excess returns how much of what is free the spending no longer justifies.
 func (p *Purse) Excess(policy Policy, prepaid record.Tokens, hosts int) record.Tokens {
-	base := share(policy.BaseShare*float64(prepaid), hosts)
+	base := policy.base(prepaid, hosts)
 	target := max(base, record.Tokens(p.rate*policy.Cover.Seconds()))
 	if p.Free <= surplus*target+base {
 		return 0
@@ -173,7 +192,7 @@
 	spare := float64(left) - policy.KeepBack*float64(prepaid)
 	target := min(p.Target(policy, prepaid, hosts), p.Free+record.Tokens(max(0, spare)*atOnce))
 	cover := p.missing(target)
-	base := p.missing(share(policy.BaseShare*float64(prepaid), hosts))
+	base := p.missing(policy.base(prepaid, hosts))
 	want := max(cover, base, need-p.Free)
 	return max(0, min(want, left))
 }
--- a/core/platform/keyed.go
+++ b/core/platform/keyed.go
@@ -43,13 +43,18 @@
 // of [Log] apply; besides, Put may return [ErrFenced] or a [*SequenceError],
 // both without effect.
 type KeyedLog interface {
+	KeyedReader
+	// Put writes records, all or none, and returns the offset after them. The
+	// zero Writer leaves the write unnumbered.
+	Put(ctx context.Context, stream string, w Writer, records []KeyedRecord) (record.Offset, error)
+}
+
+// KeyedReader is the part of a [KeyedLog] that followers of a stream need.
+type KeyedReader interface {
 	// Newest returns the newest record of each key and the offset after all of
 	// them. Records that are written meanwhile may be missing.
 	Newest(ctx context.Context, stream string) ([]KeyedRecord, record.Offset, error)
 	// Follow returns the records from an offset on and the offset after them.
 	// If there are none yet it waits up to wait.
 	Follow(ctx context.Context, stream string, from record.Offset, wait time.Duration) ([]KeyedRecord, record.Offset, error)
-	// Put writes records, all or none, and returns the offset after them. The
-	// zero Writer leaves the write unnumbered.
-	Put(ctx context.Context, stream string, w Writer, records []KeyedRecord) (record.Offset, error)
 }
--- /dev/null
+++ b/core/roster/readers.go
@@ -0,0 +1,45 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hazelworks/hazelworks/core/rendezvous"
+)
+
+const (
+	// minReaders is the least number of hosts that read from the log, so that the
+	// loss of some leaves others.
+	minReaders = 4
+	// hostsPerReader is the number of hosts that one reader serves: with 1 Gbit/s
+	// and settings of 4 MB, a quarter of that when compressed, it takes a third of
+	// a second.
+	hostsPerReader = 40
+)
+
+// Readers returns the hosts that read from the log, in the order in which this host asks
+// them, and whether this host is one. Up to some number of hosts all are.
+func Readers(self Host, others []Host, direct int) ([]Host, bool) {
+	hosts := 1 + len(others)
+	if hosts <= direct {
+		return nil, true
+	}
+	all := append([]Host{self}, others...)
+	// News of a leaving host would soon have to come from another.
+	all = slices.DeleteFunc(all, func(h Host) bool { return h.Leaving })
+	large := Large(all)
+	slices.SortFunc(large, byScore(""))
+	readers := large[:min(len(large), max(minReaders, hosts/hostsPerReader))]
+	if slices.ContainsFunc(readers, func(h Host) bool { return h.ID == self.ID }) {
+		return readers, true
+	}
+	slices.SortFunc(readers, byScore(string(self.ID)))
+	return readers, len(readers) == 0
+}
+
+// byScore orders hosts by rendezvous hashing, the highest score first.
+func byScore(key string) func(a, b Host) int {
+	of := rendezvous.KeyOf(key)
+	score := func(h Host) uint64 { return rendezvous.Mix(of, rendezvous.KeyOf(string(h.ID))) }
+	return func(a, b Host) int { return cmp.Compare(score(b), score(a)) }
+}
--- /dev/null
+++ b/core/roster/readers_test.go
@@ -0,0 +1,44 @@
+package roster
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/record"
+)
+
+// TestReadersAreFewAndShared: 300 hosts whose links would carry megabytes of settings
+// from the log at once.
+func TestReadersAreFewAndShared(t *testing.T) {
+	var hosts []Host
+	for i := range 300 {
+		cores := 0.4
+		if i%2 == 0 {
+			cores = 0.1
+		}
+		hosts = append(hosts, host(i, "a", cores))
+	}
+	reading, asked := 0, make(map[record.HostID]int)
+	for i, self := range hosts {
+		others := append(append([]Host(nil), hosts[:i]...), hosts[i+1:]...)
+		readers, reads := Readers(self, others, 100)
+		require.Len(t, readers, 300/hostsPerReader)
+		if reads {
+			reading++
+			require.Equal(t, 0.4, self.Cores, "a large host")
+			continue
+		}
+		asked[readers[0].ID]++
+	}
+	require.Equal(t, 300/hostsPerReader, reading)
+	for id, n := range asked {
+		require.Less(t, n, 2*hostsPerReader, "%s", id)
+	}
+	_, reads := Readers(hosts[0], hosts[1:], 300)
+	require.True(t, reads, "a fleet that is small enough")
+	leaving := host(1, "a", 0.4)
+	leaving.Leaving = true
+	_, reads = Readers(host(2, "a", 0.4), []Host{leaving}, 1)
+	require.True(t, reads, "nobody else stays")
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/record"
-	"github.com/hazelworks/hazelworks/core/rendezvous"
 )
 
 // Host is a host's own description of one of its runs.
@@ -172,6 +171,12 @@
 	return func(h Host) bool { return h.Cores >= smallShare*largest }
 }
 
+// Large returns the large ones of some hosts.
+func Large(hosts []Host) []Host {
+	large := largeAmong(hosts)
+	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return !large(h) })
+}
+
 // Relay returns the large host that passes the news of a small one on to the others.
 // A small host that serves a whole account would fill its link by telling each of
 // dozens of hosts itself. The choice is stable, and spreads over the large hosts. It
@@ -181,15 +186,11 @@
 	if large(self) {
 		return Host{}, false
 	}
-	var best Host
-	var highest uint64
-	key := rendezvous.KeyOf(string(self.ID))
-	for _, h := range others {
-		if score := rendezvous.Mix(key, rendezvous.KeyOf(string(h.ID))); large(h) && !h.Leaving && (best.ID == "" || score > highest) {
-			best, highest = h, score
-		}
+	relays := slices.DeleteFunc(slices.Clone(others), func(h Host) bool { return !large(h) || h.Leaving })
+	if len(relays) == 0 {
+		return Host{}, false
 	}
-	return best, best.ID != ""
+	return slices.MinFunc(relays, byScore(string(self.ID))), true
 }
 
 // preferConnected drops isolated hosts if enough others are there.
--- /dev/null
+++ b/fleet/fanout/fanout_test.go
@@ -0,0 +1,237 @@
+package fanout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/admission"
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/roster"
+	"github.com/hazelworks/hazelworks/fleet/follow"
+	"github.com/hazelworks/hazelworks/standin/memkeyed"
+)
+
+const testStream = "settings"
+
+// testFleet is a large fleet that follows one stream.
+type testFleet struct {
+	log   *memkeyed.Log
+	hosts []*testHost
+}
+
+type testHost struct {
+	self   roster.Host
+	link   *memkeyed.Link
+	stream *Stream
+	// cut hosts can't be asked by others, and can't ask.
+	cut  atomic.Bool
+	seen atomic.Uint64 // offset of the newest record in force
+}
+
+func newTestFleet(t *testing.T, n, direct int) *testFleet {
+	f := &testFleet{log: memkeyed.New()}
+	ctx, cancel := context.WithCancel(context.Background())
+	for i := range n {
+		h := &testHost{self: roster.Host{ID: record.HostID(fmt.Sprintf("h%d", i)), Cores: 0.4}, link: f.log.Link(uint64(i))}
+		f.hosts = append(f.hosts, h)
+	}
+	for i, h := range f.hosts {
+		var others []roster.Host
+		for k, o := range f.hosts {
+			if k != i {
+				others = append(others, o.self)
+			}
+		}
+		h.stream = New(Options{
+			Log: h.link, Stream: testStream, Self: h.self, Known: func() bool { return true },
+			Alive:  func() []roster.Host { return others },
+			Direct: func() int { return direct }, Ask: f.asker(h), Logger: logr.Discard(),
+		})
+	}
+	for _, h := range f.hosts {
+		follower := follow.New(follow.Options{
+			Log: h.stream, Stream: testStream, Wait: time.Second, Pause: func() time.Duration { return 50 * time.Millisecond },
+			Retry:    admission.Backoff{First: 250 * time.Millisecond, Most: 500 * time.Millisecond},
+			Snapshot: h.take, Records: h.take, Logger: logr.Discard(),
+		})
+		go func() { _ = follower.Run(ctx) }()
+	}
+	t.Cleanup(func() { cancel(); time.Sleep(10 * time.Second) })
+	return f
+}
+
+func (h *testHost) take(records []platform.KeyedRecord) {
+	for _, r := range records {
+		h.seen.Store(uint64(r.Offset) + 1)
+	}
+}
+
+func (f *testFleet) asker(from *testHost) func(context.Context, roster.Host, record.Offset, time.Duration) (*Page, error) {
+	return func(ctx context.Context, h roster.Host, offset record.Offset, wait time.Duration) (*Page, error) {
+		for _, other := range f.hosts {
+			if other.self.ID != h.ID {
+				continue
+			}
+			if other.cut.Load() || from.cut.Load() {
+				time.Sleep(50 * time.Millisecond)
+				return nil, errors.New("no route to host")
+			}
+			return other.stream.Page(ctx, offset, wait)
+		}
+		return nil, errors.New("unknown host")
+	}
+}
+
+// put writes a record and returns how many hosts have it in force after a time.
+func (f *testFleet) put(after time.Duration) int {
+	end := f.log.Append(testStream, platform.KeyedRecord{Key: "config", Value: []byte("new")})
+	time.Sleep(after)
+	n := 0
+	for _, h := range f.hosts {
+		if h.seen.Load() >= uint64(end) {
+			n++
+		}
+	}
+	return n
+}
+
+// calls returns the number of calls of each host that has made any since the last time.
+func (f *testFleet) calls(before map[record.HostID]int) map[record.HostID]int {
+	out := make(map[record.HostID]int)
+	for _, h := range f.hosts {
+		if n := h.link.Calls() - before[h.self.ID]; n > 0 {
+			out[h.self.ID] = n
+		}
+	}
+	return out
+}
+
+// TestFewHostsReadTheLog: 300 hosts learn of each record within a few calls, and no more
+// than eight read it from the log.
+func TestFewHostsReadTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 300, 100)
+		time.Sleep(5 * time.Second)
+		before := f.calls(nil)
+		for range 10 {
+			require.Equal(t, 300, f.put(200*time.Millisecond))
+		}
+		require.LessOrEqual(t, len(f.calls(before)), 8)
+	})
+}
+
+// TestSmallFleetsReadTheLogThemselves: no host depends on another one.
+func TestSmallFleetsReadTheLogThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 30, 100)
+		for _, h := range f.hosts {
+			h.cut.Store(true)
+		}
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 30, f.put(100*time.Millisecond))
+	})
+}
+
+// TestReadersMayFail loses readers in each way: they are cut off from the others, their
+// calls to the log are refused, or they get no answer. All hosts that reach the log have
+// new settings within the two seconds that the platform asks for.
+func TestReadersMayFail(t *testing.T) {
+	for name, fail := range map[string]func(*testHost){
+		"cut off":     func(h *testHost) { h.cut.Store(true) },
+		"log refuses": func(h *testHost) { h.link.Set(memkeyed.Faults{Unavailable: true}) },
+		"log silent":  func(h *testHost) { h.link.Set(memkeyed.Faults{Silent: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 120, 100)
+				time.Sleep(5 * time.Second)
+				readers := f.calls(nil)
+				failed := 0
+				for _, h := range f.hosts {
+					if readers[h.self.ID] > 3 && failed < 3 {
+						fail(h)
+						failed++
+					}
+				}
+				require.Equal(t, 3, failed)
+				time.Sleep(300 * time.Millisecond)
+				inTouch := len(f.hosts) - failed
+				require.GreaterOrEqual(t, f.put(2*time.Second), inTouch)
+			})
+		})
+	}
+}
+
+// TestReaderThatJoinedLateSaysSo: a host that has read a part of the stream from others
+// can't tell what came before.
+func TestReaderThatJoinedLateSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memkeyed.New()
+		for range 5 {
+			log.Append(testStream, platform.KeyedRecord{Key: "config", Value: []byte("old")})
+		}
+		s := New(Options{
+			Log: log.Link(1), Stream: testStream, Alive: func() []roster.Host { return nil },
+			Known: func() bool { return true }, Direct: func() int { return 10 }, Logger: logr.Discard(),
+		})
+		_, _, err := s.Follow(t.Context(), testStream, 5, 0)
+		require.NoError(t, err)
+		_, err = s.Page(t.Context(), 0, 0)
+		require.ErrorIs(t, err, errNotReading)
+		page, err := s.Page(t.Context(), 5, 0)
+		require.NoError(t, err)
+		require.Equal(t, record.Offset(5), page.Next)
+
+		_, _, err = s.Newest(t.Context(), testStream)
+		require.NoError(t, err)
+		page, err = s.Page(t.Context(), 0, 0)
+		require.NoError(t, err)
+		require.Len(t, page.Records, 1)
+
+		time.Sleep(2 * touchFor)
+		_, err = s.Page(t.Context(), 5, 0)
+		require.ErrorIs(t, err, errNotReading, "the log has not been read for some time")
+	})
+}
+
+// TestPageOverHTTP asks a host over its listener.
+func TestPageOverHTTP(t *testing.T) {
+	log := memkeyed.New()
+	value := strings.Repeat(`{"name":"r","host":"a.example"},`, 10_000)
+	log.Append(testStream, platform.KeyedRecord{Key: "config", Value: []byte(value)})
+	s := New(Options{
+		Log: log.Link(1), Stream: testStream, Alive: func() []roster.Host { return nil },
+		Known: func() bool { return true }, Direct: func() int { return 10 }, Logger: logr.Discard(),
+	})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	ask := NewAsker(server.Client())
+	host := roster.Host{Peer: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	_, err := ask(t.Context(), host, 0, 0)
+	require.ErrorIs(t, err, errNotReading)
+
+	records, next, err := s.Newest(t.Context(), testStream)
+	require.NoError(t, err)
+	for range 2 { // the second time it is encoded already
+		page, err := ask(t.Context(), host, 0, 0)
+		require.NoError(t, err)
+		require.Equal(t, records, page.Records)
+		require.Equal(t, next, page.Next)
+	}
+	page, err := ask(t.Context(), host, next, 10*time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, page.Records)
+	require.Less(t, len(s.encoded.data), len(value)/10, "compressed")
+}
--- /dev/null
+++ b/fleet/fanout/http.go
@@ -0,0 +1,126 @@
+package fanout
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/roster"
+)
+
+const (
+	// Path is where a host answers the others.
+	Path = "/fanout/v1/records"
+	// askTimeout bounds an answer beyond the time that it may wait for news: some
+	// megabytes, sent to dozens of hosts at a time.
+	askTimeout = 700 * time.Millisecond
+	// maxPageBytes bounds an answer.
+	maxPageBytes = 64 << 20
+	// maxWait bounds the time that a host may let this one wait.
+	maxWait = 5 * time.Second
+)
+
+// ServeHTTP answers another host. Pages are compressed: settings are text.
+func (s *Stream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	waitMS, err2 := strconv.ParseUint(r.URL.Query().Get("wait_ms"), 10, 32)
+	if err := errors.Join(err, err2); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	page, err := s.Page(r.Context(), record.Offset(from), min(maxWait, time.Duration(waitMS)*time.Millisecond))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	data, err := s.encoded.of(record.Offset(from), page)
+	if err != nil {
+		s.log.Error(err, "Page could not be encoded.")
+		http.Error(w, "encoding failed", http.StatusInternalServerError)
+		return
+	}
+	// A host that is gone needs no answer.
+	_, _ = w.Write(data)
+}
+
+// of returns a page from an offset on, as it is sent.
+func (e *encodedPage) of(from record.Offset, page *Page) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.data != nil && e.from == from && e.next == page.Next {
+		return e.data, nil
+	}
+	data, err := encode(page)
+	if err != nil {
+		return nil, err
+	}
+	e.from, e.next, e.data = from, page.Next, data
+	return data, nil
+}
+
+func encode(page *Page) ([]byte, error) {
+	plain, err := cbor.Marshal(page)
+	if err != nil {
+		return nil, fmt.Errorf("fanout: encode: %w", err)
+	}
+	var out bytes.Buffer
+	z, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("fanout: compress: %w", err)
+	}
+	if _, err := z.Write(plain); err != nil {
+		return nil, fmt.Errorf("fanout: compress: %w", err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, fmt.Errorf("fanout: compress: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+func decode(body io.Reader) (*Page, error) {
+	z, err := gzip.NewReader(body)
+	if err != nil {
+		return nil, fmt.Errorf("fanout: decompress: %w", err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(z, maxPageBytes))
+	if err != nil {
+		return nil, fmt.Errorf("fanout: decompress: %w", err)
+	}
+	var page Page
+	if err := cbor.Unmarshal(plain, &page); err != nil {
+		return nil, fmt.Errorf("fanout: decode: %w", err)
+	}
+	return &page, nil
+}
+
+// NewAsker returns a function that reads the stream from another host.
+func NewAsker(client *http.Client) func(context.Context, roster.Host, record.Offset, time.Duration) (*Page, error) {
+	return func(ctx context.Context, h roster.Host, from record.Offset, wait time.Duration) (*Page, error) {
+		ctx, cancel := context.WithTimeout(ctx, wait+askTimeout)
+		defer cancel()
+		query := url.Values{"from": {strconv.FormatUint(uint64(from), 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Peer.String()+Path+"?"+query.Encode(), nil)
+		if err != nil {
+			return nil, fmt.Errorf("fanout: %w", err)
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return nil, fmt.Errorf("fanout: %w", err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if resp.StatusCode != http.StatusOK {
+			return nil, fmt.Errorf("%w: status %d", errNotReading, resp.StatusCode)
+		}
+		return decode(resp.Body)
+	}
+}
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -16,7 +16,7 @@
 
 // Options configure a [Follower].
 type Options struct {
-	Log    platform.KeyedLog
+	Log    platform.KeyedReader
 	Stream string
 	// Wait is how long a read waits for records. It bounds the time until a
 	// connection that went silent is noticed.
--- a/fleet/relayhost/config.go
+++ b/fleet/relayhost/config.go
@@ -43,6 +43,12 @@
 	Cores float64
 	// LinkBits is the bandwidth of the machine's link, in bits a second.
 	LinkBits float64
+	// LogWrites and LogReads are how many calls a second all hosts together may
+	// make to the log.
+	LogWrites float64
+	LogReads  float64
+	// LogReadRate is how many bytes a second all hosts together may read of it.
+	LogReadRate float64
 }
 
 // Bounds are the times and shares that the fleet promises to keep.
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	"github.com/hazelworks/hazelworks/fleet/admin"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/callerserver"
+	"github.com/hazelworks/hazelworks/fleet/fanout"
 	"github.com/hazelworks/hazelworks/fleet/follow"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
 	"github.com/hazelworks/hazelworks/fleet/lending"
@@ -70,6 +72,46 @@
 	return min(most, time.Duration(float64(usual)*admission.Share(hosts, unhurriedHosts)))
 }
 
+// Parts of the log's limits that the rounds of claims may take: each writes once and
+// reads twice or three times. The rest is for the settings and lists.
+const (
+	claimWriteShare = 0.7
+	claimReadShare  = 0.5
+	claimReads      = 3
+)
+
+const (
+	// settingsSpread is the time in which all hosts may read new settings from the
+	// log: a third of the least time in which they have to be in force.
+	settingsSpread = time.Second
+	// settingsBytes is the size of the settings that is allowed for, with some
+	// thousand budgets or routes.
+	settingsBytes = 800e3
+)
+
+// directHosts is the number of hosts up to which each reads the settings from the log.
+func directHosts(limits Limits) int {
+	if limits.LogReadRate <= 0 {
+		return math.MaxInt
+	}
+	return int(limits.LogReadRate * settingsSpread.Seconds() / settingsBytes)
+}
+
+// claimSpacing returns the least time between a host's rounds of claims.
+func claimSpacing(limits Limits, hosts int) time.Duration {
+	if limits.LogWrites <= 0 || limits.LogReads <= 0 {
+		return 0
+	}
+	writes := float64(hosts) / (claimWriteShare * limits.LogWrites)
+	reads := claimReads * float64(hosts) / (claimReadShare * limits.LogReads)
+	return time.Duration(max(writes, reads) * float64(time.Second))
+}
+
+func (h *Host) claimSpacing() time.Duration {
+	hosts, _ := h.hosts.count()
+	return claimSpacing(h.cfg.Limits, hosts)
+}
+
 // Protocol is what the platform's adapter provides: names and formats.
 type Protocol struct {
 	Front          relay.Front
@@ -111,6 +153,7 @@
 	ups      *upstreamWatch
 	hosts    *hostWatch
 	gossip   *gossip.Gossip
+	settings *fanout.Stream
 	balancer *balancer.Balancer
 	wallet   *wallet.Wallet
 	relay    *relay.Relay
@@ -185,11 +228,18 @@
 		Log:     h.opt.Log,
 		Stream:  h.opt.Protocol.BudgetStream,
 		Hosts:   func() int { return 1 + len(h.hosts.others()) },
+		Spacing: h.claimSpacing,
 		Lender:  lending.NewClient(h.peerClient(), h.hosts.others, h.opt.Logger),
 		Policy:  escrow.DefaultPolicy(),
 		Logger:  h.opt.Logger,
 		Metrics: h.opt.Metrics,
 	})
+	h.settings = fanout.New(fanout.Options{
+		Log: h.opt.Log, Stream: p.OperatorStream, Self: h.self, Alive: h.hosts.others,
+		Known:  func() bool { _, known := h.hosts.count(); return known },
+		Direct: func() int { return directHosts(h.cfg.Limits) },
+		Ask:    fanout.NewAsker(h.peerClient()), Logger: h.opt.Logger,
+	})
 	h.gossip = gossip.New(gossip.Options{
 		Self: h.self, Peers: h.hosts.peers, Alive: h.hosts.others, State: h.state, Oldest: h.balancer.Oldest,
 		Receive: h.receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
@@ -202,6 +252,14 @@
 		func(err error) { h.log.Error(err, "Serving callers failed.") })
 }
 
+// peerHandler answers the other hosts.
+func (h *Host) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", lending.Handler(h.wallet))
+	mux.Handle("GET "+fanout.Path, h.settings)
+	return mux
+}
+
 // peerSockets bound the silence of other hosts: they are a millisecond away.
 var peerSockets = sockets.Options{
 	ConnectTimeout: 50 * time.Millisecond,
@@ -302,7 +360,7 @@
 		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
 	add(h.follower(follow.Options{
-		Stream: h.opt.Protocol.OperatorStream, Snapshot: h.table.take, Records: h.table.take,
+		Log: h.settings, Stream: h.opt.Protocol.OperatorStream, Snapshot: h.table.take, Records: h.table.take,
 		Pause: func() time.Duration { return tablePause }, Retry: tableRetry,
 	}))
 	add(h.follower(follow.Options{
@@ -314,7 +372,7 @@
 		Pause: func() time.Duration { return h.paced(listPause, maxHostsPause) }, Retry: listRetry,
 	}))
 	add(h.wallet.Run)
-	add(h.serve(h.cfg.Listen.Peer, lending.Handler(h.wallet)))
+	add(h.serve(h.cfg.Listen.Peer, h.peerHandler()))
 	add(h.runGossip)
 	add(h.announce)
 	add(h.serveCallers)
@@ -334,7 +392,10 @@
 
 // follower returns an actor that follows a stream of the log.
 func (h *Host) follower(opt follow.Options) func(context.Context) error {
-	opt.Log, opt.Wait = h.opt.Log, watchWait
+	if opt.Log == nil {
+		opt.Log = h.opt.Log
+	}
+	opt.Wait = watchWait
 	opt.Logger = h.opt.Logger.WithName("follow")
 	return follow.New(opt).Run
 }
--- a/fleet/wallet/fixture_test.go
+++ b/fleet/wallet/fixture_test.go
@@ -38,6 +38,8 @@
 	spent record.Tokens
 	// loseLoans is the share of loans whose hand-over is lost.
 	loseLoans float64
+	// spacing is the least time between a host's rounds of calls, in nanoseconds.
+	spacing atomic.Int64
 }
 
 // testHost is one host; its wallet changes with each run.
@@ -72,7 +74,8 @@
 	h.stop = cancel
 	wallet := New(Options{
 		Host: h.name, Log: h.link, Stream: testStream, Hosts: h.count, Lender: h,
-		Policy: escrow.DefaultPolicy(), Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
+		Spacing: func() time.Duration { return time.Duration(h.f.spacing.Load()) },
+		Policy:  escrow.DefaultPolicy(), Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
 	})
 	wallet.SetTable(h.f.table())
 	h.wallet.Store(wallet)
@@ -168,6 +171,15 @@
 	return f.spent, f.prepaid
 }
 
+// writes returns the number of writes to the log by all hosts.
+func (f *fleet) writes() int64 {
+	sum := int64(0)
+	for _, h := range f.hosts {
+		sum += h.wallet.Load().meters.writes.Count()
+	}
+	return sum
+}
+
 // difference returns the sum of the purses' differences.
 func (w *Wallet) difference() record.Tokens {
 	w.mu.Lock()
--- a/fleet/wallet/reserve.go
+++ b/fleet/wallet/reserve.go
@@ -24,13 +24,14 @@
 // and goes on waiting for the log if neither had it. The key is not needed, since
 // each reservation is settled once, here.
 func (w *Wallet) Reserve(ctx context.Context, budget record.BudgetID, _ record.RequestKey, amount record.Tokens, wait time.Duration) (bank.Reservation, error) {
-	err := w.reserve(ctx, budget, amount, min(claimWait, wait))
+	usual := claimWait + w.spacing()
+	err := w.reserve(ctx, budget, amount, min(usual, wait))
 	var refused *bank.RefusedError
 	if errors.As(err, &refused) && w.borrow(ctx, budget, amount) {
 		err = nil
 	}
-	if errors.As(err, &refused) && refused.Unreachable && wait > claimWait {
-		err = w.reserve(ctx, budget, amount, wait-claimWait)
+	if errors.As(err, &refused) && refused.Unreachable && wait > usual {
+		err = w.reserve(ctx, budget, amount, wait-usual)
 	}
 	if err != nil {
 		w.meters.refused.Inc(1)
--- a/fleet/wallet/wallet.go
+++ b/fleet/wallet/wallet.go
@@ -55,7 +55,10 @@
 	// Stream is the stream of the hosts' claims.
 	Stream string
 	// Hosts returns the number of hosts that are alive, this one included.
-	Hosts   func() int
+	Hosts func() int
+	// Spacing returns the least time between two rounds of calls to the log, whose
+	// limit all hosts share; nil means none.
+	Spacing func() time.Duration
 	Lender  Lender
 	Policy  escrow.Policy
 	Logger  logr.Logger
@@ -169,6 +172,7 @@
 	tick := time.NewTicker(measureInterval)
 	defer tick.Stop()
 	throttled := 0
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -177,6 +181,9 @@
 			w.measure(now)
 		case <-w.wake:
 		}
+		// Claims that are wanted meanwhile gather.
+		pause(ctx, w.spacing()-time.Since(last))
+		last = time.Now()
 		overdue := time.AfterFunc(lostAfter, func() { w.failed(ctx, errOverdue) })
 		err := w.round(ctx)
 		overdue.Stop()
@@ -192,7 +199,18 @@
 
 var errOverdue = errors.New("wallet: the log's answer is overdue")
 
+// spacing returns the least time between two rounds.
+func (w *Wallet) spacing() time.Duration {
+	if w.opt.Spacing == nil {
+		return 0
+	}
+	return w.opt.Spacing()
+}
+
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/fleet/wallet/wallet_test.go
+++ b/fleet/wallet/wallet_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -377,3 +379,34 @@
 		require.Greater(t, float64(last), 0.97*prepaid-long-short)
 	})
 }
+
+// TestClaimsKeepToTheSharedLimit spends from 60 hosts whose parts of the budget are too
+// small to hold any ahead: each request needs a claim of its own.
+func TestClaimsKeepToTheSharedLimit(t *testing.T) {
+	const hosts, spenders, length = 60, 20, 4 * time.Second
+	const spacing = 400 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, hosts, 180_000, 7)
+		defer f.stopAll()
+		f.spacing.Store(int64(spacing))
+		time.Sleep(2 * time.Second)
+		before, start := f.writes(), time.Now()
+		var served, asked atomic.Int64
+		var wg sync.WaitGroup
+		for _, h := range f.hosts[:spenders] {
+			wg.Go(func() {
+				for time.Since(start) < length {
+					asked.Add(1)
+					if h.spend(200, 200, 50*time.Millisecond) == nil {
+						served.Add(1)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		wg.Wait()
+		rounds := int64(time.Since(start)/spacing) + 1
+		require.LessOrEqual(t, f.writes()-before, spenders*rounds)
+		require.Equal(t, asked.Load(), served.Load())
+	})
+}
