News of requests stay in the failure domain of a larger fleet

Change: above 50 serving hosts only those of the same failure domain are told, 64 at most. Test: TestNewsStayInTheDomainOfALargeFleet.

--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -8,6 +8,12 @@
 )
 
 const (
+	// allTold is the number of hosts up to which each tells all others of its
+	// requests. Each host then takes in three messages for each request of the
+	// fleet: with 50 hosts and 10 requests/s each, 1,500 a second.
+	allTold = 50
+	// mostTold bounds the hosts that are told in a larger fleet.
+	mostTold = 64
 	// minReaders is the least number of hosts that read from the log, so that the
 	// loss of some leaves others.
 	minReaders = 4
@@ -37,6 +43,21 @@
 	return readers, len(readers) == 0
 }
 
+// Audience returns those of the hosts that serve which are told of a host's requests. In
+// a large fleet these are hosts of its failure domain, that mostly choose from the same
+// upstreams. What the others send there is seen in the upstreams' own reports.
+func Audience(self Host, serving []Host) []Host {
+	if len(serving) < allTold {
+		return serving
+	}
+	near := slices.DeleteFunc(slices.Clone(serving), func(h Host) bool { return h.FailureDomain != self.FailureDomain })
+	if len(near) > mostTold {
+		slices.SortFunc(near, byScore(string(self.ID)))
+		near = near[:mostTold]
+	}
+	return near
+}
+
 // byScore orders hosts by rendezvous hashing, the highest score first.
 func byScore(key string) func(a, b Host) int {
 	of := rendezvous.KeyOf(key)
--- a/core/roster/readers_test.go
+++ b/core/roster/readers_test.go
@@ -42,3 +42,26 @@
 	_, reads = Readers(host(2, "a", 0.4), []Host{leaving}, 1)
 	require.True(t, reads, "nobody else stays")
 }
+
+// TestNewsStayInTheDomainOfALargeFleet: 620 hosts with 16 requests/s each would all take
+// in 30,000 messages a second.
+func TestNewsStayInTheDomainOfALargeFleet(t *testing.T) {
+	var hosts []Host
+	for i := range 620 {
+		hosts = append(hosts, host(i, string(rune('a'+i%4)), 0.4))
+	}
+	told := make(map[record.HostID]int)
+	for i, self := range hosts {
+		others := append(append([]Host(nil), hosts[:i]...), hosts[i+1:]...)
+		audience := Audience(self, others)
+		require.Len(t, audience, mostTold)
+		for _, h := range audience {
+			require.Equal(t, self.FailureDomain, h.FailureDomain)
+			told[h.ID]++
+		}
+	}
+	for id, n := range told {
+		require.Less(t, n, 2*mostTold, "%s", id)
+	}
+	require.Len(t, Audience(hosts[0], hosts[1:50]), 49, "a smaller fleet tells all")
+}
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -170,7 +170,13 @@
 // passOn sends a small host's message to the others that serve.
 func (g *Gossip) passOn(conn net.PacketConn, m Message) {
 	m.PassOn = false
-	g.send(conn, m, slices.DeleteFunc(serving(g.opt.Peers()), func(h roster.Host) bool { return h.ID == m.Host }))
+	peers := g.opt.Peers()
+	from := slices.IndexFunc(peers, func(h roster.Host) bool { return h.ID == m.Host })
+	if from < 0 {
+		return // It isn't listed here yet.
+	}
+	others := slices.DeleteFunc(serving(peers), func(h roster.Host) bool { return h.ID == m.Host })
+	g.send(conn, m, roster.Audience(peers[from], others))
 }
 
 // serving returns the hosts that serve callers.
@@ -202,7 +208,7 @@
 	g.pending = nil
 	g.mu.Unlock()
 	peers := g.opt.Peers()
-	active := serving(peers)
+	active := roster.Audience(g.opt.Self, serving(peers))
 	relay, small := roster.Relay(g.opt.Self, g.opt.Alive())
 	if small {
 		active = []roster.Host{relay}
