Only one round of the wallet calls the log at a time

Cause: Close runs rounds while Run's go on. Each could finish the other's write and clear it: a nil pointer in put, which ends the process while it stops, or a write that is lost. Change: a round takes its turn first, and so does the closing claim, which now finishes a write that is pending. Ruled out: a mutex (a wait for it stops the virtual time of the tests; a channel doesn't).

--- a/fleet/wallet/claims.go
+++ b/fleet/wallet/claims.go
@@ -22,8 +22,27 @@
 	returns map[record.BudgetID]record.Tokens
 }
 
+// begin waits until no other round calls the log. It returns what ends this one's turn.
+func (w *Wallet) begin(ctx context.Context) (end func(), err error) {
+	select {
+	case w.calling <- struct{}{}:
+		return func() { <-w.calling }, nil
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
 // round brings the claims up to date and writes what the purses want.
 func (w *Wallet) round(ctx context.Context) error {
+	end, err := w.begin(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	return w.callLog(ctx)
+}
+
+func (w *Wallet) callLog(ctx context.Context) error {
 	if err := w.load(ctx); err != nil {
 		return err
 	}
@@ -178,6 +197,16 @@
 
 // putClosing writes that this run has given back all that it held.
 func (w *Wallet) putClosing(ctx context.Context) error {
+	end, err := w.begin(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	if w.pendingWrite() != nil { // a request has ended meanwhile
+		if _, err := w.put(ctx); err != nil {
+			return err
+		}
+	}
 	c := escrow.Closing(w.opt.Host, w.epoch)
 	value, err := c.Encode()
 	if err != nil {
--- a/fleet/wallet/wallet.go
+++ b/fleet/wallet/wallet.go
@@ -88,6 +88,8 @@
 	seq   uint64
 	write *write
 	wake  chan struct{}
+	// calling is taken by the round that calls the log: Run's or Close's.
+	calling chan struct{}
 }
 
 var _ bank.Reserver = (*Wallet)(nil)
@@ -120,6 +122,8 @@
 		book:   escrow.NewBook(),
 		purses: make(map[record.BudgetID]*purse),
 		wake:   make(chan struct{}, 1),
+
+		calling: make(chan struct{}, 1),
 	}
 }
 
