Keep to what upstreams state in their answers: leaving, and pauses

Cause: an upstream says that it leaves in the header Server-Leaving of all its answers, and asks for a pause with Retry-After in a 503. Hosts read neither: a leaving upstream got requests until its entry in the store said so, which in an outage of the store it never does, and a pause was answered by the next request 150 ms later.

Change: the dialect decodes both into balance.Notice. core/balance keeps a leaving mark for one start of an upstream and the end of its pause, and chooses neither. The mark goes to all hosts by gossip; the hash of an upstream in messages now covers its start, so that a late message cannot mark the next run. Where all upstreams that stay have asked for a pause, the request is rejected at once with the first of their times.

Ruled out: marks that expire, marks that wait for the store (docs/design).

Conclusion: both words are kept, with or without the store.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -111,8 +111,13 @@
 }
 
 type upstreamState struct {
-	up    catalog.Upstream
-	cache *prefixCache
+	up catalog.Upstream
+	// leaving is true once the upstream has stated in an answer that it will stop.
+	leaving bool
+	// pausedUntil is the end of the time in which the upstream wants no requests from
+	// this host, as it has stated in an answer.
+	pausedUntil time.Time
+	cache       *prefixCache
 	// running are the requests that were sent and have not ended.
 	running map[AttemptID]*runningRequest
 	// queue estimates the wait from those whose answer has not started.
@@ -164,7 +169,7 @@
 
 // Choose returns the upstream with the lowest cost, or false if there is none.
 func (p *Pool) Choose(q *Query, now time.Time) (Choice, bool) {
-	candidates := p.candidates(q.Exclude)
+	candidates := p.candidates(q.Exclude, now)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -212,11 +217,11 @@
 	return sum / float64(len(upstreams))
 }
 
-func (p *Pool) candidates(exclude []string) []*upstreamState {
+func (p *Pool) candidates(exclude []string, now time.Time) []*upstreamState {
 	var untried, tried []*upstreamState
 	for _, u := range p.sorted() {
 		switch {
-		case u.up.Leaving:
+		case u.isLeaving() || now.Before(u.pausedUntil):
 		case slices.Contains(exclude, u.up.ID):
 			tried = append(tried, u)
 		default:
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -18,6 +18,7 @@
 	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
@@ -174,7 +175,7 @@
 			delete(b.conns, id)
 			continue
 		}
-		b.byHash[gossip.UpstreamHash(id)] = c
+		b.byHash[gossip.UpstreamHash(c.up)] = c
 	}
 }
 
@@ -212,12 +213,32 @@
 		e.Wait.Round(time.Millisecond), e.Read.Round(time.Millisecond), e.Generate.Round(time.Millisecond), e.Remaining.Round(time.Millisecond))
 }
 
+// PausedError reports that all upstreams of a service have asked this host to pause.
+type PausedError struct {
+	// RetryAfter is the time until the first of them accepts requests again.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *PausedError) Error() string {
+	return fmt.Sprintf("balancer: all upstreams have asked for a pause, the first for another %v", e.RetryAfter.Round(time.Millisecond))
+}
+
+// noUpstream returns the error for a service without an eligible upstream.
+func (s *service) noUpstream(now time.Time) error {
+	if left, paused := s.pool.NextReturn(now); paused {
+		return &PausedError{RetryAfter: left}
+	}
+	return ErrNoUpstream
+}
+
 // AdmitFunc decides whether a request may be sent to the chosen upstream. An error
 // rejects the request, and [Balancer.Pick] returns it.
 type AdmitFunc func(balance.Choice) error
 
 // Pick leases the best upstream of a service if admit returns nil. A retry is charged to
-// the retry budget. The error is [ErrNoUpstream], [ErrRetryBudget] or that of admit.
+// the retry budget. The error is [ErrNoUpstream], a [*PausedError], [ErrRetryBudget] or
+// that of admit.
 func (b *Balancer) Pick(service string, q *balance.Query, retry bool, admit AdmitFunc) (*Lease, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -234,7 +255,7 @@
 	}
 	choice, ok := s.pool.Choose(q, now)
 	if !ok {
-		return nil, ErrNoUpstream
+		return nil, s.noUpstream(now)
 	}
 	if err := admit(choice); err != nil {
 		return nil, err
@@ -251,7 +272,7 @@
 	b.lastPick = now
 	s.pool.Begin(l.attempt, choice.Upstream.ID, q.Work, choice.Read, now)
 	b.opt.Broadcast(gossip.Event{
-		Kind: gossip.Begun, Seq: b.seq, Upstream: gossip.UpstreamHash(choice.Upstream.ID),
+		Kind: gossip.Begun, Seq: b.seq, Upstream: gossip.UpstreamHash(choice.Upstream),
 		Begun: &gossip.RequestInfo{ReadMillis: uint32(choice.Read.Milliseconds()), Work: q.Work},
 	})
 	return l, nil
@@ -293,6 +314,10 @@
 		if !ok {
 			continue // not listed here yet, or removed
 		}
+		if e.Kind == gossip.Leaving {
+			b.applyNotice(c.up, balance.Notice{Leaving: true}, m.Host, now)
+			continue
+		}
 		if s, ok := b.services[c.up.Service]; ok {
 			attempt := balance.AttemptID{Host: string(m.Host), Run: m.Run, Seq: e.Seq}
 			s.apply(attempt, c.up.ID, e, now)
@@ -303,6 +328,37 @@
 	}
 }
 
+// ApplyNotice applies what the upstream has stated in its answer. The other hosts are told
+// if it is leaving.
+func (l *Lease) ApplyNotice(n balance.Notice) {
+	if n == (balance.Notice{}) {
+		return
+	}
+	b := l.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.applyNotice(l.Upstream, n, record.HostID(b.opt.Host), time.Now()) {
+		b.opt.Broadcast(gossip.Event{Kind: gossip.Leaving, Seq: l.attempt.Seq, Upstream: gossip.UpstreamHash(l.Upstream)})
+	}
+}
+
+// applyNotice applies a notice that a host has received, and reports whether it is the
+// first that the upstream is leaving. The caller holds mu.
+func (b *Balancer) applyNotice(up catalog.Upstream, n balance.Notice, by record.HostID, now time.Time) bool {
+	s, ok := b.services[up.Service]
+	if !ok {
+		return false
+	}
+	first := s.pool.ApplyNotice(up, n, now)
+	if first {
+		b.log.Info("Upstream states that it is leaving.", "upstream", up.ID, "started", up.Started, "told_to", by)
+	}
+	if n.RetryAfter > 0 {
+		b.log.Info("Upstream asks for a pause.", "upstream", up.ID, "for", n.RetryAfter)
+	}
+	return first
+}
+
 // apply applies an event of a request at the upstream with an ID.
 func (s *service) apply(attempt balance.AttemptID, id string, e gossip.Event, now time.Time) {
 	switch {
@@ -318,7 +374,7 @@
 }
 
 func (l *Lease) recordEvent(kind gossip.EventKind, o balance.Outcome) {
-	e := gossip.Event{Kind: kind, Seq: l.attempt.Seq, Upstream: gossip.UpstreamHash(l.Upstream.ID), Outcome: o}
+	e := gossip.Event{Kind: kind, Seq: l.attempt.Seq, Upstream: gossip.UpstreamHash(l.Upstream), Outcome: o}
 	l.balancer.mu.Lock()
 	defer l.balancer.mu.Unlock()
 	if kind == gossip.Ended {
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hazelworks/hazelworks/core/balance"
+	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/roster"
 )
@@ -31,6 +33,8 @@
 	Ended      EventKind = 3 // The request has ended at the upstream.
 	// Stalled means that the answer did not start in time.
 	Stalled EventKind = 4
+	// Leaving means that the upstream states in an answer that it will stop.
+	Leaving EventKind = 5
 )
 
 // Event is one event of a request that this host has sent to an upstream.
@@ -38,7 +42,7 @@
 	_    struct{} `cbor:",toarray"`
 	Kind EventKind
 	Seq  uint64
-	// Upstream is the [UpstreamHash] of the upstream's ID.
+	// Upstream is the [UpstreamHash] of the upstream.
 	Upstream uint32
 	// Outcome is set if Kind is Ended.
 	Outcome balance.Outcome
@@ -56,8 +60,10 @@
 	Work *balance.Work
 }
 
-// UpstreamHash returns the hash of an upstream's ID in events.
-func UpstreamHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// UpstreamHash returns the hash that identifies one start of an upstream in events.
+func UpstreamHash(up catalog.Upstream) uint32 {
+	return uint32(xxhash.Sum64String(up.ID + "/" + strconv.FormatInt(up.Started, 10)))
+}
 
 // Message is one datagram.
 type Message struct {
@@ -178,10 +184,20 @@
 	if from < 0 {
 		return // The sender is not listed here yet.
 	}
-	others := slices.DeleteFunc(activeHosts(peers), func(h roster.Host) bool { return h.ID == m.Host })
+	others := slices.DeleteFunc(slices.Clone(receivers(peers, m.Events)), func(h roster.Host) bool { return h.ID == m.Host })
 	g.send(conn, m, roster.GossipTargets(peers[from], others))
 }
 
+// receivers returns the hosts to which events matter: those that have served requests
+// recently, or all hosts if an upstream is leaving, because its next request may come from
+// any of them.
+func receivers(hosts []roster.Host, events []Event) []roster.Host {
+	if slices.ContainsFunc(events, func(e Event) bool { return e.Kind == Leaving }) {
+		return hosts
+	}
+	return activeHosts(hosts)
+}
+
 // activeHosts returns the hosts that have served requests recently.
 func activeHosts(hosts []roster.Host) []roster.Host {
 	return slices.DeleteFunc(slices.Clone(hosts), func(h roster.Host) bool { return !h.State.Active })
@@ -203,7 +219,7 @@
 	}
 }
 
-// flush sends the pending events to the gossip targets among the active hosts. A small
+// flush sends the pending events to the gossip targets among their receivers. A small
 // host sends them only to its relay, a large host that forwards them. With heartbeat set, flush also sends
 // a message without events to all hosts.
 func (g *Gossip) flush(conn net.PacketConn, heartbeat bool) {
@@ -212,7 +228,7 @@
 	g.pending = nil
 	g.mu.Unlock()
 	peers := g.opt.Peers()
-	active := roster.GossipTargets(g.opt.Self, activeHosts(peers))
+	active := roster.GossipTargets(g.opt.Self, receivers(peers, events))
 	relay, small := roster.RelayFor(g.opt.Self, g.opt.Alive())
 	if small {
 		active = []roster.Host{relay}
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -276,8 +276,12 @@
 	cause := context.Cause(ctx)
 	retryAfter := startRetryAfter
 	var shed *balancer.ShedError
-	if errors.As(reason, &shed) {
+	var paused *balancer.PausedError
+	switch {
+	case errors.As(reason, &shed):
 		retryAfter = shed.RetryAfter
+	case errors.As(reason, &paused):
+		retryAfter = paused.RetryAfter
 	}
 	switch {
 	case c.answerStarted:
@@ -418,6 +422,7 @@
 		return resultLost
 	}
 	defer resp.Close()
+	lease.ApplyNotice(c.r.opt.Dialect.Notice(resp.Response))
 	if c.r.opt.Dialect.NotRun(resp.Response) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxNotRunBytes))
 		return resultNotRun
--- a/fleet/relay/request.go
+++ b/fleet/relay/request.go
@@ -65,6 +65,8 @@
 	NotRun(resp *http.Response) bool
 	// FromUpstream reports whether an answer can come from an upstream itself.
 	FromUpstream(resp *http.Response) bool
+	// Notice returns what an answer states about its upstream.
+	Notice(resp *http.Response) balance.Notice
 	// EventID returns the ID of an event of a stream.
 	EventID(event []byte) string
 }
