Heartbeats through observers; claims only where callers are directed

Every host sent a heartbeat to every other twice a second, 173,000 datagrams a second, and each one walked the running requests of 250 upstreams (DropEnded). The number of known hosts was counted by sorting them, once for each choice of an upstream. And each host claimed a part of each of 40 budgets as soon as it knew a few hosts of its fleet: offset 13,327 of the claims in the first second, read by all, with "the log's answer is overdue" and refusals after it.

Change: in fleets of more than 50 hosts a host sends its heartbeats to two observers in its failure domain; these answer with digests that list the hosts that are down, late, serving or isolated, and exchange digests with observers of the other domains. Running requests are indexed by host, upstreams kept in order. A host claims ahead of requests only if callers are directed to it, and once the list of hosts has not grown for the pause between its reads. The first target of an allocation no longer overwrites a measured rate.

Ruled out: large hosts sending to all (fails where all hosts are alike); full tables by random gossip (5 s to notice a death, 1 MB/s between domains).

Hosts of the version before don't read the new heartbeats: while a fleet is rolled, each half sees the other as down.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -103,6 +104,10 @@
 	rng       *rand.Rand
 	engine    routes.Engine
 	upstreams map[string]*upstreamState
+	// ordered has the same upstreams, ordered by ID.
+	ordered []*upstreamState
+	// requests holds the running requests of each host, with the IDs of their upstreams.
+	requests map[string]map[AttemptID]string
 	// latencyFactor is the learned ratio of the measured time to the start of an
 	// answer to its estimate.
 	latencyFactor float64
@@ -145,7 +150,8 @@
 // NewPool returns an empty pool for a host in the failure domain. engine is zero for
 // plain services.
 func NewPool(domain string, engine routes.Engine, rng *rand.Rand) *Pool {
-	return &Pool{domain: domain, rng: rng, engine: engine, upstreams: make(map[string]*upstreamState), latencyFactor: 1, eventInterval: stepTime}
+	return &Pool{domain: domain, rng: rng, engine: engine, upstreams: make(map[string]*upstreamState),
+		requests: make(map[string]map[AttemptID]string), latencyFactor: 1, eventInterval: stepTime}
 }
 
 // Sync replaces the set of upstreams. An upstream that has restarted loses its state.
@@ -155,16 +161,29 @@
 		seen[up.ID] = true
 		u, ok := p.upstreams[up.ID]
 		if !ok || !u.up.SameStart(up) {
+			p.forgetRequests(u)
 			u = &upstreamState{cache: newPrefixCache(p.engine.CacheTokens), running: make(map[AttemptID]*runningRequest)}
 			p.upstreams[up.ID] = u
 		}
 		u.up = up
 	}
-	for id := range p.upstreams {
+	for id, u := range p.upstreams {
 		if !seen[id] {
+			p.forgetRequests(u)
 			delete(p.upstreams, id)
 		}
 	}
+	p.ordered = slices.SortedFunc(maps.Values(p.upstreams), func(a, b *upstreamState) int { return strings.Compare(a.up.ID, b.up.ID) })
+}
+
+// forgetRequests drops the running requests of an upstream that has ended. u may be nil.
+func (p *Pool) forgetRequests(u *upstreamState) {
+	if u == nil {
+		return
+	}
+	for t := range u.running {
+		delete(p.requests[t.Host], t)
+	}
 }
 
 // Choose returns the upstream with the lowest cost, or false if there is none.
@@ -219,7 +238,7 @@
 
 func (p *Pool) candidates(exclude []string, now time.Time) []*upstreamState {
 	var untried, tried []*upstreamState
-	for _, u := range p.sorted() {
+	for _, u := range p.ordered {
 		switch {
 		case u.isLeaving() || now.Before(u.pausedUntil):
 		case slices.Contains(exclude, u.up.ID):
@@ -234,15 +253,6 @@
 	return untried
 }
 
-func (p *Pool) sorted() []*upstreamState {
-	all := make([]*upstreamState, 0, len(p.upstreams))
-	for _, u := range p.upstreams {
-		all = append(all, u)
-	}
-	slices.SortFunc(all, func(a, b *upstreamState) int { return strings.Compare(a.up.ID, b.up.ID) })
-	return all
-}
-
 // cached returns the number of prompt tokens in the upstream's cache. At least one token
 // of a prompt is always read.
 func (u *upstreamState) cached(keys []uint64, work *Work) int64 {
@@ -353,6 +363,10 @@
 		r.answering = true
 	}
 	u.running[t] = r
+	if p.requests[t.Host] == nil {
+		p.requests[t.Host] = make(map[AttemptID]string)
+	}
+	p.requests[t.Host][t] = id
 }
 
 // FirstEvent records that the answer to a request has started.
@@ -386,7 +400,7 @@
 		return
 	}
 	u.health.record(o, now)
-	u.remove(t, r, now)
+	p.remove(u, t, r, now)
 }
 
 // Stall counts a failure of an upstream because a request waits much longer than
@@ -400,17 +414,18 @@
 // DropEnded drops requests of a host that have ended: those of the given run with a sequence
 // number below oldest, and those of other runs.
 func (p *Pool) DropEnded(host string, run, oldest uint64, now time.Time) {
-	for _, u := range p.upstreams {
-		for t, r := range u.running {
-			if t.Host == host && (t.Run != run || t.Seq < oldest) {
-				u.remove(t, r, now)
-			}
+	for t, id := range p.requests[host] {
+		if t.Run == run && t.Seq >= oldest {
+			continue
 		}
+		u := p.upstreams[id]
+		p.remove(u, t, u.running[t], now)
 	}
 }
 
-func (u *upstreamState) remove(t AttemptID, r *runningRequest, now time.Time) {
+func (p *Pool) remove(u *upstreamState, t AttemptID, r *runningRequest, now time.Time) {
 	u.markAnswering(r, now)
 	u.tokens -= r.tokens
 	delete(u.running, t)
+	delete(p.requests[t.Host], t)
 }
--- a/core/escrow/allocation.go
+++ b/core/escrow/allocation.go
@@ -69,6 +69,13 @@
 	return p
 }
 
+// OnDemand returns the policy for a host to which callers are not directed: it claims
+// nothing before a request needs it.
+func (p Policy) OnDemand() Policy {
+	p.InitialShare, p.MinShare = 0, 0
+	return p
+}
+
 // rateWindow is the time over which the spending rate is averaged.
 const rateWindow = 4 * time.Second
 
@@ -92,6 +99,9 @@
 	spentSinceMeasured record.Tokens
 }
 
+// Initialized reports whether the first claim has been sized.
+func (a *Allocation) Initialized() bool { return a.initialized }
+
 // Reserve sets an amount aside. It returns false if less than that is free.
 func (a *Allocation) Reserve(amount record.Tokens) bool {
 	if amount > a.Free && !knownfault.SpendUnclaimed {
@@ -164,7 +174,7 @@
 func (a *Allocation) Target(policy Policy, prepaid record.Tokens, hosts int) record.Tokens {
 	if !a.initialized {
 		a.initialized = true
-		a.rate = policy.InitialShare * float64(prepaid) / float64(hosts) / policy.OutageCover.Seconds()
+		a.rate = max(a.rate, policy.InitialShare*float64(prepaid)/float64(hosts)/policy.OutageCover.Seconds())
 		a.cover = policy.OutageCover
 	}
 	return policy.zeroIfTooSmall(record.Tokens(a.rate * a.cover.Seconds()))
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/rendezvous"
 )
 
 // Host describes one run of a host. The host writes the description itself.
@@ -45,10 +46,10 @@
 const (
 	// HeartbeatInterval is the interval at which hosts send heartbeats.
 	HeartbeatInterval = 500 * time.Millisecond
-	// heartbeatTimeout is the time without a message after which a host no longer
-	// counts as alive: three heartbeats are missing, and half an interval is left
-	// for delay.
-	heartbeatTimeout = 3*HeartbeatInterval + HeartbeatInterval/2
+	// directTimeout is the time without a message of a host that sends this host its
+	// heartbeats after which it no longer counts as alive: three heartbeats are
+	// missing, and half an interval is left for delay.
+	directTimeout = 3*HeartbeatInterval + HeartbeatInterval/2
 )
 
 // Table is one host's view of the fleet. Callers pass the current time. It is
@@ -56,16 +57,29 @@
 type Table struct {
 	self  Host
 	hosts map[record.HostID]*entry
+	// byRun has the same entries by [runHash].
+	byRun map[uint32]*entry
 }
 
 type entry struct {
-	host    Host
-	heardAt time.Time
+	host Host
+	// score orders the hosts of a failure domain as candidates for observers.
+	score uint64
+	// heardAt is the time of the newest sign of life: a message of the host itself,
+	// which is of directAt, or a digest entry. firsthandAt is the newest one that this
+	// host may report to others.
+	heardAt     time.Time
+	directAt    time.Time
+	firsthandAt time.Time
+	// watchAt is when the host last asked for digests. watchedSince is when this host
+	// began to ask it for digests.
+	watchAt      time.Time
+	watchedSince time.Time
 }
 
 // NewTable returns a table that knows only the host itself.
 func NewTable(self Host) *Table {
-	return &Table{self: self, hosts: make(map[record.HostID]*entry)}
+	return &Table{self: self, hosts: make(map[record.HostID]*entry), byRun: make(map[uint32]*entry)}
 }
 
 // Self returns the description of this host.
@@ -86,7 +100,9 @@
 	}
 	e, ok := t.hosts[h.ID]
 	if !ok || e.host.Run != h.Run {
-		t.hosts[h.ID] = &entry{host: h, heardAt: now}
+		t.Remove(h.ID)
+		e = &entry{host: h, heardAt: now, score: rendezvous.KeyOf(string(h.ID))}
+		t.hosts[h.ID], t.byRun[runHash(h)] = e, e
 		return
 	}
 	h.Leaving = h.Leaving || e.host.Leaving
@@ -95,7 +111,15 @@
 }
 
 // Remove removes a host whose description was removed from the log.
-func (t *Table) Remove(id record.HostID) { delete(t.hosts, id) }
+func (t *Table) Remove(id record.HostID) {
+	if e, ok := t.hosts[id]; ok {
+		delete(t.byRun, runHash(e.host))
+		delete(t.hosts, id)
+	}
+}
+
+// Len returns the number of known hosts, including this one.
+func (t *Table) Len() int { return 1 + len(t.hosts) }
 
 // RecordHeartbeat applies a message of a host. It returns false, without effect,
 // if that run of the host is not known.
@@ -104,7 +128,7 @@
 	if !ok || e.host.Run != run {
 		return false
 	}
-	e.heardAt = now
+	e.heardAt, e.directAt, e.firsthandAt = now, now, now
 	e.host.State = state
 	e.host.Leaving = state.Leaving
 	return true
@@ -125,7 +149,7 @@
 func (t *Table) Alive(now time.Time) []Host {
 	out := []Host{t.self}
 	for _, e := range t.hosts {
-		if now.Sub(e.heardAt) < heartbeatTimeout {
+		if now.Sub(e.heardAt) < t.heartbeatTimeout() {
 			out = append(out, e.host)
 		}
 	}
@@ -183,6 +207,28 @@
 	return func(h Host) bool { return h.Cores >= smallHostShare*largest }
 }
 
+// Serving returns the number of hosts to which callers are directed while all known hosts
+// are alive, and whether this host is one of them.
+func (t *Table) Serving() (hosts int, included bool) {
+	staying := make([]Host, 0, 1+len(t.hosts))
+	if !t.self.Leaving {
+		staying = append(staying, t.self)
+	}
+	for _, e := range t.hosts {
+		if !e.host.Leaving {
+			staying = append(staying, e.host)
+		}
+	}
+	large := isLargeAmong(staying)
+	for _, h := range staying {
+		if large(h) {
+			hosts++
+			included = included || h.ID == t.self.ID
+		}
+	}
+	return hosts, included
+}
+
 // LargeHosts returns the hosts that are large among the given ones.
 func LargeHosts(hosts []Host) []Host {
 	large := isLargeAmong(hosts)
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -45,7 +45,7 @@
 	table.Upsert(leaving, now)
 	require.Equal(t, []string{"h0", "h3"}, resolve(table, "a", now))
 
-	later := now.Add(2 * heartbeatTimeout)
+	later := now.Add(2 * directTimeout)
 	require.Equal(t, []string{"h0"}, resolve(table, "a", later), "hosts without heartbeats are left out")
 	table.SetLeaving()
 	require.Empty(t, resolve(table, "a", later))
--- a/fleet/allocation/claims.go
+++ b/fleet/allocation/claims.go
@@ -230,17 +230,21 @@
 // prepareWrite composes the next write from the claims and returns that are due. It
 // returns false if there are none.
 func (m *Manager) prepareWrite() bool {
-	// Called without mu: Hosts may take a lock whose holder calls Isolated.
-	hosts := max(1, m.opt.Hosts())
+	// Called without mu: Fleet may take a lock whose holder calls Isolated.
+	fleet := m.opt.Fleet()
+	hosts := max(1, fleet.Hosts)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	policy := m.policy.ForFleet(len(m.allocations), hosts)
+	if !fleet.Serves {
+		policy = policy.OnDemand()
+	}
 	next := &write{seq: m.seq + 1, returns: make(map[record.BudgetID]record.Tokens)}
 	for id, alloc := range m.allocations {
-		m.returnExcess(alloc, hosts)
+		m.returnExcess(alloc, policy, hosts)
 		change := -alloc.pendingReturn
 		if alloc.pendingReturn == 0 && !m.closing {
-			change = alloc.ClaimAmount(policy, alloc.prepaid, m.unclaimed(id, alloc), alloc.need(), hosts)
+			change = m.claimAmount(id, alloc, policy, fleet)
 		}
 		if change == 0 {
 			continue
@@ -267,13 +271,23 @@
 	return true
 }
 
+// claimAmount returns the amount to claim of a budget. While the list of hosts is not
+// complete, only requests that wait are claimed for. The caller holds mu.
+func (m *Manager) claimAmount(id record.BudgetID, alloc *allocation, policy escrow.Policy, fleet Fleet) record.Tokens {
+	unclaimed := m.unclaimed(id, alloc)
+	if !fleet.Settled && !alloc.Initialized() {
+		return max(0, min(alloc.need()-alloc.Free, unclaimed))
+	}
+	return alloc.ClaimAmount(policy, alloc.prepaid, unclaimed, alloc.need(), max(1, fleet.Hosts))
+}
+
 // returnExcess gives back the free amount that the spending rate doesn't justify, unless
 // requests wait or are in flight. The caller holds mu.
-func (m *Manager) returnExcess(alloc *allocation, hosts int) {
+func (m *Manager) returnExcess(alloc *allocation, policy escrow.Policy, hosts int) {
 	if len(alloc.waiting) > 0 || alloc.Reserved > 0 {
 		return
 	}
-	excess := alloc.Excess(m.policy, alloc.prepaid, hosts)
+	excess := alloc.Excess(policy, alloc.prepaid, hosts)
 	alloc.Remove(excess)
 	alloc.pendingReturn += excess
 }
--- a/fleet/allocation/fixture_test.go
+++ b/fleet/allocation/fixture_test.go
@@ -40,6 +40,8 @@
 	lostLoanShare float64
 	// spacing is the minimum time between a host's rounds of calls, in nanoseconds.
 	spacing atomic.Int64
+	// unsettled is true while the list of hosts is not complete.
+	unsettled atomic.Bool
 }
 
 // testHost is one host. Each run has a new manager.
@@ -50,6 +52,8 @@
 	manager     atomic.Pointer[Manager]
 	stop        context.CancelFunc
 	partitioned atomic.Bool // can neither lend nor borrow
+	// backup is true if callers are not directed to the host.
+	backup bool
 	// onHostCount is called whenever the manager asks for the number of hosts.
 	onHostCount func()
 	// loanDelay is the time that each Borrow takes.
@@ -73,7 +77,7 @@
 	h.link = h.f.log.Link(seed)
 	h.stop = cancel
 	manager := New(Options{
-		Host: h.name, Log: h.link, Stream: testStream, Hosts: h.hostCount, Borrower: h,
+		Host: h.name, Log: h.link, Stream: testStream, Fleet: h.fleet, Borrower: h,
 		Spacing: func() time.Duration { return time.Duration(h.f.spacing.Load()) },
 		Policy:  escrow.DefaultPolicy(), Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
 	})
@@ -82,11 +86,11 @@
 	go func() { _ = manager.Run(ctx) }()
 }
 
-func (h *testHost) hostCount() int {
+func (h *testHost) fleet() Fleet {
 	if h.onHostCount != nil {
 		h.onHostCount()
 	}
-	return len(h.f.hosts)
+	return Fleet{Hosts: len(h.f.hosts), Serves: !h.backup, Settled: !h.f.unsettled.Load()}
 }
 
 // Borrow implements Borrower: it asks the other hosts in turn.
--- a/fleet/allocation/manager.go
+++ b/fleet/allocation/manager.go
@@ -56,8 +56,8 @@
 	Log  platform.KeyedLog
 	// Stream is the name of the keyed stream with the claims of all hosts.
 	Stream string
-	// Hosts returns the number of live hosts, including this one.
-	Hosts func() int
+	// Fleet returns what is known of the fleet.
+	Fleet func() Fleet
 	// Spacing returns the minimum time between two rounds of calls to the log, whose
 	// limit all hosts share. Nil means no minimum.
 	Spacing  func() time.Duration
@@ -67,6 +67,17 @@
 	Metrics  metrics.Registry
 }
 
+// Fleet describes the hosts among which budgets are divided ahead of requests: those to
+// which callers are directed.
+type Fleet struct {
+	// Hosts is the number of these hosts, and Serves is true if this host is one of them.
+	Hosts  int
+	Serves bool
+	// Settled is false while the list of hosts is not complete, because they are
+	// starting. A share of a budget would then be too large.
+	Settled bool
+}
+
 // Manager keeps this host's allocations of all budgets. It implements grants.Reserver
 // and is safe for concurrent use.
 type Manager struct {
--- a/fleet/allocation/manager_test.go
+++ b/fleet/allocation/manager_test.go
@@ -448,7 +448,7 @@
 		defer f.stopAll()
 		log := &countingLog{KeyedLog: f.hosts[0].link}
 		m := New(Options{
-			Host: "h1", Log: log, Stream: testStream, Hosts: func() int { return 1 },
+			Host: "h1", Log: log, Stream: testStream, Fleet: func() Fleet { return Fleet{Hosts: 1, Serves: true, Settled: true} },
 			Policy: escrow.DefaultPolicy(), Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
 		})
 		m.SetTable(f.table())
@@ -471,3 +471,65 @@
 		require.Equal(t, int64(1), log.maxInFlight.Load())
 	})
 }
+
+// Of 300 hosts with 40 budgets, callers are directed to a few. If the others claimed
+// ahead too, they would write and read thousands of claims that no request needs.
+func TestHostsWithoutCallersClaimOnlyWhatIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1_000_000, 41)
+		defer f.stopAll()
+		f.hosts[1].stop()
+		f.hosts[1].backup = true
+		f.hosts[1].start(42)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []string{"acme/h0"}, f.claimKeys())
+		require.NoError(t, f.hosts[1].spend(3000, 2000, time.Millisecond))
+		require.Equal(t, []string{"acme/h0", "acme/h1"}, f.claimKeys())
+		for range 100 {
+			require.NoError(t, f.hosts[1].spend(3000, 2000, time.Millisecond))
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.hosts[1].link.Set(memkeyed.Faults{Unavailable: true})
+		f.hosts[0].partitioned.Store(true)
+		for range 30 { // a budget that is used there is covered in an outage
+			require.NoError(t, f.hosts[1].spend(3000, 2000, time.Millisecond))
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// Hosts that start together first see a list with few of them. Their shares of a budget
+// would then add up to a multiple of the budget.
+func TestSharesWaitForTheListOfHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1_000_000, 43)
+		defer f.stopAll()
+		f.hosts[0].stop()
+		f.log = memkeyed.New()
+		f.unsettled.Store(true)
+		f.hosts[0].start(44)
+		time.Sleep(3 * time.Second)
+		require.Empty(t, f.claimKeys())
+		require.NoError(t, f.hosts[0].spend(3000, 1000, time.Millisecond), "a request is claimed for")
+		claims := f.log.Newest(testStream)
+		require.Len(t, claims, 1)
+		claim, err := escrow.Decode(claims[0].Key, claims[0].Value)
+		require.NoError(t, err)
+		require.Equal(t, record.Tokens(3000), claim.Total, "and no more")
+		f.unsettled.Store(false)
+		time.Sleep(2 * time.Second)
+		claims = f.log.Newest(testStream)
+		claim, err = escrow.Decode(claims[0].Key, claims[0].Value)
+		require.NoError(t, err)
+		require.Greater(t, claim.Total, record.Tokens(100_000))
+	})
+}
+
+// claimKeys returns the keys of all claims in the log.
+func (f *fleet) claimKeys() []string {
+	var keys []string
+	for _, r := range f.log.Newest(testStream) {
+		keys = append(keys, r.Key)
+	}
+	return keys
+}
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -77,6 +77,9 @@
 	Events []Event
 	// PassOn asks the receiver to relay the message to the active hosts.
 	PassOn bool
+	// Watch asks the receiver for digests, see [roster.Heartbeat].
+	Watch  bool
+	Digest []byte
 }
 
 const (
@@ -93,8 +96,11 @@
 // Options configure a [Gossip].
 type Options struct {
 	Self roster.Host
-	// Peers returns the other hosts, to which messages are sent.
+	// Peers returns the other hosts.
 	Peers func() []roster.Host
+	// Heartbeats returns the heartbeats that are due. It is called once in each
+	// [roster.HeartbeatInterval].
+	Heartbeats func() []roster.Heartbeat
 	// Alive returns the peers from which a message has arrived recently.
 	Alive func() []roster.Host
 	// State returns the state of this host, and Oldest the number of its oldest
@@ -115,6 +121,12 @@
 	received  metrics.Counter
 	malformed metrics.Counter
 
+	// relayFor and eventTargets are this host's relay, if it has one, and the receivers
+	// of its events. They are chosen with each heartbeat, and used by sendLoop only.
+	relayFor     roster.Host
+	hasRelay     bool
+	eventTargets []roster.Host
+
 	mu      sync.Mutex
 	pending []Event
 	wake    chan struct{}
@@ -192,12 +204,16 @@
 // recently, or all hosts if an upstream is leaving, because its next request may come from
 // any of them.
 func receivers(hosts []roster.Host, events []Event) []roster.Host {
-	if slices.ContainsFunc(events, func(e Event) bool { return e.Kind == Leaving }) {
+	if needsAllHosts(events) {
 		return hosts
 	}
 	return activeHosts(hosts)
 }
 
+func needsAllHosts(events []Event) bool {
+	return slices.ContainsFunc(events, func(e Event) bool { return e.Kind == Leaving })
+}
+
 // activeHosts returns the hosts that have served requests recently.
 func activeHosts(hosts []roster.Host) []roster.Host {
 	return slices.DeleteFunc(slices.Clone(hosts), func(h roster.Host) bool { return !h.State.Active })
@@ -206,43 +222,72 @@
 func (g *Gossip) sendLoop(ctx context.Context, conn net.PacketConn) {
 	tick := time.NewTicker(roster.HeartbeatInterval)
 	defer tick.Stop()
+	g.chooseTargets()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			g.flush(conn, true)
+			g.chooseTargets()
+			g.sendEvents(conn)
+			g.sendHeartbeats(conn)
 		case <-g.wake:
 			time.Sleep(batchDelay)
-			g.flush(conn, false)
+			g.sendEvents(conn)
 		}
 	}
 }
 
-// flush sends the pending events to the gossip targets among their receivers. A small
-// host sends them only to its relay, a large host that forwards them. With heartbeat set, flush also sends
-// a message without events to all hosts.
-func (g *Gossip) flush(conn net.PacketConn, heartbeat bool) {
+// chooseTargets chooses the receivers of the events until the next heartbeat: the gossip
+// targets among the active hosts.
+func (g *Gossip) chooseTargets() {
+	g.eventTargets = roster.GossipTargets(g.opt.Self, activeHosts(g.opt.Peers()))
+	g.relayFor, g.hasRelay = roster.RelayFor(g.opt.Self, g.opt.Alive())
+}
+
+// sendEvents sends the pending events. A small host sends them only to its relay, a large
+// host that forwards them.
+func (g *Gossip) sendEvents(conn net.PacketConn) {
 	g.mu.Lock()
 	events := g.pending
 	g.pending = nil
 	g.mu.Unlock()
-	peers := g.opt.Peers()
-	active := roster.GossipTargets(g.opt.Self, receivers(peers, events))
-	relay, small := roster.RelayFor(g.opt.Self, g.opt.Alive())
-	if small {
-		active = []roster.Host{relay}
-	}
 	for len(events) > 0 {
 		n := min(len(events), maxEvents)
 		m := g.message(events[:n])
-		m.PassOn = small
-		g.send(conn, m, active)
+		m.PassOn = g.hasRelay
+		g.send(conn, m, g.targets(m.Events))
 		events = events[n:]
 	}
-	if heartbeat {
-		g.send(conn, g.message(nil), peers)
+}
+
+// targets returns the hosts to which this host itself sends events.
+func (g *Gossip) targets(events []Event) []roster.Host {
+	if g.hasRelay {
+		return []roster.Host{g.relayFor}
+	}
+	if needsAllHosts(events) {
+		return roster.GossipTargets(g.opt.Self, g.opt.Peers())
+	}
+	return g.eventTargets
+}
+
+// sendHeartbeats sends the heartbeats that are due. While this host serves requests, the
+// receivers of its events get one too: it says which requests have ended, in case the
+// datagrams with their ends were lost.
+func (g *Gossip) sendHeartbeats(conn net.PacketConn) {
+	m := g.message(nil)
+	sent := make(map[record.HostID]bool)
+	for _, beat := range g.opt.Heartbeats() {
+		m.Watch, m.Digest = beat.Watch, beat.Digest
+		g.send(conn, m, []roster.Host{beat.To})
+		sent[beat.To.ID] = true
+	}
+	if !m.State.Active {
+		return
 	}
+	m.Watch, m.Digest = false, nil
+	g.send(conn, m, slices.DeleteFunc(slices.Clone(g.eventTargets), func(h roster.Host) bool { return sent[h.ID] }))
 }
 
 func (g *Gossip) message(events []Event) Message {
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -234,7 +234,7 @@
 		Host:     h.cfg.Host,
 		Log:      h.opt.Log,
 		Stream:   h.opt.Protocol.BudgetStream,
-		Hosts:    func() int { return 1 + len(h.hosts.others()) },
+		Fleet:    h.hosts.fleet,
 		Spacing:  h.claimSpacing,
 		Borrower: lending.NewClient(h.peerClient(), h.hosts.others, h.opt.Logger),
 		Policy:   escrow.DefaultPolicy(),
@@ -248,7 +248,7 @@
 		Ask:         fanout.NewAsker(h.peerClient()), Logger: h.opt.Logger,
 	})
 	h.gossip = gossip.New(gossip.Options{
-		Self: h.self, Peers: h.hosts.peers, Alive: h.hosts.others, State: h.state, Oldest: h.balancer.OldestRunning,
+		Self: h.self, Peers: h.hosts.peers, Heartbeats: h.hosts.heartbeats, Alive: h.hosts.others, State: h.state, Oldest: h.balancer.OldestRunning,
 		Receive: h.receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
@@ -314,13 +314,9 @@
 
 // receive applies a gossip message of another host.
 func (h *Host) receive(m *gossip.Message) {
-	h.hosts.mu.Lock()
-	known := h.hosts.table.RecordHeartbeat(m.Host, m.Run, m.State, time.Now())
-	h.hosts.mu.Unlock()
-	if !known {
-		return
+	if h.hosts.receive(m) {
+		h.balancer.ApplyGossip(m)
 	}
-	h.balancer.ApplyGossip(m)
 }
 
 // retryLimits returns this host's share of the fleet's retry budget. Until the number
@@ -355,7 +351,7 @@
 	h.hosts.table.SetIsolated(isolated)
 	addresses := h.hosts.table.Resolve(domain, now, mathrand.Shuffle)
 	h.log.Info("Directory answered.", "domain", domain, "addresses", len(addresses),
-		"alive", len(h.hosts.table.Alive(now)), "known", 1+len(h.hosts.table.Peers()))
+		"alive", len(h.hosts.table.Alive(now)), "known", h.hosts.table.Len())
 	return addresses, min(directoryTTL, h.bounds.Load().DirectoryTTL)
 }
 
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -16,6 +16,8 @@
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/roster"
 	"github.com/hazelworks/hazelworks/core/routes"
+	"github.com/hazelworks/hazelworks/fleet/allocation"
+	"github.com/hazelworks/hazelworks/fleet/gossip"
 )
 
 // tableWatch holds the routing configuration in force. It never applies a version
@@ -218,6 +220,21 @@
 	table *roster.Table
 	// known is true once the entries of the other hosts were read from the log.
 	known bool
+	// grownAt is when a host was last added to the list.
+	grownAt time.Time
+}
+
+// settleTime is the time without a new host after which the list of hosts counts as
+// complete. Hosts that start together write their entries within a few hundred
+// milliseconds.
+const settleTime = time.Second
+
+// fleet returns the hosts among which budgets are divided.
+func (h *hostWatch) fleet() allocation.Fleet {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	hosts, serves := h.table.Serving()
+	return allocation.Fleet{Hosts: hosts, Serves: serves, Settled: h.known && time.Since(h.grownAt) >= settleTime}
 }
 
 func (h *hostWatch) snapshot(records []platform.KeyedRecord) {
@@ -233,7 +250,7 @@
 func (h *hostWatch) count() (int, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return 1 + len(h.table.Peers()), h.known
+	return h.table.Len(), h.known
 }
 
 func (h *hostWatch) apply(records []platform.KeyedRecord) {
@@ -250,11 +267,38 @@
 			h.log.Error(err, "Host entry could not be read.", "host", r.Key, "offset", r.Offset)
 			continue
 		}
+		before := h.table.Len()
 		h.table.Upsert(host, time.Now())
+		if h.table.Len() > before {
+			h.grownAt = time.Now()
+		}
 		h.log.Info("Host listed.", "host", host.ID, "run", host.Run, "leaving", host.Leaving, "offset", r.Offset)
 	}
 }
 
+// heartbeats returns the heartbeats that are due.
+func (h *hostWatch) heartbeats() []roster.Heartbeat {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Heartbeats(time.Now())
+}
+
+// receive applies a message of another host. It reports whether that run of the host is
+// known.
+func (h *hostWatch) receive(m *gossip.Message) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	if !h.table.RecordHeartbeat(m.Host, m.Run, m.State, now) {
+		return false
+	}
+	if m.Watch {
+		h.table.RecordWatch(m.Host, now)
+	}
+	h.table.ApplyDigest(m.Host, m.Digest, now)
+	return true
+}
+
 func (h *hostWatch) peers() []roster.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
