Ask hosts that serve callers for loans; checks don't make a host active

A borrower asks eight of 294 hosts at random; callers are directed to 18, and only these hold any. And the platform's checks, one request a second at each host, make small hosts count as serving: above 50 of them, events of requests stay in the failure domain, and the hosts no longer know which upstreams have read a prompt.

Change: lenders are ordered by access to the log, by serving, by cores. A host counts as serving from two requests a second, not half a one.

--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -62,6 +62,34 @@
 	return near
 }
 
+// Lenders returns hosts in the order in which to ask them for a part of a budget: first
+// those with access to the log, which can claim more, then those that serve callers, then
+// those with more cores. In a large fleet most hosts hold no part of any budget. shuffle has
+// the signature of rand.Shuffle and spreads the requests over equal hosts.
+func Lenders(hosts []Host, shuffle func(n int, swap func(i, j int))) []Host {
+	out := slices.Clone(hosts)
+	shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b Host) int {
+		return cmp.Or(
+			compareBool(a.State.Isolated, b.State.Isolated),
+			compareBool(!a.State.Active, !b.State.Active),
+			cmp.Compare(b.Cores, a.Cores),
+		)
+	})
+	return out
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // byScore returns a comparison that orders hosts by their rendezvous score for a
 // key, highest first.
 func byScore(key string) func(a, b Host) int {
--- a/core/roster/readers_test.go
+++ b/core/roster/readers_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -65,3 +66,31 @@
 	}
 	require.Len(t, GossipTargets(hosts[0], hosts[1:50]), 49, "in a smaller fleet all hosts receive events")
 }
+
+// All hosts of a large fleet are cut off from the log. Callers are directed to 18 of 295,
+// and only these hold parts of budgets. A borrower that asks eight hosts at random finds
+// none of them.
+func TestHostsThatServeAreAskedToLendFirst(t *testing.T) {
+	var hosts []Host
+	for i := range 294 {
+		h := host(i, string(rune('a'+i%6)), 0.19)
+		h.State.Isolated = true
+		if i%17 == 0 {
+			h.Cores, h.State.Active = 0.8, true
+		}
+		hosts = append(hosts, h)
+	}
+	hosts[100].State.Isolated = false
+	hosts[7].State.Active = true
+	asked := Lenders(hosts, rand.Shuffle)
+	require.Len(t, asked, len(hosts))
+	require.Equal(t, hosts[100].ID, asked[0].ID, "it can claim more")
+	for _, h := range asked[1:9] {
+		require.True(t, h.State.Active && h.Cores == 0.8, "%s", h.ID)
+	}
+	first := make(map[record.HostID]bool)
+	for range 200 {
+		first[Lenders(hosts, rand.Shuffle)[1].ID] = true
+	}
+	require.Len(t, first, 18, "spread over all that serve")
+}
--- a/fleet/lending/lending.go
+++ b/fleet/lending/lending.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -76,16 +75,13 @@
 	return &Client{http: client, alive: alive, log: logger.WithName("lending"), failures: make(map[record.BudgetID]failure)}
 }
 
-// Borrow asks one host after the other, in random order and those with access to the
-// log first, until they have lent the amount. It returns the amount borrowed, in tokens.
+// Borrow asks one host after the other, in the order of [roster.Lenders], until they have
+// lent the amount. It returns the amount borrowed, in tokens.
 func (c *Client) Borrow(ctx context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens {
 	if c.recentlyFailed(budget, amount) {
 		return 0
 	}
-	hosts := c.alive()
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	// Hosts with access to the log can claim more and lend it.
-	slices.SortStableFunc(hosts, func(a, b roster.Host) int { return compareBool(a.State.Isolated, b.State.Isolated) })
+	hosts := roster.Lenders(c.alive(), rand.Shuffle)
 	got := record.Tokens(0)
 	for _, h := range hosts[:min(len(hosts), maxHostsAsked)] {
 		if got >= amount || ctx.Err() != nil {
@@ -101,16 +97,6 @@
 	return got
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 func (c *Client) recentlyFailed(budget record.BudgetID, amount record.Tokens) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -306,8 +306,9 @@
 }
 
 // activeRate is the rate, in requests per second, from which a host counts as serving
-// callers. The few requests of other hosts show in the upstreams' answers.
-const activeRate = 0.5
+// callers. The platform's own checks, about one request per second at each host, stay below
+// it. The few requests of other hosts show in the upstreams' answers.
+const activeRate = 2
 
 // state returns this host's state, which gossip sends to the others.
 func (h *Host) state() roster.State {
