Release budgets beside the last answers of a leaving host

Answers that outlast the grace left none, so a restart of each host in turn stranded what all held.

Ruled out: the store; hosts that reached it all the while did not release either.

Change: what is free goes back once callers no longer use the host, and the last writes have 500 ms of their own beside the answers.

--- a/fleet/allocation/manager.go
+++ b/fleet/allocation/manager.go
@@ -308,15 +308,22 @@
 	return max(0, alloc.prepaid-m.claims.Claimed(id)-m.claims.Unconfirmed(alloc.prepaid))
 }
 
-// Close gives back the free amounts of all budgets and writes the closing claim. It
-// retries until ctx ends, and then returns the cause.
-func (m *Manager) Close(ctx context.Context) error {
+// Drain gives back the free amounts of all budgets, and what ends of the reserved ones from
+// now on. Nothing more is claimed. It does not wait for the log.
+func (m *Manager) Drain() {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.closing = true
 	for _, alloc := range m.allocations {
 		alloc.returnFree()
 	}
-	m.mu.Unlock()
+	m.wakeRun()
+}
+
+// Close gives back the free amounts of all budgets and writes the closing record. What is
+// reserved then counts as spent. It retries until ctx ends, and then returns the cause.
+func (m *Manager) Close(ctx context.Context) error {
+	m.Drain()
 	for ctx.Err() == nil {
 		if err := m.round(ctx); err != nil {
 			pause(ctx, retryDelay)
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -504,6 +504,9 @@
 	lingerTTLs = 3
 	// graceMargin is reserved for the exit of the process itself.
 	graceMargin = 700 * time.Millisecond
+	// releaseTime is reserved for the last writes of the budgets, beside answers that take
+	// as long as there is time.
+	releaseTime = 500 * time.Millisecond
 )
 
 // leave waits for a call of Stop, then until callers no longer use this host and all
@@ -531,12 +534,24 @@
 	case <-linger.C:
 	case <-ctx.Done():
 	}
-	if err := h.callers.Shutdown(ctx); err != nil {
-		h.log.Info("Answers were cut off.", "error", err.Error())
+	h.budgets.Drain()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		if err := h.callers.Shutdown(ctx); err != nil {
+			h.log.Info("Answers were cut off.", "error", err.Error())
+		}
+	}()
+	release := time.NewTimer(h.bounds.Load().Grace - graceMargin - releaseTime - time.Since(began))
+	defer release.Stop()
+	select {
+	case <-answered:
+	case <-release.C:
 	}
 	if err := h.budgets.Close(ctx); err != nil {
 		h.log.Info("Budgets were not released.", "error", err.Error())
 	}
+	<-answered
 	h.log.Info("Left.", "took", time.Since(began))
 	return errStopped
 }
