--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -69,58 +68,6 @@
 	listRetry  = admission.Backoff{Initial: 250 * time.Millisecond, Max: time.Second}
 )
 
-// scaledPause returns the pause between calls for the current number of hosts. base is
-// the pause in a small fleet, and maxPause the upper bound.
-func (h *Host) scaledPause(base, maxPause time.Duration) time.Duration {
-	hosts, _ := h.hosts.count()
-	return min(maxPause, time.Duration(float64(base)*admission.PauseFactor(hosts, fullRateHosts)))
-}
-
-// hostsPause returns the pause between reads of the list of hosts.
-func (h *Host) hostsPause() time.Duration { return h.scaledPause(listPause, maxHostsPause) }
-
-// Shares of the log's limits that claim rounds may use. Each round makes one write and
-// two or three reads. The rest is for the settings and lists.
-const (
-	claimWriteShare = 0.7
-	claimReadShare  = 0.5
-	claimReads      = 3
-)
-
-const (
-	// settingsReadWindow is the time in which all hosts may read new settings from the log.
-	// It is a third of the shortest time in which they must be in force.
-	settingsReadWindow = time.Second
-	// settingsBytes is the assumed size of the settings, with about a thousand budgets
-	// or routes.
-	settingsBytes = 800e3
-)
-
-// directHosts returns the number of hosts up to which each reads the settings from the
-// log.
-func directHosts(limits Limits) int {
-	if limits.LogReadRate <= 0 {
-		return math.MaxInt
-	}
-	return int(limits.LogReadRate * settingsReadWindow.Seconds() / settingsBytes)
-}
-
-// claimSpacing returns the minimum time between a host's claim rounds, or zero if the
-// log's limits are not known.
-func claimSpacing(limits Limits, hosts int) time.Duration {
-	if limits.LogWrites <= 0 || limits.LogReads <= 0 {
-		return 0
-	}
-	writes := float64(hosts) / (claimWriteShare * limits.LogWrites)
-	reads := claimReads * float64(hosts) / (claimReadShare * limits.LogReads)
-	return time.Duration(max(writes, reads) * float64(time.Second))
-}
-
-func (h *Host) claimSpacing() time.Duration {
-	hosts, _ := h.hosts.count()
-	return claimSpacing(h.cfg.Limits, hosts)
-}
-
 // Protocol holds the names and formats of a platform, as its adapter provides them.
 type Protocol struct {
 	Decoder        relay.RequestDecoder
@@ -487,71 +434,3 @@
 		return nil
 	}
 }
-
-var errStopped = errors.New("relayhost: stopped")
-
-// Stop starts a graceful stop; Run returns when it is complete.
-func (h *Host) Stop() {
-	if h.leaving.CompareAndSwap(false, true) {
-		close(h.stop)
-	}
-}
-
-// Parts of the time between the signal to stop and the forced kill.
-const (
-	// lingerTTLs is how long callers may keep a directory answer, in multiples of its
-	// TTL.
-	lingerTTLs = 3
-	// graceMargin is reserved for the exit of the process itself.
-	graceMargin = 700 * time.Millisecond
-	// releaseTime is reserved for the last writes of the budgets, beside answers that take
-	// as long as there is time.
-	releaseTime = 500 * time.Millisecond
-)
-
-// leave waits for a call of Stop, then until callers no longer use this host and all
-// answers are complete.
-func (h *Host) leave(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-h.stop:
-	}
-	began := time.Now()
-	h.log.Info("Leaving.")
-	ctx, cancel := context.WithTimeout(ctx, h.bounds.Load().Grace-graceMargin)
-	defer cancel()
-	h.hosts.mu.Lock()
-	h.hosts.table.SetLeaving()
-	h.hosts.mu.Unlock()
-	if err := h.putSelf(ctx); err != nil {
-		h.log.Info("Leaving could not be announced.", "error", err.Error())
-	}
-	h.relay.SetDraining()
-	linger := time.NewTimer(lingerTTLs * directoryTTL)
-	defer linger.Stop()
-	select {
-	case <-linger.C:
-	case <-ctx.Done():
-	}
-	h.budgets.Drain()
-	answered := make(chan struct{})
-	go func() {
-		defer close(answered)
-		if err := h.callers.Shutdown(ctx); err != nil {
-			h.log.Info("Answers were cut off.", "error", err.Error())
-		}
-	}()
-	release := time.NewTimer(h.bounds.Load().Grace - graceMargin - releaseTime - time.Since(began))
-	defer release.Stop()
-	select {
-	case <-answered:
-	case <-release.C:
-	}
-	if err := h.budgets.Close(ctx); err != nil {
-		h.log.Info("Budgets were not released.", "error", err.Error())
-	}
-	<-answered
-	h.log.Info("Left.", "took", time.Since(began))
-	return errStopped
-}
--- /dev/null
+++ b/fleet/relayhost/leave.go
@@ -0,0 +1,75 @@
+package relayhost
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+var errStopped = errors.New("relayhost: stopped")
+
+// Stop starts a graceful stop; Run returns when it is complete.
+func (h *Host) Stop() {
+	if h.leaving.CompareAndSwap(false, true) {
+		close(h.stop)
+	}
+}
+
+// Parts of the time between the signal to stop and the forced kill.
+const (
+	// lingerTTLs is how long callers may keep a directory answer, in multiples of its
+	// TTL.
+	lingerTTLs = 3
+	// graceMargin is reserved for the exit of the process itself.
+	graceMargin = 700 * time.Millisecond
+	// releaseTime is reserved for the last writes of the budgets, beside answers that take
+	// as long as there is time.
+	releaseTime = 500 * time.Millisecond
+)
+
+// leave waits for a call of Stop, then until callers no longer use this host and all
+// answers are complete.
+func (h *Host) leave(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-h.stop:
+	}
+	began := time.Now()
+	h.log.Info("Leaving.")
+	ctx, cancel := context.WithTimeout(ctx, h.bounds.Load().Grace-graceMargin)
+	defer cancel()
+	h.hosts.mu.Lock()
+	h.hosts.table.SetLeaving()
+	h.hosts.mu.Unlock()
+	if err := h.putSelf(ctx); err != nil {
+		h.log.Info("Leaving could not be announced.", "error", err.Error())
+	}
+	h.relay.SetDraining()
+	linger := time.NewTimer(lingerTTLs * directoryTTL)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	h.budgets.Drain()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		if err := h.callers.Shutdown(ctx); err != nil {
+			h.log.Info("Answers were cut off.", "error", err.Error())
+		}
+	}()
+	release := time.NewTimer(h.bounds.Load().Grace - graceMargin - releaseTime - time.Since(began))
+	defer release.Stop()
+	select {
+	case <-answered:
+	case <-release.C:
+	}
+	if err := h.budgets.Close(ctx); err != nil {
+		h.log.Info("Budgets were not released.", "error", err.Error())
+	}
+	<-answered
+	h.log.Info("Left.", "took", time.Since(began))
+	return errStopped
+}
