--- a/cmd/hazelctl/entry.go
+++ b/cmd/hazelctl/entry.go
@@ -27,6 +27,9 @@
 		Short: "Print the host addresses that a client account should use",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if key == "" {
+				key = os.Getenv("HAZEL_KEY")
+			}
 			if key == "" {
 				return cli.Exit(cli.ExitUsage, errors.New("account key: set --key or HAZEL_KEY"))
 			}
@@ -34,7 +37,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&host, "host", "http://127.0.0.1:7000", "caller address of any host")
-	cmd.Flags().StringVar(&key, "key", os.Getenv("HAZEL_KEY"), "key of the client account; default is the environment variable HAZEL_KEY")
+	cmd.Flags().StringVar(&key, "key", "", "key of the client account; default is the environment variable HAZEL_KEY")
 	return cmd
 }
 
--- a/cmd/hazelctl/main_test.go
+++ b/cmd/hazelctl/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -15,3 +16,15 @@
 	require.Contains(t, seen, "placement")
 	require.Contains(t, seen, "drain")
 }
+
+// The key of an account may come from the environment. Help texts must not print it.
+func TestHelpDoesNotPrintTheKey(t *testing.T) {
+	t.Setenv("HAZEL_KEY", "key-of-the-account")
+	cmd := newEntryCommand()
+	var out bytes.Buffer
+	cmd.SetOut(&out)
+	cmd.SetArgs([]string{"--help"})
+	require.NoError(t, cmd.Execute())
+	require.Contains(t, out.String(), "HAZEL_KEY")
+	require.NotContains(t, out.String(), "key-of-the-account")
+}
--- a/cmd/internal/requestlog/requestlog.go
+++ b/cmd/internal/requestlog/requestlog.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -43,27 +44,32 @@
 	fieldUpstream = "upstream"
 )
 
-// maxLineBytes bounds a log line. Hazelworks writes no longer ones; Read fails on them.
+// maxLineBytes bounds a log line. Hazelworks writes no longer ones; Read skips them.
 const maxLineBytes = 1 << 20
 
 // Read reads the lines of a log. It skips and counts lines that are not JSON log
 // lines of hazelworks. If a log collector has written a prefix in front of a line,
 // the last word of the prefix is the line's source instead of source.
 func Read(r io.Reader, source string) (lines []Line, skipped int, err error) {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		line, ok := parse(scanner.Bytes(), source)
-		if !ok {
+	reader := bufio.NewReaderSize(r, maxLineBytes)
+	for {
+		text, long, err := reader.ReadLine()
+		if errors.Is(err, io.EOF) {
+			return lines, skipped, nil
+		}
+		if err != nil {
+			return nil, 0, fmt.Errorf("story: read %s: %w", source, err)
+		}
+		line, ok := parse(text, source)
+		if long || !ok {
 			skipped++
-			continue
+		} else {
+			lines = append(lines, line)
+		}
+		for long && err == nil {
+			_, long, err = reader.ReadLine()
 		}
-		lines = append(lines, line)
-	}
-	if err := scanner.Err(); err != nil {
-		return nil, 0, fmt.Errorf("story: read %s: %w", source, err)
 	}
-	return lines, skipped, nil
 }
 
 func parse(text []byte, source string) (Line, bool) {
--- a/cmd/internal/requestlog/requestlog_test.go
+++ b/cmd/internal/requestlog/requestlog_test.go
@@ -70,3 +70,13 @@
 	require.Len(t, got, maxRelatedPerMessage+1)
 	require.Equal(t, 700, got[0].Time.Nanosecond()/1e6)
 }
+
+// A line of another program that is longer than the buffer must not end the read of the logs
+// of all hosts.
+func TestLongLinesAreSkipped(t *testing.T) {
+	text := strings.Repeat("x", 3*maxLineBytes) + "\n" + sample + strings.Repeat("{", maxLineBytes)
+	lines, skipped, err := Read(strings.NewReader(text), "stdin")
+	require.NoError(t, err)
+	require.Equal(t, 4, skipped)
+	require.NotEmpty(t, Explain(lines, "r1"))
+}
--- a/core/ledger/restore.go
+++ b/core/ledger/restore.go
@@ -9,12 +9,26 @@
 	"github.com/hazelworks/hazelworks/core/record"
 )
 
+// maxSnapshotItems bounds the holders, budgets and remembered requests of a snapshot. The
+// target has 15,000 budgets and 281,000 requests a shard.
+const maxSnapshotItems = 1 << 22
+
+var snapshotDecMode = mustSnapshotDecMode()
+
+func mustSnapshotDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxSnapshotItems, MaxMapPairs: maxSnapshotItems}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
 // Restore returns the fold encoded in a snapshot. It returns [ErrSnapshotVersion] for
 // another format version and [ErrSnapshotInvalid] for data that is malformed or whose
 // amounts do not add up. All errors in holders and budgets are joined.
 func Restore(data []byte) (*Fold, error) {
 	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	if err := snapshotDecMode.Unmarshal(data, &s); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrSnapshotInvalid, err)
 	}
 	if s.Version != snapshotVersion {
--- a/core/ledger/window_test.go
+++ b/core/ledger/window_test.go
@@ -1,9 +1,11 @@
 package ledger
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelworks/hazelworks/core/record"
@@ -109,3 +111,18 @@
 	other.Budget = "other"
 	require.Equal(t, ReasonReleased, s.apply(other).Reason)
 }
+
+// A snapshot of more holders than the decoder's default limit on arrays must be readable:
+// hosts that start are otherwise left without a fold.
+func TestLargeSnapshotIsRestored(t *testing.T) {
+	const holders = 1<<17 + 1
+	images := make([]holderImage, holders)
+	for i := range images {
+		images[i].Holder = record.Holder{Host: record.HostID(strconv.Itoa(i)), Incarnation: 1}
+	}
+	data, err := cbor.Marshal(snapshot{Version: snapshotVersion, Holders: images, Options: optionsImage{Window: time.Hour, HolderRetention: time.Hour, MaxKeys: 10}})
+	require.NoError(t, err)
+	f, err := Restore(data)
+	require.NoError(t, err)
+	require.Len(t, f.holders, holders)
+}
--- a/fleet/exchange/pool.go
+++ b/fleet/exchange/pool.go
@@ -31,7 +31,7 @@
 	MaxIdle time.Duration
 	// Dialect interprets the answers.
 	Dialect Dialect
-	// Opened is called before each attempt to open a connection. It may be nil.
+	// Opened is called after each connection that was opened. It may be nil.
 	Opened func()
 }
 
@@ -112,13 +112,13 @@
 func (p *Pool) open(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opt.ConnectTimeout)
 	defer cancel()
-	if p.opt.Opened != nil {
-		p.opt.Opened()
-	}
 	raw, err := p.opt.Dial(ctx, "tcp", p.addr)
 	if err != nil {
 		return nil, err
 	}
+	if p.opt.Opened != nil {
+		p.opt.Opened()
+	}
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readerBytes)}, nil
 }
 
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -49,6 +49,7 @@
 	// answerStarted is true once the caller has a part of a streamed answer.
 	answerStarted bool
 	lastEventID   string
+	lastEventAt   time.Time
 	events        int64
 }
 
@@ -120,6 +121,9 @@
 		if sends > 0 {
 			c.r.meters.retries.Inc(1)
 		}
+		if c.lastEventID != "" {
+			c.r.meters.resumes.Inc(1)
+		}
 		last = c.send(ctx, lease)
 		if last == resultAnswered {
 			return
@@ -264,6 +268,9 @@
 	case resultNotSent, resultNotRun:
 		return true
 	}
+	if c.answerStarted && c.route.Kind != routes.KindStream {
+		return false
+	}
 	if knownfault.RepeatUnsafe {
 		return true
 	}
@@ -456,13 +463,17 @@
 // maxAnswerBytes bounds an answer that is buffered until it is complete.
 const maxAnswerBytes = 4 << 20
 
-// forwardWhole forwards an answer that is not a stream once it is complete.
+// forwardWhole forwards an answer that is not a stream once it is complete, or as it comes
+// if it is longer than maxAnswerBytes.
 func (c *call) forwardWhole(resp *exchange.Response, lease *balancer.Lease) sendResult {
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
 	c.recordFirstEvent(lease)
 	if err != nil {
 		return resultLost
 	}
+	if len(body) > maxAnswerBytes {
+		return c.forwardLarge(resp, body)
+	}
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.runs < c.route.Attempts {
 		return resultFailed
 	}
@@ -476,6 +487,27 @@
 	return resultAnswered
 }
 
+// forwardLarge forwards an answer of which the first part was read. If the rest is lost, the
+// caller's connection is cut, and no other attempt is made: the caller has a part of this
+// answer.
+func (c *call) forwardLarge(resp *exchange.Response, first []byte) sendResult {
+	copyHeader(c.w.Header(), resp.Header)
+	if resp.ContentLength >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	c.answerStarted = true
+	c.r.writeHead(c.w, resp.StatusCode)
+	if _, err := c.w.Write(first); err != nil {
+		return resultLost
+	}
+	if _, err := io.Copy(c.w, resp); err != nil {
+		return resultLost
+	}
+	c.answered = resp.StatusCode < http.StatusMultipleChoices
+	c.status = resp.StatusCode
+	return resultAnswered
+}
+
 // hopHeaders are headers that concern one connection only.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Date"}
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
@@ -74,6 +75,11 @@
 
 // recordEvents counts events and records the ID of the last one.
 func (c *call) recordEvents(events []byte) {
+	now := time.Now()
+	if !c.lastEventAt.IsZero() {
+		c.r.meters.eventGap.Update(now.Sub(c.lastEventAt).Microseconds())
+	}
+	c.lastEventAt = now
 	for event := range bytes.SplitSeq(events, []byte("\n\n")) {
 		if len(bytes.TrimSpace(event)) == 0 {
 			continue
