Drop idle connections after a poll that goes silent in mid-body

Cause: fleet/upstream fetchLoad reset the transport if no answer came, but not if its body went silent, so the next request took an idle connection of the same path. Change: it resets then too. The new test opens no new connection without it.

--- a/fleet/upstream/net_test.go
+++ b/fleet/upstream/net_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -215,3 +217,51 @@
 		require.Equal(t, "ejected", p.Statuses()[1].State)
 	})
 }
+
+// The connection of a poll goes silent in the middle of an answer. What the path has lost may
+// include the idle connections, so requests must not use these.
+func TestPollThatGoesSilentInMidBodyDropsIdleConnections(t *testing.T) {
+	opened := atomic.Int64{}
+	silent := atomic.Bool{}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == PathLoad && silent.Load() {
+			w.Header().Set("Content-Length", "100")
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}
+		time.Sleep(20 * time.Millisecond) // so that two requests need two connections
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	u := &upstreamState{transport: newTransport((&net.Dialer{}).DialContext, func(headerReport) {})}
+	get := func() {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+"/", nil)
+		require.NoError(t, err)
+		resp, err := u.transport.RoundTrip(req)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	// Two connections: one idle, one that the poll uses.
+	var both sync.WaitGroup
+	for range 2 {
+		both.Go(get)
+	}
+	both.Wait()
+	get()
+	silent.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := fetchLoad(ctx, u, server.URL)
+	require.Error(t, err)
+	before := opened.Load()
+	get()
+	require.Equal(t, before+1, opened.Load(), "a new connection")
+}
--- a/fleet/upstream/poll.go
+++ b/fleet/upstream/poll.go
@@ -262,6 +262,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPollBytes))
 	if err != nil {
+		u.transport.reset()
 		return nil, err
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
