Send an urgent report beside one under way

Cause: a host had one report in flight at a time, so that the return that a recall asks for waited until the report before had been collected, appended and read back.

Change: an urgent report may be sent beside another. The fold takes them in order and names a gap, upon which the later one is sent again; amounts in flight are kept for each report. A field that was written and never read is gone.

--- a/fleet/grants/allocation.go
+++ b/fleet/grants/allocation.go
@@ -26,7 +26,7 @@
 	reserved record.Tokens
 	// queued is the amount settled or to be returned that is not in a report yet.
 	queued record.Tokens
-	// inFlight is the amount in the report that has not been read back yet.
+	// inFlight is the amount in the reports that have not been read back yet.
 	inFlight record.Tokens
 	// available is the budget's ungranted amount after the latest grant.
 	available record.Tokens
@@ -159,8 +159,10 @@
 	}
 	a.offset = at
 	open := a.reserved + a.queued
-	if reportSeq < a.client.sent.Seq {
-		open += a.inFlight
+	for _, sent := range a.client.inFlight {
+		if reportSeq < sent.report.Seq {
+			open += sent.amounts[a]
+		}
 	}
 	a.free = outstanding - open
 	a.minFree = min(a.minFree, a.free)
--- a/fleet/grants/grants_test.go
+++ b/fleet/grants/grants_test.go
@@ -84,11 +84,16 @@
 	require.Equal(t, record.Tokens(90), h.free)
 	h.updateOutstanding(19, 500, 0)
 	require.Equal(t, record.Tokens(90), h.free)
-	h.client.sent.Seq, h.inFlight = 1, 30
+	inFlight := func(seq uint64, amount record.Tokens) *sentReport {
+		return &sentReport{report: record.Report{Seq: seq}, amounts: map[*allocation]record.Tokens{h: amount}}
+	}
+	h.client.inFlight = []*sentReport{inFlight(1, 30), inFlight(2, 5)}
 	h.updateOutstanding(21, 100, 0)
-	require.Equal(t, record.Tokens(60), h.free, "the outstanding grant does not reflect the report in flight yet")
+	require.Equal(t, record.Tokens(55), h.free, "the outstanding grant does not reflect the reports in flight yet")
 	h.updateOutstanding(22, 70, 1)
-	require.Equal(t, record.Tokens(60), h.free, "the outstanding grant reflects the report")
+	require.Equal(t, record.Tokens(55), h.free, "the outstanding grant reflects the first report")
+	h.updateOutstanding(23, 65, 2)
+	require.Equal(t, record.Tokens(55), h.free, "the outstanding grant reflects both")
 }
 
 // TestIdleGrantsReturn checks that an unused grant is returned without a recall.
--- a/fleet/grants/reports.go
+++ b/fleet/grants/reports.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/ledger"
@@ -66,8 +68,11 @@
 	return c.draftDone
 }
 
-// runReports sends reports, one at a time, until the manager stops.
+// runReports sends reports until the manager stops: one at a time, and an urgent one
+// beside another, since a budget's last tokens may wait for a return.
 func (c *shardClient) runReports() {
+	var sends sync.WaitGroup
+	defer sends.Wait()
 	for {
 		due, delay := c.reportDue()
 		if !due {
@@ -79,16 +84,24 @@
 		if !c.waitForFlush(delay) {
 			return
 		}
-		if !c.sendReport() {
-			return
-		}
+		ops, outcomes, sent := c.buildOps()
+		sends.Go(func() {
+			c.sendReport(ops, outcomes, sent)
+			notify(c.reportSignal)
+		})
 	}
 }
 
+// maxSends bounds the sends in progress, of which all but the first are urgent.
+const maxSends = 2
+
 // reportDue reports whether anything is to be sent, and how long it may wait.
 func (c *shardClient) reportDue() (bool, time.Duration) {
 	c.manager.mu.Lock()
 	defer c.manager.mu.Unlock()
+	if c.sends > 0 && (!c.draftUrgent || c.emptyDraft() || c.sends >= maxSends) {
+		return false, 0
+	}
 	if c.emptyDraft() && len(c.outcomes) == 0 {
 		return false, 0
 	}
@@ -136,52 +149,65 @@
 	return c.draftUrgent || len(c.draft.Settlements) >= maxReportItems
 }
 
-// sendReport sends the draft and retries until it has been read back. New entries
-// go to the next report meanwhile. It returns false when the manager stops.
-func (c *shardClient) sendReport() bool {
-	ops, outcomes, done := c.buildOps()
+// errEarlierReportMissing reports that the fold has not applied the report before.
+var errEarlierReportMissing = errors.New("grants: the report before has not been applied")
+
+// sendReport sends operations and retries until they have been read back. New entries
+// go to the next report meanwhile. It gives up when the manager stops.
+func (c *shardClient) sendReport(ops []record.Op, outcomes int, sent *sentReport) {
 	for failures := 0; ; {
 		start := time.Now()
 		reply, err := c.submit(ops)
+		if err == nil && sent != nil && reply.Results[0].Reason == ledger.ReasonGap {
+			err = errEarlierReportMissing
+		}
 		if err == nil {
-			c.applyReportReply(ops, outcomes, reply.Results, done, time.Since(start))
-			return true
+			c.applyReportReply(outcomes, reply.Results, sent, time.Since(start))
+			return
 		}
 		failures++
-		c.manager.opts.Logger.V(1).Info("report not read back", "shard", c.id, "seq", c.sent.Seq, "error", err.Error())
+		c.manager.opts.Logger.V(1).Info("report not read back", "shard", c.id, "error", err.Error())
 		if !sleepFor(c.manager.ctx, c.manager.jitter(retryWait(failures))) {
-			return false
+			return
 		}
 	}
 }
 
-// buildOps returns the operations to send: the draft, which becomes the report in
-// flight, and the outcomes of claims. It starts a new draft.
-func (c *shardClient) buildOps() (ops []record.Op, outcomes int, done chan struct{}) {
+// buildOps returns the operations to send: the draft, which becomes a report in
+// flight, and the outcomes of claims, unless others are being sent. It starts a new draft.
+func (c *shardClient) buildOps() (ops []record.Op, outcomes int, sent *sentReport) {
 	c.manager.mu.Lock()
 	defer c.manager.mu.Unlock()
-	outcomes = min(len(c.outcomes), maxOutcomes)
+	if c.sends == 0 {
+		outcomes = min(len(c.outcomes), maxOutcomes)
+	}
+	c.sends++
 	if !c.emptyDraft() {
-		ops = append(ops, c.sealDraft())
-		done = c.draftDone
-		c.draftDone = make(chan struct{})
+		sent = c.sealDraft()
+		holder := c.manager.opts.Self
+		ops = append(ops, record.Op{Kind: record.KindReport, Holder: &holder, Report: &sent.report})
 	}
 	ops = append(ops, c.outcomes[:outcomes]...)
-	return ops, outcomes, done
+	return ops, outcomes, sent
 }
 
-func (c *shardClient) sealDraft() record.Op {
+// sealDraft moves the draft to the reports in flight.
+func (c *shardClient) sealDraft() *sentReport {
 	c.returnExcess(time.Now())
-	c.sent = c.draft
-	c.draft = record.Report{Seq: c.sent.Seq + 1}
+	sent := &sentReport{report: c.draft, amounts: make(map[*allocation]record.Tokens), done: c.draftDone}
+	c.draft = record.Report{Seq: sent.report.Seq + 1}
+	c.draftDone = make(chan struct{})
 	c.draftUrgent = false
 	for _, a := range c.allocations {
-		a.inFlight, a.queued = a.queued, 0
+		if a.queued != 0 {
+			sent.amounts[a] = a.queued
+			a.inFlight += a.queued
+			a.queued = 0
+		}
 	}
+	c.inFlight = append(c.inFlight, sent)
 	c.manager.reports.Inc(1)
-	report := c.sent
-	holder := c.manager.opts.Self
-	return record.Op{Kind: record.KindReport, Holder: &holder, Report: &report}
+	return sent
 }
 
 // returnExcess adds the return of free amounts far above their target to the
@@ -203,20 +229,22 @@
 const excessFactor = 2
 
 // applyReportReply applies the fold's answer to a report and its outcomes.
-func (c *shardClient) applyReportReply(ops []record.Op, outcomes int, results []ledger.Result, done chan struct{}, took time.Duration) {
+func (c *shardClient) applyReportReply(outcomes int, results []ledger.Result, sent *sentReport, took time.Duration) {
 	c.manager.mu.Lock()
 	defer c.manager.mu.Unlock()
+	c.sends--
 	c.lastReportDuration = took
 	c.outcomes = c.outcomes[outcomes:]
-	if done == nil {
+	if sent == nil {
 		return
 	}
 	res := &results[0]
 	if !res.Applied && res.Reason != ledger.ReasonDuplicate {
-		c.manager.opts.Logger.Error(fmt.Errorf("%w: %s", errHolderClosed, res.Reason), "report refused", "shard", c.id, "seq", c.sent.Seq)
+		c.manager.opts.Logger.Error(fmt.Errorf("%w: %s", errHolderClosed, res.Reason), "report refused", "shard", c.id, "seq", sent.report.Seq)
 	}
-	for _, a := range c.allocations {
-		a.inFlight = 0
+	c.inFlight = slices.DeleteFunc(c.inFlight, func(other *sentReport) bool { return other == sent })
+	for a, amount := range sent.amounts {
+		a.inFlight -= amount
 	}
 	for _, line := range res.Lines {
 		if line.Unbilled > 0 {
@@ -228,8 +256,7 @@
 			a.serveWaiters(time.Now())
 		}
 	}
-	c.finished = c.finished || c.sent.Closing
-	close(done)
+	close(sent.done)
 	c.wake()
 }
 
--- a/fleet/grants/shardclient.go
+++ b/fleet/grants/shardclient.go
@@ -6,8 +6,9 @@
 	"github.com/hazelworks/hazelworks/core/record"
 )
 
-// shardClient sends grant requests and reports to one shard, with at most one of
-// each in flight. All fields are guarded by the manager's mutex.
+// shardClient sends grant requests and reports to one shard, with at most one grant
+// request in flight, and one report, beside which an urgent one may be. All fields are
+// guarded by the manager's mutex.
 type shardClient struct {
 	manager     *Manager
 	id          record.ShardID
@@ -20,16 +21,25 @@
 	unreachable    bool
 	grantSignal    chan struct{}
 
-	// draft is the next report, to which entries are still added; sent is the
-	// report in flight, or the last one.
+	// draft is the next report, to which entries are still added. inFlight are the
+	// reports that have not been read back, in order. sends is the number of sends in
+	// progress, which may have outcomes only.
 	draft              record.Report
 	draftDone          chan struct{} // closed once draft has been read back
 	draftUrgent        bool
-	sent               record.Report
+	inFlight           []*sentReport
+	sends              int
 	outcomes           []record.Op
 	reportSignal       chan struct{}
 	lastReportDuration time.Duration
-	finished           bool // the closing report has been read back
+}
+
+// sentReport is a report that has not been read back, and what it settles or returns of
+// each allocation.
+type sentReport struct {
+	report  record.Report
+	amounts map[*allocation]record.Tokens
+	done    chan struct{}
 }
 
 func newShardClient(m *Manager, id record.ShardID) *shardClient {
