--- a/fleet/relayhost/watch_test.go
+++ b/fleet/relayhost/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,15 @@
 // upstreamList is a watch with the list that it has published.
 type upstreamList struct {
 	*upstreamWatch
-	now map[string]bool // leaving, by ID
+	published sync.Mutex
+	leaving   map[string]bool // by ID
+}
+
+// now returns the list that was published last.
+func (l *upstreamList) now() map[string]bool {
+	l.published.Lock()
+	defer l.published.Unlock()
+	return l.leaving
 }
 
 func newUpstreamList() *upstreamList {
@@ -28,9 +37,11 @@
 		return catalog.Upstream{ID: id, Started: int64(len(run)), Addr: netip.MustParseAddrPort("10.0.0.1:80"), Leaving: state == "leaving"}, nil
 	}
 	l.upstreamWatch = newUpstreamWatch(func() time.Duration { return time.Second }, decode, func(all []catalog.Upstream) {
-		l.now = make(map[string]bool)
+		l.published.Lock()
+		defer l.published.Unlock()
+		l.leaving = make(map[string]bool)
 		for _, up := range all {
-			l.now[up.ID] = up.Leaving
+			l.leaving[up.ID] = up.Leaving
 		}
 	}, logr.Discard())
 	return l
@@ -53,20 +64,20 @@
 		l.snapshot(copied)
 		time.Sleep(time.Minute)
 		l.records([]platform.KeyedRecord{entryAt(3, "leaves", "r leaving"), entryAt(4, "left", ""), entryAt(5, "new", "r")})
-		require.Equal(t, map[string]bool{"stays": false, "leaves": true, "new": false}, l.now)
+		require.Equal(t, map[string]bool{"stays": false, "leaves": true, "new": false}, l.now())
 
 		l.rewound(copied)
-		require.Equal(t, map[string]bool{"stays": false, "leaves": true, "new": false}, l.now)
+		require.Equal(t, map[string]bool{"stays": false, "leaves": true, "new": false}, l.now())
 
 		// Within the grace, the entries are written again. A late old one changes nothing.
 		l.records([]platform.KeyedRecord{entryAt(3, "new", "r")})
 		l.records([]platform.KeyedRecord{entryAt(4, "leaves", "r leaving")})
 		time.Sleep(2 * renewalGrace)
-		require.Equal(t, map[string]bool{"stays": false, "leaves": true, "new": false}, l.now)
+		require.Equal(t, map[string]bool{"stays": false, "leaves": true, "new": false}, l.now())
 
 		// The next start under the same ID is another upstream.
 		l.records([]platform.KeyedRecord{entryAt(5, "leaves", "r2"), entryAt(6, "left", "r2")})
-		require.Equal(t, map[string]bool{"stays": false, "leaves": false, "left": false, "new": false}, l.now)
+		require.Equal(t, map[string]bool{"stays": false, "leaves": false, "left": false, "new": false}, l.now())
 	})
 }
 
@@ -78,13 +89,13 @@
 		l.snapshot([]platform.KeyedRecord{entryAt(0, "stays", "r"), entryAt(1, "lost", "r")})
 		time.Sleep(time.Minute)
 		l.rewound([]platform.KeyedRecord{entryAt(0, "stays", "r")})
-		require.Equal(t, map[string]bool{"stays": false, "lost": false}, l.now)
+		require.Equal(t, map[string]bool{"stays": false, "lost": false}, l.now())
 		time.Sleep(renewalGrace + time.Millisecond)
-		require.Equal(t, map[string]bool{"stays": false}, l.now)
+		require.Equal(t, map[string]bool{"stays": false}, l.now())
 
 		l.rewound([]platform.KeyedRecord{entryAt(0, "stays", "r"), entryAt(1, "lost", "r")})
-		require.Equal(t, map[string]bool{"stays": false}, l.now, "the copy has the entry of before")
+		require.Equal(t, map[string]bool{"stays": false}, l.now(), "the copy has the entry of before")
 		l.rewound([]platform.KeyedRecord{entryAt(0, "stays", "r"), entryAt(2, "lost", "r")})
-		require.Equal(t, map[string]bool{"stays": false, "lost": false}, l.now, "written again")
+		require.Equal(t, map[string]bool{"stays": false, "lost": false}, l.now(), "written again")
 	})
 }
