Don't count closed hosts as unconfirmed after a restored log

Cause: after the store came back older, each host that had not confirmed the era counted with more than a whole budget, also one that had closed in order long before. A removed machine would have stopped all new claims for good.

Change: a host record that is closed does not count.

Open: a crashed host that never comes back.

--- a/core/escrow/eras.go
+++ b/core/escrow/eras.go
@@ -43,10 +43,10 @@
 }
 
 // missed returns the number of eras up to the given one after which the claims of a host
-// may be higher than its records show.
+// may be higher than its records show. A host that closed had given back its allocations.
 func (h *HostRecord) missed(era platform.Era) uint64 {
 	missed := h.Missed
-	if era > h.Era {
+	if era > h.Era && !h.Closed {
 		missed += uint64(era - h.Era)
 	}
 	return missed
