Confirm an era with all claims, also in the middle of a round

Cause, from reading the change: a host that noticed the restored log while it gave back a part of one budget wrote that claim with the record that confirms the era, without its other claims. Others would have counted these as the copy had them.

Change: the next write in a new era is always the one of all claims.

Figures: TestEraIsConfirmedWithAllClaims lacks the second claim without the change.

--- a/fleet/allocation/claims.go
+++ b/fleet/allocation/claims.go
@@ -49,9 +49,6 @@
 	if err := m.load(ctx); err != nil {
 		return err
 	}
-	if m.mustConfirm() {
-		m.prepareConfirmation()
-	}
 	if m.pendingWrite() == nil {
 		wanted := m.prepareWrite()
 		if !wanted && !m.mustRead() {
@@ -252,14 +249,18 @@
 	return m.write
 }
 
-// prepareWrite composes the next write from the claims and returns that are due. It
-// returns false if there are none.
+// prepareWrite composes the next write from the claims and returns that are due, or, in a
+// new era, from all claims. It returns false if there are none.
 func (m *Manager) prepareWrite() bool {
 	// Called without mu: Fleet may take a lock whose holder calls Isolated.
 	fleet := m.opt.Fleet()
 	hosts := max(1, fleet.Hosts)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.mustConfirm() {
+		m.prepareConfirmation()
+		return m.write != nil
+	}
 	policy := m.policy.ForFleet(len(m.allocations), hosts)
 	if !fleet.Serves {
 		policy = policy.OnDemand()
--- a/fleet/allocation/eras.go
+++ b/fleet/allocation/eras.go
@@ -38,19 +38,15 @@
 }
 
 // mustConfirm reports whether this host's claims have to be written again in a new era. A
-// run that has claimed nothing yet confirms with its first claim.
+// run that has claimed nothing yet confirms with its first claim. The caller holds mu.
 func (m *Manager) mustConfirm() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	h := m.claims.HostRecord(m.opt.Host)
-	return !m.confirmed && m.write == nil && !m.closing && h.Epoch > 0 && h.Era < m.next.Era
+	return !m.confirmed && h.Epoch > 0 && h.Era < m.next.Era
 }
 
 // prepareConfirmation makes the pending write one of all claims of this host, as they are
-// known, and of its host record.
+// known, and of its host record. The caller holds mu.
 func (m *Manager) prepareConfirmation() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	next := &write{seq: m.seq + 1}
 	for _, c := range m.claims.HostClaims(m.opt.Host) {
 		c.Epoch, c.Seq = m.epoch, next.seq
--- a/fleet/allocation/eras_test.go
+++ b/fleet/allocation/eras_test.go
@@ -1,14 +1,19 @@
 package allocation
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hazelworks/hazelworks/core/escrow"
 	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/standin/memkeyed"
 )
 
@@ -153,3 +158,34 @@
 		require.Zero(t, h.manager.Load().difference())
 	})
 }
+
+// A host notices the restored log in the middle of a round, while it gives back a part of
+// one of its budgets. The record that confirms the era must not be written without its other claims.
+func TestEraIsConfirmedWithAllClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memkeyed.New()
+		empty := log.Copy()
+		m := New(Options{
+			Host: "h1", Log: log.Link(1), Stream: testStream, Fleet: func() Fleet { return Fleet{Hosts: 1, Serves: true, Settled: true} },
+			Policy: escrow.DefaultPolicy(), Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
+		})
+		accounts := &routes.Table{Version: 1, Accounts: []routes.Account{
+			{Name: "a", Prepaid: 1_000_000, Metered: true}, {Name: "b", Prepaid: 1_000_000, Metered: true},
+		}}
+		m.SetTable(accounts.BuildIndexes())
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = m.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		log.Restore(empty)
+		accounts.Accounts[0].Prepaid = 500_000
+		m.SetTable(accounts)
+		time.Sleep(100 * time.Millisecond)
+		keys := make(map[string]bool)
+		for _, r := range log.Newest(testStream) {
+			keys[r.Key] = true
+		}
+		require.Equal(t, map[string]bool{"/h1": true, "a/h1": true, "b/h1": true}, keys)
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
