Read the claims of the former format

Cause, from reading the change: claims got a sequence number, and a reader refuses records of another length. After an upgrade all claims in the log would have been skipped, and the budgets granted once more.

--- a/core/escrow/claims.go
+++ b/core/escrow/claims.go
@@ -40,6 +40,14 @@
 	Seq   uint64
 }
 
+// formerValue is the form of claims and closing records before they had sequence numbers
+// and eras. A fleet that is upgraded finds them in the log.
+type formerValue struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch uint64
+	Total record.Tokens
+}
+
 // hostValue is the encoded form of a host record.
 type hostValue struct {
 	_      struct{} `cbor:",toarray"`
@@ -74,7 +82,14 @@
 		return nil, nil, fmt.Errorf("escrow: decode claim: key %q has no host", key)
 	}
 	budget, host := record.BudgetID(key[:at]), record.HostID(key[at+1:])
-	if budget == "" {
+	var former formerValue
+	isFormer := cbor.Unmarshal(value, &former) == nil
+	switch {
+	case isFormer && budget == "":
+		return nil, &HostRecord{Host: host, Epoch: former.Epoch, Closed: true}, nil
+	case isFormer:
+		return &Claim{Budget: budget, Host: host, Epoch: former.Epoch, Total: former.Total}, nil, nil
+	case budget == "":
 		var v hostValue
 		if err := cbor.Unmarshal(value, &v); err != nil {
 			return nil, nil, fmt.Errorf("escrow: decode host record %q: %w", key, err)
--- a/core/escrow/escrow_test.go
+++ b/core/escrow/escrow_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelworks/hazelworks/core/record"
@@ -194,3 +195,23 @@
 	require.Greater(t, a.Target(policy, prepaid, hosts), record.Tokens(0.8*perSecond*policy.OutageCover.Seconds()))
 	require.Less(t, a.Target(policy, prepaid, hosts), record.Tokens(1.05*perSecond*policy.OutageCover.Seconds()))
 }
+
+// A fleet that is upgraded must count the claims that its hosts have written before.
+func TestClaimsOfTheFormerFormatAreRead(t *testing.T) {
+	value, err := cbor.Marshal(formerValue{Epoch: 7, Total: 900})
+	require.NoError(t, err)
+	c, h, err := Decode("acme/h1", value)
+	require.NoError(t, err)
+	require.Nil(t, h)
+	require.Equal(t, Claim{Budget: "acme", Host: "h1", Epoch: 7, Total: 900}, *c)
+	c, h, err = Decode("/h1", value)
+	require.NoError(t, err)
+	require.Nil(t, c)
+	require.Equal(t, HostRecord{Host: "h1", Epoch: 7, Closed: true}, *h)
+
+	table := NewClaimTable()
+	table.Put(Claim{Budget: "acme", Host: "h1", Epoch: 7, Total: 900})
+	table.PutHost(*h)
+	require.False(t, table.Crashed("h1"))
+	require.Equal(t, uint64(7), table.Epoch("h1"))
+}
