Read the limits that upstreams state, and log them

The logs could not tell whether a host had read the limit: no line had it. Each change of an upstream's limit is now one line with the value and the host that got the answer, and counted in upstream_limit_changes. Nothing is decided by it yet: the same requests go to the same upstreams.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -122,7 +122,9 @@
 	// pausedUntil is the end of the time in which the upstream wants no requests from
 	// this host, as it has stated in an answer.
 	pausedUntil time.Time
-	cache       *prefixCache
+	// limit is the limit on the requests of all hosts that the upstream has stated.
+	limit rateLimit
+	cache *prefixCache
 	// running are the requests that were sent and have not ended.
 	running map[AttemptID]*runningRequest
 	// queue estimates the wait from those whose answer has not started.
--- a/core/balance/notice.go
+++ b/core/balance/notice.go
@@ -13,26 +13,54 @@
 	// RetryAfter is the time in which the upstream wants no requests from this host, or
 	// zero.
 	RetryAfter time.Duration
+	// Limit is the limit that the upstream states, if any.
+	Limit Limit
+}
+
+// LimitState is whether an answer states a [Limit].
+type LimitState uint8
+
+// States of a limit.
+const (
+	// LimitUnknown is the state of answers that say nothing about limits.
+	LimitUnknown LimitState = iota
+	// LimitAbsent means that the upstream has no limit, which ends an earlier one.
+	LimitAbsent
+	// LimitPresent means that PerSecond is the limit.
+	LimitPresent
+)
+
+// Limit is the rate of requests that an upstream takes from all hosts together.
+type Limit struct {
+	State LimitState
+	// PerSecond is in requests per second.
+	PerSecond float64
+}
+
+// News tells which statements of a notice were not known before.
+type News struct {
+	Leaving bool
+	Limit   bool
 }
 
 // isLeaving reports whether the upstream's entry or one of its answers states that it
 // will stop.
 func (u *upstreamState) isLeaving() bool { return u.up.Leaving || u.leaving }
 
-// ApplyNotice applies a notice of one start of an upstream. It reports whether the notice
-// is the first that the upstream is leaving. A leaving mark lasts as long as that start is
-// listed: the upstream may have stopped since, and there is no notice that takes it back.
-func (p *Pool) ApplyNotice(up catalog.Upstream, n Notice, now time.Time) (firstLeaving bool) {
+// ApplyNotice applies a notice of one start of an upstream. A leaving mark lasts as long as
+// that start is listed: the upstream may have stopped since, and there is no notice that
+// takes it back. A limit lasts until a notice replaces it or states that there is none.
+func (p *Pool) ApplyNotice(up catalog.Upstream, n Notice, now time.Time) News {
 	u, ok := p.upstreams[up.ID]
 	if !ok || !u.up.SameStart(up) {
-		return false
+		return News{}
 	}
 	if until := now.Add(n.RetryAfter); until.After(u.pausedUntil) {
 		u.pausedUntil = until
 	}
-	firstLeaving = n.Leaving && !u.leaving
+	news := News{Leaving: n.Leaving && !u.leaving, Limit: u.limit.apply(n.Limit)}
 	u.leaving = u.leaving || n.Leaving
-	return firstLeaving
+	return news
 }
 
 // NextReturn returns the time until the first upstream accepts requests again, if all
--- a/core/balance/notice_test.go
+++ b/core/balance/notice_test.go
@@ -14,8 +14,8 @@
 func TestLeavingNoticeLastsForOneStart(t *testing.T) {
 	p := newTestPool(1)
 	up := upstream(0)
-	require.True(t, p.ApplyNotice(up, Notice{Leaving: true}, start))
-	require.False(t, p.ApplyNotice(up, Notice{Leaving: true}, start), "only the first notice is new")
+	require.Equal(t, News{Leaving: true}, p.ApplyNotice(up, Notice{Leaving: true}, start))
+	require.Zero(t, p.ApplyNotice(up, Notice{Leaving: true}, start), "only the first notice is new")
 	p.Sync([]catalog.Upstream{up})
 	_, ok := p.Choose(&Query{}, start.Add(time.Hour))
 	require.False(t, ok)
@@ -25,7 +25,7 @@
 	next := up
 	next.Started = 7
 	p.Sync([]catalog.Upstream{next})
-	require.False(t, p.ApplyNotice(up, Notice{Leaving: true}, start), "a late notice of the run before")
+	require.Zero(t, p.ApplyNotice(up, Notice{Leaving: true}, start), "a late notice of the run before")
 	_, ok = p.Choose(&Query{}, start)
 	require.True(t, ok)
 }
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -62,6 +62,7 @@
 	opt    Options
 	log    logr.Logger
 	opened metrics.Counter
+	limits metrics.Counter
 
 	mu        sync.Mutex
 	table     *routes.Table
@@ -95,6 +96,7 @@
 		opt:      opt,
 		log:      opt.Logger.WithName("balancer"),
 		opened:   metrics.GetOrRegisterCounter("upstream_connections_opened", opt.Metrics),
+		limits:   metrics.GetOrRegisterCounter("upstream_limit_changes", opt.Metrics),
 		services: make(map[string]*service),
 		conns:    make(map[string]*upstreamConns),
 		running:  make(map[uint64]struct{}),
@@ -337,26 +339,31 @@
 	b := l.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.applyNotice(l.Upstream, n, record.HostID(b.opt.Host), time.Now()) {
+	if b.applyNotice(l.Upstream, n, record.HostID(b.opt.Host), time.Now()).Leaving {
 		b.opt.Broadcast(gossip.Event{Kind: gossip.Leaving, Seq: l.attempt.Seq, Upstream: gossip.UpstreamHash(l.Upstream)})
 	}
 }
 
-// applyNotice applies a notice that a host has received, and reports whether it is the
-// first that the upstream is leaving. The caller holds mu.
-func (b *Balancer) applyNotice(up catalog.Upstream, n balance.Notice, by record.HostID, now time.Time) bool {
+// applyNotice applies a notice that a host has received, and returns what was not known
+// before. The caller holds mu.
+func (b *Balancer) applyNotice(up catalog.Upstream, n balance.Notice, by record.HostID, now time.Time) balance.News {
 	s, ok := b.services[up.Service]
 	if !ok {
-		return false
+		return balance.News{}
 	}
-	first := s.pool.ApplyNotice(up, n, now)
-	if first {
+	news := s.pool.ApplyNotice(up, n, now)
+	if news.Leaving {
 		b.log.Info("Upstream states that it is leaving.", "upstream", up.ID, "started", up.Started, "told_to", by)
 	}
 	if n.RetryAfter > 0 {
 		b.log.Info("Upstream asks for a pause.", "upstream", up.ID, "for", n.RetryAfter)
 	}
-	return first
+	if news.Limit {
+		b.limits.Inc(1)
+		b.log.Info("Upstream changes its limit.", "upstream", up.ID, "limited", n.Limit.State == balance.LimitPresent,
+			"per_second", n.Limit.PerSecond, "told_to", by)
+	}
+	return news
 }
 
 // apply applies an event of a request at the upstream with an ID.
