Keep all hosts together within the limit that an upstream states

What callers saw: nothing at first; an upstream in need got two or three times the requests that it takes, and would have failed or slowed those that it ran.

Cause: the limit was in every answer of the upstream and no code read it (the first hypothesis; with the limit logged, the reproduction behaves the same). Class: a statement of an upstream about itself that has no effect here, and that binds all hosts together.

Change: a token bucket for each limited upstream that no host owns. Each host takes a token for each request of its own and for each that gossip reports; random thresholds keep hosts from using the same token. If all upstreams are at their limits, a request waits for the next token while its objective allows and is rejected at once otherwise. Statements of an upstream now also reach the serving hosts of other failure domains in a large fleet.

Ruled out: an equal part of the limit for each host leaves most of it unused, and an owner for each upstream needs a call for each request.

--- a/core/admission/shedding.go
+++ b/core/admission/shedding.go
@@ -13,10 +13,12 @@
 	Remaining time.Duration
 	// Retried is true if the caller retries after its request was shed.
 	Retried bool
-	// Wait is the time until the best upstream would start on the request. Read is
-	// the time from then to the start of the answer.
-	Wait time.Duration
-	Read time.Duration
+	// Delay is the time for which this host would hold the request until the upstream's
+	// limit allows it. Wait is the time from then until the best upstream would start on
+	// the request. Read is the time from then to the start of the answer.
+	Delay time.Duration
+	Wait  time.Duration
+	Read  time.Duration
 	// Generate is the time from the start to the end of the answer.
 	Generate time.Duration
 }
@@ -46,6 +48,9 @@
 	minRetryAfterFactor = 0.5
 )
 
+// maxDelay bounds the delay of requests without an objective or a timeout.
+const maxDelay = 2 * time.Second
+
 const (
 	// outageMinShare and outageMaxShare bound the retry after an outage of the log, as
 	// shares of the remaining time. Outages last for seconds, so that an early retry
@@ -69,22 +74,13 @@
 
 // ShouldShed reports whether to shed a request, and the time after which the caller
 // should retry. random is a random number in [0, 1) that spreads the retries. Requests
-// without an objective are not shed.
+// without an objective are not shed, unless this host would hold them for long.
 //
 // Shedding keeps answers in time when all upstreams are overloaded. Requests that
 // would start too late take time from those that could still start in time, so that
 // no request is in time. A request that can start in time is admitted at any load.
 func ShouldShed(a Arrival, random float64) (shed bool, retryAfter time.Duration) {
-	if a.Objective <= 0 {
-		return false, 0
-	}
-	share := max(minWaitShare, waitShare-rankStep*float64(a.Rank))
-	if a.Retried {
-		share += retriedShare
-	}
-	maxWait := time.Duration(share * float64(a.Objective))
-	finishes := a.Remaining <= 0 || a.Wait+a.Read+a.Generate <= a.Remaining
-	if a.Wait <= maxWait && finishes {
+	if a.startsInTime() && a.finishesInTime() {
 		return false, 0
 	}
 	maxRetryAfter := defaultRetryAfter
@@ -94,3 +90,24 @@
 	factor := minRetryAfterFactor + (1-minRetryAfterFactor)*random
 	return true, max(minRetryAfter, time.Duration(factor*float64(maxRetryAfter)))
 }
+
+// startsInTime reports whether the request waits no longer than its objective allows.
+func (a *Arrival) startsInTime() bool {
+	if a.Objective <= 0 {
+		return a.Delay <= maxDelay
+	}
+	share := max(minWaitShare, waitShare-rankStep*float64(a.Rank))
+	if a.Retried {
+		share += retriedShare
+	}
+	return a.Delay+a.Wait <= time.Duration(share*float64(a.Objective))
+}
+
+// finishesInTime reports whether the answer would end before the caller leaves. Without a
+// delay, a request without an objective is sent in any case.
+func (a *Arrival) finishesInTime() bool {
+	if a.Remaining <= 0 || a.Objective <= 0 && a.Delay == 0 {
+		return true
+	}
+	return a.Delay+a.Wait+a.Read+a.Generate <= a.Remaining
+}
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -50,6 +50,8 @@
 	// the estimated time to read the prompt.
 	Wait time.Duration
 	Read time.Duration
+	// Delay is the time until the upstream's limit allows the request to be sent.
+	Delay time.Duration
 	// Generate is the estimated time from the start to the end of the answer.
 	Generate time.Duration
 	// Cached is the number of prompt tokens that are probably in its cache.
@@ -108,6 +110,8 @@
 	ordered []*upstreamState
 	// requests holds the running requests of each host, with the IDs of their upstreams.
 	requests map[string]map[AttemptID]string
+	// limitDomains is set by SetLimitDomains.
+	limitDomains []string
 	// latencyFactor is the learned ratio of the measured time to the start of an
 	// answer to its estimate.
 	latencyFactor float64
@@ -238,21 +242,33 @@
 	return sum / float64(len(upstreams))
 }
 
+// candidates returns the upstreams that take a request now: those that were not tried for
+// it, or else those that were. If all are at their limits, it returns the one that takes a
+// request first.
 func (p *Pool) candidates(exclude []string, now time.Time) []*upstreamState {
-	var untried, tried []*upstreamState
+	var untried, tried, first []*upstreamState
+	firstDelay := time.Duration(0)
 	for _, u := range p.ordered {
+		delay := u.limit.delay(now)
 		switch {
-		case u.isLeaving() || now.Before(u.pausedUntil):
+		case !u.open(now):
+		case delay > 0:
+			if first == nil || delay < firstDelay {
+				first, firstDelay = []*upstreamState{u}, delay
+			}
 		case slices.Contains(exclude, u.up.ID):
 			tried = append(tried, u)
 		default:
 			untried = append(untried, u)
 		}
 	}
-	if len(untried) == 0 {
+	switch {
+	case len(untried) > 0:
+		return untried
+	case len(tried) > 0:
 		return tried
 	}
-	return untried
+	return first
 }
 
 // cached returns the number of prompt tokens in the upstream's cache. At least one token
@@ -262,7 +278,7 @@
 }
 
 func (p *Pool) estimate(u *upstreamState, work *Work, keys []uint64, source *upstreamState, fetchable int64, now time.Time) Choice {
-	c := Choice{Upstream: u.up, Running: len(u.running)}
+	c := Choice{Upstream: u.up, Running: len(u.running), Delay: u.limit.delay(now)}
 	if work == nil {
 		return c
 	}
--- a/core/balance/notice.go
+++ b/core/balance/notice.go
@@ -58,7 +58,10 @@
 	if until := now.Add(n.RetryAfter); until.After(u.pausedUntil) {
 		u.pausedUntil = until
 	}
-	news := News{Leaving: n.Leaving && !u.leaving, Limit: u.limit.apply(n.Limit)}
+	news := News{Leaving: n.Leaving && !u.leaving, Limit: u.limit.apply(n.Limit, now, p.rng)}
+	if news.Limit {
+		p.shareLimit(u, now)
+	}
 	u.leaving = u.leaving || n.Leaving
 	return news
 }
--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -62,6 +62,30 @@
 	return near
 }
 
+// LimitGroup returns the hosts that a host tells of its requests to upstreams that have a
+// limit, and of what upstreams state about themselves: all hosts, and in a large fleet those
+// of its failure domain. Unlike [GossipTargets] it includes hosts that serve few requests.
+func LimitGroup(self Host, hosts []Host) []Host {
+	if len(hosts) < maxFullGossip {
+		return hosts
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.FailureDomain != self.FailureDomain })
+}
+
+// LimitDomains returns the failure domains, in order, that are a [LimitGroup] each, or nil
+// if all hosts are one group.
+func LimitDomains(self Host, hosts []Host) []string {
+	if len(hosts) < maxFullGossip {
+		return nil
+	}
+	domains := []string{self.FailureDomain}
+	for _, h := range hosts {
+		domains = append(domains, h.FailureDomain)
+	}
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
+
 // Lenders returns hosts in the order in which to ask them for a part of a budget: first
 // those with access to the log, which can claim more, then those that serve callers, then
 // those with more cores. In a large fleet most hosts hold no part of any budget. shuffle has
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -77,6 +77,8 @@
 	recentLeases float64
 	// running holds the sequence numbers of this host's leases that have not ended.
 	running map[uint64]struct{}
+	// limitDomains is set by SetLimitDomains.
+	limitDomains []string
 }
 
 // service is the state of one service.
@@ -145,8 +147,10 @@
 		engine = *svc.Engine
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	pool := balance.NewPool(b.opt.FailureDomain, engine, rng)
+	pool.SetLimitDomains(b.limitDomains, time.Now())
 	return &service{
-		pool:    balance.NewPool(b.opt.FailureDomain, engine, rng),
+		pool:    pool,
 		retries: admission.NewFleetRetryBudget(b.opt.Retries(), time.Now()),
 	}
 }
@@ -188,7 +192,8 @@
 	balancer *Balancer
 	service  string
 	attempt  balance.AttemptID
-	pickedAt time.Time
+	// startsAt is when the upstream's limit allows the request to be sent.
+	startsAt time.Time
 
 	mu         sync.Mutex
 	started    bool
@@ -199,10 +204,10 @@
 
 // ShedError reports that a request was shed because its service is overloaded.
 type ShedError struct {
-	// Wait, Read and Generate are the estimated times at the best upstream: until it
-	// starts on the request, from then to the start of the answer, and from there to
-	// the end of the answer.
-	Wait, Read, Generate time.Duration
+	// Delay is the time until the limit of the best upstream allows the request. Wait,
+	// Read and Generate are the estimated times there: until it starts on the request,
+	// from then to the start of the answer, and from there to the end of the answer.
+	Delay, Wait, Read, Generate time.Duration
 	// Remaining is the time until the caller leaves.
 	Remaining time.Duration
 	// RetryAfter is the time after which the caller should retry.
@@ -212,7 +217,7 @@
 // Error implements error.
 func (e *ShedError) Error() string {
 	return fmt.Sprintf("balancer: the best upstream begins in %v, reads for %v and answers for %v, with %v left",
-		e.Wait.Round(time.Millisecond), e.Read.Round(time.Millisecond), e.Generate.Round(time.Millisecond), e.Remaining.Round(time.Millisecond))
+		(e.Delay + e.Wait).Round(time.Millisecond), e.Read.Round(time.Millisecond), e.Generate.Round(time.Millisecond), e.Remaining.Round(time.Millisecond))
 }
 
 // PausedError reports that all upstreams of a service have asked this host to pause.
@@ -267,7 +272,7 @@
 		return nil, ErrNoUpstream
 	}
 	b.seq++
-	l := &Lease{Choice: choice, Conns: conns.pool, balancer: b, service: service, pickedAt: now,
+	l := &Lease{Choice: choice, Conns: conns.pool, balancer: b, service: service, startsAt: now.Add(choice.Delay),
 		attempt: balance.AttemptID{Host: b.opt.Host, Run: b.opt.Run, Seq: b.seq}}
 	b.running[b.seq] = struct{}{}
 	b.recentLeases = b.recentAt(now) + 1
@@ -277,9 +282,43 @@
 		Kind: gossip.Begun, Seq: b.seq, Upstream: gossip.UpstreamHash(choice.Upstream),
 		Begun: &gossip.RequestInfo{ReadMillis: uint32(choice.Read.Milliseconds()), Work: q.Work},
 	})
+	if s.pool.TakeToken(choice.Upstream.ID, now) {
+		b.opt.Broadcast(gossip.Event{Kind: gossip.TokenTaken, Seq: b.seq, Upstream: gossip.UpstreamHash(choice.Upstream)})
+	}
 	return l, nil
 }
 
+// AwaitStart waits until the upstream's limit allows the request to be sent. It returns
+// false if ctx ends before, or if the upstream takes no requests any more.
+func (l *Lease) AwaitStart(ctx context.Context) bool {
+	if l.Delay <= 0 {
+		return true
+	}
+	timer := time.NewTimer(time.Until(l.startsAt))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	}
+	b := l.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.services[l.service]
+	return ok && s.pool.Accepts(l.Upstream, time.Now())
+}
+
+// SetLimitDomains sets the failure domains among which the limits of upstreams are divided,
+// or nil if all hosts share them.
+func (b *Balancer) SetLimitDomains(domains []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limitDomains = domains
+	for _, s := range b.services {
+		s.pool.SetLimitDomains(domains, time.Now())
+	}
+}
+
 // rateWindow is the time over which the rate of leases is averaged.
 const rateWindow = 5 * time.Second
 
@@ -316,8 +355,8 @@
 		if !ok {
 			continue // not listed here yet, or removed
 		}
-		if e.Kind == gossip.Leaving {
-			b.applyNotice(c.up, balance.Notice{Leaving: true}, m.Host, now)
+		if n, ok := e.Notice(); ok {
+			b.applyNotice(c.up, n, m.Host, now)
 			continue
 		}
 		if s, ok := b.services[c.up.Service]; ok {
@@ -331,7 +370,7 @@
 }
 
 // ApplyNotice applies what the upstream has stated in its answer. The other hosts are told
-// if it is leaving.
+// if it is leaving or changes its limit.
 func (l *Lease) ApplyNotice(n balance.Notice) {
 	if n == (balance.Notice{}) {
 		return
@@ -339,9 +378,13 @@
 	b := l.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.applyNotice(l.Upstream, n, record.HostID(b.opt.Host), time.Now()).Leaving {
+	news := b.applyNotice(l.Upstream, n, record.HostID(b.opt.Host), time.Now())
+	if news.Leaving {
 		b.opt.Broadcast(gossip.Event{Kind: gossip.Leaving, Seq: l.attempt.Seq, Upstream: gossip.UpstreamHash(l.Upstream)})
 	}
+	if news.Limit {
+		b.opt.Broadcast(gossip.LimitEvent(l.Upstream, n.Limit))
+	}
 }
 
 // applyNotice applies a notice that a host has received, and returns what was not known
@@ -371,6 +414,8 @@
 	switch {
 	case e.Kind == gossip.Begun && e.Begun != nil:
 		s.pool.Begin(attempt, id, e.Begun.Work, time.Duration(e.Begun.ReadMillis)*time.Millisecond, now)
+	case e.Kind == gossip.TokenTaken:
+		s.pool.TakeToken(id, now)
 	case e.Kind == gossip.FirstEvent:
 		s.pool.FirstEvent(attempt, id, now)
 	case e.Kind == gossip.Stalled:
@@ -453,7 +498,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s, ok := b.services[l.service]; ok {
-		s.pool.ObserveLatency(l.Choice, time.Since(l.pickedAt))
+		s.pool.ObserveLatency(l.Choice, time.Since(l.startsAt))
 	}
 }
 
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -4,7 +4,9 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -35,13 +37,44 @@
 	Stalled EventKind = 4
 	// Leaving means that the upstream states in an answer that it will stop.
 	Leaving EventKind = 5
+	// Limited means that the upstream states a limit in an answer, Unlimited that it has
+	// none any more.
+	Limited   EventKind = 6
+	Unlimited EventKind = 7
+	// TokenTaken means that a request was sent to an upstream that has a limit.
+	TokenTaken EventKind = 8
 )
 
+// audience is the set of hosts to which an event matters.
+type audience int
+
+const (
+	// servingHosts are those that have served requests recently.
+	servingHosts audience = iota
+	// limitGroup are those that share a part of an upstream's limit.
+	limitGroup
+	// anyHosts are both: the next request to an upstream may come from any of them.
+	anyHosts
+	audiences
+)
+
+func (k EventKind) audience() audience {
+	switch k {
+	case TokenTaken:
+		return limitGroup
+	case Leaving, Limited, Unlimited:
+		return anyHosts
+	}
+	return servingHosts
+}
+
 // Event is one event of a request that this host has sent to an upstream.
 type Event struct {
 	_    struct{} `cbor:",toarray"`
 	Kind EventKind
-	Seq  uint64
+	// Seq is the number of the request. If Kind is Limited, it is the limit in requests
+	// per 1,000 s, so that hosts of earlier versions can read the event.
+	Seq uint64
 	// Upstream is the [UpstreamHash] of the upstream.
 	Upstream uint32
 	// Outcome is set if Kind is Ended.
@@ -50,6 +83,33 @@
 	Begun *RequestInfo
 }
 
+// limitUnit is the unit of a limit in an event, in requests per second.
+const limitUnit = 0.001
+
+// LimitEvent returns the event for a limit that an upstream has stated or lifted.
+func LimitEvent(up catalog.Upstream, limit balance.Limit) Event {
+	e := Event{Kind: Unlimited, Upstream: UpstreamHash(up)}
+	if limit.State == balance.LimitPresent {
+		e.Kind = Limited
+		e.Seq = uint64(min(limit.PerSecond/limitUnit, math.MaxInt64))
+	}
+	return e
+}
+
+// Notice returns what an upstream has stated to the sender of the event, or false if the
+// event is about a request.
+func (e Event) Notice() (balance.Notice, bool) {
+	switch e.Kind {
+	case Leaving:
+		return balance.Notice{Leaving: true}, true
+	case Limited:
+		return balance.Notice{Limit: balance.Limit{State: balance.LimitPresent, PerSecond: float64(e.Seq) * limitUnit}}, true
+	case Unlimited:
+		return balance.Notice{Limit: balance.Limit{State: balance.LimitAbsent}}, true
+	}
+	return balance.Notice{}, false
+}
+
 // RequestInfo describes a request that was sent.
 type RequestInfo struct {
 	_ struct{} `cbor:",toarray"`
@@ -107,6 +167,9 @@
 	// request that has not ended.
 	State  func() roster.State
 	Oldest func() uint64
+	// LimitDomains is called, before each heartbeat, with the result of
+	// [roster.LimitDomains].
+	LimitDomains func([]string)
 	// Receive applies a message of another host.
 	Receive func(*Message)
 	Logger  logr.Logger
@@ -196,22 +259,26 @@
 	if from < 0 {
 		return // The sender is not listed here yet.
 	}
-	others := slices.DeleteFunc(slices.Clone(receivers(peers, m.Events)), func(h roster.Host) bool { return h.ID == m.Host })
-	g.send(conn, m, roster.GossipTargets(peers[from], others))
-}
-
-// receivers returns the hosts to which events matter: those that have served requests
-// recently, or all hosts if an upstream is leaving, because its next request may come from
-// any of them.
-func receivers(hosts []roster.Host, events []Event) []roster.Host {
-	if needsAllHosts(events) {
-		return hosts
+	others := slices.DeleteFunc(slices.Clone(peers), func(h roster.Host) bool { return h.ID == m.Host })
+	to := servingHosts
+	if len(m.Events) > 0 {
+		to = m.Events[0].Kind.audience() // those of a message have the same audience
 	}
-	return activeHosts(hosts)
+	g.send(conn, m, receivers(peers[from], others, to))
 }
 
-func needsAllHosts(events []Event) bool {
-	return slices.ContainsFunc(events, func(e Event) bool { return e.Kind == Leaving })
+// receivers returns the hosts that receive the events of a host for an audience.
+func receivers(from roster.Host, hosts []roster.Host, to audience) []roster.Host {
+	if to == servingHosts {
+		return roster.GossipTargets(from, activeHosts(hosts))
+	}
+	group := roster.LimitGroup(from, hosts)
+	if to == limitGroup || len(group) == len(hosts) {
+		return group
+	}
+	all := slices.Concat(group, roster.GossipTargets(from, activeHosts(hosts)))
+	slices.SortFunc(all, func(a, b roster.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.CompactFunc(all, func(a, b roster.Host) bool { return a.ID == b.ID })
 }
 
 // activeHosts returns the hosts that have served requests recently.
@@ -242,6 +309,7 @@
 // targets among the active hosts.
 func (g *Gossip) chooseTargets() {
 	g.eventTargets = roster.GossipTargets(g.opt.Self, activeHosts(g.opt.Peers()))
+	g.opt.LimitDomains(roster.LimitDomains(g.opt.Self, g.opt.Peers()))
 	g.relayFor, g.hasRelay = roster.RelayFor(g.opt.Self, g.opt.Alive())
 }
 
@@ -252,24 +320,28 @@
 	events := g.pending
 	g.pending = nil
 	g.mu.Unlock()
-	for len(events) > 0 {
-		n := min(len(events), maxEvents)
-		m := g.message(events[:n])
+	for to := range audiences {
+		g.sendBatches(conn, to, slices.DeleteFunc(slices.Clone(events), func(e Event) bool { return e.Kind.audience() != to }))
+	}
+}
+
+func (g *Gossip) sendBatches(conn net.PacketConn, to audience, events []Event) {
+	for batch := range slices.Chunk(events, maxEvents) {
+		m := g.message(batch)
 		m.PassOn = g.hasRelay
-		g.send(conn, m, g.targets(m.Events))
-		events = events[n:]
+		g.send(conn, m, g.targets(to))
 	}
 }
 
 // targets returns the hosts to which this host itself sends events.
-func (g *Gossip) targets(events []Event) []roster.Host {
-	if g.hasRelay {
+func (g *Gossip) targets(to audience) []roster.Host {
+	switch {
+	case g.hasRelay:
 		return []roster.Host{g.relayFor}
+	case to == servingHosts:
+		return g.eventTargets
 	}
-	if needsAllHosts(events) {
-		return roster.GossipTargets(g.opt.Self, g.opt.Peers())
-	}
-	return g.eventTargets
+	return receivers(g.opt.Self, g.opt.Peers(), to)
 }
 
 // sendHeartbeats sends the heartbeats that are due. While this host serves requests, the
--- a/fleet/gossip/gossip_test.go
+++ b/fleet/gossip/gossip_test.go
@@ -52,7 +52,7 @@
 		h.gossip = New(Options{
 			Self: h.self, Peers: func() []roster.Host { return peers }, Alive: func() []roster.Host { return peers },
 			Heartbeats: func() []roster.Heartbeat { return nil }, State: func() roster.State { return h.self.State },
-			Oldest: func() uint64 { return 1 }, Receive: h.receive, Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
+			Oldest: func() uint64 { return 1 }, LimitDomains: func([]string) {}, Receive: h.receive, Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
 		})
 		wg.Go(func() { _ = h.gossip.Run(ctx, &countingConn{PacketConn: h.conn, host: h}) })
 	}
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -138,9 +138,9 @@
 var errNotAccepted = errors.New("no upstream accepted the request")
 
 // admit sheds the request if the chosen upstream would start on it too late. A request
-// that was sent before is not shed.
+// that can be sent at once is not shed if it was sent before or its upstream is no engine.
 func (c *call) admit(choice balance.Choice) error {
-	if c.req.Work == nil || len(c.tried) > 0 {
+	if choice.Delay == 0 && (c.req.Work == nil || len(c.tried) > 0) {
 		return nil
 	}
 	remaining := c.timeout() - time.Since(c.req.Arrived)
@@ -149,6 +149,7 @@
 		Objective: c.route.Objective,
 		Remaining: remaining,
 		Retried:   c.retried,
+		Delay:     choice.Delay,
 		Wait:      choice.Wait,
 		Generate:  choice.Generate,
 		Read:      choice.Read,
@@ -156,7 +157,7 @@
 	if !shed {
 		return nil
 	}
-	return &balancer.ShedError{Wait: choice.Wait, Read: choice.Read, Generate: choice.Generate, Remaining: remaining, RetryAfter: retryAfter}
+	return &balancer.ShedError{Delay: choice.Delay, Wait: choice.Wait, Read: choice.Read, Generate: choice.Generate, Remaining: remaining, RetryAfter: retryAfter}
 }
 
 // reserveWait bounds the wait for a reservation. It allows for a few calls to the log.
@@ -322,6 +323,10 @@
 
 // send makes one attempt, forwards the answer and reports the outcome to the balancer.
 func (c *call) send(ctx context.Context, lease *balancer.Lease) sendResult {
+	if !lease.AwaitStart(ctx) {
+		lease.End(balance.Neutral)
+		return resultNotSent
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	lease.OnStall(c.stallAfter(lease), func() {
@@ -389,7 +394,7 @@
 	resp, err := lease.Conns.Send(ctx, out)
 	result := c.receive(resp, err, lease)
 	c.r.logFor(result != resultAnswered).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID,
-		"wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
+		"delay", lease.Delay, "wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
 	return result
 }
 
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -202,7 +202,7 @@
 	})
 	h.gossip = gossip.New(gossip.Options{
 		Self: h.self, Peers: h.hosts.peers, Heartbeats: h.hosts.heartbeats, Alive: h.hosts.others, State: h.state, Oldest: h.balancer.OldestRunning,
-		Receive: h.receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+		LimitDomains: h.balancer.SetLimitDomains, Receive: h.receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
 		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.table.current.Load, Balancer: h.balancer, Reserver: h.budgets,
