Don't take an earlier run's claims for one's own after a second restore

Seen: TestRandomRestoresDoNotOverspend/102 failed once beside other work, 462,619 tokens spent of 460,000; then 1 of some hundred runs of that history (goroutine order decides).

Cause: epochs are chosen after the newest record that is known, so a run that begins on an older copy of the log gets an epoch that a run of the lost history had too. When a later copy came back, the run took that one's host record for its own and confirmed the era as if nothing was missing.

Change: missed eras are taken over once, at the first read; in a new era all claims under the host's name are ignored, as they count as missed; a late write of an earlier run can't lower what is known; a fenced run takes an epoch above all that it knows.

Before and after: TestClaimsOfAnEarlierRunInALaterCopyStayUnconfirmed 565,000 of 400,000, now within it.

--- a/core/escrow/eras.go
+++ b/core/escrow/eras.go
@@ -44,7 +44,7 @@
 
 // missed returns the number of eras up to the given one after which the claims of a host
 // may be higher than its records show. A host that closed had given back its allocations.
-func (h *HostRecord) missed(era platform.Era) uint64 {
+func (h HostRecord) missed(era platform.Era) uint64 {
 	missed := h.Missed
 	if era > h.Era && !h.Closed {
 		missed += uint64(era - h.Era)
@@ -52,14 +52,13 @@
 	return missed
 }
 
-// Confirm returns the record of a host that writes all of its claims in an era. survived is
-// true if the newest record is of the same run, which then knows all claims of the host.
-func (h HostRecord) Confirm(epoch, seq uint64, era platform.Era, survived bool) HostRecord {
-	next := HostRecord{Host: h.Host, Epoch: epoch, Seq: seq, Era: era, Missed: h.Missed}
-	if !survived && h.Epoch > 0 {
-		next.Missed = h.missed(era)
+// NextMissed returns the value of Missed for the next run of the host, which begins in an
+// era and reads h as the newest record of the runs before.
+func (h HostRecord) NextMissed(era platform.Era) uint64 {
+	if h.Epoch == 0 {
+		return 0
 	}
-	return next
+	return h.missed(era)
 }
 
 // growthLimit returns the amount by which one run of a host may raise its claim on a budget
--- a/core/escrow/eras_test.go
+++ b/core/escrow/eras_test.go
@@ -15,10 +15,10 @@
 	const prepaid = 1_000_000
 	bound := record.Tokens(runsPerCopyAge) * growthLimit(prepaid)
 	table := NewClaimTable()
-	first := HostRecord{Host: "h1"}.Confirm(1, 1, 4, false)
+	first := HostRecord{Host: "h1", Epoch: 1, Seq: 1, Era: 4}
+	require.Zero(t, HostRecord{Host: "h1"}.NextMissed(4), "nothing ran before")
 	table.PutHost(first)
-	closed := HostRecord{Host: "h2"}.Confirm(1, 1, 4, false)
-	closed.Closed = true
+	closed := HostRecord{Host: "h2", Epoch: 1, Seq: 1, Era: 4, Closed: true}
 	table.PutHost(closed)
 	table.SetEra(4)
 	require.Zero(t, table.Unconfirmed(prepaid))
@@ -26,17 +26,19 @@
 	require.Equal(t, 2*bound, table.Unconfirmed(prepaid))
 
 	// The run goes on and writes its claims again.
-	table.PutHost(first.Confirm(2, 1, 6, true))
+	table.PutHost(HostRecord{Host: "h1", Epoch: 2, Seq: 1, Era: 6})
 	require.Zero(t, table.Unconfirmed(prepaid))
 	table.PutHost(first)
 	require.Zero(t, table.Unconfirmed(prepaid), "an older record has no effect")
 
 	// Its successor can't know what was lost before it began.
 	table.SetEra(7)
-	next := table.HostRecord("h1").Confirm(3, 1, 7, false)
+	last := table.HostRecord("h1")
+	next := HostRecord{Host: "h1", Epoch: 3, Seq: 1, Era: 7, Missed: last.NextMissed(7)}
 	table.PutHost(next)
 	require.Equal(t, bound, table.Unconfirmed(prepaid))
-	table.PutHost(next.Confirm(3, 9, 7, true))
+	next.Seq = 9
+	table.PutHost(next)
 	require.Equal(t, bound, table.Unconfirmed(prepaid))
 }
 
--- a/fleet/allocation/claims.go
+++ b/fleet/allocation/claims.go
@@ -94,11 +94,11 @@
 	m.claims.SetEra(next.Era)
 	rewound := m.epoch > 0 && next.Era > m.next.Era
 	if rewound {
-		m.beginEra()
-		records = slices.DeleteFunc(records, m.isOwnClaim)
+		records = slices.DeleteFunc(records, m.isHostClaim)
 	}
 	m.applySnapshot(records)
 	if rewound {
+		m.beginEra()
 		m.logEra(next)
 	}
 	m.next = next
@@ -111,7 +111,7 @@
 			m.log.Info("The run before has crashed; cover is kept small.", "cover", m.policy.OutageCover)
 		}
 		m.epoch = m.claims.Epoch(m.opt.Host) + 1
-		m.firstEpoch = m.epoch
+		m.missedEras = m.claims.HostRecord(m.opt.Host).NextMissed(next.Era)
 		for _, c := range m.claims.HostClaims(m.opt.Host) {
 			m.allocation(c.Budget).growth.Record(c.Total, m.readAt)
 		}
@@ -152,6 +152,11 @@
 		return
 	}
 	before := m.claims.HostClaim(c.Budget, c.Host).Total
+	if c.Host == m.opt.Host && m.epoch > 0 && c.Epoch > m.epoch {
+		// A late write of an earlier run, which began in an era that is lost. It knew
+		// nothing of what this run has claimed.
+		c.Total = max(c.Total, before)
+	}
 	if !m.claims.Put(*c) || c.Host != m.opt.Host || c.Epoch != m.epoch {
 		return
 	}
@@ -400,7 +405,7 @@
 	defer m.mu.Unlock()
 	// If the write did not take effect, the amounts it gave back count as spent.
 	m.write = nil
-	m.epoch++
+	m.epoch = max(m.epoch, m.claims.Epoch(m.opt.Host)) + 1
 	m.seq = 0
 	return cause
 }
--- a/fleet/allocation/eras.go
+++ b/fleet/allocation/eras.go
@@ -17,12 +17,13 @@
 	m.confirmed = false
 }
 
-// isOwnClaim reports whether a record is a claim of this run. After the log came back, the
-// run itself knows better: a pending write may have taken effect in the new era, and what
-// it claimed is not free. The caller holds mu.
-func (m *Manager) isOwnClaim(r platform.KeyedRecord) bool {
+// isHostClaim reports whether a record is a claim of this host. After the log came back, the
+// run knows its own claims better: a pending write may have taken effect in the new era, and
+// what it claimed is not free. The claims of earlier runs are not known exactly, whatever the
+// copy has of them; they count as missed eras.
+func (m *Manager) isHostClaim(r platform.KeyedRecord) bool {
 	c, _, err := escrow.Decode(r.Key, r.Value)
-	return err == nil && c != nil && c.Host == m.opt.Host && c.Epoch >= m.firstEpoch
+	return err == nil && c != nil && c.Host == m.opt.Host
 }
 
 // logEra logs what a new era changes for this host. The caller holds mu.
@@ -64,8 +65,7 @@
 // hostRecord returns the record in which this run confirms the era, in the write with a
 // sequence number. The caller holds mu.
 func (m *Manager) hostRecord(seq uint64) escrow.HostRecord {
-	last := m.claims.HostRecord(m.opt.Host)
-	return last.Confirm(m.epoch, seq, m.next.Era, last.Epoch >= m.firstEpoch)
+	return escrow.HostRecord{Host: m.opt.Host, Epoch: m.epoch, Seq: seq, Era: m.next.Era, Missed: m.missedEras}
 }
 
 // addHostRecord adds this run's host record to a write, unless it is written. The caller
--- a/fleet/allocation/eras_test.go
+++ b/fleet/allocation/eras_test.go
@@ -189,3 +189,38 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// The log comes back twice, first from a copy without the last claims of a run that has
+// ended, then from a later copy that has some of them. The next run of the host, which has
+// read the first copy, must not take them for its own: it can't know the rest.
+func TestClaimsOfAnEarlierRunInALaterCopyStayUnconfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 400_000, 61)
+		defer f.stopAll()
+		h, other := f.hosts[0], f.hosts[1]
+		restart := func() {
+			h.stop()
+			h.start(67)
+		}
+		time.Sleep(time.Second)
+		first := f.log.Copy()
+		restart()
+		spend := func(from *testHost, requests int) {
+			for range requests {
+				_ = from.spend(5000, 5000, time.Millisecond)
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		spend(h, 5)
+		later := f.log.Copy()
+		spend(h, 35)
+		f.log.Restore(first)
+		restart()
+		time.Sleep(6 * time.Millisecond) // the run has read the log and not yet written to it
+		f.log.Restore(later)
+		time.Sleep(2 * time.Second)
+		spend(other, 100)
+		spent, prepaid := f.balance()
+		require.LessOrEqual(t, spent, prepaid)
+	})
+}
--- a/fleet/allocation/manager.go
+++ b/fleet/allocation/manager.go
@@ -101,8 +101,9 @@
 	epoch uint64
 	seq   uint64
 	write *write
-	// firstEpoch is the first epoch of this run.
-	firstEpoch uint64
+	// missedEras is the number of eras in which earlier runs of this host may have claimed
+	// more than this run could read.
+	missedEras uint64
 	// confirmed is true once the host record of this run is written in the era of next.
 	confirmed bool
 	wake      chan struct{}
