Don't take a late copy of a rejection for the answer to another request

Seen elsewhere by operators: a second copy of an answer, late, on a connection in use again. Here answers with an ID were matched already, but two kinds of copy were believed: a rejection without an ID, and a second copy of the request's own earlier rejection when all upstreams had rejected it and one was asked again on the same connection. Both made a request that must run once run twice, and could have made "not run" untrue.

Change: on a reused connection an answer without an ID belongs to no request and is skipped; a request never goes twice over the same connection.

The price: a true rejection without an ID on a reused connection is waited out; the protocol has upstreams echo the ID.

--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -13,8 +13,9 @@
 
 // Dialect interprets the heads of upstreams' answers.
 type Dialect interface {
-	// Belongs reports whether an answer is to the request with an ID.
-	Belongs(resp *http.Response, requestID string) bool
+	// Belongs reports whether an answer is to the request with an ID. reused is true if
+	// the connection has carried other requests, whose answers may come twice.
+	Belongs(resp *http.Response, requestID string, reused bool) bool
 }
 
 // Request is a request as it is sent to an upstream.
@@ -27,8 +28,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// NewConn is true if the request needs a new connection, because the path may have
-	// lost the state of the idle ones.
+	// NewConn is true if the request needs a new connection: the path may have lost the
+	// state of the idle ones, or the request was sent on one of them before.
 	NewConn bool
 	// HasBody is false if the request has no body at all, not even an empty one.
 	HasBody bool
@@ -137,7 +138,7 @@
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if r.pool.opt.Dialect.Belongs(resp, req.ID) {
+		if r.pool.opt.Dialect.Belongs(resp, req.ID, r.conn.reused) {
 			r.Response = resp
 			return nil
 		}
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/admission"
@@ -38,6 +39,8 @@
 	reservation grants.Reservation
 	// stalled is true once an attempt was ended because its answer was long overdue.
 	stalled bool
+	// newConn is true if the next attempt needs a new connection.
+	newConn bool
 	// answered is true once the caller has a complete, successful answer that is not a
 	// stream.
 	answered bool
@@ -115,6 +118,7 @@
 			c.giveUp(ctx, err)
 			return
 		}
+		sentBefore := slices.Contains(c.tried, lease.Upstream.ID)
 		c.tried = append(c.tried, lease.Upstream.ID)
 		c.r.meters.observeWait(c.service, lease.Wait)
 		if sends > 0 {
@@ -123,6 +127,8 @@
 		if c.lastEventID != "" {
 			c.r.meters.resumes.Inc(1)
 		}
+		// A late copy of an earlier rejection has the request's ID too.
+		c.newConn = c.stalled || sentBefore
 		last = c.send(ctx, lease)
 		if last == resultAnswered {
 			return
@@ -384,7 +390,7 @@
 		Host:    c.req.Host,
 		Body:    c.req.Body,
 		HasBody: c.req.HasBody,
-		NewConn: c.stalled,
+		NewConn: c.newConn,
 		Header: c.r.opt.Dialect.Header(c.req, Attempt{
 			Account: account, Upstream: lease.Upstream, Remaining: remaining, ResumeAfter: c.lastEventID,
 			FetchFrom: lease.FetchFrom, Urgency: c.urgency(),
