Check whose answer it is before a gateway relays it

What callers can see: an upstream sends a second copy of an answer, late, on a connection that is in use again, and the next caller gets it. net/http matches answers to requests only by their order.

Change: an answer that names another request in Hazel-Request-Id counts as lost, and the idle connections are closed, as their answers may be out of step too.

Before and after: TestLateCopyOfAnAnswerIsNotRelayed got "answer to /a0" for /a1, now its own. Open: an upstream that names no request can't be checked over HTTP/1.1.

--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -174,6 +174,12 @@
 	}
 	defer resp.Body.Close()
 	a.idleTimer.touch()
+	if isForeignAnswer(req, resp) {
+		// The answers on the connection are out of step with the requests.
+		a.closeIdleConnections()
+		a.mayHaveStarted = true
+		return a.failLost(attemptResult{err: errForeignAnswer})
+	}
 	a.status = resp.StatusCode
 	a.load = dispatch.LoadFromHeader(resp.Header)
 	if resp.Header.Get(HeaderNotStarted) == "true" && !resuming {
@@ -196,6 +202,13 @@
 	return attemptResult{kind: resultAnswered, status: resp.StatusCode}
 }
 
+// isForeignAnswer reports whether an answer names another request than the one that was
+// sent. Upstreams need not name any.
+func isForeignAnswer(req *http.Request, resp *http.Response) bool {
+	id := resp.Header.Get(problem.HeaderRequestID)
+	return id != "" && id != req.Header.Get(problem.HeaderRequestID)
+}
+
 func (a *attempt) stopIdleTimer() {
 	a.idleTimer.stop()
 	if a.firstByteAt.IsZero() {
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -24,6 +24,7 @@
 	errCallerDisconnected = errors.New("the caller went away")
 	errDeadline           = errors.New("the deadline has passed")
 	errUpstreamSilent     = errors.New("the upstream fell silent")
+	errForeignAnswer      = errors.New("the upstream sent the answer to another request")
 )
 
 // work is the part of a run that differs between model requests and plain calls.
