Pin how slow and stalled streams end

Operators elsewhere saw slow but sound streams cut, and stalled ones that sent a byte now and then go on for good. Neither can happen here: on the platform only the route's and the caller's timeouts end a stream, and the chat gateway ends one at the request's timeout, whatever trickles in.

--- a/fleet/gateway/resume_test.go
+++ b/fleet/gateway/resume_test.go
@@ -21,6 +21,7 @@
 	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
 	"github.com/hazelworks/hazelworks/fleet/peer/peerpb/peerpbconnect"
 	"github.com/hazelworks/hazelworks/fleet/request"
+	"github.com/hazelworks/hazelworks/fleet/stream"
 	"github.com/hazelworks/hazelworks/standin/engine"
 	"github.com/hazelworks/hazelworks/standin/memnet"
 )
@@ -433,3 +434,27 @@
 		require.NoError(t, <-drained)
 	})
 }
+
+// An upstream that sends comments but no event is not silent. Its stream ends with the
+// request's timeout, and one that is slow but sound does not end before.
+func TestStalledStreamWithCommentsEndsAtTheRequestTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := modelFixture(t, Limits{}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", stream.ContentType)
+			for r.Context().Err() == nil {
+				_, _ = io.WriteString(w, ": wait\n\n")
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(time.Second)
+			}
+		}))
+		began := time.Now()
+		resp := f.send(f.client, chat("r1", chatBody("3", false)))
+		require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+		require.Equal(t, time.Minute, time.Since(began))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine.Options{TokenInterval: 2900 * time.Millisecond}, Limits{})
+		got := readEvents(t, f.send(f.client, chat("r1", chatBody("20", true))), 0)
+		got.requireComplete(t, 0)
+	})
+}
