Answer the requests that have arrived before a stop closes connections

Seen elsewhere by operators: during a planned stop under load, requests that had just been accepted were cut off without an answer. Here in two ways.

A connection that was accepted while a new configuration changed the limits was closed: it waited for an HTTP server whose queue was being replaced. 2. net/http's Shutdown closes connections by its own state, which becomes active only after the head of a request was read. A request whose bytes had arrived was cut.

Change: an accepted connection moves on to the server with the new limits. A server that shuts down takes the connections that are open already, stops listening, and closes each connection once no byte of a request has arrived on it.

--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -29,7 +29,11 @@
 	limits      Limits
 	current     *generation
 	generations []*generation
+	listener    net.Listener
 	closed      bool
+	// accepted is closed once no connections are accepted any more.
+	accepted chan struct{}
+	conns    map[*trackedConn]struct{}
 }
 
 // generation is an HTTP server with one set of limits.
@@ -40,7 +44,7 @@
 
 // New returns a server; onError is called with errors of accepting and serving connections.
 func New(handler http.Handler, limits Limits, onError func(error)) *Server {
-	s := &Server{handler: handler, onError: onError}
+	s := &Server{handler: handler, onError: onError, accepted: make(chan struct{}), conns: make(map[*trackedConn]struct{})}
 	s.SetLimits(limits)
 	return s
 }
@@ -59,6 +63,7 @@
 			ReadHeaderTimeout: l.HeaderTimeout,
 			IdleTimeout:       l.IdleTimeout,
 			MaxHeaderBytes:    l.HeaderBytes,
+			ConnState:         s.trackState,
 		},
 		conns: newConnQueue(),
 	}
@@ -75,44 +80,141 @@
 	}()
 }
 
-// Serve accepts connections until the listener is closed. It then returns nil.
+// Serve accepts connections until the listener is closed or the server shuts down. It then
+// returns nil.
 func (s *Server) Serve(l net.Listener) error {
+	defer close(s.accepted)
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
 	for {
 		c, err := l.Accept()
-		if err != nil {
-			var temporary net.Error
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
-			}
-			if errors.Is(err, net.ErrClosed) {
+		if err == nil {
+			s.serveConn(c)
+			continue
+		}
+		var temporary net.Error
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.As(err, &temporary) && temporary.Timeout():
+			if s.isClosed() {
+				_ = l.Close()
 				return nil
 			}
+		default:
 			s.onError(err)
 			time.Sleep(acceptRetry)
-			continue
 		}
+	}
+}
+
+// serveConn passes a connection to the server with the current limits. These may change
+// meanwhile.
+func (s *Server) serveConn(c net.Conn) {
+	tracked := newTrackedConn(c)
+	for {
 		s.mu.Lock()
 		g := s.current
 		s.mu.Unlock()
-		g.conns.push(c)
+		if g.conns.push(tracked) {
+			return
+		}
+		s.mu.Lock()
+		ended := s.current == g
+		s.mu.Unlock()
+		if ended {
+			_ = c.Close()
+			return
+		}
 	}
 }
 
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // acceptRetry is the pause after a failed accept. If there are no free descriptors, some
 // are released in that time.
 const acceptRetry = 20 * time.Millisecond
 
-// Shutdown closes idle connections and waits until the others are idle or ctx ends.
+const (
+	// acceptDrain is the time in which a server that shuts down still accepts the
+	// connections that callers have opened before.
+	acceptDrain = 20 * time.Millisecond
+	// shutdownPoll is the time between two looks for connections that have become idle.
+	shutdownPoll = 5 * time.Millisecond
+)
+
+// Shutdown stops accepting, answers the requests that have arrived, and closes each
+// connection once it is idle. It returns the cause of ctx if ctx ends before.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.closed = true
-	generations := s.generations
+	listener := s.listener
 	s.mu.Unlock()
-	var failures []error
-	for _, g := range generations {
-		failures = append(failures, g.server.Shutdown(ctx))
+	if listener != nil {
+		stopAccepting(listener)
+		select {
+		case <-s.accepted:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	tick := time.NewTicker(shutdownPoll)
+	defer tick.Stop()
+	for s.closeIdle(time.Now()) > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	s.Close()
+	return nil
+}
+
+// stopAccepting makes a listener fail once it has returned the connections that are open.
+func stopAccepting(l net.Listener) {
+	if d, ok := l.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Now().Add(acceptDrain)) == nil {
+		return
+	}
+	_ = l.Close()
+}
+
+// closeIdle closes the idle connections and returns the number of all others.
+func (s *Server) closeIdle(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	busy := 0
+	for c := range s.conns {
+		if c.isIdle(now) {
+			delete(s.conns, c)
+			_ = c.Close()
+			continue
+		}
+		busy++
+	}
+	return busy
+}
+
+// trackState implements the ConnState hook of [http.Server].
+func (s *Server) trackState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	c.setState(state)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
 	}
-	return errors.Join(failures...)
 }
 
 // Close closes all connections at once.
@@ -138,11 +240,13 @@
 	return &connQueue{conns: make(chan net.Conn), done: make(chan struct{})}
 }
 
-func (q *connQueue) push(c net.Conn) {
+// push waits until the connection is accepted. It returns false if the queue is closed.
+func (q *connQueue) push(c net.Conn) bool {
 	select {
 	case q.conns <- c:
+		return true
 	case <-q.done:
-		_ = c.Close()
+		return false
 	}
 }
 
--- /dev/null
+++ b/fleet/callerserver/conn.go
@@ -0,0 +1,70 @@
+package callerserver
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hazelworks/hazelworks/fleet/sockets"
+)
+
+// newConnWait is the time for which a connection without any byte counts as one whose first
+// request is on its way.
+const newConnWait = 500 * time.Millisecond
+
+// trackedConn is a caller's connection that knows whether a request has arrived. The HTTP
+// server learns of a request only after it has read the head.
+type trackedConn struct {
+	net.Conn
+	openedAt time.Time
+
+	mu    sync.Mutex
+	state http.ConnState
+	// arrived is true if bytes were read since the connection was last idle.
+	arrived bool
+}
+
+func newTrackedConn(c net.Conn) *trackedConn { return &trackedConn{Conn: c, openedAt: time.Now()} }
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.arrived = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// CloseWrite closes the writing side, so that a caller reads the end of its answer before
+// the connection is reset.
+func (c *trackedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+func (c *trackedConn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = state
+	if state == http.StateIdle {
+		c.arrived = false
+	}
+}
+
+// isIdle reports whether no request is in progress and none has arrived.
+func (c *trackedConn) isIdle(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.arrived || sockets.HasUnread(c.Conn):
+		return false
+	case c.state == http.StateNew:
+		return now.Sub(c.openedAt) >= newConnWait
+	}
+	return c.state == http.StateIdle
+}
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -416,7 +416,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
-	return h.callers.Serve(l)
+	err = h.callers.Serve(l)
+	if err == nil {
+		<-ctx.Done() // a host that leaves serves its last answers
+	}
+	return err
 }
 
 func (h *Host) serve(addr netip.AddrPort, handler http.Handler) func(context.Context) error {
