Close the callers' address before a host waits for its last requests

Seen elsewhere by operators: during a planned stop under load, requests that had just been accepted were cut off. Here: hazelworks serve waited until nothing was in flight while it went on taking requests. Under load that moment never came, the time ran out, and the process ended with requests in flight and reservations open.

Change: after the entry answers have lapsed the address is closed, with the callers' server of the platform's front, which answers what has arrived and closes each connection once it is idle; then the host waits for the last runs and returns its grants.

--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -86,6 +86,9 @@
 	defer close(s.accepted)
 	s.mu.Lock()
 	s.listener = l
+	if s.closed {
+		_ = l.Close()
+	}
 	s.mu.Unlock()
 	for {
 		c, err := l.Accept()
@@ -172,8 +175,7 @@
 			return context.Cause(ctx)
 		}
 	}
-	s.Close()
-	return nil
+	return s.Close()
 }
 
 // stopAccepting makes a listener fail once it has returned the connections that are open.
@@ -217,16 +219,20 @@
 	}
 }
 
-// Close closes all connections at once.
-func (s *Server) Close() {
+// Close stops accepting and closes all connections at once. It returns nil.
+func (s *Server) Close() error {
 	s.mu.Lock()
 	s.closed = true
-	generations := s.generations
+	generations, listener := s.generations, s.listener
 	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
 	for _, g := range generations {
 		_ = g.conns.Close()
 		_ = g.server.Close()
 	}
+	return nil
 }
 
 // connQueue is a listener that returns connections accepted by another one.
--- a/fleet/callerserver/callerserver_test.go
+++ b/fleet/callerserver/callerserver_test.go
@@ -26,7 +26,7 @@
 	}()
 	t.Cleanup(func() {
 		_ = l.Close()
-		s.Close()
+		_ = s.Close()
 		<-done
 	})
 	return s, l
--- a/fleet/gateway/bench_test.go
+++ b/fleet/gateway/bench_test.go
@@ -66,7 +66,7 @@
 		Picker: picker, Logger: logr.Discard(),
 	})
 	front := httptest.NewUnstartedServer(nil)
-	front.Config = NewServer(g.Handler())
+	front.Config = newServer(g.Handler())
 	front.Start()
 	b.Cleanup(func() {
 		front.CloseClientConnections()
--- a/fleet/gateway/fakes_test.go
+++ b/fleet/gateway/fakes_test.go
@@ -299,7 +299,7 @@
 func (f *fixture) serve(host, addr string, h http.Handler) *http.Server {
 	l, err := f.net.Listen(host, addr)
 	require.NoError(f.t, err)
-	srv := NewServer(h)
+	srv := newServer(h)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/fleet/gateway/gateway.go
+++ b/fleet/gateway/gateway.go
@@ -89,10 +89,13 @@
 // callers may use this host's address until their entry answer expires; their
 // connections are closed after the answer.
 func (g *Gateway) Drain(ctx context.Context) error {
-	g.draining.Store(true)
+	g.SetDraining()
 	return g.inflight.wait(ctx)
 }
 
+// SetDraining closes each caller's connection after its next answer.
+func (g *Gateway) SetDraining() { g.draining.Store(true) }
+
 // Running returns the number of requests that are running.
 func (g *Gateway) Running() int { return g.table.Running() }
 
--- a/fleet/host/build.go
+++ b/fleet/host/build.go
@@ -5,6 +5,7 @@
 
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/fleet/admin"
+	"github.com/hazelworks/hazelworks/fleet/callerserver"
 	"github.com/hazelworks/hazelworks/fleet/entry"
 	"github.com/hazelworks/hazelworks/fleet/gateway"
 	"github.com/hazelworks/hazelworks/fleet/grants"
@@ -117,6 +118,10 @@
 			BodyTimeout: cfg.Timeouts.BodyRead,
 		},
 	})
+	limits := callerserver.Limits{HeaderBytes: cfg.Limits.HeaderBytes, HeaderTimeout: cfg.Timeouts.HeaderRead, IdleTimeout: cfg.Timeouts.Idle}
+	h.callers = callerserver.New(h.gateway.Handler(), limits, func(err error) {
+		h.logger.WithName("host").Error(err, "serving callers failed")
+	})
 }
 
 // buildPlacement builds the placer if there is a weight store.
--- a/fleet/host/host.go
+++ b/fleet/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/fleet/admin"
+	"github.com/hazelworks/hazelworks/fleet/callerserver"
 	"github.com/hazelworks/hazelworks/fleet/config"
 	"github.com/hazelworks/hazelworks/fleet/entry"
 	"github.com/hazelworks/hazelworks/fleet/gateway"
@@ -82,6 +83,7 @@
 	placer   *placer.Placer // nil without a weight store
 	entry    *entry.Handler
 	gateway  *gateway.Gateway
+	callers  *callerserver.Server
 	admin    *admin.Server
 	drained  chan struct{} // closed when Shutdown has finished
 }
--- a/fleet/host/requests_test.go
+++ b/fleet/host/requests_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,6 +135,42 @@
 	})
 }
 
+// Callers keep connecting to a host that stops, until its address is closed. Each request
+// that it has taken is answered, also those that arrive last.
+func TestGracefulStopUnderLoadCutsOffNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 100_000)
+		f.plain.SetFaults(plain.Faults{Delay: 400 * time.Millisecond})
+		host := f.hosts[0]
+		stopped := make(chan error, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		go func() { stopped <- host.Shutdown(ctx) }()
+		var callers sync.WaitGroup
+		cut := make(chan error, 10_000)
+		for i := 0; ; i++ {
+			select {
+			case err := <-stopped:
+				require.NoError(t, err)
+				callers.Wait()
+				close(cut)
+				for err := range cut {
+					require.NoError(t, err)
+				}
+				return
+			default:
+			}
+			callers.Go(func() {
+				_, err := f.try(host, host.cfg.Listen.Caller, http.MethodPost, "/v1/services/firm/bookings/slabs", testKey, "", "{}")
+				if err != nil && !strings.Contains(err.Error(), "refused") {
+					cut <- err
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
+
 func TestLogOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 100_000)
--- a/fleet/host/servers.go
+++ b/fleet/host/servers.go
@@ -9,24 +9,25 @@
 
 	"github.com/oklog/run"
 
-	"github.com/hazelworks/hazelworks/fleet/gateway"
 	"github.com/hazelworks/hazelworks/fleet/peer"
 )
 
 // server is an HTTP server with its open listener.
 type server struct {
 	name     string
-	http     *http.Server
+	http     httpServer
 	listener net.Listener
 }
 
+// httpServer serves the connections of a listener. Close ends all of them.
+type httpServer interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
 // openServers opens all listeners. If one fails, it closes the others.
 func (h *Host) openServers() ([]server, error) {
 	cfg := h.opts.Config
-	callers := gateway.NewServer(h.gateway.Handler())
-	callers.ReadHeaderTimeout = cfg.Timeouts.HeaderRead
-	callers.IdleTimeout = cfg.Timeouts.Idle
-	callers.MaxHeaderBytes = cfg.Limits.HeaderBytes
 	operators := &http.Server{
 		Handler:           h.admin.Handler(),
 		ReadHeaderTimeout: cfg.Timeouts.HeaderRead,
@@ -35,9 +36,9 @@
 	specs := []struct {
 		name string
 		addr netip.AddrPort
-		http *http.Server
+		http httpServer
 	}{
-		{"caller", cfg.Listen.Caller, callers},
+		{"caller", cfg.Listen.Caller, h.callers},
 		{"peer", cfg.Listen.Peer, peer.NewServer(peer.NewHandler(h.peerServices(), string(cfg.Secrets.Peer)), cfg.Timeouts.HeaderRead)},
 		{"admin", cfg.Listen.Admin, operators},
 	}
@@ -59,12 +60,19 @@
 	}
 }
 
+// addServer adds a server to the group. A server that was shut down does not end the
+// others, which serve the last requests.
 func addServer(group *run.Group, s server) {
+	stop := make(chan struct{})
 	group.Add(func() error {
 		err := s.http.Serve(s.listener)
-		if errors.Is(err, http.ErrServerClosed) {
+		if err == nil || errors.Is(err, http.ErrServerClosed) {
+			<-stop
 			return nil
 		}
 		return fmt.Errorf("serve %s address: %w", s.name, err)
-	}, func(error) { _ = s.http.Close() })
+	}, func(error) {
+		close(stop)
+		_ = s.http.Close()
+	})
 }
--- a/fleet/host/shutdown.go
+++ b/fleet/host/shutdown.go
@@ -13,8 +13,8 @@
 
 // Shutdown stops the host without interrupting a request. It announces that the
 // host is leaving the fleet, serves until the entry answers that name the host
-// have lapsed, waits for the requests in flight and returns the grants. Then Run
-// returns. If ctx ends first, the host stops all the same and Shutdown returns an
+// have lapsed, closes the callers' address, waits for the requests that have arrived and
+// returns the grants. Then Run returns. If ctx ends first, the host stops all the same and Shutdown returns an
 // error that names the unfinished work.
 func (h *Host) Shutdown(ctx context.Context) error {
 	defer close(h.drained)
@@ -26,7 +26,8 @@
 		return err
 	}
 	logger.Info("entry answers have lapsed", "running", h.gateway.Running())
-	drainErr := h.gateway.Drain(ctx)
+	h.gateway.SetDraining()
+	drainErr := errors.Join(h.callers.Shutdown(ctx), h.gateway.Drain(ctx))
 	closeErr := h.grants.Close(ctx)
 	if err := errors.Join(drainErr, closeErr); err != nil {
 		return fmt.Errorf("host: stopped with work left: %w", err)
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -341,7 +341,7 @@
 	}
 	add(h.leave)
 	err := group.Run()
-	h.callers.Close()
+	_ = h.callers.Close()
 	if errors.Is(err, errStopped) {
 		return nil
 	}
