Don't replace a worker that is silent for a moment

Here the placer counted a worker as gone after one read that failed: if it was a model's last needed one, another worker was drained and loaded in its place at once.

Change: a worker that stopped answering while it was ready counts for its model for 30 s more. One that loads or leaves says so itself and does not.

Before and after: TestNoOrdersForAWorkerThatIsSilentForAMoment, an order to another worker within 15 s of silence, now none; TestSilentWorkerIsNotReplacedAtOnce for the plan.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -75,6 +75,8 @@
 	Serving Target
 	// Ready is false while the worker loads, cannot be reached or is leaving.
 	Ready bool
+	// SilentSince is when a worker that was ready stopped answering, or zero.
+	SilentSince time.Time
 	// Busy is true while an order to the worker is in progress.
 	Busy bool
 	// Drained is true if an order has asked the worker to drain.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -85,6 +85,23 @@
 	require.Equal(t, []Decision{{Worker: "w1", Target: Target{Model: "c"}, Reason: ReasonReplicas}}, out)
 }
 
+// The only worker of a model does not answer for a moment. Another one must not be drained and
+// loaded in its place before it is likely to be gone.
+func TestSilentWorkerIsNotReplacedAtOnce(t *testing.T) {
+	in := input(fleet(3, "a", "b", "b"), modelOf("a", 6, 1), modelOf("b", 2, 1))
+	in.Workers[0].Ready, in.Workers[0].SilentSince = false, start
+	for _, silence := range []time.Duration{0, 10 * time.Second, 29 * time.Second} {
+		in.Now = start.Add(silence)
+		require.Empty(t, Plan(DefaultConfig(), in), silence)
+	}
+	in.Now = start.Add(31 * time.Second)
+	out := Plan(DefaultConfig(), in)
+	require.Len(t, out, 1)
+	require.Equal(t, ReasonReplicas, out[0].Reason)
+	in.Now, in.Workers[0].SilentSince = start, time.Time{}
+	require.Len(t, Plan(DefaultConfig(), in), 1, "it loads or leaves, which it has said itself")
+}
+
 func TestRolloutGoesWorkerByWorkerUntilHalted(t *testing.T) {
 	next := Model{Target: Target{Model: "a", Version: "2"}, MinReplicas: 2}
 	in := input(fleet(4, "a"), next)
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 // Plan returns the orders to be given now: all repairs, or, if there are none and
@@ -33,18 +34,31 @@
 	// progress, and the sum of their slots, by the model that they serve.
 	workers map[string][]*Worker
 	slots   map[string]float64
+	// silent is the number of workers that serve each model and have not answered for
+	// less than silenceGrace. Their slots count.
+	silent map[string]int
 }
 
+// silenceGrace is the time for which a worker that does not answer still counts for its
+// model. A worker that restarts or is cut off for a moment is back sooner than another one
+// could load the model.
+const silenceGrace = 30 * time.Second
+
 // countWorkers sets busy, ready, workers and slots from the input.
 func (p *planner) countWorkers() {
 	p.workers = make(map[string][]*Worker)
 	p.slots = make(map[string]float64)
+	p.silent = make(map[string]int)
 	for i := range p.in.Workers {
 		w := &p.in.Workers[i]
 		if w.Busy {
 			p.busy++
 			continue
 		}
+		if !w.Ready && p.recentlySilent(w) {
+			p.silent[w.Serving.Model]++
+			p.slots[w.Serving.Model] += float64(w.Slots)
+		}
 		if !w.Ready {
 			continue
 		}
@@ -54,6 +68,10 @@
 	}
 }
 
+func (p *planner) recentlySilent(w *Worker) bool {
+	return !w.SilentSince.IsZero() && p.in.Now.Sub(w.SilentSince) < silenceGrace
+}
+
 // repairs returns orders to workers that do not serve what they were last ordered
 // to, for example after a late order of an earlier writer, and to workers that an
 // earlier writer has left drained.
@@ -81,7 +99,7 @@
 // workers than its minimum.
 func (p *planner) replicas() *Decision {
 	for _, m := range p.in.Models {
-		if len(p.workers[m.Model]) >= m.MinReplicas || p.halted(m.Target) {
+		if len(p.workers[m.Model])+p.silent[m.Model] >= m.MinReplicas || p.halted(m.Target) {
 			continue
 		}
 		if w := p.spareWorker(m.Model); w != nil {
--- a/fleet/placer/placer_test.go
+++ b/fleet/placer/placer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -33,9 +34,14 @@
 
 // setVersion applies settings with a version of the service's model.
 func (s *source) setVersion(svc settings.Service, version string) {
+	s.setModels(svc, settings.Model{Name: "a", Version: version, MinReplicas: 1})
+}
+
+// setModels applies settings with the service's models.
+func (s *source) setModels(svc settings.Service, models ...settings.Model) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	svc.Models = []settings.Model{{Name: "a", Version: version, MinReplicas: 1}}
+	svc.Models = models
 	s.current = &settings.Resolved{Services: []settings.Service{svc}}
 	s.current.Index()
 }
@@ -90,6 +96,15 @@
 	return out
 }
 
+// orderCounts returns the number of orders that each engine has accepted.
+func (f *fixture) orderCounts() []int {
+	var out []int
+	for _, e := range f.engines {
+		out = append(out, len(e.Orders()))
+	}
+	return out
+}
+
 func withFixture(t *testing.T, engines int, checks bool, body func(ctx context.Context, t *testing.T, f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -142,6 +157,25 @@
 	})
 }
 
+// The only worker of a model is cut off for a moment. No other worker is drained for it.
+func TestNoOrdersForAWorkerThatIsSilentForAMoment(t *testing.T) {
+	withFixture(t, 3, false, func(ctx context.Context, t *testing.T, f *fixture) {
+		f.host(ctx, "h1")
+		f.src.setModels(f.svc, settings.Model{Name: "a", Version: "1", MinReplicas: 1}, settings.Model{Name: "b", Version: "1", MinReplicas: 1})
+		time.Sleep(2 * time.Minute)
+		f.src.setModels(f.svc, settings.Model{Name: "a", Version: "1", MinReplicas: 2}, settings.Model{Name: "b", Version: "1"})
+		time.Sleep(time.Minute)
+		before := f.orderCounts()
+		silent := slices.Index(before, 0)
+		require.GreaterOrEqual(t, silent, 0, "a worker that still serves the first model")
+		f.network.Cut("h1", f.svc.Upstreams[silent].ID)
+		time.Sleep(15 * time.Second)
+		f.network.Heal("h1", f.svc.Upstreams[silent].ID)
+		time.Sleep(time.Minute)
+		require.Equal(t, before, f.orderCounts())
+	})
+}
+
 func TestNoOrdersWithoutTheLog(t *testing.T) {
 	withFixture(t, 2, false, func(ctx context.Context, t *testing.T, f *fixture) {
 		f.host(ctx, "h1")
--- a/fleet/placer/service.go
+++ b/fleet/placer/service.go
@@ -35,7 +35,9 @@
 	upstream settings.Upstream
 	serving  placement.Target
 	ready    bool
-	drained  bool
+	// silentSince is when the worker stopped answering while it was ready, or zero.
+	silentSince time.Time
+	drained     bool
 	// stale is true if the state was read while an order was in progress.
 	stale bool
 	load  float64
@@ -132,6 +134,12 @@
 			defer s.mu.Unlock()
 			// What was read during an order may be outdated once the order has ended.
 			w.stale = hadOrder
+			switch {
+			case err == nil || hadOrder:
+				w.silentSince = time.Time{}
+			case w.ready:
+				w.silentSince = time.Now()
+			}
 			w.ready = err == nil && !hadOrder && !body.Loading && !load.Leaving && !up.Leaving && len(body.Models) == 1
 			w.drained = err == nil && !hadOrder && body.Drain
 			if err == nil {
@@ -195,7 +203,7 @@
 	for _, up := range s.spec.Upstreams {
 		w := s.workers[up.ID]
 		in.Workers = append(in.Workers, placement.Worker{
-			ID: up.ID, Slots: slotsOf(up), Serving: w.serving, Ready: w.ready,
+			ID: up.ID, Slots: slotsOf(up), Serving: w.serving, Ready: w.ready, SilentSince: w.silentSince,
 			Busy: w.order != nil || w.stale, Drained: w.drained, MovedAt: w.movedAt, RetryAt: w.retryAt,
 		})
 		declaredReplicas[declaredModel(s.spec, up)]++
