--- a/cmd/hazelworks/soak.go
+++ b/cmd/hazelworks/soak.go
@@ -55,6 +55,7 @@
 	cmd.Flags().Uint64Var(&opt.Seed, "seed", 1, "first seed")
 	cmd.Flags().Uint64Var(&seeds, "seeds", 1, "number of seeds, run one after another")
 	cmd.Flags().DurationVar(&opt.Length, "length", 10*time.Second, "how long faults are injected, for each seed")
+	cmd.Flags().IntVar(&opt.Hosts, "hosts", 0, "number of host processes; 0 means 4")
 	cmd.Flags().StringVar(&opt.LogDir, "logs", "", "directory for the hosts' logs of seeds with findings")
 	cmd.Flags().BoolVar(&verbose, "verbose", false, "print each fault")
 	return cmd
--- a/cmd/internal/soak/checks.go
+++ b/cmd/internal/soak/checks.go
@@ -1,9 +1,14 @@
 package soak
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"syscall"
+	"time"
 
 	"github.com/hazelworks/hazelworks/platform/standin"
 )
@@ -117,3 +122,48 @@
 	}
 	return findings
 }
+
+// Bounds on the requests to an upstream that has stated a limit.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// checkLimits checks that the limited upstream got no more requests than its limit allows in
+// any window since a time.
+func checkLimits(tb *testbed, since time.Time) []string {
+	allowed := int(limitFactor*statedLimit*limitWindow.Seconds()) + limitSlack
+	var at []time.Time
+	for _, r := range tb.recorder.Runs("") {
+		if r.UpstreamID == tb.upstreams[limitedUpstream].ID && r.StartedAt.After(since) {
+			at = append(at, r.StartedAt)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	first := 0
+	for last := range at {
+		for at[last].Sub(at[first]) > limitWindow {
+			first++
+		}
+		if n := last - first + 1; n > allowed {
+			return []string{fmt.Sprintf("an upstream with a limit of %g a second got %d requests in %v", statedLimit, n, limitWindow)}
+		}
+	}
+	return nil
+}
+
+// checkPlannedStop checks that a host that stopped in calm times cut off no request that it
+// had accepted. A refused connection is no request.
+func checkPlannedStop(outcomes []outcome, stopping *host, from, stopped time.Time) []string {
+	var findings []string
+	for i := range outcomes {
+		o := &outcomes[i]
+		left := errors.Is(o.err, context.DeadlineExceeded) // the caller itself has left
+		if o.host != stopping || o.err == nil || left || o.sentAt.Before(from) || o.sentAt.After(stopped) || errors.Is(o.err, syscall.ECONNREFUSED) {
+			continue
+		}
+		findings = append(findings, fmt.Sprintf("%s (%s): cut off in a planned stop of %s after %v: %v", o.id, o.kind.name, stopping.name, o.duration, o.err))
+	}
+	return findings
+}
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -4,12 +4,15 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/hazelworks/hazelworks/platform/standin"
@@ -22,6 +25,8 @@
 	Seed   uint64
 	// Length is the time during which faults start.
 	Length time.Duration
+	// Hosts is the number of host processes; 0 means the default.
+	Hosts int
 	// LogDir is the directory to which a run with findings writes the hosts' logs;
 	// "" means that none are written.
 	LogDir string
@@ -42,7 +47,10 @@
 	startWait = time.Second
 	// recoveryWait is the time for hosts to recover after the last fault. It covers a
 	// host's start, the end of an outage and a heartbeat of the upstreams.
-	recoveryWait = 5 * time.Second
+	recoveryWait = 4 * time.Second
+	// calmTime follows it. Limits must be kept in it, and a planned stop must cut off
+	// nothing.
+	calmTime = 5 * time.Second
 	// applyWait is the time within which a configuration change must take effect.
 	applyWait = 2 * time.Second
 	// meanFaultInterval is the mean time between the starts of faults. Faults overlap.
@@ -59,7 +67,7 @@
 		return Result{}, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	tb, err := newTestbed(dir, opt.Binary, prepaidTokens)
+	tb, err := newTestbed(dir, opt.Binary, prepaidTokens, cmp.Or(opt.Hosts, defaultHosts))
 	if err != nil {
 		return Result{}, fmt.Errorf("soak: %w", err)
 	}
@@ -76,8 +84,15 @@
 	faultCount := injectFaults(ctx, tb, opt)
 	tb.changeConfig(func(cfg standin.Config) { cfg.SetKeys(validKey) })
 	time.Sleep(recoveryWait)
+	calm := time.Now()
+	stopping, stopped := tb.stopInCalm(c.recorded())
+	time.Sleep(time.Until(calm.Add(calmTime)))
 	stopCalls()
 	<-callersDone
+	calmFindings := append(checkLimits(tb, calm), checkPlannedStop(c.recorded(), stopping, calm, stopped)...)
+	if err := stopping.start(); err != nil {
+		return Result{}, err
+	}
 	// Most of the budget is spent; checkRecovery needs more.
 	tb.changeConfig(func(cfg standin.Config) {
 		tb.prepaid += prepaidTokens
@@ -86,7 +101,7 @@
 	time.Sleep(applyWait)
 	recoveryFindings := checkRecovery(tb, c)
 	outcomes := c.recorded()
-	result := Result{Seed: opt.Seed, Requests: len(outcomes), Faults: faultCount, Findings: append(checkOutcomes(tb, outcomes), recoveryFindings...)}
+	result := Result{Seed: opt.Seed, Requests: len(outcomes), Faults: faultCount, Findings: slices.Concat(checkOutcomes(tb, outcomes), recoveryFindings, calmFindings)}
 	result.Findings = append(result.Findings, tb.errors()...)
 	for i := range outcomes {
 		if outcomes[i].status == 200 && outcomes[i].err == nil {
@@ -125,6 +140,43 @@
 	return count
 }
 
+// calmDelay is the time that plain upstreams take in calm times, so that a planned stop meets
+// requests in flight.
+const calmDelay = 150 * time.Millisecond
+
+// stopInCalm stops the host with the most callers as planned and waits until its process has
+// ended. It returns the host and the time of its end.
+func (tb *testbed) stopInCalm(outcomes []outcome) (*host, time.Time) {
+	for i, upstream := range tb.upstreams {
+		if i < modelUpstreamCount || i == limitedUpstream {
+			continue // as the fastest, the limited one would get most of the requests
+		}
+		b := upstream.defaultBehaviour
+		b.Delay = calmDelay
+		upstream.SetBehaviour(b)
+	}
+	time.Sleep(calmDelay)
+	h := busiestHost(outcomes)
+	h.signal(syscall.SIGTERM)
+	h.waitOrKill(grace + time.Second)
+	return h, time.Now()
+}
+
+// recentOutcomes is the number of the latest outcomes that tell where the callers are.
+const recentOutcomes = 50
+
+// busiestHost returns the host of most of the latest outcomes.
+func busiestHost(outcomes []outcome) *host {
+	counts := make(map[*host]int)
+	busiest := outcomes[len(outcomes)-1].host
+	for _, o := range outcomes[max(0, len(outcomes)-recentOutcomes):] {
+		if counts[o.host]++; counts[o.host] > counts[busiest] {
+			busiest = o.host
+		}
+	}
+	return busiest
+}
+
 // saveLogs writes the hosts' logs to files in dir.
 func (tb *testbed) saveLogs(dir string, seed uint64) error {
 	for _, h := range tb.hosts {
--- a/cmd/internal/soak/testbed.go
+++ b/cmd/internal/soak/testbed.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -20,15 +21,19 @@
 
 // Sizes, times and ports of the testbed.
 const (
-	hostCount          = 4
+	defaultHosts       = 4
 	modelUpstreamCount = 3
 	plainUpstreamCount = 3
 	heartbeatInterval  = 400 * time.Millisecond
 	grace              = 2 * time.Second
 	streamEvents       = 8
-	eventInterval      = 15 * time.Millisecond
-	upstreamPort       = 8080
-	storePort          = 8223
+	// limitedUpstream is the index of the upstream that states statedLimit, in requests
+	// per second.
+	limitedUpstream = modelUpstreamCount
+	statedLimit     = 0.5
+	eventInterval   = 15 * time.Millisecond
+	upstreamPort    = 8080
+	storePort       = 8223
 )
 
 // testbed is a stand-in platform and host processes on loopback addresses.
@@ -85,7 +90,7 @@
 	logs       *logTail
 }
 
-func newTestbed(dir, binary string, prepaid int64) (*testbed, error) {
+func newTestbed(dir, binary string, prepaid int64, hosts int) (*testbed, error) {
 	tb := &testbed{
 		dir: dir, binary: binary, netOctet: 16 + os.Getpid()%200, log: memkeyed.New(),
 		prepaid: prepaid, version: 1, stopped: make(chan struct{}),
@@ -104,11 +109,14 @@
 		if i >= modelUpstreamCount {
 			service, behaviour = "desk", standin.Behaviour{Delay: 5 * time.Millisecond}
 		}
+		if i == limitedUpstream {
+			behaviour.Limit = strconv.FormatFloat(statedLimit, 'g', -1, 64)
+		}
 		if err := tb.startUpstream(i, service, behaviour); err != nil {
 			return nil, err
 		}
 	}
-	for i := range hostCount {
+	for i := range hosts {
 		if err := tb.addHost(i); err != nil {
 			return nil, err
 		}
--- a/core/balance/limit.go
+++ b/core/balance/limit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/knownfault"
 	"github.com/hazelworks/hazelworks/core/rendezvous"
 )
 
@@ -91,7 +92,7 @@
 
 // delay returns the time until this host may send a request.
 func (l *rateLimit) delay(now time.Time) time.Duration {
-	if !l.active() {
+	if !l.active() || knownfault.IgnoreLimits {
 		return 0
 	}
 	l.refill(now)
--- a/core/knownfault/off.go
+++ b/core/knownfault/off.go
@@ -13,3 +13,9 @@
 
 // KeepOldSettings makes hosts ignore all settings after the first.
 const KeepOldSettings = false
+
+// IgnoreLimits makes hosts send more requests to an upstream than its limit allows.
+const IgnoreLimits = false
+
+// CutOnStop makes a host that is stopped end at once.
+const CutOnStop = false
--- a/core/knownfault/on.go
+++ b/core/knownfault/on.go
@@ -14,4 +14,8 @@
 	SpendUnclaimed = os.Getenv(env) == "spend-unclaimed"
 	// KeepOldSettings makes hosts ignore all settings after the first.
 	KeepOldSettings = os.Getenv(env) == "keep-old-settings"
+	// IgnoreLimits makes hosts send more requests to an upstream than its limit allows.
+	IgnoreLimits = os.Getenv(env) == "ignore-limits"
+	// CutOnStop makes a host that is stopped end at once.
+	CutOnStop = os.Getenv(env) == "cut-on-stop"
 )
--- a/fleet/relayhost/leave.go
+++ b/fleet/relayhost/leave.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/hazelworks/hazelworks/core/knownfault"
 )
 
 var errStopped = errors.New("relayhost: stopped")
@@ -37,6 +39,9 @@
 	}
 	began := time.Now()
 	h.log.Info("Leaving.")
+	if knownfault.CutOnStop {
+		return errStopped
+	}
 	ctx, cancel := context.WithTimeout(ctx, h.bounds.Load().Grace-graceMargin)
 	defer cancel()
 	h.hosts.mu.Lock()
