Tell a restarted host what upstreams have stated

Seen elsewhere by operators: after a restart of a process, a server that had left was in use again. Here that an upstream leaves, or its limit, was known from its answers alone until its entry said so; a new run of a host had to find out with a request of its own.

Change: two hosts of those that share limits with the new run send it, half a second and two seconds after its entry was read, what still holds.

--- a/core/balance/notice.go
+++ b/core/balance/notice.go
@@ -66,6 +66,16 @@
 	return news
 }
 
+// Notices calls f with what each upstream has stated and still holds for all hosts: that it
+// is leaving, or its limit.
+func (p *Pool) Notices(f func(catalog.Upstream, Notice)) {
+	for _, u := range p.ordered {
+		if n := (Notice{Leaving: u.leaving, Limit: u.limit.stated}); n != (Notice{}) {
+			f(u.up, n)
+		}
+	}
+}
+
 // NextReturn returns the time until the first upstream accepts requests again, if all
 // upstreams that stay have asked this host to pause. Otherwise it returns false.
 func (p *Pool) NextReturn(now time.Time) (time.Duration, bool) {
--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -86,6 +86,20 @@
 	return slices.Compact(domains)
 }
 
+// noticeTellers is the number of hosts that tell a new run of a host what upstreams have
+// stated. One of them may be starting itself.
+const noticeTellers = 2
+
+// TellsNotices reports whether this host is one of those that tell a new run of a host what
+// upstreams have stated about themselves. others are the hosts that are alive.
+func TellsNotices(self, started Host, others []Host) bool {
+	tellers := LimitGroup(started, append([]Host{self}, others...))
+	tellers = slices.DeleteFunc(slices.Clone(tellers), func(h Host) bool { return h.ID == started.ID })
+	slices.SortFunc(tellers, byScore(string(started.ID)))
+	tellers = tellers[:min(len(tellers), noticeTellers)]
+	return slices.ContainsFunc(tellers, func(h Host) bool { return h.ID == self.ID })
+}
+
 // Lenders returns hosts in the order in which to ask them for a part of a budget: first
 // those with access to the log, which can claim more, then those that serve callers, then
 // those with more cores. In a large fleet most hosts hold no part of any budget. shuffle has
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -97,14 +97,14 @@
 // Upsert adds or updates a host by its description from the log. A new run counts
 // as alive until a heartbeat of it is overdue. The description of a run that another one
 // has replaced has no effect. The description of a known run changes neither its state nor
-// a leaving mark from a heartbeat.
-func (t *Table) Upsert(h Host, now time.Time) {
+// a leaving mark from a heartbeat. It reports whether the run is new.
+func (t *Table) Upsert(h Host, now time.Time) (newRun bool) {
 	if h.ID == t.self.ID {
-		return
+		return false
 	}
 	e, ok := t.hosts[h.ID]
 	if t.ended[h.Run] {
-		return
+		return false
 	}
 	if !ok || e.host.Run != h.Run {
 		if ok {
@@ -113,11 +113,12 @@
 		t.Remove(h.ID)
 		e = &entry{host: h, heardAt: now, score: rendezvous.KeyOf(string(h.ID))}
 		t.hosts[h.ID], t.byRun[runHash(h)] = e, e
-		return
+		return true
 	}
 	h.Leaving = h.Leaving || e.host.Leaving
 	h.State = e.host.State
 	e.host = h
+	return false
 }
 
 // Remove removes a host whose description was removed from the log.
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -380,13 +380,31 @@
 	defer b.mu.Unlock()
 	news := b.applyNotice(l.Upstream, n, record.HostID(b.opt.Host), time.Now())
 	if news.Leaving {
-		b.opt.Broadcast(gossip.Event{Kind: gossip.Leaving, Seq: l.attempt.Seq, Upstream: gossip.UpstreamHash(l.Upstream)})
+		b.opt.Broadcast(gossip.LeavingEvent(l.Upstream))
 	}
 	if news.Limit {
 		b.opt.Broadcast(gossip.LimitEvent(l.Upstream, n.Limit))
 	}
 }
 
+// Notices returns the events for all that upstreams have stated and that still holds.
+func (b *Balancer) Notices() []gossip.Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var events []gossip.Event
+	for _, s := range b.services {
+		s.pool.Notices(func(up catalog.Upstream, n balance.Notice) {
+			if n.Leaving {
+				events = append(events, gossip.LeavingEvent(up))
+			}
+			if n.Limit.State == balance.LimitPresent {
+				events = append(events, gossip.LimitEvent(up, n.Limit))
+			}
+		})
+	}
+	return events
+}
+
 // applyNotice applies a notice that a host has received, and returns what was not known
 // before. The caller holds mu.
 func (b *Balancer) applyNotice(up catalog.Upstream, n balance.Notice, by record.HostID, now time.Time) balance.News {
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -86,6 +86,9 @@
 // limitUnit is the unit of a limit in an event, in requests per second.
 const limitUnit = 0.001
 
+// LeavingEvent returns the event for an upstream that is leaving.
+func LeavingEvent(up catalog.Upstream) Event { return Event{Kind: Leaving, Upstream: UpstreamHash(up)} }
+
 // LimitEvent returns the event for a limit that an upstream has stated or lifted.
 func LimitEvent(up catalog.Upstream, limit balance.Limit) Event {
 	e := Event{Kind: Unlimited, Upstream: UpstreamHash(up)}
@@ -192,9 +195,16 @@
 
 	mu      sync.Mutex
 	pending []Event
+	direct  []directEvents
 	wake    chan struct{}
 }
 
+// directEvents are events for one host.
+type directEvents struct {
+	to     roster.Host
+	events []Event
+}
+
 // New returns a Gossip that starts with [Gossip.Run].
 func New(opt Options) *Gossip {
 	return &Gossip{
@@ -218,6 +228,17 @@
 	}
 }
 
+// SendTo sends events to one host. It does not block on the network.
+func (g *Gossip) SendTo(to roster.Host, events []Event) {
+	g.mu.Lock()
+	g.direct = append(g.direct, directEvents{to: to, events: events})
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run sends and receives over conn until ctx ends, which closes conn. It returns an
 // error if receiving fails before.
 func (g *Gossip) Run(ctx context.Context, conn net.PacketConn) error {
@@ -317,9 +338,14 @@
 // host that forwards them.
 func (g *Gossip) sendEvents(conn net.PacketConn) {
 	g.mu.Lock()
-	events := g.pending
-	g.pending = nil
+	events, direct := g.pending, g.direct
+	g.pending, g.direct = nil, nil
 	g.mu.Unlock()
+	for _, d := range direct {
+		for batch := range slices.Chunk(d.events, maxEvents) {
+			g.send(conn, g.message(batch), []roster.Host{d.to})
+		}
+	}
 	for to := range audiences {
 		g.sendBatches(conn, to, slices.DeleteFunc(slices.Clone(events), func(e Event) bool { return e.Kind.audience() != to }))
 	}
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -182,7 +182,7 @@
 	})
 	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, changed: h.setTable, log: h.opt.Logger.WithName("table")}
 	h.upstreams = newUpstreamWatch(func() time.Duration { return h.bounds.Load().UpstreamHeartbeat }, p.DecodeUpstream, h.balancer.SetUpstreams, h.opt.Logger.WithName("upstreams"))
-	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self)}
+	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self), started: h.tellNotices}
 	h.budgets = allocation.New(allocation.Options{
 		Host:     h.cfg.Host,
 		Log:      h.opt.Log,
@@ -273,6 +273,27 @@
 	}
 }
 
+// noticeDelays are the times after which a new run of a host is told what upstreams have
+// stated. It ignores what arrives before it has read the lists of hosts and upstreams.
+var noticeDelays = []time.Duration{500 * time.Millisecond, 2 * time.Second}
+
+// tellNotices tells a new run of another host what upstreams have stated about themselves,
+// if this host is one of those that do. The run before may have known it, and the entries of
+// the upstreams need not say it.
+func (h *Host) tellNotices(started roster.Host) {
+	for _, delay := range noticeDelays {
+		time.AfterFunc(delay, func() {
+			if !roster.TellsNotices(h.self, started, h.hosts.others()) {
+				return
+			}
+			if events := h.balancer.Notices(); len(events) > 0 {
+				h.log.Info("Host is told what upstreams have stated.", "host", started.ID, "notices", len(events))
+				h.gossip.SendTo(started, events)
+			}
+		})
+	}
+}
+
 // retryLimits returns this host's share of the fleet's retry budget. Until the number
 // of hosts is known, it has no share of the slack.
 func (h *Host) retryLimits() admission.RetryLimits {
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -284,6 +284,8 @@
 // hostWatch holds the other hosts.
 type hostWatch struct {
 	log logr.Logger
+	// started is called with each new run of another host.
+	started func(roster.Host)
 
 	mu    sync.Mutex
 	table *roster.Table
@@ -338,7 +340,9 @@
 			continue
 		}
 		before := h.table.Len()
-		h.table.Upsert(host, time.Now())
+		if h.table.Upsert(host, time.Now()) && h.known {
+			h.started(host)
+		}
 		if h.table.Len() > before {
 			h.grownAt = time.Now()
 		}
