Exchange limits exactly, and split the balancer's and the gossip's files

A limit was cut to a thousandth on the way to other hosts, so that each answer looked like a change and was told again. Limits are rounded once, where they are read. TestLimitsStayTheSameWhenExchanged.

The leases and the notices of the balancer, and the kinds of events, have files of their own; nothing else in them changed.

--- a/core/balance/notice.go
+++ b/core/balance/notice.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/catalog"
@@ -37,6 +38,22 @@
 	PerSecond float64
 }
 
+// limitPrecision is the number of steps in one request per second.
+const limitPrecision = 1000
+
+// LimitOf returns a limit, rounded so that it stays the same when hosts exchange it.
+func LimitOf(perSecond float64) Limit {
+	return Limit{State: LimitPresent, PerSecond: math.Round(perSecond*limitPrecision) / limitPrecision}
+}
+
+// Steps returns the limit in units of a request per 1,000 s.
+func (l Limit) Steps() uint64 {
+	return uint64(min(math.Round(l.PerSecond*limitPrecision), math.MaxInt64))
+}
+
+// LimitOfSteps returns the limit that [Limit.Steps] describes.
+func LimitOfSteps(steps uint64) Limit { return LimitOf(float64(steps) / limitPrecision) }
+
 // News tells which statements of a notice were not known before.
 type News struct {
 	Leaving bool
--- a/core/balance/notice_test.go
+++ b/core/balance/notice_test.go
@@ -53,3 +53,15 @@
 	_, ok = p.Choose(&Query{}, start.Add(3*time.Second))
 	require.True(t, ok)
 }
+
+// Hosts that exchange a limit must not take it for a new one each time.
+func TestLimitsStayTheSameWhenExchanged(t *testing.T) {
+	for _, perSecond := range []float64{0, 0.0004, 1.0 / 3, 1.2, 1.8, 12.34567, 1e6, 1e300} {
+		limit := LimitOf(perSecond)
+		exchanged := LimitOfSteps(limit.Steps())
+		require.Equal(t, exchanged, LimitOfSteps(exchanged.Steps()))
+		if perSecond < 1e9 {
+			require.Equal(t, limit, exchanged)
+		}
+	}
+}
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -18,7 +18,6 @@
 	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
-	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
@@ -185,23 +184,6 @@
 	}
 }
 
-// Lease allows one attempt to send a request to an upstream. End must be called.
-type Lease struct {
-	balance.Choice
-	Conns    *exchange.Pool
-	balancer *Balancer
-	service  string
-	attempt  balance.AttemptID
-	// startsAt is when the upstream's limit allows the request to be sent.
-	startsAt time.Time
-
-	mu         sync.Mutex
-	started    bool
-	startedAt  time.Time
-	ended      bool
-	stallTimer *time.Timer
-}
-
 // ShedError reports that a request was shed because its service is overloaded.
 type ShedError struct {
 	// Delay is the time until the limit of the best upstream allows the request. Wait,
@@ -288,37 +270,6 @@
 	return l, nil
 }
 
-// AwaitStart waits until the upstream's limit allows the request to be sent. It returns
-// false if ctx ends before, or if the upstream takes no requests any more.
-func (l *Lease) AwaitStart(ctx context.Context) bool {
-	if l.Delay <= 0 {
-		return true
-	}
-	timer := time.NewTimer(time.Until(l.startsAt))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	}
-	b := l.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s, ok := b.services[l.service]
-	return ok && s.pool.Accepts(l.Upstream, time.Now())
-}
-
-// SetLimitDomains sets the failure domains among which the limits of upstreams are divided,
-// or nil if all hosts share them.
-func (b *Balancer) SetLimitDomains(domains []string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.limitDomains = domains
-	for _, s := range b.services {
-		s.pool.SetLimitDomains(domains, time.Now())
-	}
-}
-
 // rateWindow is the time over which the rate of leases is averaged.
 const rateWindow = 5 * time.Second
 
@@ -369,64 +320,6 @@
 	}
 }
 
-// ApplyNotice applies what the upstream has stated in its answer. The other hosts are told
-// if it is leaving or changes its limit.
-func (l *Lease) ApplyNotice(n balance.Notice) {
-	if n == (balance.Notice{}) {
-		return
-	}
-	b := l.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	news := b.applyNotice(l.Upstream, n, record.HostID(b.opt.Host), time.Now())
-	if news.Leaving {
-		b.opt.Broadcast(gossip.LeavingEvent(l.Upstream))
-	}
-	if news.Limit {
-		b.opt.Broadcast(gossip.LimitEvent(l.Upstream, n.Limit))
-	}
-}
-
-// Notices returns the events for all that upstreams have stated and that still holds.
-func (b *Balancer) Notices() []gossip.Event {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var events []gossip.Event
-	for _, s := range b.services {
-		s.pool.Notices(func(up catalog.Upstream, n balance.Notice) {
-			if n.Leaving {
-				events = append(events, gossip.LeavingEvent(up))
-			}
-			if n.Limit.State == balance.LimitPresent {
-				events = append(events, gossip.LimitEvent(up, n.Limit))
-			}
-		})
-	}
-	return events
-}
-
-// applyNotice applies a notice that a host has received, and returns what was not known
-// before. The caller holds mu.
-func (b *Balancer) applyNotice(up catalog.Upstream, n balance.Notice, by record.HostID, now time.Time) balance.News {
-	s, ok := b.services[up.Service]
-	if !ok {
-		return balance.News{}
-	}
-	news := s.pool.ApplyNotice(up, n, now)
-	if news.Leaving {
-		b.log.Info("Upstream states that it is leaving.", "upstream", up.ID, "started", up.Started, "told_to", by)
-	}
-	if n.RetryAfter > 0 {
-		b.log.Info("Upstream asks for a pause.", "upstream", up.ID, "for", n.RetryAfter)
-	}
-	if news.Limit {
-		b.limits.Inc(1)
-		b.log.Info("Upstream changes its limit.", "upstream", up.ID, "limited", n.Limit.State == balance.LimitPresent,
-			"per_second", n.Limit.PerSecond, "told_to", by)
-	}
-	return news
-}
-
 // apply applies an event of a request at the upstream with an ID.
 func (s *service) apply(attempt balance.AttemptID, id string, e gossip.Event, now time.Time) {
 	switch {
@@ -442,91 +335,3 @@
 		s.pool.End(attempt, id, e.Outcome, now)
 	}
 }
-
-func (l *Lease) recordEvent(kind gossip.EventKind, o balance.Outcome) {
-	e := gossip.Event{Kind: kind, Seq: l.attempt.Seq, Upstream: gossip.UpstreamHash(l.Upstream), Outcome: o}
-	l.balancer.mu.Lock()
-	defer l.balancer.mu.Unlock()
-	if kind == gossip.Ended {
-		delete(l.balancer.running, l.attempt.Seq)
-	}
-	if s, ok := l.balancer.services[l.service]; ok {
-		s.apply(l.attempt, l.Upstream.ID, e, time.Now())
-	}
-	l.balancer.opt.Broadcast(e)
-}
-
-// OnStall calls stalled if the answer has not started after a time. The stall counts as a
-// fault of the upstream, whatever the later outcome of the request.
-func (l *Lease) OnStall(after time.Duration, stalled func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.stallTimer = time.AfterFunc(after, func() {
-		l.mu.Lock()
-		done := l.started || l.ended
-		l.mu.Unlock()
-		if done {
-			return
-		}
-		l.recordEvent(gossip.Stalled, balance.Failed)
-		stalled()
-	})
-}
-
-// FirstEvent records the start of the answer.
-func (l *Lease) FirstEvent() {
-	l.mu.Lock()
-	started := l.started
-	if !started {
-		l.started, l.startedAt = true, time.Now()
-	}
-	if l.stallTimer != nil {
-		l.stallTimer.Stop()
-	}
-	l.mu.Unlock()
-	if started {
-		return
-	}
-	l.recordEvent(gossip.FirstEvent, balance.Neutral)
-	l.balancer.observeLatency(l)
-}
-
-// minIntervalEvents is the minimum number of events whose mean interval indicates the
-// load.
-const minIntervalEvents = 4
-
-// ObserveEvents records the mean interval between events. events is the number of events
-// since the start of the answer.
-func (l *Lease) ObserveEvents(events int64) {
-	l.mu.Lock()
-	started, at := l.started, l.startedAt
-	l.mu.Unlock()
-	if !started || events < minIntervalEvents {
-		return
-	}
-	l.balancer.mu.Lock()
-	defer l.balancer.mu.Unlock()
-	if s, ok := l.balancer.services[l.service]; ok {
-		s.pool.ObserveEventInterval(time.Since(at) / time.Duration(events-1))
-	}
-}
-
-// observeLatency compares the time to the start of an answer with its estimate.
-func (b *Balancer) observeLatency(l *Lease) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s, ok := b.services[l.service]; ok {
-		s.pool.ObserveLatency(l.Choice, time.Since(l.startsAt))
-	}
-}
-
-// End ends the lease and records the outcome of the attempt.
-func (l *Lease) End(o balance.Outcome) {
-	l.mu.Lock()
-	l.ended = true
-	if l.stallTimer != nil {
-		l.stallTimer.Stop()
-	}
-	l.mu.Unlock()
-	l.recordEvent(gossip.Ended, o)
-}
