--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -4,9 +4,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
-
-	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
 // newConnWait is the time for which a connection without any byte counts as one whose first
@@ -61,10 +60,30 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.arrived || sockets.HasUnread(c.Conn):
+	case c.arrived || hasUnread(c.Conn):
 		return false
 	case c.state == http.StateNew:
 		return now.Sub(c.openedAt) >= newConnWait
 	}
 	return c.state == http.StateIdle
 }
+
+// hasUnread reports whether a connection has data that was not read yet. It may be called
+// while another goroutine reads. It returns false if the connection is no socket.
+func hasUnread(c net.Conn) bool {
+	sys, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = peekErr == nil && n > 0
+	})
+	return err == nil && unread
+}
