--- a/fleet/gossip/size_test.go
+++ b/fleet/gossip/size_test.go
@@ -16,6 +16,15 @@
 	require.LessOrEqual(t, len(data), 60)
 }
 
+// The bound on the traffic of limited upstreams in docs/CAPACITY.md assumes this size of the
+// message about one request.
+func TestTokenMessageIsSmall(t *testing.T) {
+	events := []Event{{Kind: TokenTaken, Seq: 1 << 40, Upstream: 1 << 31}}
+	data, err := cbor.Marshal(&Message{Host: "front-germiston-1043", Run: 1 << 63, State: roster.State{Active: true}, Oldest: 1 << 40, Events: events})
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(data), 80)
+}
+
 // An empty digest says that all hosts are well; without a digest nothing is said.
 func TestEmptyDigestIsNotNone(t *testing.T) {
 	for _, digest := range [][]byte{nil, {}} {
