Soak: top up the budget for the final checks with the number of hosts

Cause: every host holds a part, and all of the budget was claimed (320,000 of 320,000); the amount was made for 4 hosts, where it stays.

--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -57,6 +57,9 @@
 	meanFaultInterval = 350 * time.Millisecond
 	// prepaidTokens lasts a few seconds, so that budgets run out during faults.
 	prepaidTokens = 120_000
+	// recoveryTokens is what each host needs to serve one request of each kind at the end,
+	// with what it holds beyond.
+	recoveryTokens = 30_000
 )
 
 // Run runs the soak with one seed. It returns an error if the soak itself fails;
@@ -93,9 +96,9 @@
 	if err := stopping.start(); err != nil {
 		return Result{}, err
 	}
-	// Most of the budget is spent; checkRecovery needs more.
+	// Most of the budget is spent; checkRecovery needs more for each host.
 	tb.changeConfig(func(cfg standin.Config) {
-		tb.prepaid += prepaidTokens
+		tb.prepaid += max(prepaidTokens, int64(len(tb.hosts))*recoveryTokens)
 		cfg.SetPrepaid(tb.prepaid)
 	})
 	time.Sleep(applyWait)
