Leave a stopping host time for its last answers

What callers saw: a host with little time to stop (grace of 2 s) cut the requests that it had taken. Found by the soak's planned stop once it met hosts under load.

Cause: a leaving host goes on serving for three lifetimes of its directory's answers, bounded only by the whole time to stop, so that nothing was left for the last answers.

Change: that wait takes at most half of the time. With a grace of 8 s it stays at 3 s.

--- a/fleet/relayhost/leave.go
+++ b/fleet/relayhost/leave.go
@@ -22,6 +22,9 @@
 	// lingerTTLs is how long callers may keep a directory answer, in multiples of its
 	// TTL.
 	lingerTTLs = 3
+	// maxLingerShare bounds that wait, as a share of the time to stop: the rest is for the
+	// last answers.
+	maxLingerShare = 0.5
 	// graceMargin is reserved for the exit of the process itself.
 	graceMargin = 700 * time.Millisecond
 	// releaseTime is reserved for the last writes of the budgets, beside answers that take
@@ -42,7 +45,8 @@
 	if knownfault.CutOnStop {
 		return errStopped
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.bounds.Load().Grace-graceMargin)
+	limit := h.bounds.Load().Grace - graceMargin
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	h.hosts.mu.Lock()
 	h.hosts.table.SetLeaving()
@@ -51,7 +55,7 @@
 		h.log.Info("Leaving could not be announced.", "error", err.Error())
 	}
 	h.relay.SetDraining()
-	linger := time.NewTimer(lingerTTLs * directoryTTL)
+	linger := time.NewTimer(min(lingerTTLs*directoryTTL, time.Duration(maxLingerShare*float64(limit))))
 	defer linger.Stop()
 	select {
 	case <-linger.C:
@@ -65,7 +69,7 @@
 			h.log.Info("Answers were cut off.", "error", err.Error())
 		}
 	}()
-	release := time.NewTimer(h.bounds.Load().Grace - graceMargin - releaseTime - time.Since(began))
+	release := time.NewTimer(limit - releaseTime - time.Since(began))
 	defer release.Stop()
 	select {
 	case <-answered:
