Soak: check the recovery as early as before, and stop a host under load

Cause: the calm time had been put before the check of the recovery, which then came 4 s later than before: a check that checked less. And most callers were out of budget in the planned stop.

Change: 5 s of rest, the check of the recovery, then the calm time with callers.

--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -71,6 +71,20 @@
 	outcomes []outcome
 }
 
+// start sends requests until the returned function is called, which waits for the last ones.
+func (c *callers) start(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // run sends requests until ctx ends.
 func (c *callers) run(ctx context.Context) {
 	var group sync.WaitGroup
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -47,10 +47,11 @@
 	startWait = time.Second
 	// recoveryWait is the time for hosts to recover after the last fault. It covers a
 	// host's start, the end of an outage and a heartbeat of the upstreams.
-	recoveryWait = 4 * time.Second
-	// calmTime follows it. Limits must be kept in it, and a planned stop must cut off
-	// nothing.
-	calmTime = 5 * time.Second
+	recoveryWait = 5 * time.Second
+	// calmTime follows the check of the recovery. Limits must be kept in it, and a planned
+	// stop, calmWarmUp after its begin, must cut off nothing.
+	calmTime   = 5 * time.Second
+	calmWarmUp = time.Second
 	// applyWait is the time within which a configuration change must take effect.
 	applyWait = 2 * time.Second
 	// meanFaultInterval is the mean time between the starts of faults. Faults overlap.
@@ -78,24 +79,11 @@
 	time.Sleep(startWait)
 
 	c := &callers{tb: tb, seed: opt.Seed}
-	callCtx, stopCalls := context.WithCancel(ctx)
-	callersDone := make(chan struct{})
-	go func() {
-		defer close(callersDone)
-		c.run(callCtx)
-	}()
+	stopCalls := c.start(ctx)
 	faultCount := injectFaults(ctx, tb, opt)
 	tb.changeConfig(func(cfg standin.Config) { cfg.SetKeys(validKey) })
 	time.Sleep(recoveryWait)
-	calm := time.Now()
-	stopping, stopped := tb.stopInCalm(c.recorded())
-	time.Sleep(time.Until(calm.Add(calmTime)))
 	stopCalls()
-	<-callersDone
-	calmFindings := append(checkLimits(tb, calm), checkPlannedStop(c.recorded(), stopping, calm, stopped)...)
-	if err := stopping.start(); err != nil {
-		return Result{}, err
-	}
 	// Most of the budget is spent; checkRecovery needs more for each host.
 	tb.changeConfig(func(cfg standin.Config) {
 		tb.prepaid += max(prepaidTokens, int64(len(tb.hosts))*recoveryTokens)
@@ -103,6 +91,7 @@
 	})
 	time.Sleep(applyWait)
 	recoveryFindings := checkRecovery(tb, c)
+	calmFindings := checkCalm(ctx, tb, c)
 	outcomes := c.recorded()
 	result := Result{Seed: opt.Seed, Requests: len(outcomes), Faults: faultCount, Findings: slices.Concat(checkOutcomes(tb, outcomes), recoveryFindings, calmFindings)}
 	result.Findings = append(result.Findings, tb.errors()...)
@@ -143,6 +132,18 @@
 	return count
 }
 
+// checkCalm lets the callers go on without faults, stops a host as planned meanwhile, and
+// checks what must hold in calm times.
+func checkCalm(ctx context.Context, tb *testbed, c *callers) []string {
+	stopCalls := c.start(ctx)
+	calm := time.Now()
+	time.Sleep(calmWarmUp)
+	stopping, stopped := tb.stopInCalm(c.recorded())
+	time.Sleep(time.Until(calm.Add(calmTime)))
+	stopCalls()
+	return append(checkLimits(tb, calm), checkPlannedStop(c.recorded(), stopping, calm, stopped)...)
+}
+
 // calmDelay is the time that plain upstreams take in calm times, so that a planned stop meets
 // requests in flight.
 const calmDelay = 150 * time.Millisecond
