Keep an answer's first events until its caller's handler reads them

The caller of a plain service got 410 "event 0 of the answer is no longer kept" for an answer of 200 KiB that had run and was billed.

Cause: a request starts in its own goroutine, and its caller's handler attaches to the answer afterwards. stream.Buffer dropped whatever no attached reader needed, and without a reader that was everything. An upstream that answered with more than Limits.AnswerBytes before the handler ran again lost its first events. The same window was open for answers fetched or forwarded from another host.

Change: a buffer drops nothing before its first reader has attached; until then Append waits when it is full. A first reader that wants only later events frees the earlier ones at once. Duplicate requests that come later get 410 as before.

--- a/fleet/stream/buffer.go
+++ b/fleet/stream/buffer.go
@@ -41,7 +41,8 @@
 }
 
 // Buffer keeps the answer of one request for any number of readers. Above its
-// limit it drops the oldest events that all attached readers have read.
+// limit it drops the oldest events that all attached readers have read. It drops
+// none before the first reader attaches.
 type Buffer struct {
 	limit int
 
@@ -54,6 +55,7 @@
 	head      *Head
 	end       *End
 	cursors   map[*Cursor]struct{}
+	attached  bool // a reader has attached at some time
 	// spaceFreed is closed and set to nil when a reader advances or detaches, or
 	// the answer ends, while Append waits. It is nil if no Append waits.
 	spaceFreed chan struct{}
@@ -74,7 +76,7 @@
 }
 
 // Append adds the next event. It blocks while the buffer is full of events that
-// an attached reader has not read yet. It returns [ErrEnded] after Finish, or the
+// an attached reader, or the first one to come, has not read yet. It returns [ErrEnded] after Finish, or the
 // cause of ctx if that ends first.
 func (b *Buffer) Append(ctx context.Context, data []byte) error {
 	b.mu.Lock()
@@ -147,8 +149,12 @@
 	return true
 }
 
-// lowestNeeded returns the lowest index that an attached reader still needs.
+// lowestNeeded returns the lowest index that an attached reader, or the first one
+// to come, still needs.
 func (b *Buffer) lowestNeeded() uint64 {
+	if !b.attached {
+		return b.base
+	}
 	low := b.next
 	for c := range b.cursors {
 		low = min(low, c.next)
--- a/fleet/stream/cursor.go
+++ b/fleet/stream/cursor.go
@@ -28,6 +28,8 @@
 	defer b.mu.Unlock()
 	c := &Cursor{buffer: b, next: from, changed: make(chan struct{}, 1)}
 	b.cursors[c] = struct{}{}
+	b.attached = true
+	b.notifySpaceFreed()
 	return c
 }
 
--- a/fleet/stream/stream_test.go
+++ b/fleet/stream/stream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -148,6 +149,52 @@
 	require.Equal(t, Trimmed, status)
 }
 
+// TestBufferKeepsEventsUntilFirstReader guards against answers that outgrow the
+// buffer before the caller's handler starts to read them.
+func TestBufferKeepsEventsUntilFirstReader(t *testing.T) {
+	const base, maxEvents = 3, 10_000
+	b := NewBuffer(3*blockBytes, base)
+	for full := false; !full; {
+		ok, err := b.TryAppend([]byte(fmt.Sprintf("%d%s", b.Next(), strings.Repeat("x", 600))))
+		require.NoError(t, err)
+		require.Less(t, b.Next(), uint64(maxEvents), "events that nobody has read were dropped")
+		full = !ok
+	}
+	waiting := make(chan error)
+	go func() { waiting <- b.Append(t.Context(), make([]byte, 700)) }()
+	c := b.Attach(base)
+	defer c.Close()
+	for index := uint64(base); index < b.Next(); index++ {
+		event, status := c.Next(nil)
+		require.Equal(t, Available, status)
+		if len(event) == 700 {
+			break
+		}
+		require.True(t, strings.HasPrefix(string(event), fmt.Sprint(index)))
+	}
+	require.NoError(t, <-waiting)
+}
+
+// TestBufferFreesSpaceForReaderOfTheEnd: the first reader may want only the newest
+// events.
+func TestBufferFreesSpaceForReaderOfTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxEvents = 10_000
+		b := NewBuffer(3*blockBytes, 0)
+		for ok := true; ok; {
+			var err error
+			ok, err = b.TryAppend(make([]byte, 600))
+			require.NoError(t, err)
+			require.Less(t, b.Next(), uint64(maxEvents), "events that nobody has read were dropped")
+		}
+		waiting := make(chan error)
+		go func() { waiting <- b.Append(t.Context(), make([]byte, 700)) }()
+		synctest.Wait()
+		defer b.Attach(b.Next()).Close()
+		require.NoError(t, <-waiting)
+	})
+}
+
 func TestBufferReset(t *testing.T) {
 	b := NewBuffer(1<<10, 0)
 	require.NoError(t, b.Append(t.Context(), []byte("a")))
