Leave room for requests in the connections that an upstream accepts

Callers saw: 502 for a request that must run once, while the upstream had free slots.

An upstream accepts a number of connections from all hosts together (max_conns) and resets any beyond. It was decoded and used by nothing: each host kept every idle connection for 30 s, however many there were. A load that moved from host to host left its connections behind, and a new one was reset with the request on it.

Before: TestIdleConnectionsLeaveRoomForOtherHosts (7 hosts, limit of 24, bursts of 12) failed at the fifth burst with status 502. After: it passes, no connection is refused. TestConnectionsAreReusedWithinTheLimit: at most 3 new connections in about 60 requests. Shares of 1 to 3,000 hosts stay within three limits in TestIdleConnsOfAllHostsLeaveRoomForRequests.

In a fleet of 295 hosts and more, small upstreams are reached over more new connections.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -48,6 +48,8 @@
 	FailureDomain string
 	// Retries returns this host's share of the fleet's retry limits.
 	Retries func() admission.RetryLimits
+	// Hosts returns the number of hosts that may be alive, including this one.
+	Hosts   func() int
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	Dialect exchange.Dialect
 	// Broadcast sends an event of a request to the other hosts by gossip.
@@ -169,6 +171,7 @@
 			Dial:           b.opt.Dial,
 			ConnectTimeout: connectTimeout,
 			MaxIdle:        maxIdle,
+			MaxIdleConns:   func() int { return b.maxIdleConns(up) },
 			Dialect:        b.opt.Dialect,
 			Opened:         func() { b.opened.Inc(1) },
 		})}
@@ -184,6 +187,19 @@
 	}
 }
 
+// maxIdleConns returns the number of idle connections that this host keeps to an upstream.
+func (b *Balancer) maxIdleConns(up catalog.Upstream) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := balance.ConnLimit{Slots: up.Slots, Hosts: b.opt.Hosts()}
+	if b.table != nil {
+		if svc := b.table.Service(up.Service); svc != nil {
+			limit.Max = svc.MaxConns
+		}
+	}
+	return limit.IdleConns(b.opt.Host, up.ID)
+}
+
 // ShedError reports that a request was shed because its service is overloaded.
 type ShedError struct {
 	// Delay is the time until the limit of the best upstream allows the request. Wait,
--- a/fleet/exchange/pool.go
+++ b/fleet/exchange/pool.go
@@ -6,7 +6,9 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,6 +31,8 @@
 	ConnectTimeout time.Duration
 	// MaxIdle is how long an idle connection is kept.
 	MaxIdle time.Duration
+	// MaxIdleConns returns how many idle connections are kept. If it is nil, all are.
+	MaxIdleConns func() int
 	// Dialect interprets the answers.
 	Dialect Dialect
 	// Opened is called after each connection that was opened. It may be nil.
@@ -131,13 +135,25 @@
 	if keepFor > 0 {
 		c.expires = now.Add(keepFor - expiryMargin)
 	}
-	p.mu.Lock()
-	closed := p.closed
-	if !closed {
-		p.idle = append(p.idle, c)
+	for _, surplus := range p.addIdle(c) {
+		_ = surplus.Close()
 	}
-	p.mu.Unlock()
-	if closed {
-		_ = c.Close()
+}
+
+// addIdle adds an idle connection and returns those that are not kept, the oldest first.
+func (p *Pool) addIdle(c *conn) []*conn {
+	keep := math.MaxInt
+	if p.opt.MaxIdleConns != nil {
+		keep = p.opt.MaxIdleConns()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return []*conn{c}
 	}
+	p.idle = append(p.idle, c)
+	n := max(len(p.idle)-keep, 0)
+	surplus := slices.Clone(p.idle[:n])
+	p.idle = slices.Delete(p.idle, 0, n)
+	return surplus
 }
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -174,6 +174,7 @@
 		Run:           h.self.Run,
 		FailureDomain: h.cfg.FailureDomain,
 		Retries:       h.retryLimits,
+		Hosts:         func() int { n, _ := h.hosts.count(); return n },
 		Dial:          h.opt.Network.Dialer(upstreamSockets),
 		Dialect:       p.Dialect,
 		Logger:        h.opt.Logger,
