Order the results of a grant and a report that share a record

Cause: a report and a grant of one host in one record have the same offset. The report was answered first, and the grant's result was dropped as no newer, because only offsets were compared. The amount granted stayed unusable until the host's next report or grant.

Change: results are ordered by offset, then by the number of the host's last report, then a grant after the report that it names.

--- a/fleet/grants/allocation.go
+++ b/fleet/grants/allocation.go
@@ -1,6 +1,7 @@
 package grants
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/record"
@@ -30,8 +31,8 @@
 	inFlight record.Tokens
 	// available is the budget's ungranted amount after the latest grant.
 	available record.Tokens
-	// offset is the fold's offset from which the amounts were last updated.
-	offset record.Offset
+	// updatedAt is the fold's state from which the amounts were last updated.
+	updatedAt foldPosition
 
 	waiters            []*waiter
 	rate               rate
@@ -151,16 +152,31 @@
 	return 0, 0
 }
 
+// foldPosition identifies the fold's state after an operation of this host. A report and a
+// grant can be in the same record.
+type foldPosition struct {
+	offset record.Offset
+	// reportSeq is the number of this host's last report before, or at, the operation.
+	reportSeq uint64
+	// grant is true after a grant, which follows the report numbered reportSeq.
+	grant bool
+}
+
+func (p foldPosition) after(o foldPosition) bool {
+	order := cmp.Or(cmp.Compare(p.offset, o.offset), cmp.Compare(p.reportSeq, o.reportSeq))
+	return order > 0 || order == 0 && p.grant && !o.grant
+}
+
 // updateOutstanding sets the free amount from the outstanding grant in the fold
-// at an offset. It ignores results that are older than the latest one.
-func (a *allocation) updateOutstanding(at record.Offset, outstanding record.Tokens, reportSeq uint64) {
-	if at <= a.offset {
+// at a position. It ignores results that are older than the latest one.
+func (a *allocation) updateOutstanding(at foldPosition, outstanding record.Tokens) {
+	if !at.after(a.updatedAt) {
 		return
 	}
-	a.offset = at
+	a.updatedAt = at
 	open := a.reserved + a.queued
 	for _, sent := range a.client.inFlight {
-		if reportSeq < sent.report.Seq {
+		if at.reportSeq < sent.report.Seq {
 			open += sent.amounts[a]
 		}
 	}
--- a/fleet/grants/grants.go
+++ b/fleet/grants/grants.go
@@ -120,7 +120,7 @@
 func (c *shardClient) applyGrantResult(now time.Time, request *grantRequest, res *ledger.Result, reply *shard.Reply) {
 	a := request.allocation
 	a.available = res.Available
-	a.updateOutstanding(res.Offset, res.Outstanding, res.ReportSeq)
+	a.updateOutstanding(foldPosition{offset: res.Offset, reportSeq: res.ReportSeq, grant: true}, res.Outstanding)
 	if res.Granted > 0 {
 		c.manager.grants.Inc(1)
 		c.manager.opts.Logger.V(1).Info("granted", "budget", a.id, "amount", res.Granted, "free", a.free)
--- a/fleet/grants/grants_test.go
+++ b/fleet/grants/grants_test.go
@@ -76,23 +76,52 @@
 	})
 }
 
+// TestResultsOfOneRecordAreOrdered guards against a grant whose amount is lost because a
+// report in the same record was answered first, and the other way round.
+func TestResultsOfOneRecordAreOrdered(t *testing.T) {
+	report := func(seq uint64) foldPosition { return foldPosition{offset: 20, reportSeq: seq} }
+	grant := func(seq uint64) foldPosition { return foldPosition{offset: 20, reportSeq: seq, grant: true} }
+	tests := []struct {
+		name   string
+		record []foldPosition // in the order of its operations
+	}{
+		{"report, grant", []foldPosition{report(1), grant(1)}},
+		{"grant, report", []foldPosition{grant(0), report(1)}},
+		{"report, grant, report", []foldPosition{report(1), grant(1), report(2)}},
+		{"report, report, grant", []foldPosition{report(1), report(2), grant(2)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			last := len(test.record) - 1
+			for first := range test.record {
+				h := &allocation{client: &shardClient{}}
+				for i := range test.record {
+					n := (first + i) % len(test.record)
+					h.updateOutstanding(test.record[n], record.Tokens(n))
+				}
+				require.EqualValues(t, last, h.free, "answered from operation %d on", first)
+			}
+		})
+	}
+}
+
 // TestOlderResultIsIgnored applies a report's result that is older than the
 // grant's: the amounts must stay those of the newer result.
 func TestOlderResultIsIgnored(t *testing.T) {
 	h := &allocation{client: &shardClient{}, reserved: 10}
-	h.updateOutstanding(20, 100, 0)
+	h.updateOutstanding(foldPosition{offset: 20, reportSeq: 0}, 100)
 	require.Equal(t, record.Tokens(90), h.free)
-	h.updateOutstanding(19, 500, 0)
+	h.updateOutstanding(foldPosition{offset: 19, reportSeq: 0}, 500)
 	require.Equal(t, record.Tokens(90), h.free)
 	inFlight := func(seq uint64, amount record.Tokens) *sentReport {
 		return &sentReport{report: record.Report{Seq: seq}, amounts: map[*allocation]record.Tokens{h: amount}}
 	}
 	h.client.inFlight = []*sentReport{inFlight(1, 30), inFlight(2, 5)}
-	h.updateOutstanding(21, 100, 0)
+	h.updateOutstanding(foldPosition{offset: 21, reportSeq: 0}, 100)
 	require.Equal(t, record.Tokens(55), h.free, "the outstanding grant does not reflect the reports in flight yet")
-	h.updateOutstanding(22, 70, 1)
+	h.updateOutstanding(foldPosition{offset: 22, reportSeq: 1}, 70)
 	require.Equal(t, record.Tokens(55), h.free, "the outstanding grant reflects the first report")
-	h.updateOutstanding(23, 65, 2)
+	h.updateOutstanding(foldPosition{offset: 23, reportSeq: 2}, 65)
 	require.Equal(t, record.Tokens(55), h.free, "the outstanding grant reflects both")
 }
 
--- a/fleet/grants/reports.go
+++ b/fleet/grants/reports.go
@@ -252,7 +252,7 @@
 			c.manager.opts.Logger.Info("unbilled", "budget", line.Budget, "amount", line.Unbilled)
 		}
 		if a, ok := c.manager.budgets[line.Budget]; ok {
-			a.updateOutstanding(res.Offset, line.Outstanding, res.ReportSeq)
+			a.updateOutstanding(foldPosition{offset: res.Offset, reportSeq: res.ReportSeq}, line.Outstanding)
 			a.serveWaiters(time.Now())
 		}
 	}
