--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -242,6 +242,27 @@
 	})
 }
 
+func (c *cluster) submit(s *Service, op record.Op) ledger.Result {
+	c.t.Helper()
+	res, err := s.Submit(c.t.Context(), 0, []record.Op{op})
+	require.NoError(c.t, err)
+	return res[0]
+}
+
+// submitSlowly returns while an operation is on its way into the log.
+func (c *cluster) submitSlowly(s *Service, op record.Op) <-chan ledger.Result {
+	result := make(chan ledger.Result, 1)
+	go func() {
+		res, err := s.Submit(c.t.Context(), 0, []record.Op{op})
+		if err == nil {
+			result <- res[0]
+		}
+		close(result)
+	}()
+	time.Sleep(3 * time.Millisecond)
+	return result
+}
+
 // TestRecallSparesHolderWhoseGrantIsOnItsWay guards against holders that give back the part
 // to which the log is just adding what they lack: nobody gets enough then.
 func TestRecallSparesHolderWhoseGrantIsOnItsWay(t *testing.T) {
@@ -249,27 +270,17 @@
 		c := newCluster(t, memlog.Options{}, "a", "b")
 		defer c.stop()
 		owner, holder := c.svcs["a"], c.svcs["b"]
-		submit := func(s *Service, op record.Op) ledger.Result {
-			res, err := s.Submit(t.Context(), 0, []record.Op{op})
-			require.NoError(t, err)
-			return res[0]
-		}
 		recalls := func() (n int) {
 			c.update(func() { n = c.recalls["b"] })
 			return n
 		}
-		submit(owner, topUp(1, 700))
-		require.EqualValues(t, 100, submit(holder, grant(holder, 1, 100)).Granted)
-		granted := make(chan ledger.Result, 1)
-		go func() {
-			res, _ := holder.Submit(t.Context(), 0, []record.Op{grant(holder, 2, 300)})
-			granted <- res[0]
-		}()
-		time.Sleep(3 * time.Millisecond) // it is on its way into the log
-		require.Zero(t, submit(owner, grant(owner, 1, 650)).Granted)
+		c.submit(owner, topUp(1, 700))
+		require.EqualValues(t, 100, c.submit(holder, grant(holder, 1, 100)).Granted)
+		granted := c.submitSlowly(holder, grant(holder, 2, 300))
+		require.Zero(t, c.submit(owner, grant(owner, 1, 650)).Granted)
 		require.Zero(t, recalls())
 		require.EqualValues(t, 300, (<-granted).Granted)
-		require.Zero(t, submit(owner, grant(owner, 1, 650)).Granted)
+		require.Zero(t, c.submit(owner, grant(owner, 1, 650)).Granted)
 		require.Equal(t, 1, recalls(), "the holder may have something to give back again")
 	})
 }
@@ -281,26 +292,16 @@
 		c := newCluster(t, memlog.Options{}, "a", "b", "c")
 		defer c.stop()
 		owner, first, second := c.svcs["a"], c.svcs["b"], c.svcs["c"]
-		submit := func(s *Service, op record.Op) ledger.Result {
-			res, err := s.Submit(t.Context(), 0, []record.Op{op})
-			require.NoError(t, err)
-			return res[0]
-		}
-		submit(owner, topUp(1, 700))
-		require.EqualValues(t, 1, submit(owner, grant(owner, 1, 1)).Granted)
-		granted := make(chan ledger.Result, 1)
-		go func() {
-			res, _ := first.Submit(t.Context(), 0, []record.Op{grant(first, 1, 400)})
-			granted <- res[0]
-		}()
-		time.Sleep(3 * time.Millisecond) // it is on its way into the log
+		c.submit(owner, topUp(1, 700))
+		require.EqualValues(t, 1, c.submit(owner, grant(owner, 1, 1)).Granted)
+		granted := c.submitSlowly(first, grant(first, 1, 400))
 		reply, err := second.Request(t.Context(), 0, []record.Op{grant(second, 1, 400)})
 		require.NoError(t, err)
 		require.Zero(t, reply.Results[0].Granted)
 		require.EqualValues(t, 299, reply.Results[0].Available)
 		require.EqualValues(t, 299, reply.Shortages[0].Available, "the holder would ask again at once for more")
 		require.EqualValues(t, 400, (<-granted).Granted)
-		require.EqualValues(t, 299, submit(second, grant(second, 1, 299)).Granted)
+		require.EqualValues(t, 299, c.submit(second, grant(second, 1, 299)).Granted)
 	})
 }
 
