--- a/fleet/stream/buffer.go
+++ b/fleet/stream/buffer.go
@@ -76,8 +76,8 @@
 }
 
 // Append adds the next event. It blocks while the buffer is full of events that
-// an attached reader, or the first one to come, has not read yet. It returns [ErrEnded] after Finish, or the
-// cause of ctx if that ends first.
+// an attached reader, or the first one to come, has not read yet. It returns
+// [ErrEnded] after Finish, or the cause of ctx if that ends first.
 func (b *Buffer) Append(ctx context.Context, data []byte) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
