--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/quarantine"
+	"github.com/hazelworks/hazelworks/core/rendezvous"
 	"github.com/hazelworks/hazelworks/core/routes"
 )
 
@@ -32,6 +34,34 @@
 	Rank int
 }
 
+// Subjects returns the parts of the prompt that other requests may have too: all but the last
+// one, which belongs to the request or its session. w may be nil.
+func (w *Work) Subjects() []quarantine.Subject {
+	if w == nil || len(w.Parts) < 2 {
+		return nil
+	}
+	out := make([]quarantine.Subject, 0, len(w.Parts)-1)
+	for _, part := range w.Parts[:len(w.Parts)-1] {
+		out = append(out, quarantine.Subject{Kind: quarantine.PromptPart, ID: part.ID})
+	}
+	return out
+}
+
+// Suspects returns the request's subjects as those of a request that an upstream had begun to
+// run when it crashed. w may be nil.
+func (w *Work) Suspects() []quarantine.Suspect {
+	subjects := w.Subjects()
+	if len(subjects) == 0 {
+		return nil
+	}
+	own := rendezvous.Mix(w.Parts[len(w.Parts)-1].ID, rendezvous.Mix(uint64(w.Input), uint64(w.MaxOutput)))
+	out := make([]quarantine.Suspect, 0, len(subjects))
+	for _, s := range subjects {
+		out = append(out, quarantine.Suspect{Subject: s, Request: own})
+	}
+	return out
+}
+
 // Query describes a request that needs an upstream.
 type Query struct {
 	// Work is nil for plain services.
@@ -138,6 +168,8 @@
 }
 
 type runningRequest struct {
+	// work is nil for plain services.
+	work *Work
 	rank int
 	read time.Duration
 	// keys are the chain keys of the prompt's parts.
@@ -369,7 +401,7 @@
 	if !ok {
 		return
 	}
-	r := &runningRequest{}
+	r := &runningRequest{work: work}
 	if work != nil {
 		r.rank, r.read = work.Rank, read
 		r.tokens = work.Input + work.MaxOutput
@@ -407,18 +439,24 @@
 	u.queue.remove(r.rank, r.read, now)
 }
 
-// End records that a request has ended at its upstream, and its outcome.
-func (p *Pool) End(t AttemptID, id string, o Outcome, now time.Time) {
+// End records that a request has ended at its upstream, and its outcome. It returns the
+// request's work if an engine has answered it, or nil.
+func (p *Pool) End(t AttemptID, id string, o Outcome, now time.Time) *Work {
 	u, ok := p.upstreams[id]
 	if !ok {
-		return
+		return nil
 	}
 	r, ok := u.running[t]
 	if !ok {
-		return
+		return nil
 	}
+	answering := r.answering
 	u.health.record(o, now)
 	p.remove(u, t, r, now)
+	if !answering || o != Succeeded {
+		return nil
+	}
+	return r.work
 }
 
 // Stall counts a failure of an upstream because a request waits much longer than
--- a/core/balance/limit.go
+++ b/core/balance/limit.go
@@ -167,6 +167,12 @@
 	return ok && u.up.SameStart(up) && u.open(now)
 }
 
+// Leaving reports whether one start of an upstream is not listed or will stop.
+func (p *Pool) Leaving(up catalog.Upstream) bool {
+	u, ok := p.upstreams[up.ID]
+	return !ok || !u.up.SameStart(up) || u.isLeaving()
+}
+
 // open reports whether the upstream stays and has not asked this host to pause.
 func (u *upstreamState) open(now time.Time) bool {
 	return !u.isLeaving() && !now.Before(u.pausedUntil)
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,437 @@
+// Package quarantine decides which requests upstreams must not get because requests like
+// them crash whatever upstream runs them. It finds what the crashes have in common, from
+// reports of all hosts: an upstream that crashes takes all its running requests with it, and
+// only the one that is in every crash is at fault.
+package quarantine
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Kind is the kind of a [Subject]. The numbers are sent to other hosts and kept in the log.
+type Kind uint8
+
+// Kinds of subjects.
+const (
+	// PromptPart is a part that the prompts of different requests share.
+	PromptPart Kind = 1
+)
+
+// String returns the name of the kind in logs.
+func (k Kind) String() string {
+	if k == PromptPart {
+		return "prompt part"
+	}
+	return "kind " + strconv.Itoa(int(k))
+}
+
+// Subject is something that requests have in common and that may crash upstreams.
+type Subject struct {
+	_    struct{} `cbor:",toarray"`
+	Kind Kind
+	ID   uint64
+}
+
+// Suspect is a subject of a request that an upstream had begun to run when it crashed.
+type Suspect struct {
+	_       struct{} `cbor:",toarray"`
+	Subject Subject
+	// Request is the same for all attempts of one request, and for its repeats by the caller.
+	Request uint64
+}
+
+// String returns the kind and the ID, in hexadecimal.
+func (s Subject) String() string { return s.Kind.String() + " " + strconv.FormatUint(s.ID, 16) }
+
+const (
+	// crashesToBlame is the number of crashes, and of different requests in them, after which
+	// a subject is quarantined. One request that is repeated elsewhere may be in several
+	// crashes by chance.
+	crashesToBlame = 3
+	// othersAnswered is the number of answers to other requests of the service that it takes
+	// since the first of these crashes: while a service is down, a subject that all requests
+	// share has no answers either.
+	othersAnswered = 20
+	// lonelyCrashes is the number of crashes after which a subject is quarantined although
+	// the service has answered no others.
+	lonelyCrashes = 5
+	// tiedCrashes is the number of crashes after which subjects that no crash tells apart
+	// are quarantined together.
+	tiedCrashes = crashesToBlame + 2
+	// commonFactor is how many times as many requests a subject must be in as another one
+	// with the same number of crashes to count as one that is in them by chance.
+	commonFactor = 4
+	// provenCrashes and provenOthersAnswered are the same numbers for a subject that was in
+	// an answered request before.
+	provenCrashes        = crashesToBlame + 1
+	provenOthersAnswered = 30
+	// sameCause is the time within which several crashes count as one: hosts and switches
+	// that fail take several upstreams with them.
+	sameCause = 100 * time.Millisecond
+	// evidenceTTL is how long crashes and answers are remembered.
+	evidenceTTL = 10 * time.Minute
+	// firstTerm is the duration of a subject's first quarantine. Each further one lasts
+	// twice as long, at most maxTerm.
+	firstTerm = 5 * time.Minute
+	maxTerm   = time.Hour
+)
+
+// Bounds on what is remembered. The oldest is forgotten first; of quarantines, the one that
+// ends first.
+const (
+	maxCrashes     = 64
+	maxSubjects    = 128 // of one crash
+	maxRequests    = 8   // of one subject in one crash
+	maxQuarantines = 256
+	maxAnswered    = 4096
+)
+
+// Quarantine is the state of a subject that upstreams do not get.
+type Quarantine struct {
+	Subject Subject
+	// Until is the end of the quarantine.
+	Until time.Time
+	// Since is the time of the first crash that counts against the subject.
+	Since time.Time
+	// Terms is the number of the subject's quarantines, including this one.
+	Terms int
+}
+
+// crash is the end of one start of an upstream.
+type crash struct {
+	upstream uint64
+	service  string
+	at       time.Time
+	// answers is the number of answers of the service up to then.
+	answers uint64
+	// requests are the requests of each subject.
+	requests map[Subject][]uint64
+}
+
+// Tracker is one host's view of crashes, answers and quarantines. It is not safe for
+// concurrent use.
+type Tracker struct {
+	crashes  []*crash // oldest first
+	answered answerLog
+	// answers counts the answers of each service.
+	answers     map[string]uint64
+	quarantines map[Subject]*Quarantine
+}
+
+// NewTracker returns a tracker that knows nothing.
+func NewTracker() *Tracker {
+	return &Tracker{answered: newAnswerLog(), answers: make(map[string]uint64), quarantines: make(map[Subject]*Quarantine)}
+}
+
+// Find returns the quarantine of the first of the subjects that is quarantined.
+func (t *Tracker) Find(subjects []Subject, now time.Time) (Quarantine, bool) {
+	if len(t.quarantines) == 0 {
+		return Quarantine{}, false
+	}
+	for _, s := range subjects {
+		if q, ok := t.quarantines[s]; ok && now.Before(q.Until) {
+			return *q, true
+		}
+	}
+	return Quarantine{}, false
+}
+
+// Active returns the quarantines that have not ended, ordered by subject.
+func (t *Tracker) Active(now time.Time) []Quarantine {
+	var out []Quarantine
+	for _, q := range t.quarantines {
+		if now.Before(q.Until) {
+			out = append(out, *q)
+		}
+	}
+	slices.SortFunc(out, func(a, b Quarantine) int { return compareSubjects(a.Subject, b.Subject) })
+	return out
+}
+
+// Answered records that an upstream of a service has answered a request with the subjects,
+// which clears them of earlier crashes.
+func (t *Tracker) Answered(service string, subjects []Subject, now time.Time) {
+	t.answers[service]++
+	for _, s := range subjects {
+		t.answered.add(s, now)
+		if q, ok := t.quarantines[s]; ok && !now.Before(q.Until) {
+			delete(t.quarantines, s)
+		}
+	}
+}
+
+// Change is what new evidence changes.
+type Change struct {
+	Begun []Quarantine
+	// Lifted are subjects whose crashes others explain.
+	Lifted []Subject
+}
+
+// Crashed records that one start of an upstream has crashed, and the suspects. Reports of
+// several hosts on the same start are joined.
+func (t *Tracker) Crashed(upstream uint64, service string, suspects []Suspect, now time.Time) Change {
+	t.dropOld(now)
+	i := slices.IndexFunc(t.crashes, func(c *crash) bool { return c.upstream == upstream })
+	if i < 0 {
+		t.crashes = append(t.crashes, &crash{
+			upstream: upstream, service: service, at: now, answers: t.answers[service], requests: make(map[Subject][]uint64),
+		})
+		i = len(t.crashes) - 1
+	}
+	c := t.crashes[i]
+	for _, s := range suspects {
+		c.add(s)
+	}
+	if len(t.crashes) > maxCrashes {
+		t.crashes = slices.Delete(t.crashes, 0, len(t.crashes)-maxCrashes)
+	}
+	return t.blame(now)
+}
+
+func (c *crash) add(s Suspect) {
+	requests, ok := c.requests[s.Subject]
+	if !ok && len(c.requests) >= maxSubjects || len(requests) >= maxRequests || slices.Contains(requests, s.Request) {
+		return
+	}
+	c.requests[s.Subject] = append(requests, s.Request)
+}
+
+func (t *Tracker) dropOld(now time.Time) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) >= evidenceTTL })
+	t.answered.dropOld(now)
+	maps.DeleteFunc(t.quarantines, func(_ Subject, q *Quarantine) bool { return now.Sub(q.Until) >= maxTerm })
+}
+
+// blame quarantines the subjects that explain crashes which no quarantine explains yet.
+func (t *Tracker) blame(now time.Time) Change {
+	var out Change
+	for {
+		found := t.mostBlamed(t.unexplained(now), now)
+		if len(found) == 0 {
+			return out
+		}
+		for _, s := range found {
+			out.Begun = append(out.Begun, t.start(s, now))
+		}
+		for _, s := range t.explainedBy(found) {
+			delete(t.quarantines, s)
+			out.Lifted = append(out.Lifted, s)
+		}
+	}
+}
+
+// explainedBy returns the other quarantined subjects that were in no crash without one of the
+// given subjects.
+func (t *Tracker) explainedBy(subjects []Subject) []Subject {
+	var out []Subject
+	for s := range t.quarantines {
+		if slices.Contains(subjects, s) {
+			continue
+		}
+		known, alone := false, false
+		for _, c := range t.crashes {
+			if _, ok := c.requests[s]; !ok {
+				continue
+			}
+			known = true
+			alone = alone || !slices.ContainsFunc(subjects, func(o Subject) bool { _, ok := c.requests[o]; return ok })
+		}
+		if known && !alone {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, compareSubjects)
+	return out
+}
+
+// unexplained returns the crashes in which no subject is quarantined. What else ran at an
+// upstream that a quarantined subject has crashed is not blamed.
+func (t *Tracker) unexplained(now time.Time) []*crash {
+	var out []*crash
+	for _, c := range t.crashes {
+		explained := false
+		for s := range c.requests {
+			q, ok := t.quarantines[s]
+			explained = explained || ok && (now.Before(q.Until) || !c.at.After(q.Until))
+		}
+		if !explained {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// suspicion counts the crashes since the last answer with a subject, and the requests in them.
+type suspicion struct {
+	crashes  int
+	requests map[uint64]struct{}
+	lastAt   time.Time
+	first    *crash
+}
+
+// mostBlamed returns the subjects with the most crashes, if these are enough and tell them
+// apart from the others.
+func (t *Tracker) mostBlamed(crashes []*crash, now time.Time) []Subject {
+	suspects := t.suspects(crashes)
+	maps.DeleteFunc(suspects, func(s Subject, x *suspicion) bool { return !t.enough(s, x) })
+	most := 0
+	for _, x := range suspects {
+		most = max(most, x.crashes)
+	}
+	maps.DeleteFunc(suspects, func(_ Subject, x *suspicion) bool { return x.crashes < most })
+	// Of several, one that was answered before is blamed last, and one that many requests have
+	// after one that few have: it is in each crash by chance.
+	found := slices.Collect(maps.Keys(suspects))
+	if unproven := slices.DeleteFunc(slices.Clone(found), t.proven); len(unproven) > 0 {
+		found = unproven
+	}
+	fewest := math.MaxInt
+	for _, s := range found {
+		fewest = min(fewest, len(suspects[s].requests))
+	}
+	found = slices.DeleteFunc(found, func(s Subject) bool { return len(suspects[s].requests) > commonFactor*fewest })
+	if len(found) > 1 && most < tiedCrashes && !slices.ContainsFunc(found, func(s Subject) bool { return t.onProbation(s, now) }) {
+		return nil
+	}
+	slices.SortFunc(found, compareSubjects)
+	return found
+}
+
+func (t *Tracker) suspects(crashes []*crash) map[Subject]*suspicion {
+	out := make(map[Subject]*suspicion)
+	for _, c := range crashes {
+		for s, requests := range c.requests {
+			if at, ok := t.answered.last(s); ok && !at.Before(c.at) {
+				continue
+			}
+			x := out[s]
+			if x == nil {
+				x = &suspicion{first: c, requests: make(map[uint64]struct{})}
+				out[s] = x
+			}
+			for _, r := range requests {
+				x.requests[r] = struct{}{}
+			}
+			if x.crashes == 0 || c.at.Sub(x.lastAt) >= sameCause {
+				x.crashes++
+				x.lastAt = c.at
+			}
+		}
+	}
+	return out
+}
+
+// enough reports whether the crashes suffice to blame a subject.
+func (t *Tracker) enough(s Subject, x *suspicion) bool {
+	if q, ok := t.quarantines[s]; ok && x.first.at.After(q.Until) {
+		return true // it has crashed an upstream right after its quarantine
+	}
+	if len(x.requests) < crashesToBlame {
+		return false
+	}
+	others := t.answers[x.first.service] - x.first.answers
+	if t.proven(s) {
+		return x.crashes >= provenCrashes && others >= provenOthersAnswered
+	}
+	return x.crashes >= crashesToBlame && others >= othersAnswered || x.crashes >= lonelyCrashes
+}
+
+// proven reports whether a request with the subject was answered before.
+func (t *Tracker) proven(s Subject) bool {
+	_, ok := t.answered.last(s)
+	return ok
+}
+
+// onProbation reports whether the subject's last quarantine has ended.
+func (t *Tracker) onProbation(s Subject, now time.Time) bool {
+	q, ok := t.quarantines[s]
+	return ok && !now.Before(q.Until)
+}
+
+// start begins a quarantine.
+func (t *Tracker) start(s Subject, now time.Time) Quarantine {
+	q := &Quarantine{Subject: s, Since: now, Terms: 1}
+	if old, ok := t.quarantines[s]; ok {
+		q.Terms = old.Terms + 1
+	}
+	for _, c := range t.crashes {
+		if _, ok := c.requests[s]; ok && c.at.Before(q.Since) {
+			q.Since = c.at
+		}
+	}
+	q.Until = now.Add(term(q.Terms))
+	t.put(q)
+	return *q
+}
+
+// term returns the duration of a subject's nth quarantine.
+func term(n int) time.Duration {
+	d := firstTerm
+	for ; n > 1 && d < maxTerm; n-- {
+		d *= 2
+	}
+	return min(d, maxTerm)
+}
+
+func (t *Tracker) put(q *Quarantine) {
+	t.quarantines[q.Subject] = q
+	if len(t.quarantines) <= maxQuarantines {
+		return
+	}
+	first := q
+	for _, other := range t.quarantines {
+		if other.Until.Before(first.Until) {
+			first = other
+		}
+	}
+	delete(t.quarantines, first.Subject)
+}
+
+// Apply applies a quarantine that another host has begun. It returns false if it is refuted:
+// a request with the subject was answered after the first of the crashes. The quarantine then
+// has no effect, and the other hosts should be told with [Tracker.Lift]. An older or shorter
+// one has no effect either.
+func (t *Tracker) Apply(q Quarantine, now time.Time) bool {
+	if at, ok := t.answered.last(q.Subject); ok && at.After(q.Since) {
+		return false
+	}
+	q.Until = minTime(q.Until, now.Add(maxTerm))
+	if old, ok := t.quarantines[q.Subject]; !now.Before(q.Until) || ok && !q.Until.After(old.Until) {
+		return true
+	}
+	t.put(&q)
+	return true
+}
+
+// Lift ends a quarantine because a request with the subject was answered, or at the word of
+// an operator. It reports whether there was one.
+func (t *Tracker) Lift(s Subject, now time.Time) bool {
+	t.answered.add(s, now)
+	q, ok := t.quarantines[s]
+	delete(t.quarantines, s)
+	return ok && now.Before(q.Until)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func compareSubjects(a, b Subject) int {
+	if a.Kind != b.Kind {
+		return int(a.Kind) - int(b.Kind)
+	}
+	switch {
+	case a.ID < b.ID:
+		return -1
+	case a.ID > b.ID:
+		return 1
+	}
+	return 0
+}
--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -100,6 +100,25 @@
 	return slices.ContainsFunc(tellers, func(h Host) bool { return h.ID == self.ID })
 }
 
+// crashCollectors is the number of hosts that collect reports of crashes in a large fleet. One
+// may fail, and another may not have heard who serves.
+const crashCollectors = 3
+
+// CrashCollectors returns the hosts that a host tells of crashes of upstreams: all others, and
+// in a large fleet a few that all agree on, of those that serve, as they know which requests
+// are answered. peers are the other hosts, alive those of them that are.
+func CrashCollectors(self Host, peers, alive []Host) []Host {
+	if len(peers) < maxFullGossip {
+		return peers
+	}
+	hosts := slices.DeleteFunc(append([]Host{self}, alive...), func(h Host) bool { return h.Leaving })
+	slices.SortFunc(hosts, func(a, b Host) int {
+		return cmp.Or(compareBool(!a.State.Active, !b.State.Active), byScore("crashes")(a, b))
+	})
+	hosts = hosts[:min(len(hosts), crashCollectors)]
+	return slices.DeleteFunc(hosts, func(h Host) bool { return h.ID == self.ID })
+}
+
 // Lenders returns hosts in the order in which to ask them for a part of a budget: first
 // those with access to the log, which can claim more, then those that serve callers, then
 // those with more cores. In a large fleet most hosts hold no part of any budget. shuffle has
