--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -18,6 +18,7 @@
 	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
@@ -54,8 +55,13 @@
 	Dialect exchange.Dialect
 	// Broadcast sends an event of a request to the other hosts by gossip.
 	Broadcast func(gossip.Event)
-	Logger    logr.Logger
-	Metrics   metrics.Registry
+	// Crashed is called when an upstream has crashed while it began to run requests of this
+	// host. Answered is called, with the balancer's lock held, when a
+	// service has answered a request with the subjects, of this or another host.
+	Crashed  func(up catalog.Upstream, suspects []quarantine.Suspect)
+	Answered func(service string, subjects []quarantine.Subject)
+	Logger   logr.Logger
+	Metrics  metrics.Registry
 }
 
 // Balancer leases upstreams. It is safe for concurrent use.
@@ -64,6 +70,8 @@
 	log    logr.Logger
 	opened metrics.Counter
 	limits metrics.Counter
+	// crashes counts the crashes that this host has seen.
+	crashes metrics.Counter
 
 	mu        sync.Mutex
 	table     *routes.Table
@@ -80,6 +88,9 @@
 	running map[uint64]struct{}
 	// limitDomains is set by SetLimitDomains.
 	limitDomains []string
+	// broken holds requests that may have been broken off by a crash, by the hash of the
+	// upstream.
+	broken map[uint32]*brokenRequests
 }
 
 // service is the state of one service.
@@ -103,6 +114,8 @@
 		services: make(map[string]*service),
 		conns:    make(map[string]*upstreamConns),
 		running:  make(map[uint64]struct{}),
+		crashes:  metrics.GetOrRegisterCounter("upstream_crashes", opt.Metrics),
+		broken:   make(map[uint32]*brokenRequests),
 	}
 }
 
@@ -117,10 +130,14 @@
 // SetUpstreams replaces the upstreams of all services.
 func (b *Balancer) SetUpstreams(ups []catalog.Upstream) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.upstreams = ups
 	b.syncConns()
 	b.sync()
+	crashed := b.takeUnlisted()
+	b.mu.Unlock()
+	for _, broken := range crashed {
+		b.reportCrash(broken, "its entry was removed")
+	}
 }
 
 func (b *Balancer) sync() {
@@ -328,7 +345,7 @@
 		}
 		if s, ok := b.services[c.up.Service]; ok {
 			attempt := balance.AttemptID{Host: string(m.Host), Run: m.Run, Seq: e.Seq}
-			s.apply(attempt, c.up.ID, e, now)
+			b.apply(s, attempt, c.up, e, now)
 		}
 	}
 	for _, s := range b.services {
@@ -336,8 +353,9 @@
 	}
 }
 
-// apply applies an event of a request at the upstream with an ID.
-func (s *service) apply(attempt balance.AttemptID, id string, e gossip.Event, now time.Time) {
+// apply applies an event of a request at an upstream. The caller holds mu.
+func (b *Balancer) apply(s *service, attempt balance.AttemptID, up catalog.Upstream, e gossip.Event, now time.Time) {
+	id := up.ID
 	switch {
 	case e.Kind == gossip.Begun && e.Begun != nil:
 		s.pool.Begin(attempt, id, e.Begun.Work, time.Duration(e.Begun.ReadMillis)*time.Millisecond, now)
@@ -348,6 +366,8 @@
 	case e.Kind == gossip.Stalled:
 		s.pool.Stall(id, now)
 	case e.Kind == gossip.Ended:
-		s.pool.End(attempt, id, e.Outcome, now)
+		if work := s.pool.End(attempt, id, e.Outcome, now); work != nil {
+			b.opt.Answered(up.Service, work.Subjects())
+		}
 	}
 }
--- a/fleet/balancer/lease.go
+++ b/fleet/balancer/lease.go
@@ -55,7 +55,7 @@
 		delete(l.balancer.running, l.attempt.Seq)
 	}
 	if s, ok := l.balancer.services[l.service]; ok {
-		s.apply(l.attempt, l.Upstream.ID, e, time.Now())
+		l.balancer.apply(s, l.attempt, l.Upstream, e, time.Now())
 	}
 	l.balancer.opt.Broadcast(e)
 }
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +45,12 @@
 	ErrForeign = errors.New("exchange: answers of other requests")
 )
 
+// IsClosedByPeer reports whether an error means that the upstream, or its operating system, has
+// closed or reset the connection. Silence and timeouts are not.
+func IsClosedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 const (
 	// asyncBodyBytes is the size from which a body is written while the answer is read.
 	// An upstream may answer before it has read the whole body.
--- a/fleet/exchange/pool.go
+++ b/fleet/exchange/pool.go
@@ -101,6 +101,16 @@
 	return p.open(ctx)
 }
 
+// Preconnect opens a connection and keeps it for a later request.
+func (p *Pool) Preconnect(ctx context.Context) error {
+	c, err := p.open(ctx)
+	if err != nil {
+		return err
+	}
+	p.put(c, 0)
+	return nil
+}
+
 func (p *Pool) takeIdle() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -67,8 +67,10 @@
 	LimitDomains func([]string)
 	// Receive applies a message of another host.
 	Receive func(*Message)
-	Logger  logr.Logger
-	Metrics metrics.Registry
+	// ReceiveReport applies a report of another host.
+	ReceiveReport func(*Report)
+	Logger        logr.Logger
+	Metrics       metrics.Registry
 }
 
 // Gossip sends and receives messages.
@@ -88,6 +90,7 @@
 	mu      sync.Mutex
 	pending []Event
 	direct  []directEvents
+	reports []pendingReport
 	wake    chan struct{}
 }
 
@@ -114,10 +117,7 @@
 	g.mu.Lock()
 	g.pending = append(g.pending, e)
 	g.mu.Unlock()
-	select {
-	case g.wake <- struct{}{}:
-	default:
-	}
+	g.signal()
 }
 
 // SendTo sends events to one host. It does not block on the network.
@@ -125,6 +125,10 @@
 	g.mu.Lock()
 	g.direct = append(g.direct, directEvents{to: to, events: events})
 	g.mu.Unlock()
+	g.signal()
+}
+
+func (g *Gossip) signal() {
 	select {
 	case g.wake <- struct{}{}:
 	default:
@@ -152,6 +156,9 @@
 }
 
 func (g *Gossip) receive(conn net.PacketConn, data []byte) {
+	if g.receiveReport(conn, data) {
+		return
+	}
 	var m Message
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		g.malformed.Inc(1)
@@ -214,6 +221,7 @@
 		case <-g.wake:
 			time.Sleep(batchDelay)
 			g.sendEvents(conn)
+			g.sendReports(conn)
 		}
 	}
 }
@@ -290,6 +298,10 @@
 		g.log.Error(err, "Gossip could not be encoded.")
 		return
 	}
+	g.write(conn, data, peers)
+}
+
+func (g *Gossip) write(conn net.PacketConn, data []byte, peers []roster.Host) {
 	for _, peer := range peers {
 		// Errors are ignored: a host that is down is detected by its missing
 		// heartbeats.
--- a/fleet/relay/answer.go
+++ b/fleet/relay/answer.go
@@ -16,10 +16,11 @@
 // if it is longer than maxAnswerBytes.
 func (c *call) forwardWhole(resp *exchange.Response, lease *balancer.Lease) sendResult {
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
-	c.recordFirstEvent(lease)
 	if err != nil {
+		c.closedByPeer = exchange.IsClosedByPeer(err)
 		return resultLost
 	}
+	c.recordFirstEvent(lease)
 	if len(body) > maxAnswerBytes {
 		return c.forwardLarge(resp, body)
 	}
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -12,11 +12,13 @@
 	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/knownfault"
+	"github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 	"github.com/hazelworks/hazelworks/fleet/grants"
+	fleetquarantine "github.com/hazelworks/hazelworks/fleet/quarantine"
 )
 
 var errTimeout = errors.New("the route's or the caller's time is over")
@@ -32,6 +34,11 @@
 	service string
 	// retried is true if the caller retries after its request was shed.
 	retried bool
+	// subjects are what the request may have in common with others that crash upstreams.
+	subjects []quarantine.Subject
+	flight   *fleetquarantine.Flight
+	// closedByPeer is true if the upstream closed the connection during the last attempt.
+	closedByPeer bool
 
 	tried []string
 	// runs counts the attempts in which the request may have run.
@@ -48,6 +55,8 @@
 	status          int
 	firstEventAfter time.Duration
 	billed          record.Tokens
+	// attemptStartedAt is when the answer to the current attempt started, or zero.
+	attemptStartedAt time.Time
 	// answerStarted is true once the caller has a part of a streamed answer.
 	answerStarted bool
 	lastEventID   string
@@ -103,6 +112,16 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, c.req.Arrived.Add(limit), errTimeout)
 		defer cancel()
 	}
+	c.subjects = c.req.Work.Subjects()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	c.flight = c.r.opt.Quarantine.Enter(c.subjects, cancel)
+	defer c.flight.Leave()
+	// Checked after Enter, so that a quarantine that begins meanwhile is not missed.
+	if err := c.r.opt.Quarantine.Check(c.subjects); err != nil {
+		c.giveUp(ctx, err)
+		return
+	}
 	if err := c.reserve(ctx); err != nil {
 		c.refuseBudget(ctx, err)
 		return
@@ -113,6 +132,10 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if err := c.r.opt.Quarantine.Check(c.subjects); err != nil {
+			c.giveUp(ctx, err)
+			return
+		}
 		lease, err := c.r.opt.Balancer.Pick(c.service, &balance.Query{Work: c.req.Work, Exclude: c.tried}, last != resultNotSent, c.admit)
 		if err != nil {
 			c.giveUp(ctx, err)
@@ -290,19 +313,31 @@
 	retryAfter := startRetryAfter
 	var shed *balancer.ShedError
 	var paused *balancer.PausedError
+	var quarantined *fleetquarantine.Error
+	if errors.Is(cause, fleetquarantine.ErrQuarantined) {
+		reason = c.r.opt.Quarantine.Check(c.subjects)
+		if reason == nil {
+			reason = cause
+		}
+	}
 	switch {
 	case errors.As(reason, &shed):
 		retryAfter = shed.RetryAfter
 	case errors.As(reason, &paused):
 		retryAfter = paused.RetryAfter
+	case errors.As(reason, &quarantined):
+		retryAfter = quarantined.Remaining
 	}
 	switch {
 	case c.answerStarted:
 		c.r.log.Info("Answer cut.", "request", c.req.ID, "events", c.events)
 		panic(http.ErrAbortHandler)
-	case cause != nil && !errors.Is(cause, errTimeout):
+	case cause != nil && !errors.Is(cause, errTimeout) && !errors.Is(cause, fleetquarantine.ErrQuarantined):
 		c.r.log.Info("Caller gone.", "request", c.req.ID)
 		panic(http.ErrAbortHandler)
+	case errors.Is(reason, fleetquarantine.ErrQuarantined):
+		c.r.meters.quarantined.Inc(1)
+		c.refuse(c.quarantineRefusal(reason, retryAfter))
 	case c.runs == 0:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason.Error(), retryAfter: retryAfter})
 	case cause != nil:
@@ -312,6 +347,14 @@
 	}
 }
 
+// quarantineRefusal returns the answer to a request that is not sent to an upstream any more.
+func (c *call) quarantineRefusal(reason error, retryAfter time.Duration) refusal {
+	if c.runs > 0 {
+		return refusal{status: http.StatusBadGateway, reason: reason.Error()}
+	}
+	return refusal{status: http.StatusServiceUnavailable, reason: reason.Error(), retryAfter: retryAfter}
+}
+
 // errStalled cancels an attempt whose answer is long overdue.
 var errStalled = errors.New("the upstream does not begin its answer")
 
@@ -344,13 +387,30 @@
 		}
 	})
 	before := c.events
+	c.closedByPeer, c.attemptStartedAt = false, time.Time{}
 	result := c.sendOnce(ctx, lease)
 	lease.ObserveEvents(c.events - before)
+	if c.brokenOffAtStart(result) && ctx.Err() == nil {
+		lease.BrokenOff(c.req.Work.Suspects())
+	}
 	c.stalled = c.stalled || errors.Is(context.Cause(ctx), errStalled)
 	lease.End(outcomeOf(ctx, result))
 	return result
 }
 
+// startTime is the time from the first event of an answer in which a crash may be due to the
+// request.
+const startTime = time.Second
+
+// brokenOffAtStart reports whether the upstream closed the connection before or just after it
+// began to answer.
+func (c *call) brokenOffAtStart(result sendResult) bool {
+	if result != resultLost || !c.closedByPeer {
+		return false
+	}
+	return c.attemptStartedAt.IsZero() || time.Since(c.attemptStartedAt) < startTime
+}
+
 // stallAfter returns the time after which the answer is long overdue.
 func (c *call) stallAfter(lease *balancer.Lease) time.Duration {
 	if c.req.Work == nil && c.route.Objective > 0 {
@@ -436,6 +496,7 @@
 	}
 	if err != nil {
 		c.runs++
+		c.closedByPeer = exchange.IsClosedByPeer(err)
 		return resultLost
 	}
 	defer resp.Close()
@@ -460,6 +521,9 @@
 // recordFirstEvent records the start of the answer.
 func (c *call) recordFirstEvent(lease *balancer.Lease) {
 	lease.FirstEvent()
+	if c.attemptStartedAt.IsZero() {
+		c.attemptStartedAt = time.Now()
+	}
 	if c.firstEventAfter == 0 {
 		c.firstEventAfter = time.Since(c.req.Arrived)
 		c.r.meters.observeFirstEvent(c.service, c.firstEventAfter)
--- a/fleet/relay/meters.go
+++ b/fleet/relay/meters.go
@@ -22,6 +22,9 @@
 	retries  metrics.Counter
 	reserve  metrics.Histogram
 	eventGap metrics.Histogram
+	// quarantined counts the requests that were not sent, or not sent again, because of a
+	// quarantine.
+	quarantined metrics.Counter
 }
 
 func newMeters(r metrics.Registry) *meters {
@@ -32,6 +35,8 @@
 		retries:  metrics.GetOrRegisterCounter("relay.repeats", r),
 		reserve:  histogram("relay.reserve_us", r),
 		eventGap: histogram("relay.event_gap_us", r),
+
+		quarantined: metrics.GetOrRegisterCounter("relay.quarantined", r),
 	}
 }
 
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/grants"
 	"github.com/hazelworks/hazelworks/fleet/logging"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 )
 
 // Options configure a [Relay].
@@ -31,8 +32,10 @@
 	Table    func() *routes.Table
 	Balancer *balancer.Balancer
 	Reserver grants.Reserver
-	Logger   logr.Logger
-	Metrics  metrics.Registry
+	// Quarantine knows the requests that crash upstreams.
+	Quarantine *quarantine.Keeper
+	Logger     logr.Logger
+	Metrics    metrics.Registry
 }
 
 // Relay is the HTTP handler for callers' requests.
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -37,6 +37,7 @@
 			return c.endStream(resp)
 		}
 		if err != nil || len(buf) > maxEventBytes {
+			c.closedByPeer = exchange.IsClosedByPeer(err)
 			return resultLost
 		}
 	}
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -22,6 +22,7 @@
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/escrow"
 	"github.com/hazelworks/hazelworks/core/platform"
+	corequarantine "github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/roster"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/admin"
@@ -32,6 +33,7 @@
 	"github.com/hazelworks/hazelworks/fleet/follow"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
 	"github.com/hazelworks/hazelworks/fleet/lending"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/relay"
 	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
@@ -41,6 +43,9 @@
 	// followWait is how long a read waits for records. A silent connection is noticed
 	// after this time plus the call's own timeout.
 	followWait = time.Second
+	// quarantineFollowWait is that wait for the quarantines. Records are few, and hosts also
+	// tell each other, so that a silent connection may be noticed late.
+	quarantineFollowWait = 10 * time.Second
 	// tablePause is the pause between reads of the settings. It lets several versions
 	// that are written in quick succession gather in one read.
 	tablePause = 50 * time.Millisecond
@@ -76,9 +81,11 @@
 	ConfigKey      string
 	UpstreamStream string
 	// HostStream is the stream of the hosts' entries, keyed by host. BudgetStream is
-	// the stream of their claims.
-	HostStream     string
-	BudgetStream   string
+	// the stream of their claims, QuarantineStream that of the quarantines.
+	HostStream       string
+	BudgetStream     string
+	QuarantineStream string
+
 	DecodeConfig   func([]byte) (*routes.Table, error)
 	DecodeUpstream func(id string, value []byte) (catalog.Upstream, error)
 	// Ready returns the handler of the platform's readiness checks, Directory that of
@@ -111,11 +118,14 @@
 	gossip    *gossip.Gossip
 	settings  *fanout.Stream
 	balancer  *balancer.Balancer
-	budgets   *allocation.Manager
-	relay     *relay.Relay
-	callers   *callerserver.Server
-	leaving   atomic.Bool
-	stop      chan struct{}
+	// quarantines knows the requests that crash upstreams.
+	quarantines *quarantine.Keeper
+	startedAt   time.Time
+	budgets     *allocation.Manager
+	relay       *relay.Relay
+	callers     *callerserver.Server
+	leaving     atomic.Bool
+	stop        chan struct{}
 	// announceAgain asks for another write of this host's entry.
 	announceAgain chan struct{}
 }
@@ -129,7 +139,7 @@
 	cfg := opt.Config
 	opt.Log = &meteredLog{log: opt.Log, registry: opt.Metrics}
 	h := &Host{opt: opt, cfg: cfg, log: opt.Logger.WithName("host"),
-		stop: make(chan struct{}), announceAgain: make(chan struct{}, 1)}
+		stop: make(chan struct{}), announceAgain: make(chan struct{}, 1), startedAt: time.Now()}
 	h.self = roster.Host{
 		ID: cfg.Host, Run: runID, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
 		Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer, Cores: cfg.Limits.Cores,
@@ -180,6 +190,12 @@
 		Logger:        h.opt.Logger,
 		Metrics:       h.opt.Metrics,
 		Broadcast:     func(e gossip.Event) { h.gossip.Broadcast(e) },
+		Crashed:       func(up catalog.Upstream, s []corequarantine.Suspect) { h.quarantines.Crashed(up, s) },
+		Answered:      func(service string, s []corequarantine.Subject) { h.quarantines.Answered(service, s) },
+	})
+	h.quarantines = quarantine.New(quarantine.Options{
+		Host: h.cfg.Host, Broadcast: func(r gossip.Report) { h.gossip.BroadcastReport(r) },
+		Log: h.opt.Log, Stream: p.QuarantineStream, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, changed: h.setTable, log: h.opt.Logger.WithName("table")}
 	h.upstreams = newUpstreamWatch(func() time.Duration { return h.bounds.Load().UpstreamHeartbeat }, p.DecodeUpstream, h.balancer.SetUpstreams, h.opt.Logger.WithName("upstreams"))
@@ -203,11 +219,11 @@
 	})
 	h.gossip = gossip.New(gossip.Options{
 		Self: h.self, Peers: h.hosts.peers, Heartbeats: h.hosts.heartbeats, Alive: h.hosts.others, State: h.state, Oldest: h.balancer.OldestRunning,
-		LimitDomains: h.balancer.SetLimitDomains, Receive: h.receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+		LimitDomains: h.balancer.SetLimitDomains, Receive: h.receive, ReceiveReport: h.quarantines.Receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
-		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.table.current.Load, Balancer: h.balancer, Reserver: h.budgets,
-		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.serviceTable, Balancer: h.balancer, Reserver: h.budgets,
+		Quarantine: h.quarantines, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
 		func(err error) { h.log.Error(err, "Serving callers failed.") })
@@ -287,6 +303,10 @@
 			if !roster.TellsNotices(h.self, started, h.hosts.others()) {
 				return
 			}
+			if report, ok := h.quarantines.Report(); ok {
+				h.log.Info("Host is told of quarantines.", "host", started.ID, "quarantines", len(report.Quarantines))
+				h.gossip.SendReportTo(started, report)
+			}
 			if events := h.balancer.Notices(); len(events) > 0 {
 				h.log.Info("Host is told what upstreams have stated.", "host", started.ID, "notices", len(events))
 				h.gossip.SendTo(started, events)
@@ -307,17 +327,27 @@
 	return admission.FleetRetryLimits(b.RetryShare, slack, b.RetryWindow, hosts)
 }
 
-// Ready reports whether the host can serve callers.
-func (h *Host) Ready() bool {
-	return !h.leaving.Load() && h.table.current.Load() != nil
+// quarantineWait bounds the time from the start in which a host serves nothing because it has
+// not read the quarantines. The log may be out of reach for long.
+const quarantineWait = time.Second
+
+// serviceTable returns the configuration in force, or nil if the host can't serve yet.
+func (h *Host) serviceTable() *routes.Table {
+	if !h.quarantines.Loaded() && time.Since(h.startedAt) < quarantineWait {
+		return nil
+	}
+	return h.table.current.Load()
 }
 
+// Ready reports whether the host can serve callers.
+func (h *Host) Ready() bool { return !h.leaving.Load() && h.serviceTable() != nil }
+
 // directoryTTL is the TTL of a directory answer. Some callers keep an answer three times
 // as long; a leaving host waits for them.
 const directoryTTL = time.Second
 
 func (h *Host) resolve(domain string) ([]netip.AddrPort, time.Duration) {
-	if h.table.current.Load() == nil {
+	if h.serviceTable() == nil {
 		return nil, 0
 	}
 	isolated := h.budgets.Isolated()
@@ -351,6 +381,11 @@
 		Stream: h.opt.Protocol.HostStream, Snapshot: h.hosts.snapshot, Records: h.hosts.apply, Rewound: h.hostsRewound,
 		Pause: h.hostsPause, Retry: listRetry,
 	}))
+	add(h.follower(follow.Options{
+		Stream: h.opt.Protocol.QuarantineStream, Wait: quarantineFollowWait, Pause: func() time.Duration { return h.scaledPause(listPause, maxListPause) }, Retry: listRetry,
+		Snapshot: h.quarantines.Snapshot, Records: h.quarantines.Records, Rewound: h.quarantines.Rewound,
+	}))
+	add(h.quarantines.Run)
 	add(h.budgets.Run)
 	add(h.serve(h.cfg.Listen.Peer, h.peerHandler()))
 	add(h.runGossip)
@@ -375,7 +410,9 @@
 	if opt.Log == nil {
 		opt.Log = h.opt.Log
 	}
-	opt.Wait = followWait
+	if opt.Wait == 0 {
+		opt.Wait = followWait
+	}
 	opt.Logger = h.opt.Logger.WithName("follow")
 	return follow.New(opt).Run
 }
