--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -439,24 +439,21 @@
 	u.queue.remove(r.rank, r.read, now)
 }
 
-// End records that a request has ended at its upstream, and its outcome. It returns the
-// request's work if an engine has answered it, or nil.
-func (p *Pool) End(t AttemptID, id string, o Outcome, now time.Time) *Work {
+// End records that a request has ended at its upstream, and its outcome. It reports
+// whether the upstream has answered the request, and returns its work.
+func (p *Pool) End(t AttemptID, id string, o Outcome, now time.Time) (work *Work, answered bool) {
 	u, ok := p.upstreams[id]
 	if !ok {
-		return nil
+		return nil, false
 	}
 	r, ok := u.running[t]
 	if !ok {
-		return nil
+		return nil, false
 	}
 	answering := r.answering
 	u.health.record(o, now)
 	p.remove(u, t, r, now)
-	if !answering || o != Succeeded {
-		return nil
-	}
-	return r.work
+	return r.work, answering && o == Succeeded
 }
 
 // Stall counts a failure of an upstream because a request waits much longer than
--- a/core/quarantine/answers.go
+++ b/core/quarantine/answers.go
@@ -8,7 +8,7 @@
 	young, old map[Subject]time.Time
 }
 
-func newAnswerLog() answerLog { return answerLog{young: make(map[Subject]time.Time)} }
+func newAnswerLog() *answerLog { return &answerLog{young: make(map[Subject]time.Time)} }
 
 func (l *answerLog) add(s Subject, now time.Time) {
 	if _, ok := l.young[s]; !ok && len(l.young) >= maxAnswered/2 {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -19,12 +19,17 @@
 const (
 	// PromptPart is a part that the prompts of different requests share.
 	PromptPart Kind = 1
+	// Request is one request of one client account that comes again.
+	Request Kind = 2
 )
 
 // String returns the name of the kind in logs.
 func (k Kind) String() string {
-	if k == PromptPart {
+	switch k {
+	case PromptPart:
 		return "prompt part"
+	case Request:
+		return "request"
 	}
 	return "kind " + strconv.Itoa(int(k))
 }
@@ -48,11 +53,11 @@
 func (s Subject) String() string { return s.Kind.String() + " " + strconv.FormatUint(s.ID, 16) }
 
 const (
-	// crashesToBlame is the number of crashes, and of different requests in them, after which
-	// a subject is quarantined. One request that is repeated elsewhere may be in several
-	// crashes by chance.
+	// crashesToBlame is the number of crashes after which a subject is quarantined. For a
+	// prompt part it is also the number of different requests in them: one that is repeated
+	// elsewhere may be in several crashes by chance.
 	crashesToBlame = 3
-	// othersAnswered is the number of answers to other requests of the service that it takes
+	// othersAnswered is, for a prompt part, the number of answers to other requests of the service that it takes
 	// since the first of these crashes: while a service is down, a subject that all requests
 	// share has no answers either.
 	othersAnswered = 20
@@ -69,8 +74,9 @@
 	// an answered request before.
 	provenCrashes        = crashesToBlame + 1
 	provenOthersAnswered = 30
-	// sameCause is the time within which several crashes count as one: hosts and switches
-	// that fail take several upstreams with them.
+	// sameCause is the time within which several crashes count as one against a prompt part:
+	// hosts and switches that fail take several upstreams with them. A request runs at one
+	// upstream at a time.
 	sameCause = 100 * time.Millisecond
 	// evidenceTTL is how long crashes and answers are remembered.
 	evidenceTTL = 10 * time.Minute
@@ -87,7 +93,7 @@
 	maxSubjects    = 128 // of one crash
 	maxRequests    = 8   // of one subject in one crash
 	maxQuarantines = 256
-	maxAnswered    = 4096
+	maxAnswered    = 4096 // of one kind
 )
 
 // Quarantine is the state of a subject that upstreams do not get.
@@ -115,8 +121,10 @@
 // Tracker is one host's view of crashes, answers and quarantines. It is not safe for
 // concurrent use.
 type Tracker struct {
-	crashes  []*crash // oldest first
-	answered answerLog
+	crashes []*crash // oldest first
+	// answered holds the answered subjects of each kind: requests must not displace the
+	// much fewer parts.
+	answered map[Kind]*answerLog
 	// answers counts the answers of each service.
 	answers     map[string]uint64
 	quarantines map[Subject]*Quarantine
@@ -124,7 +132,7 @@
 
 // NewTracker returns a tracker that knows nothing.
 func NewTracker() *Tracker {
-	return &Tracker{answered: newAnswerLog(), answers: make(map[string]uint64), quarantines: make(map[Subject]*Quarantine)}
+	return &Tracker{answered: make(map[Kind]*answerLog), answers: make(map[string]uint64), quarantines: make(map[Subject]*Quarantine)}
 }
 
 // Find returns the quarantine of the first of the subjects that is quarantined.
@@ -152,12 +160,14 @@
 	return out
 }
 
-// Answered records that an upstream of a service has answered a request with the subjects,
-// which clears them of earlier crashes.
-func (t *Tracker) Answered(service string, subjects []Subject, now time.Time) {
-	t.answers[service]++
+// CountAnswer records that an upstream of a service has answered a request.
+func (t *Tracker) CountAnswer(service string) { t.answers[service]++ }
+
+// Answered records that a request with the subjects was answered, which clears them of earlier
+// crashes.
+func (t *Tracker) Answered(subjects []Subject, now time.Time) {
 	for _, s := range subjects {
-		t.answered.add(s, now)
+		t.recordAnswer(s, now)
 		if q, ok := t.quarantines[s]; ok && !now.Before(q.Until) {
 			delete(t.quarantines, s)
 		}
@@ -192,6 +202,24 @@
 	return t.blame(now)
 }
 
+func (t *Tracker) recordAnswer(s Subject, now time.Time) {
+	log, ok := t.answered[s.Kind]
+	if !ok {
+		log = newAnswerLog()
+		t.answered[s.Kind] = log
+	}
+	log.add(s, now)
+}
+
+// lastAnswer returns when a request with the subject was last answered, if that is remembered.
+func (t *Tracker) lastAnswer(s Subject) (time.Time, bool) {
+	log, ok := t.answered[s.Kind]
+	if !ok {
+		return time.Time{}, false
+	}
+	return log.last(s)
+}
+
 func (c *crash) add(s Suspect) {
 	requests, ok := c.requests[s.Subject]
 	if !ok && len(c.requests) >= maxSubjects || len(requests) >= maxRequests || slices.Contains(requests, s.Request) {
@@ -202,7 +230,9 @@
 
 func (t *Tracker) dropOld(now time.Time) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) >= evidenceTTL })
-	t.answered.dropOld(now)
+	for _, log := range t.answered {
+		log.dropOld(now)
+	}
 	maps.DeleteFunc(t.quarantines, func(_ Subject, q *Quarantine) bool { return now.Sub(q.Until) >= maxTerm })
 }
 
@@ -210,7 +240,7 @@
 func (t *Tracker) blame(now time.Time) Change {
 	var out Change
 	for {
-		found := t.mostBlamed(t.unexplained(now), now)
+		found := t.mostBlamed(now)
 		if len(found) == 0 {
 			return out
 		}
@@ -248,21 +278,17 @@
 	return out
 }
 
-// unexplained returns the crashes in which no subject is quarantined. What else ran at an
-// upstream that a quarantined subject has crashed is not blamed.
-func (t *Tracker) unexplained(now time.Time) []*crash {
-	var out []*crash
-	for _, c := range t.crashes {
-		explained := false
-		for s := range c.requests {
-			q, ok := t.quarantines[s]
-			explained = explained || ok && (now.Before(q.Until) || !c.at.After(q.Until))
-		}
-		if !explained {
-			out = append(out, c)
+// explains reports whether a quarantined subject explains a crash to subjects of a kind. What
+// else ran at an upstream that it has crashed is not blamed. A request does not explain a crash
+// to its own parts: they may be what makes it crash upstreams.
+func (t *Tracker) explains(c *crash, kind Kind, now time.Time) bool {
+	for s := range c.requests {
+		q, ok := t.quarantines[s]
+		if ok && (s.Kind == PromptPart || kind == Request) && (now.Before(q.Until) || !c.at.After(q.Until)) {
+			return true
 		}
 	}
-	return out
+	return false
 }
 
 // suspicion counts the crashes since the last answer with a subject, and the requests in them.
@@ -275,8 +301,17 @@
 
 // mostBlamed returns the subjects with the most crashes, if these are enough and tell them
 // apart from the others.
-func (t *Tracker) mostBlamed(crashes []*crash, now time.Time) []Subject {
-	suspects := t.suspects(crashes)
+func (t *Tracker) mostBlamed(now time.Time) []Subject {
+	for _, kind := range []Kind{PromptPart, Request} {
+		if found := t.mostBlamedOf(kind, now); len(found) > 0 {
+			return found
+		}
+	}
+	return nil
+}
+
+func (t *Tracker) mostBlamedOf(kind Kind, now time.Time) []Subject {
+	suspects := t.suspects(kind, now)
 	maps.DeleteFunc(suspects, func(s Subject, x *suspicion) bool { return !t.enough(s, x) })
 	most := 0
 	for _, x := range suspects {
@@ -301,11 +336,18 @@
 	return found
 }
 
-func (t *Tracker) suspects(crashes []*crash) map[Subject]*suspicion {
+// suspects returns the subjects of a kind in the crashes that no quarantine explains.
+func (t *Tracker) suspects(kind Kind, now time.Time) map[Subject]*suspicion {
 	out := make(map[Subject]*suspicion)
-	for _, c := range crashes {
+	for _, c := range t.crashes {
+		if t.explains(c, kind, now) {
+			continue
+		}
 		for s, requests := range c.requests {
-			if at, ok := t.answered.last(s); ok && !at.Before(c.at) {
+			if s.Kind != kind {
+				continue
+			}
+			if at, ok := t.lastAnswer(s); ok && !at.Before(c.at) {
 				continue
 			}
 			x := out[s]
@@ -316,7 +358,7 @@
 			for _, r := range requests {
 				x.requests[r] = struct{}{}
 			}
-			if x.crashes == 0 || c.at.Sub(x.lastAt) >= sameCause {
+			if x.crashes == 0 || kind == Request || c.at.Sub(x.lastAt) >= sameCause {
 				x.crashes++
 				x.lastAt = c.at
 			}
@@ -330,19 +372,21 @@
 	if q, ok := t.quarantines[s]; ok && x.first.at.After(q.Until) {
 		return true // it has crashed an upstream right after its quarantine
 	}
-	if len(x.requests) < crashesToBlame {
-		return false
-	}
 	others := t.answers[x.first.service] - x.first.answers
-	if t.proven(s) {
+	switch {
+	case s.Kind == PromptPart && len(x.requests) < crashesToBlame:
+		return false
+	case t.proven(s):
 		return x.crashes >= provenCrashes && others >= provenOthersAnswered
+	case s.Kind == Request:
+		return x.crashes >= crashesToBlame
 	}
 	return x.crashes >= crashesToBlame && others >= othersAnswered || x.crashes >= lonelyCrashes
 }
 
 // proven reports whether a request with the subject was answered before.
 func (t *Tracker) proven(s Subject) bool {
-	_, ok := t.answered.last(s)
+	_, ok := t.lastAnswer(s)
 	return ok
 }
 
@@ -396,7 +440,7 @@
 // has no effect, and the other hosts should be told with [Tracker.Lift]. An older or shorter
 // one has no effect either.
 func (t *Tracker) Apply(q Quarantine, now time.Time) bool {
-	if at, ok := t.answered.last(q.Subject); ok && at.After(q.Since) {
+	if at, ok := t.lastAnswer(q.Subject); ok && at.After(q.Since) {
 		return false
 	}
 	q.Until = minTime(q.Until, now.Add(maxTerm))
@@ -410,7 +454,7 @@
 // Lift ends a quarantine because a request with the subject was answered, or at the word of
 // an operator. It reports whether there was one.
 func (t *Tracker) Lift(s Subject, now time.Time) bool {
-	t.answered.add(s, now)
+	t.recordAnswer(s, now)
 	q, ok := t.quarantines[s]
 	delete(t.quarantines, s)
 	return ok && now.Before(q.Until)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -17,6 +17,12 @@
 	return out
 }
 
+// answer records an answer of a service to a request with the subjects.
+func answer(t *Tracker, subjects []Subject, now time.Time) {
+	t.CountAnswer("llm")
+	t.Answered(subjects, now)
+}
+
 // suspects returns suspects of one request.
 func suspects(request uint64, ids ...uint64) []Suspect {
 	var out []Suspect
@@ -35,7 +41,7 @@
 		change := t.Crashed(uint64(now.UnixNano()), "llm", suspects(uint64(now.UnixNano()), subjects...), now)
 		begun = append(begun, change.Begun...)
 		for range othersAnswered {
-			t.Answered("llm", nil, now)
+			t.CountAnswer("llm")
 		}
 	}
 	return now, begun
@@ -48,7 +54,7 @@
 		now = now.Add(time.Second)
 		begun := tracker.Crashed(uint64(i), "llm", suspects(uint64(i), append(others, 9)...), now).Begun
 		for range othersAnswered {
-			tracker.Answered("llm", nil, now)
+			tracker.CountAnswer("llm")
 		}
 		if i < 2 {
 			require.Empty(t, begun)
@@ -69,7 +75,7 @@
 func TestOneRepeatedRequestBlamesNothing(t *testing.T) {
 	tracker := NewTracker()
 	for i := range uint64(20) {
-		tracker.Answered("llm", nil, start)
+		tracker.CountAnswer("llm")
 		require.Empty(t, tracker.Crashed(i, "llm", suspects(1, 1, 2), start.Add(time.Duration(i)*time.Second)).Begun)
 	}
 }
@@ -97,7 +103,7 @@
 func TestCrashesAtTheSameMomentCountOnce(t *testing.T) {
 	tracker := NewTracker()
 	for i := range uint64(5) {
-		tracker.Answered("llm", nil, start)
+		tracker.CountAnswer("llm")
 		require.Empty(t, tracker.Crashed(i, "llm", suspects(i, 1), start.Add(time.Duration(i)*10*time.Millisecond)).Begun)
 	}
 }
@@ -106,7 +112,7 @@
 	tracker := NewTracker()
 	now, begun := crashEach(tracker, start, 2, 1)
 	require.Empty(t, begun)
-	tracker.Answered("llm", parts(1), now)
+	answer(tracker, parts(1), now)
 	_, begun = crashEach(tracker, now, 2, 1)
 	require.Empty(t, begun)
 }
@@ -129,7 +135,7 @@
 func TestPartOfAllRequestsIsNotBlamedWhileAServiceIsDown(t *testing.T) {
 	tracker := NewTracker()
 	for i := range uint64(50) {
-		tracker.Answered("llm", parts(1, 100+i), start)
+		answer(tracker, parts(1, 100+i), start)
 	}
 	now := start
 	for i := range uint64(30) { // each request has another part of its own kind
@@ -141,7 +147,7 @@
 		now = now.Add(time.Second)
 		begun = tracker.Crashed(100+i, "llm", suspects(100+i, 1, 9), now).Begun
 		for range othersAnswered {
-			tracker.Answered("llm", parts(1), now)
+			answer(tracker, parts(1), now)
 		}
 	}
 	require.Len(t, begun, 1)
@@ -154,14 +160,14 @@
 // their software.
 func TestPartThatWasAnsweredBeforeIsBlamedOnceOthersAreServed(t *testing.T) {
 	tracker := NewTracker()
-	tracker.Answered("llm", parts(1, 9), start)
+	answer(tracker, parts(1, 9), start)
 	now := start
 	for i := range uint64(provenCrashes) {
 		now = now.Add(time.Second)
 		require.Empty(t, tracker.Crashed(i, "llm", suspects(i, 1, 9), now).Begun)
 	}
 	for range provenOthersAnswered {
-		tracker.Answered("llm", parts(1), now)
+		answer(tracker, parts(1), now)
 	}
 	_, begun := crashEach(tracker, now, 1, 1, 9)
 	require.Len(t, begun, 1)
@@ -176,7 +182,7 @@
 	for i := range uint64(crashesToBlame) {
 		now = now.Add(time.Second)
 		for range othersAnswered {
-			tracker.Answered("llm", nil, now)
+			tracker.CountAnswer("llm")
 		}
 		found := suspects(i, 5, 9)
 		for r := range uint64(commonFactor) {
@@ -192,7 +198,7 @@
 		now = now.Add(time.Second)
 		change = tracker.Crashed(10+i, "llm", suspects(1000+i, 9), now)
 		for range othersAnswered {
-			tracker.Answered("llm", nil, now)
+			tracker.CountAnswer("llm")
 		}
 	}
 	require.Len(t, change.Begun, 1)
@@ -222,7 +228,7 @@
 		_, ok := tracker.Find(parts(9), now)
 		require.False(t, ok)
 		if !guilty {
-			tracker.Answered("llm", parts(9), now)
+			answer(tracker, parts(9), now)
 		}
 		now, begun = crashEach(tracker, now, 1, 1, 9)
 		if !guilty {
@@ -239,7 +245,7 @@
 func TestAnswerSinceTheCrashesRefutesAQuarantine(t *testing.T) {
 	tracker := NewTracker()
 	q := Quarantine{Subject: parts(9)[0], Since: start, Until: start.Add(time.Minute), Terms: 1}
-	tracker.Answered("llm", parts(9), start.Add(time.Second))
+	answer(tracker, parts(9), start.Add(time.Second))
 	require.False(t, tracker.Apply(q, start.Add(2*time.Second)))
 	_, ok := tracker.Find(parts(9), start.Add(2*time.Second))
 	require.False(t, ok)
@@ -255,12 +261,12 @@
 	now := start
 	for i := range uint64(5_000) {
 		now = now.Add(10 * time.Millisecond)
-		tracker.Answered("llm", parts(i), now)
+		answer(tracker, parts(i), now)
 		tracker.Crashed(i, "llm", suspects(i, 1<<32|i, 1<<33|i), now)
 		tracker.Apply(Quarantine{Subject: parts(1<<40 | i)[0], Since: now, Until: now.Add(time.Minute + time.Duration(i)), Terms: 1}, now)
 	}
 	require.LessOrEqual(t, len(tracker.crashes), maxCrashes)
-	require.LessOrEqual(t, len(tracker.answered.young)+len(tracker.answered.old), maxAnswered)
+	require.LessOrEqual(t, len(tracker.answered[PromptPart].young)+len(tracker.answered[PromptPart].old), maxAnswered)
 	require.LessOrEqual(t, len(tracker.quarantines), maxQuarantines)
 	_, ok := tracker.Find(parts(1<<40|4_999), now)
 	require.True(t, ok, "the latest is kept")
@@ -275,3 +281,85 @@
 	require.Len(t, requests, maxSubjects)
 	require.Len(t, requests[parts(1)[0]], maxRequests)
 }
+
+// requestSuspect returns the suspect of a request that is blamed itself.
+func requestSuspect(id uint64) Suspect {
+	return Suspect{Subject: Subject{Kind: Request, ID: id}, Request: id}
+}
+
+func TestRequestsDifferByEachOfTheirParts(t *testing.T) {
+	base := RequestSubject("acme", "GET", "h", "/a", []byte("b"))
+	require.Equal(t, base, RequestSubject("acme", "GET", "h", "/a", []byte("b")))
+	for _, other := range []Subject{
+		RequestSubject("other", "GET", "h", "/a", []byte("b")), RequestSubject("acme", "PUT", "h", "/a", []byte("b")),
+		RequestSubject("acme", "GET", "g", "/a", []byte("b")), RequestSubject("acme", "GET", "h", "/ab", nil),
+		RequestSubject("acme", "GET", "h", "/a", []byte("c")),
+	} {
+		require.NotEqual(t, base, other)
+	}
+}
+
+// One request comes again and again; others run beside it and are repeated once elsewhere.
+func TestRequestOfThreeCrashesIsQuarantined(t *testing.T) {
+	tracker := NewTracker()
+	var change Change
+	for i := range uint64(3) {
+		found := []Suspect{requestSuspect(9), requestSuspect(100 + i), requestSuspect(101 + i)}
+		change = tracker.Crashed(i, "desk", found, start.Add(time.Duration(i)*time.Second))
+		require.Len(t, change.Begun, int(i)/2)
+	}
+	require.Equal(t, requestSuspect(9).Subject, change.Begun[0].Subject)
+}
+
+// Two requests were in the same three crashes; the next one tells.
+func TestRequestsOfTheSameCrashesWaitForAnother(t *testing.T) {
+	tracker := NewTracker()
+	for i := range uint64(3) {
+		change := tracker.Crashed(i, "desk", []Suspect{requestSuspect(8), requestSuspect(9)}, start.Add(time.Duration(i)*time.Second))
+		require.Empty(t, change.Begun)
+	}
+	change := tracker.Crashed(3, "desk", []Suspect{requestSuspect(9)}, start.Add(4*time.Second))
+	require.Len(t, change.Begun, 1)
+	require.Equal(t, requestSuspect(9).Subject, change.Begun[0].Subject)
+	change = tracker.Crashed(4, "desk", []Suspect{requestSuspect(8)}, start.Add(5*time.Second))
+	require.Empty(t, change.Begun, "its other crashes are explained")
+}
+
+// Callers ask for the same thing all the time. While the service is down it is not answered,
+// and neither is anything else.
+func TestRequestThatWasAnsweredIsNotBlamedWhileAServiceIsDown(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Answered([]Subject{requestSuspect(9).Subject}, start)
+	for i := range uint64(20) {
+		change := tracker.Crashed(i, "desk", []Suspect{requestSuspect(9)}, start.Add(time.Duration(i+1)*time.Second))
+		require.Empty(t, change.Begun)
+	}
+	for range provenOthersAnswered {
+		tracker.CountAnswer("desk")
+	}
+	change := tracker.Crashed(20, "desk", []Suspect{requestSuspect(9)}, start.Add(30*time.Second))
+	require.Len(t, change.Begun, 1)
+}
+
+// A request with a part that crashes upstreams is repeated and quarantined. The part is still
+// found.
+func TestQuarantinedRequestDoesNotHideItsPart(t *testing.T) {
+	tracker := NewTracker()
+	now := start
+	crash := func(i, request uint64) Change {
+		now = now.Add(time.Second)
+		for range othersAnswered {
+			tracker.CountAnswer("llm")
+		}
+		return tracker.Crashed(i, "llm", append(suspects(request, 9), requestSuspect(request)), now)
+	}
+	for i := range uint64(3) {
+		change := crash(i, 1)
+		require.Len(t, change.Begun, int(i)/2)
+	}
+	require.Empty(t, crash(10, 2).Begun)
+	change := crash(11, 3)
+	require.Len(t, change.Begun, 1)
+	require.Equal(t, parts(9)[0], change.Begun[0].Subject)
+	require.Equal(t, []Subject{requestSuspect(1).Subject}, change.Lifted, "the part explains its crashes")
+}
--- a/core/quarantine/simulation_test.go
+++ b/core/quarantine/simulation_test.go
@@ -114,7 +114,7 @@
 				return false
 			}
 			s.answered++
-			s.tracker.Answered("llm", parts(r.parts...), s.now)
+			answer(s.tracker, parts(r.parts...), s.now)
 			return true
 		})
 	}
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -366,7 +366,7 @@
 	case e.Kind == gossip.Stalled:
 		s.pool.Stall(id, now)
 	case e.Kind == gossip.Ended:
-		if work := s.pool.End(attempt, id, e.Outcome, now); work != nil {
+		if work, answered := s.pool.End(attempt, id, e.Outcome, now); answered {
 			b.opt.Answered(up.Service, work.Subjects())
 		}
 	}
--- a/fleet/quarantine/keeper.go
+++ b/fleet/quarantine/keeper.go
@@ -126,11 +126,19 @@
 	delete(f.keeper.flights, f)
 }
 
-// Answered records that a service has answered a request with the subjects.
-func (k *Keeper) Answered(service string, subjects []quarantine.Subject) {
+// CountAnswer records that a service has answered a request of any host, with the subjects.
+func (k *Keeper) CountAnswer(service string, subjects []quarantine.Subject) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.tracker.Answered(service, subjects, time.Now())
+	k.tracker.CountAnswer(service)
+	k.tracker.Answered(subjects, time.Now())
+}
+
+// Answered records that a request of this host with the subjects was answered.
+func (k *Keeper) Answered(subjects []quarantine.Subject) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.tracker.Answered(subjects, time.Now())
 }
 
 // Crashed records that an upstream has crashed while it began to run requests of this host,
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -34,8 +34,10 @@
 	service string
 	// retried is true if the caller retries after its request was shed.
 	retried bool
-	// subjects are what the request may have in common with others that crash upstreams.
+	// subjects are what the request may have in common with others that crash upstreams. own
+	// is the one of this request and its repeats.
 	subjects []quarantine.Subject
+	own      quarantine.Subject
 	flight   *fleetquarantine.Flight
 	// closedByPeer is true if the upstream closed the connection during the last attempt.
 	closedByPeer bool
@@ -112,7 +114,8 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, c.req.Arrived.Add(limit), errTimeout)
 		defer cancel()
 	}
-	c.subjects = c.req.Work.Subjects()
+	c.own = c.requestSubject()
+	c.subjects = append(c.req.Work.Subjects(), c.own)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.flight = c.r.opt.Quarantine.Enter(c.subjects, cancel)
@@ -390,8 +393,11 @@
 	c.closedByPeer, c.attemptStartedAt = false, time.Time{}
 	result := c.sendOnce(ctx, lease)
 	lease.ObserveEvents(c.events - before)
+	if result == resultAnswered {
+		c.r.opt.Quarantine.Answered([]quarantine.Subject{c.own})
+	}
 	if c.brokenOffAtStart(result) && ctx.Err() == nil {
-		lease.BrokenOff(c.req.Work.Suspects())
+		lease.BrokenOff(c.suspects())
 	}
 	c.stalled = c.stalled || errors.Is(context.Cause(ctx), errStalled)
 	lease.End(outcomeOf(ctx, result))
@@ -411,6 +417,19 @@
 	return c.attemptStartedAt.IsZero() || time.Since(c.attemptStartedAt) < startTime
 }
 
+// requestSubject returns the subject of this request and all its repeats.
+func (c *call) requestSubject() quarantine.Subject {
+	account := ""
+	if c.account != nil {
+		account = c.account.Name
+	}
+	return quarantine.RequestSubject(account, c.req.Method, c.req.Host, c.req.Target, c.req.Body)
+}
+
+func (c *call) suspects() []quarantine.Suspect {
+	return append(c.req.Work.Suspects(), quarantine.Suspect{Subject: c.own, Request: c.own.ID})
+}
+
 // stallAfter returns the time after which the answer is long overdue.
 func (c *call) stallAfter(lease *balancer.Lease) time.Duration {
 	if c.req.Work == nil && c.route.Objective > 0 {
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -191,7 +191,7 @@
 		Metrics:       h.opt.Metrics,
 		Broadcast:     func(e gossip.Event) { h.gossip.Broadcast(e) },
 		Crashed:       func(up catalog.Upstream, s []corequarantine.Suspect) { h.quarantines.Crashed(up, s) },
-		Answered:      func(service string, s []corequarantine.Subject) { h.quarantines.Answered(service, s) },
+		Answered:      func(service string, s []corequarantine.Subject) { h.quarantines.CountAnswer(service, s) },
 	})
 	h.quarantines = quarantine.New(quarantine.Options{
 		Host: h.cfg.Host, Broadcast: func(r gossip.Report) { h.gossip.BroadcastReport(r) },
