--- a/fleet/exchange/conn.go
+++ b/fleet/exchange/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -13,6 +15,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *headLimit
 	// expires is when the idle connection is no longer used, shortly before the
 	// upstream may close it. It is zero if the upstream states no timeout.
 	expires time.Time
@@ -20,6 +23,31 @@
 	reused  bool
 }
 
+// errHeadTooLong reports that the head of an answer does not end.
+var errHeadTooLong = errors.New("exchange: the head of the answer is too long")
+
+// headLimit bounds what is read of a connection while the head of an answer is read. Package
+// net/http does not bound the heads that it reads from a connection of others.
+type headLimit struct {
+	io.Reader
+	// left is the number of bytes that may be read, if active.
+	left   int
+	active bool
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.Reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // usable reports whether an idle connection can be used for a request: it has not
 // expired, and the other end has neither closed it nor sent anything.
 func (c *conn) usable(now time.Time, maxIdle time.Duration) bool {
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -55,6 +55,8 @@
 	// asyncBodyBytes is the size from which a body is written while the answer is read.
 	// An upstream may answer before it has read the whole body.
 	asyncBodyBytes = 2 << 10
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 	// maxForeignAnswers bounds the number of answers to other requests that are skipped.
 	maxForeignAnswers = 4
 	// maxForeignBytes bounds the size of a skipped answer's body.
@@ -138,7 +140,9 @@
 // readHead reads answers until the head of the request's own answer.
 func (r *Response) readHead(req *Request) error {
 	for range maxForeignAnswers {
+		r.conn.head.active, r.conn.head.left = true, maxHeadBytes
 		resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: req.Method})
+		r.conn.head.active = false
 		if err != nil {
 			return fmt.Errorf("exchange: read answer: %w", err)
 		}
--- a/fleet/exchange/pool.go
+++ b/fleet/exchange/pool.go
@@ -133,7 +133,8 @@
 	if p.opt.Opened != nil {
 		p.opt.Opened()
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readerBytes)}, nil
+	head := &headLimit{Reader: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readerBytes), head: head}, nil
 }
 
 // put makes a connection available for the next request. keepFor is the idle timeout
--- a/fleet/relay/answer.go
+++ b/fleet/relay/answer.go
@@ -4,24 +4,73 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 )
 
-// maxAnswerBytes bounds an answer that is buffered until it is complete.
-const maxAnswerBytes = 4 << 20
+const (
+	// maxAnswerBytes bounds an answer that is buffered until it is complete.
+	maxAnswerBytes = 4 << 20
+	// freeAnswerBytes is the size up to which any answer is buffered.
+	freeAnswerBytes = 64 << 10
+	// maxBufferedBytes bounds the buffers of all longer answers together.
+	maxBufferedBytes = 16 << 20
+)
+
+// bufferBudget is the memory that long answers may use together.
+type bufferBudget struct {
+	mu   sync.Mutex
+	used int
+}
+
+// take reserves n bytes. It returns false, without effect, if too few are left.
+func (b *bufferBudget) take(n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used+n > maxBufferedBytes {
+		return false
+	}
+	b.used += n
+	return true
+}
+
+func (b *bufferBudget) giveBack(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= n
+}
+
+// readAnswer reads an answer as far as it may be buffered. It returns true if that is all of
+// it. The caller gives back what was taken of the budget.
+func (b *bufferBudget) readAnswer(r io.Reader) (body []byte, taken int, whole bool, err error) {
+	limit := freeAnswerBytes
+	for {
+		part, err := io.ReadAll(io.LimitReader(r, int64(limit-len(body))))
+		body = append(body, part...)
+		if err != nil || len(body) < limit {
+			return body, taken, err == nil, err
+		}
+		if limit == maxAnswerBytes || !b.take(limit) {
+			return body, taken, false, nil
+		}
+		taken += limit
+		limit *= 2
+	}
+}
 
 // forwardWhole forwards an answer that is not a stream once it is complete, or as it comes
-// if it is longer than maxAnswerBytes.
+// if it is too long to be buffered.
 func (c *call) forwardWhole(resp *exchange.Response, lease *balancer.Lease) sendResult {
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
+	body, taken, whole, err := c.r.buffers.readAnswer(resp)
+	defer c.r.buffers.giveBack(taken)
 	if err != nil {
 		c.closedByPeer = exchange.IsClosedByPeer(err)
 		return resultLost
 	}
 	c.recordFirstEvent(lease)
-	if len(body) > maxAnswerBytes {
+	if !whole {
 		return c.forwardLarge(resp, body)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.runs < c.route.Attempts {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -46,6 +46,7 @@
 	failedLog logr.Logger
 	meters    *meters
 	retries   retryDetector
+	buffers   bufferBudget
 	draining  atomic.Bool
 	inflight  sync.WaitGroup
 }
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -13,8 +13,14 @@
 // eventBufferBytes is the initial size of the buffer for events.
 const eventBufferBytes = 2 << 10
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event.
+	maxEventBytes = 256 << 10
+	// surplusFactor and surplusEvents are how many events an upstream may send beyond those
+	// that the request's longest answer has, as a factor and in events.
+	surplusFactor = 2
+	surplusEvents = 16
+)
 
 // forwardStream forwards a stream of events. It forwards each event as soon as it is
 // complete, and no partial event.
@@ -36,13 +42,25 @@
 		if err == io.EOF && len(buf) == 0 {
 			return c.endStream(resp)
 		}
-		if err != nil || len(buf) > maxEventBytes {
+		if err == nil && (len(buf) > maxEventBytes || c.tooManyEvents()) {
+			c.r.log.Info("Answer without an end given up.", "request", c.req.ID, "upstream", lease.Upstream.ID, "events", c.events, "unfinished", len(buf))
+			return resultLost
+		}
+		if err != nil {
 			c.closedByPeer = exchange.IsClosedByPeer(err)
 			return resultLost
 		}
 	}
 }
 
+// tooManyEvents reports whether a stream has many more events than the request's longest answer.
+func (c *call) tooManyEvents() bool {
+	if c.req.Work == nil {
+		return false
+	}
+	return c.events > surplusFactor*c.req.Work.MaxOutput/max(1, c.eventTokens())+surplusEvents
+}
+
 // eventsEnd returns the length of the complete events at the start of data.
 func eventsEnd(data []byte) int {
 	end := 0
