--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -78,6 +78,9 @@
 	// hosts and switches that fail take several upstreams with them. A request runs at one
 	// upstream at a time.
 	sameCause = 100 * time.Millisecond
+	// oneCrash is the time within which hosts report the same crash. Upstreams are back after
+	// some seconds.
+	oneCrash = 2 * time.Second
 	// evidenceTTL is how long crashes and answers are remembered.
 	evidenceTTL = 10 * time.Minute
 	// firstTerm is the duration of a subject's first quarantine. Each further one lasts
@@ -107,9 +110,18 @@
 	Terms int
 }
 
+// Upstream identifies an upstream that has crashed.
+type Upstream struct {
+	// Hash differs between the starts of an upstream, unless Restarts is set.
+	Hash uint64
+	// Restarts is true if it is not known which start of the upstream has crashed. Reports
+	// within oneCrash are then on the same one.
+	Restarts bool
+}
+
 // crash is the end of one start of an upstream.
 type crash struct {
-	upstream uint64
+	upstream Upstream
 	service  string
 	at       time.Time
 	// answers is the number of answers of the service up to then.
@@ -183,9 +195,11 @@
 
 // Crashed records that one start of an upstream has crashed, and the suspects. Reports of
 // several hosts on the same start are joined.
-func (t *Tracker) Crashed(upstream uint64, service string, suspects []Suspect, now time.Time) Change {
+func (t *Tracker) Crashed(upstream Upstream, service string, suspects []Suspect, now time.Time) Change {
 	t.dropOld(now)
-	i := slices.IndexFunc(t.crashes, func(c *crash) bool { return c.upstream == upstream })
+	i := slices.IndexFunc(t.crashes, func(c *crash) bool {
+		return c.upstream == upstream && (!upstream.Restarts || now.Sub(c.at) < oneCrash)
+	})
 	if i < 0 {
 		t.crashes = append(t.crashes, &crash{
 			upstream: upstream, service: service, at: now, answers: t.answers[service], requests: make(map[Subject][]uint64),
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -38,7 +38,7 @@
 	var begun []Quarantine
 	for range n {
 		now = now.Add(time.Second)
-		change := t.Crashed(uint64(now.UnixNano()), "llm", suspects(uint64(now.UnixNano()), subjects...), now)
+		change := t.Crashed(Upstream{Hash: uint64(now.UnixNano())}, "llm", suspects(uint64(now.UnixNano()), subjects...), now)
 		begun = append(begun, change.Begun...)
 		for range othersAnswered {
 			t.CountAnswer("llm")
@@ -52,7 +52,7 @@
 	now := start
 	for i, others := range [][]uint64{{1, 2}, {1, 3}, {4}} {
 		now = now.Add(time.Second)
-		begun := tracker.Crashed(uint64(i), "llm", suspects(uint64(i), append(others, 9)...), now).Begun
+		begun := tracker.Crashed(Upstream{Hash: uint64(i)}, "llm", suspects(uint64(i), append(others, 9)...), now).Begun
 		for range othersAnswered {
 			tracker.CountAnswer("llm")
 		}
@@ -76,7 +76,7 @@
 	tracker := NewTracker()
 	for i := range uint64(20) {
 		tracker.CountAnswer("llm")
-		require.Empty(t, tracker.Crashed(i, "llm", suspects(1, 1, 2), start.Add(time.Duration(i)*time.Second)).Begun)
+		require.Empty(t, tracker.Crashed(Upstream{Hash: i}, "llm", suspects(1, 1, 2), start.Add(time.Duration(i)*time.Second)).Begun)
 	}
 }
 
@@ -84,7 +84,7 @@
 func TestPartOfTheOnlyRequestsIsQuarantinedLater(t *testing.T) {
 	tracker := NewTracker()
 	for i := range uint64(lonelyCrashes) {
-		begun := tracker.Crashed(i, "llm", suspects(i, 1), start.Add(time.Duration(i)*time.Second)).Begun
+		begun := tracker.Crashed(Upstream{Hash: i}, "llm", suspects(i, 1), start.Add(time.Duration(i)*time.Second)).Begun
 		require.Len(t, begun, int(i+1)/lonelyCrashes)
 	}
 }
@@ -93,8 +93,18 @@
 func TestReportsOfOneCrashAreJoined(t *testing.T) {
 	tracker := NewTracker()
 	for range 5 {
-		require.Empty(t, tracker.Crashed(7, "llm", suspects(1, 1), start).Begun)
-		require.Empty(t, tracker.Crashed(7, "llm", suspects(2, 2), start).Begun)
+		require.Empty(t, tracker.Crashed(Upstream{Hash: 7}, "llm", suspects(1, 1), start).Begun)
+		require.Empty(t, tracker.Crashed(Upstream{Hash: 7}, "llm", suspects(2, 2), start).Begun)
+	}
+}
+
+// The starts of an upstream can't be told apart: reports close to each other are on one crash.
+func TestCrashesOfAnUpstreamThatRestartsCountEach(t *testing.T) {
+	tracker := NewTracker()
+	for i, after := range []time.Duration{0, time.Second, 5 * time.Second, 10 * time.Second} {
+		tracker.CountAnswer("llm")
+		change := tracker.Crashed(Upstream{Hash: 7, Restarts: true}, "desk", []Suspect{requestSuspect(9)}, start.Add(after))
+		require.Len(t, change.Begun, i/3)
 	}
 }
 
@@ -104,7 +114,7 @@
 	tracker := NewTracker()
 	for i := range uint64(5) {
 		tracker.CountAnswer("llm")
-		require.Empty(t, tracker.Crashed(i, "llm", suspects(i, 1), start.Add(time.Duration(i)*10*time.Millisecond)).Begun)
+		require.Empty(t, tracker.Crashed(Upstream{Hash: i}, "llm", suspects(i, 1), start.Add(time.Duration(i)*10*time.Millisecond)).Begun)
 	}
 }
 
@@ -140,12 +150,12 @@
 	now := start
 	for i := range uint64(30) { // each request has another part of its own kind
 		now = now.Add(time.Second)
-		require.Empty(t, tracker.Crashed(i, "llm", suspects(i, 1, 1000+i), now).Begun)
+		require.Empty(t, tracker.Crashed(Upstream{Hash: i}, "llm", suspects(i, 1, 1000+i), now).Begun)
 	}
 	var begun []Quarantine
 	for i := range uint64(crashesToBlame) {
 		now = now.Add(time.Second)
-		begun = tracker.Crashed(100+i, "llm", suspects(100+i, 1, 9), now).Begun
+		begun = tracker.Crashed(Upstream{Hash: 100 + i}, "llm", suspects(100+i, 1, 9), now).Begun
 		for range othersAnswered {
 			answer(tracker, parts(1), now)
 		}
@@ -164,7 +174,7 @@
 	now := start
 	for i := range uint64(provenCrashes) {
 		now = now.Add(time.Second)
-		require.Empty(t, tracker.Crashed(i, "llm", suspects(i, 1, 9), now).Begun)
+		require.Empty(t, tracker.Crashed(Upstream{Hash: i}, "llm", suspects(i, 1, 9), now).Begun)
 	}
 	for range provenOthersAnswered {
 		answer(tracker, parts(1), now)
@@ -188,7 +198,7 @@
 		for r := range uint64(commonFactor) {
 			found = append(found, suspects(100*(r+1)+i, 9)...)
 		}
-		tracker.Crashed(i, "llm", found, now)
+		tracker.Crashed(Upstream{Hash: i}, "llm", found, now)
 	}
 	q, ok := tracker.Find(parts(5, 9), now)
 	require.True(t, ok)
@@ -196,7 +206,7 @@
 	var change Change
 	for i := range uint64(crashesToBlame) {
 		now = now.Add(time.Second)
-		change = tracker.Crashed(10+i, "llm", suspects(1000+i, 9), now)
+		change = tracker.Crashed(Upstream{Hash: 10 + i}, "llm", suspects(1000+i, 9), now)
 		for range othersAnswered {
 			tracker.CountAnswer("llm")
 		}
@@ -262,7 +272,7 @@
 	for i := range uint64(5_000) {
 		now = now.Add(10 * time.Millisecond)
 		answer(tracker, parts(i), now)
-		tracker.Crashed(i, "llm", suspects(i, 1<<32|i, 1<<33|i), now)
+		tracker.Crashed(Upstream{Hash: i}, "llm", suspects(i, 1<<32|i, 1<<33|i), now)
 		tracker.Apply(Quarantine{Subject: parts(1<<40 | i)[0], Since: now, Until: now.Add(time.Minute + time.Duration(i)), Terms: 1}, now)
 	}
 	require.LessOrEqual(t, len(tracker.crashes), maxCrashes)
@@ -275,7 +285,7 @@
 		many[i] = uint64(i)
 	}
 	for r := range uint64(100) {
-		tracker.Crashed(1<<50, "llm", suspects(r, many...), now)
+		tracker.Crashed(Upstream{Hash: 1 << 50}, "llm", suspects(r, many...), now)
 	}
 	requests := tracker.crashes[len(tracker.crashes)-1].requests
 	require.Len(t, requests, maxSubjects)
@@ -305,7 +315,7 @@
 	var change Change
 	for i := range uint64(3) {
 		found := []Suspect{requestSuspect(9), requestSuspect(100 + i), requestSuspect(101 + i)}
-		change = tracker.Crashed(i, "desk", found, start.Add(time.Duration(i)*time.Second))
+		change = tracker.Crashed(Upstream{Hash: i}, "desk", found, start.Add(time.Duration(i)*time.Second))
 		require.Len(t, change.Begun, int(i)/2)
 	}
 	require.Equal(t, requestSuspect(9).Subject, change.Begun[0].Subject)
@@ -315,13 +325,13 @@
 func TestRequestsOfTheSameCrashesWaitForAnother(t *testing.T) {
 	tracker := NewTracker()
 	for i := range uint64(3) {
-		change := tracker.Crashed(i, "desk", []Suspect{requestSuspect(8), requestSuspect(9)}, start.Add(time.Duration(i)*time.Second))
+		change := tracker.Crashed(Upstream{Hash: i}, "desk", []Suspect{requestSuspect(8), requestSuspect(9)}, start.Add(time.Duration(i)*time.Second))
 		require.Empty(t, change.Begun)
 	}
-	change := tracker.Crashed(3, "desk", []Suspect{requestSuspect(9)}, start.Add(4*time.Second))
+	change := tracker.Crashed(Upstream{Hash: 3}, "desk", []Suspect{requestSuspect(9)}, start.Add(4*time.Second))
 	require.Len(t, change.Begun, 1)
 	require.Equal(t, requestSuspect(9).Subject, change.Begun[0].Subject)
-	change = tracker.Crashed(4, "desk", []Suspect{requestSuspect(8)}, start.Add(5*time.Second))
+	change = tracker.Crashed(Upstream{Hash: 4}, "desk", []Suspect{requestSuspect(8)}, start.Add(5*time.Second))
 	require.Empty(t, change.Begun, "its other crashes are explained")
 }
 
@@ -331,13 +341,13 @@
 	tracker := NewTracker()
 	tracker.Answered([]Subject{requestSuspect(9).Subject}, start)
 	for i := range uint64(20) {
-		change := tracker.Crashed(i, "desk", []Suspect{requestSuspect(9)}, start.Add(time.Duration(i+1)*time.Second))
+		change := tracker.Crashed(Upstream{Hash: i}, "desk", []Suspect{requestSuspect(9)}, start.Add(time.Duration(i+1)*time.Second))
 		require.Empty(t, change.Begun)
 	}
 	for range provenOthersAnswered {
 		tracker.CountAnswer("desk")
 	}
-	change := tracker.Crashed(20, "desk", []Suspect{requestSuspect(9)}, start.Add(30*time.Second))
+	change := tracker.Crashed(Upstream{Hash: 20}, "desk", []Suspect{requestSuspect(9)}, start.Add(30*time.Second))
 	require.Len(t, change.Begun, 1)
 }
 
@@ -351,7 +361,7 @@
 		for range othersAnswered {
 			tracker.CountAnswer("llm")
 		}
-		return tracker.Crashed(i, "llm", append(suspects(request, 9), requestSuspect(request)), now)
+		return tracker.Crashed(Upstream{Hash: i}, "llm", append(suspects(request, 9), requestSuspect(request)), now)
 	}
 	for i := range uint64(3) {
 		change := crash(i, 1)
--- a/core/quarantine/simulation_test.go
+++ b/core/quarantine/simulation_test.go
@@ -95,7 +95,7 @@
 			repeats = append(repeats, &simRequest{id: r.id, parts: r.parts, repeated: s.rng.IntN(2) == 0})
 		}
 	}
-	s.begun = append(s.begun, s.tracker.Crashed(u.start, "llm", found, s.now).Begun...)
+	s.begun = append(s.begun, s.tracker.Crashed(Upstream{Hash: u.start}, "llm", found, s.now).Begun...)
 	s.starts++
 	*u = simUpstream{start: s.starts, upAt: s.now.Add(3 * time.Second)}
 	for _, r := range repeats {
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -18,10 +18,11 @@
 	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
-	"github.com/hazelworks/hazelworks/core/quarantine"
+	corequarantine "github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 )
 
 // Timeouts of connections to upstreams.
@@ -58,8 +59,8 @@
 	// Crashed is called when an upstream has crashed while it began to run requests of this
 	// host. Answered is called, with the balancer's lock held, when a
 	// service has answered a request with the subjects, of this or another host.
-	Crashed  func(up catalog.Upstream, suspects []quarantine.Suspect)
-	Answered func(service string, subjects []quarantine.Subject)
+	Crashed  func(up quarantine.Upstream, suspects []corequarantine.Suspect)
+	Answered func(service string, subjects []corequarantine.Subject)
 	Logger   logr.Logger
 	Metrics  metrics.Registry
 }
@@ -70,8 +71,8 @@
 	log    logr.Logger
 	opened metrics.Counter
 	limits metrics.Counter
-	// crashes counts the crashes that this host has seen.
-	crashes metrics.Counter
+	// detector calls this balancer without holding its lock.
+	detector *quarantine.Detector
 
 	mu        sync.Mutex
 	table     *routes.Table
@@ -88,9 +89,6 @@
 	running map[uint64]struct{}
 	// limitDomains is set by SetLimitDomains.
 	limitDomains []string
-	// broken holds requests that may have been broken off by a crash, by the hash of the
-	// upstream.
-	broken map[uint32]*brokenRequests
 }
 
 // service is the state of one service.
@@ -114,8 +112,7 @@
 		services: make(map[string]*service),
 		conns:    make(map[string]*upstreamConns),
 		running:  make(map[uint64]struct{}),
-		crashes:  metrics.GetOrRegisterCounter("upstream_crashes", opt.Metrics),
-		broken:   make(map[uint32]*brokenRequests),
+		detector: quarantine.NewDetector(opt.Logger, opt.Metrics, opt.Crashed),
 	}
 }
 
@@ -133,11 +130,8 @@
 	b.upstreams = ups
 	b.syncConns()
 	b.sync()
-	crashed := b.takeUnlisted()
 	b.mu.Unlock()
-	for _, broken := range crashed {
-		b.reportCrash(broken, "its entry was removed")
-	}
+	b.detector.Unlisted(b.isListed)
 }
 
 func (b *Balancer) sync() {
--- a/fleet/gossip/report.go
+++ b/fleet/gossip/report.go
@@ -25,8 +25,10 @@
 // Crash is the end of one start of an upstream, as one host has seen it.
 type Crash struct {
 	_ struct{} `cbor:",toarray"`
-	// Upstream is the [UpstreamHash] of the upstream.
+	// Upstream is the hash of the upstream. Restarts is set if it is the same for all its
+	// starts.
 	Upstream uint64
+	Restarts bool
 	Service  string
 	// Suspects are those of the requests that the upstream had begun to run.
 	Suspects []quarantine.Suspect
--- /dev/null
+++ b/fleet/quarantine/detector.go
@@ -0,0 +1,130 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/core/quarantine"
+)
+
+const (
+	// gatherTime is the time in which all connections to an upstream that has crashed are
+	// found closed.
+	gatherTime = 20 * time.Millisecond
+	// connectTimeout bounds the connection that is opened to see whether it has.
+	connectTimeout = 300 * time.Millisecond
+	// confirmTime is how long broken requests wait for a sign that the upstream has crashed.
+	confirmTime = 10 * time.Second
+)
+
+// Upstream is an upstream that may have crashed.
+type Upstream struct {
+	quarantine.Upstream
+	ID      string
+	Service string
+}
+
+// Detector finds out which upstreams have crashed. It is safe for concurrent use.
+type Detector struct {
+	log     logr.Logger
+	crashes metrics.Counter
+	crashed func(Upstream, []quarantine.Suspect)
+
+	mu     sync.Mutex
+	broken map[uint64]*brokenRequests
+}
+
+// brokenRequests are requests whose connections an upstream has closed while it began to run
+// them. It has crashed if it accepts no connections any more, or is listed no more without
+// having announced that. A reset, a late answer or a cut leaves it as it is.
+type brokenRequests struct {
+	upstream Upstream
+	suspects []quarantine.Suspect
+	requests int
+}
+
+// NewDetector returns a detector that calls crashed for each crash.
+func NewDetector(log logr.Logger, registry metrics.Registry, crashed func(Upstream, []quarantine.Suspect)) *Detector {
+	return &Detector{
+		log: log.WithName("quarantine"), crashed: crashed, broken: make(map[uint64]*brokenRequests),
+		crashes: metrics.GetOrRegisterCounter("upstream_crashes", registry),
+	}
+}
+
+// BrokenOff records that an upstream has closed the connection while it began to run a request.
+// connect opens a connection to the upstream; an error that wraps [syscall.ECONNREFUSED] shows
+// that it has crashed.
+func (d *Detector) BrokenOff(up Upstream, suspects []quarantine.Suspect, connect func(context.Context) error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, ok := d.broken[up.Hash]
+	if !ok {
+		b = &brokenRequests{upstream: up}
+		d.broken[up.Hash] = b
+		time.AfterFunc(gatherTime, func() { d.check(b, connect) })
+		time.AfterFunc(confirmTime, func() { d.take(b) })
+	}
+	b.requests++
+	b.suspects = append(b.suspects, suspects...)
+}
+
+// check opens a connection to an upstream that has broken off requests.
+func (d *Detector) check(b *brokenRequests, connect func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	err := connect(ctx)
+	switch {
+	case err == nil:
+		if d.take(b) {
+			d.log.Info("Upstream has closed connections but goes on.", "upstream", b.upstream.ID, "requests", b.requests)
+		}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		if d.take(b) {
+			d.report(b, err.Error())
+		}
+	}
+}
+
+// take forgets broken requests. It returns false if they were forgotten before.
+func (d *Detector) take(b *brokenRequests) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.broken[b.upstream.Hash] != b {
+		return false
+	}
+	delete(d.broken, b.upstream.Hash)
+	return true
+}
+
+// Unlisted reports a crash of each upstream with broken requests that is not listed any more.
+func (d *Detector) Unlisted(listed func(hash uint64) bool) {
+	d.mu.Lock()
+	var gone []*brokenRequests
+	for hash, b := range d.broken {
+		if !listed(hash) {
+			gone = append(gone, b)
+			delete(d.broken, hash)
+		}
+	}
+	d.mu.Unlock()
+	for _, b := range gone {
+		d.report(b, "its entry was removed")
+	}
+}
+
+func (d *Detector) report(b *brokenRequests, evidence string) {
+	d.crashes.Inc(1)
+	subjects := make([]string, 0, len(b.suspects))
+	for _, s := range b.suspects {
+		subjects = append(subjects, s.Subject.String())
+	}
+	d.log.Info("Upstream has crashed.", "upstream", b.upstream.ID, "service", b.upstream.Service,
+		"requests", b.requests, "subjects", subjects, "evidence", evidence)
+	d.crashed(b.upstream, b.suspects)
+}
--- a/fleet/quarantine/keeper.go
+++ b/fleet/quarantine/keeper.go
@@ -13,7 +13,6 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/record"
@@ -143,8 +142,8 @@
 
 // Crashed records that an upstream has crashed while it began to run requests of this host,
 // and tells the other hosts.
-func (k *Keeper) Crashed(up catalog.Upstream, suspects []quarantine.Suspect) {
-	crash := gossip.Crash{Upstream: uint64(gossip.UpstreamHash(up)), Service: up.Service, Suspects: suspects}
+func (k *Keeper) Crashed(up Upstream, suspects []quarantine.Suspect) {
+	crash := gossip.Crash{Upstream: up.Hash, Restarts: up.Restarts, Service: up.Service, Suspects: suspects}
 	k.opt.Broadcast(gossip.Report{Host: k.opt.Host, Crashes: []gossip.Crash{crash}})
 	k.applyCrashes(k.opt.Host, []gossip.Crash{crash})
 }
@@ -164,7 +163,7 @@
 	now := time.Now()
 	k.mu.Lock()
 	for _, c := range crashes {
-		change := k.tracker.Crashed(c.Upstream, c.Service, c.Suspects, now)
+		change := k.tracker.Crashed(quarantine.Upstream{Hash: c.Upstream, Restarts: c.Restarts}, c.Service, c.Suspects, now)
 		begun, lifted = append(begun, change.Begun...), append(lifted, change.Lifted...)
 		k.log.Info("Crash of an upstream recorded.", "service", c.Service, "upstream_hash", c.Upstream, "told_by", by, "suspects", len(c.Suspects))
 	}
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -190,7 +190,7 @@
 		Logger:        h.opt.Logger,
 		Metrics:       h.opt.Metrics,
 		Broadcast:     func(e gossip.Event) { h.gossip.Broadcast(e) },
-		Crashed:       func(up catalog.Upstream, s []corequarantine.Suspect) { h.quarantines.Crashed(up, s) },
+		Crashed:       func(up quarantine.Upstream, s []corequarantine.Suspect) { h.quarantines.Crashed(up, s) },
 		Answered:      func(service string, s []corequarantine.Subject) { h.quarantines.CountAnswer(service, s) },
 	})
 	h.quarantines = quarantine.New(quarantine.Options{
