--- a/fleet/gateway/attempt.go
+++ b/fleet/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
 	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/request"
 )
 
@@ -60,6 +62,8 @@
 	case res.kind == resultNotStarted:
 		p := problem.New(http.StatusServiceUnavailable, problem.CodeNoUpstream, "no upstream took the request: %s", res.reason())
 		return p.WithRetryAfter(max(res.retryAfter, time.Second))
+	case errors.Is(res.err, quarantine.ErrQuarantined):
+		return problem.New(http.StatusBadGateway, problem.CodeQuarantined, "the request was stopped: %v", res.err)
 	case res.err != nil && isContextCause(res.err):
 		return contextProblem(res.err)
 	default:
@@ -109,6 +113,7 @@
 	res := a.try(ctx, func(ctx context.Context) (*http.Request, error) {
 		return c.work.newRequest(ctx, lease.Upstream(), a.idleTimer)
 	}, false)
+	a.reportCrash(ctx, res)
 	if res.kind == resultLost {
 		res = a.resume(ctx, res)
 	}
@@ -194,6 +199,7 @@
 	if !resuming && a.shouldRetryStatus(resp.StatusCode) {
 		return a.failLost(readRefusal(resp))
 	}
+	a.c.flight.Leave()
 	a.c.fire(request.EventBegin, a.lease.Upstream().ID, resp.Status)
 	if err := a.c.work.receive(ctx, a.idleTimer, resp); err != nil {
 		return a.failLost(attemptResult{err: causeOf(ctx, err)})
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/settings"
 	"github.com/hazelworks/hazelworks/core/statechart"
@@ -15,6 +16,7 @@
 	"github.com/hazelworks/hazelworks/fleet/grants"
 	"github.com/hazelworks/hazelworks/fleet/peer/peerpb"
 	"github.com/hazelworks/hazelworks/fleet/problem"
+	fleetquarantine "github.com/hazelworks/hazelworks/fleet/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/request"
 	"github.com/hazelworks/hazelworks/fleet/stream"
 )
@@ -68,6 +70,11 @@
 	// hasTicket is true if this host issued the request ID.
 	hasTicket bool
 	work      work
+	// suspects are what the request has in common with others that may crash upstreams, and
+	// subjects the same without the request.
+	suspects []quarantine.Suspect
+	subjects []quarantine.Subject
+	flight   *fleetquarantine.Flight
 	// buildForward returns the request for another host; nil if it must run here.
 	buildForward func() *peerpb.ForwardRequest
 	// priority is passed to the picker, and to the upstream of a model request.
@@ -206,6 +213,9 @@
 }
 
 func (c *call) execute(ctx context.Context) stream.End {
+	if p := c.quarantineProblem(); p != nil {
+		return c.giveUp(p)
+	}
 	if err := c.reserve(ctx); err != nil {
 		if end, ok := c.forwardToHolder(ctx, err); ok {
 			return end
@@ -221,6 +231,12 @@
 	}
 	var failed attemptResult
 	for n := 1; ; n++ {
+		if p := c.quarantineProblem(); p != nil {
+			if failed.kind == resultLost {
+				p = failed.problem()
+			}
+			return c.giveUp(p)
+		}
 		lease, err := c.pick(ctx, n)
 		if err != nil {
 			return c.giveUp(noUpstreamProblem(ctx, err, failed, n))
@@ -228,6 +244,7 @@
 		last := n >= c.g.limits.Attempts
 		res := c.send(ctx, lease, last)
 		if res.kind == resultAnswered {
+			c.g.opts.Quarantine.CountAnswer(c.service.Name, c.subjects)
 			return stream.End{}
 		}
 		if last || !c.mayRetry(ctx, res) {
--- a/fleet/gateway/fakes_test.go
+++ b/fleet/gateway/fakes_test.go
@@ -330,6 +330,7 @@
 		Picker:   f.picker,
 		Logger:   logr.Discard(),
 		Limits:   limits,
+		Dial:     f.net.Dialer(name),
 	}
 	if change != nil {
 		change(&opts)
--- a/fleet/gateway/gateway.go
+++ b/fleet/gateway/gateway.go
@@ -6,17 +6,16 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/hazelworks/hazelworks/core/settings"
 	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/request"
 )
 
@@ -29,6 +28,7 @@
 	table    *request.Table
 	tickets  *request.Tickets
 	bodies   *semaphore.Weighted
+	crashes  *quarantine.Detector
 	draining atomic.Bool
 	inflight inflight
 	mux      *http.ServeMux
@@ -37,9 +37,7 @@
 // New returns a gateway. Limits that are zero in opts take their defaults.
 func New(opts Options) *Gateway {
 	limits := opts.Limits.withDefaults()
-	if opts.Jitter == nil {
-		opts.Jitter = rand.N[time.Duration]
-	}
+	opts.setDefaults()
 	g := &Gateway{
 		opts:    opts,
 		limits:  limits,
@@ -55,6 +53,7 @@
 		bodies:  semaphore.NewWeighted(limits.BodiesBytes),
 		mux:     http.NewServeMux(),
 	}
+	g.crashes = quarantine.NewDetector(opts.Logger, opts.Metrics, opts.Quarantine.Crashed)
 	g.routes()
 	return g
 }
--- a/fleet/gateway/handlers.go
+++ b/fleet/gateway/handlers.go
@@ -125,6 +125,7 @@
 	spec.Fingerprint = sha256.Sum256(append([]byte("chat\x00"+svc.Name+"\x00"), body.data...))
 	req, p := g.start(c, in, svc, spec, body.free, func(cl *call) (work, error) {
 		cl.buildForward = forwardBuilder(r, c, in.id, body.data)
+		cl.setSuspects(chat.MessageHash, true)
 		return newModelWork(cl, chat)
 	})
 	if p != nil {
@@ -230,7 +231,9 @@
 	}
 	g.metrics.requests.Inc(1)
 	g.inflight.add()
+	cl.flight = g.opts.Quarantine.Enter(cl.subjects, cancel)
 	go func() {
+		defer cl.flight.Leave()
 		defer g.inflight.done()
 		defer free()
 		defer stop()
@@ -317,6 +320,7 @@
 	spec.Fingerprint = pw.fingerprint()
 	req, p := g.start(c, in, svc, spec, free, func(cl *call) (work, error) {
 		pw.c = cl
+		cl.setSuspects(nil, body.rest == nil)
 		if body.rest == nil {
 			cl.buildForward = forwardBuilder(r, c, in.id, body.buffered)
 		}
--- a/fleet/gateway/metrics.go
+++ b/fleet/gateway/metrics.go
@@ -20,6 +20,7 @@
 	notRun        metrics.Counter
 	unknown       metrics.Counter
 	attempts      metrics.Counter
+	quarantined   metrics.Counter
 	retries       metrics.Counter
 	resumes       metrics.Counter
 	silent        metrics.Counter
@@ -52,6 +53,7 @@
 		unknown:       counter("outcome.unknown"),
 		attempts:      counter("attempts"),
 		retries:       counter("retries"),
+		quarantined:   counter("quarantined"),
 		resumes:       counter("resumes"),
 		silent:        counter("upstream.silent"),
 		eventsPassed:  counter("events.passed"),
--- a/fleet/gateway/options.go
+++ b/fleet/gateway/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -11,8 +12,10 @@
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/settings"
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/fleet/gossip"
 	"github.com/hazelworks/hazelworks/fleet/grants"
 	"github.com/hazelworks/hazelworks/fleet/member"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 )
 
 // Options configures a Gateway. Limits that are zero take their defaults.
@@ -27,6 +30,12 @@
 	// PreferredHosts returns the hosts that an account's callers are directed to,
 	// best first. They are asked first for answers; nil means no preference.
 	PreferredHosts func(account string) []record.HostID
+	// Quarantine knows the requests that crash upstreams; nil means that this host finds
+	// them out by itself.
+	Quarantine *quarantine.Keeper
+	// Dial opens connections to see whether upstreams have crashed; without it none counts as
+	// crashed.
+	Dial dispatch.Dialer
 	// Budgets answers the budget queries of callers; nil means not served.
 	Budgets BudgetReader
 	// Entry is served at /v1/entry; nil means not served.
@@ -96,6 +105,18 @@
 	CancelTimeout time.Duration
 }
 
+// setDefaults sets the options that are optional.
+func (o *Options) setDefaults() {
+	if o.Jitter == nil {
+		o.Jitter = rand.N[time.Duration]
+	}
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.New(quarantine.Options{
+			Host: o.Self.Host, Broadcast: func(gossip.Report) {}, Logger: o.Logger, Metrics: o.Metrics,
+		})
+	}
+}
+
 func (l Limits) withDefaults() Limits {
 	l.Running = cmp.Or(l.Running, 4096)
 	l.BodyBytes = cmp.Or(l.BodyBytes, 4<<20)
--- a/fleet/gateway/problems.go
+++ b/fleet/gateway/problems.go
@@ -9,6 +9,7 @@
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
 	"github.com/hazelworks/hazelworks/fleet/grants"
 	"github.com/hazelworks/hazelworks/fleet/problem"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 )
 
 // Retry-After times of refusals for which no better time is known.
@@ -74,13 +75,15 @@
 }
 
 func isContextCause(err error) bool {
-	return errors.Is(err, errDeadline) || errors.Is(err, errCallerDisconnected) || errors.Is(err, errUpstreamSilent) ||
+	return errors.Is(err, errDeadline) || errors.Is(err, errCallerDisconnected) || errors.Is(err, errUpstreamSilent) || errors.Is(err, quarantine.ErrQuarantined) ||
 		errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 }
 
 // contextProblem describes why a run was ended early.
 func contextProblem(cause error) *problem.Problem {
 	switch {
+	case errors.Is(cause, quarantine.ErrQuarantined):
+		return quarantinedProblem(cause)
 	case errors.Is(cause, errUpstreamSilent):
 		return problem.New(http.StatusGatewayTimeout, problem.CodeUpstreamTimeout, "the upstream fell silent")
 	case errors.Is(cause, errDeadline), errors.Is(cause, context.DeadlineExceeded):
--- a/fleet/gossip/report.go
+++ b/fleet/gossip/report.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"net"
 	"time"
 
@@ -22,6 +23,18 @@
 	Lifted      []quarantine.Subject `cbor:"5,keyasint,omitempty"`
 }
 
+// Encode returns the report as it is sent.
+func (r Report) Encode() ([]byte, error) { return cbor.Marshal(&r) }
+
+// DecodeReport decodes a report.
+func DecodeReport(data []byte) (*Report, error) {
+	var r Report
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return nil, fmt.Errorf("gossip: report: %w", err)
+	}
+	return &r, nil
+}
+
 // Crash is the end of one start of an upstream, as one host has seen it.
 type Crash struct {
 	_ struct{} `cbor:",toarray"`
@@ -139,7 +152,7 @@
 }
 
 func (g *Gossip) sendReport(conn net.PacketConn, r Report, to []roster.Host) {
-	data, err := cbor.Marshal(&r)
+	data, err := r.Encode()
 	if err != nil {
 		g.log.Error(err, "Report could not be encoded.")
 		return
@@ -152,17 +165,17 @@
 	if len(data) == 0 || data[0]>>5 != cborMap {
 		return false
 	}
-	var r Report
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	r, err := DecodeReport(data)
+	if err != nil {
 		g.malformed.Inc(1)
 		return true
 	}
 	g.received.Inc(1)
 	if r.PassOn {
-		passed := r
+		passed := *r
 		passed.PassOn = false
-		g.sendReport(conn, passed, g.reportTargets(r))
+		g.sendReport(conn, passed, g.reportTargets(*r))
 	}
-	g.opt.ReceiveReport(&r)
+	g.opt.ReceiveReport(r)
 	return true
 }
--- a/fleet/host/build.go
+++ b/fleet/host/build.go
@@ -13,6 +13,7 @@
 	"github.com/hazelworks/hazelworks/fleet/member"
 	"github.com/hazelworks/hazelworks/fleet/peer"
 	"github.com/hazelworks/hazelworks/fleet/placer"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/settingsapi"
 	"github.com/hazelworks/hazelworks/fleet/settingswatch"
 	"github.com/hazelworks/hazelworks/fleet/shard"
@@ -101,6 +102,9 @@
 		Logger:   h.logger,
 		Metrics:  h.metrics,
 	})
+	h.peers = quarantine.NewPeers(h.members, h.logger)
+	keeper := quarantine.New(quarantine.Options{Host: h.self.Host, Broadcast: h.peers.Broadcast, Logger: h.logger, Metrics: h.metrics})
+	h.peers.SetKeeper(keeper)
 	h.gateway = gateway.New(gateway.Options{
 		Self:           h.self,
 		Settings:       h.settings,
@@ -108,6 +112,8 @@
 		Claimer:        h.grants,
 		Picker:         h.pool,
 		View:           h.members,
+		Quarantine:     keeper,
+		Dial:           h.opts.Dial,
 		PreferredHosts: h.preferredHosts,
 		Budgets:        budgetReader{h.shards, h.shardCount},
 		Entry:          h.entry,
@@ -169,6 +175,8 @@
 		GrantServer:    h.grants,
 		SettingsServer: h.settings,
 		AnswerServer:   h.gateway,
+
+		QuarantineServer: h.peers,
 	}
 }
 
--- a/fleet/host/host.go
+++ b/fleet/host/host.go
@@ -25,6 +25,7 @@
 	"github.com/hazelworks/hazelworks/fleet/member"
 	"github.com/hazelworks/hazelworks/fleet/peer"
 	"github.com/hazelworks/hazelworks/fleet/placer"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/settingswatch"
 	"github.com/hazelworks/hazelworks/fleet/shard"
 	"github.com/hazelworks/hazelworks/fleet/upstream"
@@ -82,6 +83,7 @@
 	pool     *upstream.Pool
 	placer   *placer.Placer // nil without a weight store
 	entry    *entry.Handler
+	peers    *quarantine.Peers
 	gateway  *gateway.Gateway
 	callers  *callerserver.Server
 	admin    *admin.Server
@@ -168,6 +170,7 @@
 		{"shard", h.shards.Run},
 		{"bank", h.grants.Run},
 		{"upstream", h.pool.Run},
+		{"quarantine", h.peers.Run},
 	}
 	if h.placer != nil {
 		components = append(components, component{"placement", h.placer.Run})
--- a/fleet/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/fleet/peer/peerpb/peerpbconnect/peer.connect.go
@@ -52,6 +52,8 @@
 	PeerServiceAnswerProcedure = "/hazelworks.peer.v1.PeerService/Answer"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/hazelworks.peer.v1.PeerService/Forward"
+	// PeerServiceQuarantineProcedure is the fully-qualified name of the PeerService's Quarantine RPC.
+	PeerServiceQuarantineProcedure = "/hazelworks.peer.v1.PeerService/Quarantine"
 	// LendingServiceLendProcedure is the fully-qualified name of the LendingService's Lend RPC.
 	LendingServiceLendProcedure = "/hazelworks.peer.v1.LendingService/Lend"
 )
@@ -76,6 +78,8 @@
 	Answer(context.Context, *connect.Request[peerpb.AnswerRequest]) (*connect.ServerStreamForClient[peerpb.AnswerEvent], error)
 	// Forward runs a request on a host that has more of its budget.
 	Forward(context.Context, *connect.Request[peerpb.ForwardRequest]) (*connect.ServerStreamForClient[peerpb.AnswerEvent], error)
+	// Quarantine tells of crashes of upstreams and of quarantines, and returns those in force.
+	Quarantine(context.Context, *connect.Request[peerpb.QuarantineRequest]) (*connect.Response[peerpb.QuarantineResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the hazelworks.peer.v1.PeerService service. By
@@ -137,6 +141,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		quarantine: connect.NewClient[peerpb.QuarantineRequest, peerpb.QuarantineResponse](
+			httpClient,
+			baseURL+PeerServiceQuarantineProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Quarantine")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -150,6 +160,7 @@
 	settings   *connect.Client[peerpb.SettingsRequest, peerpb.SettingsResponse]
 	answer     *connect.Client[peerpb.AnswerRequest, peerpb.AnswerEvent]
 	forward    *connect.Client[peerpb.ForwardRequest, peerpb.AnswerEvent]
+	quarantine *connect.Client[peerpb.QuarantineRequest, peerpb.QuarantineResponse]
 }
 
 // Ping calls hazelworks.peer.v1.PeerService.Ping.
@@ -192,6 +203,11 @@
 	return c.forward.CallServerStream(ctx, req)
 }
 
+// Quarantine calls hazelworks.peer.v1.PeerService.Quarantine.
+func (c *peerServiceClient) Quarantine(ctx context.Context, req *connect.Request[peerpb.QuarantineRequest]) (*connect.Response[peerpb.QuarantineResponse], error) {
+	return c.quarantine.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the hazelworks.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Ping shows that the host is alive and exchanges reports about other hosts.
@@ -212,6 +228,8 @@
 	Answer(context.Context, *connect.Request[peerpb.AnswerRequest], *connect.ServerStream[peerpb.AnswerEvent]) error
 	// Forward runs a request on a host that has more of its budget.
 	Forward(context.Context, *connect.Request[peerpb.ForwardRequest], *connect.ServerStream[peerpb.AnswerEvent]) error
+	// Quarantine tells of crashes of upstreams and of quarantines, and returns those in force.
+	Quarantine(context.Context, *connect.Request[peerpb.QuarantineRequest]) (*connect.Response[peerpb.QuarantineResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -269,6 +287,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceQuarantineHandler := connect.NewUnaryHandler(
+		PeerServiceQuarantineProcedure,
+		svc.Quarantine,
+		connect.WithSchema(peerServiceMethods.ByName("Quarantine")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hazelworks.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServicePingProcedure:
@@ -287,6 +311,8 @@
 			peerServiceAnswerHandler.ServeHTTP(w, r)
 		case PeerServiceForwardProcedure:
 			peerServiceForwardHandler.ServeHTTP(w, r)
+		case PeerServiceQuarantineProcedure:
+			peerServiceQuarantineHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -328,6 +354,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("hazelworks.peer.v1.PeerService.Forward is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Quarantine(context.Context, *connect.Request[peerpb.QuarantineRequest]) (*connect.Response[peerpb.QuarantineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hazelworks.peer.v1.PeerService.Quarantine is not implemented"))
+}
+
 // LendingServiceClient is a client for the hazelworks.peer.v1.LendingService service.
 type LendingServiceClient interface {
 	// Lend transfers a part of the host's free amount of a budget to the caller.
--- a/fleet/peer/server.go
+++ b/fleet/peer/server.go
@@ -50,6 +50,11 @@
 	Forward(context.Context, *connect.Request[peerpb.ForwardRequest], *connect.ServerStream[peerpb.AnswerEvent]) error
 }
 
+// QuarantineServer exchanges quarantines. Package quarantine implements it.
+type QuarantineServer interface {
+	Quarantine(context.Context, *connect.Request[peerpb.QuarantineRequest]) (*connect.Response[peerpb.QuarantineResponse], error)
+}
+
 // Services are the implementations of the calls that a host serves.
 type Services struct {
 	Pinger
@@ -57,6 +62,7 @@
 	GrantServer
 	SettingsServer
 	AnswerServer
+	QuarantineServer
 }
 
 type server struct {
@@ -104,6 +110,11 @@
 	return s.AnswerServer.Forward(ctx, r, out)
 }
 
+// Quarantine exchanges quarantines.
+func (s server) Quarantine(ctx context.Context, r *connect.Request[peerpb.QuarantineRequest]) (*connect.Response[peerpb.QuarantineResponse], error) {
+	return s.QuarantineServer.Quarantine(ctx, r)
+}
+
 // NewHandler returns the HTTP handler of a host's peer address. Calls without
 // the secret get status 401.
 func NewHandler(services Services, secret string) http.Handler {
--- a/fleet/problem/problem.go
+++ b/fleet/problem/problem.go
@@ -48,6 +48,7 @@
 	CodeClaimUnavailable  Code = "claim-unavailable"
 	CodeOverloaded        Code = "overloaded"
 	CodeNoUpstream        Code = "no-upstream"
+	CodeQuarantined       Code = "quarantined"
 	CodeUpstreamFailed    Code = "upstream-failed"
 	CodeUpstreamTimeout   Code = "upstream-timeout"
 	CodeCancelled         Code = "cancelled"
--- a/fleet/quarantine/keeper.go
+++ b/fleet/quarantine/keeper.go
@@ -42,7 +42,7 @@
 	Host record.HostID
 	// Broadcast sends a report to the other hosts by gossip.
 	Broadcast func(gossip.Report)
-	// Log and Stream are where quarantines are kept.
+	// Log and Stream are where quarantines are kept; without a log they are not.
 	Log     platform.KeyedLog
 	Stream  string
 	Logger  logr.Logger
@@ -281,6 +281,9 @@
 	if old, ok := k.due[s]; ok && old.Before(at) {
 		return
 	}
+	if k.opt.Log == nil {
+		return
+	}
 	k.due[s] = at
 	select {
 	case k.wake <- struct{}{}:
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -540,6 +540,7 @@
 // recordFirstEvent records the start of the answer.
 func (c *call) recordFirstEvent(lease *balancer.Lease) {
 	lease.FirstEvent()
+	c.flight.Leave() // the answer has begun without a crash
 	if c.attemptStartedAt.IsZero() {
 		c.attemptStartedAt = time.Now()
 	}
--- a/fleet/request/chat.go
+++ b/fleet/request/chat.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -58,6 +60,8 @@
 	PromptBound int64
 	// PrefixHash holds a hash of each leading block of the messages.
 	PrefixHash []uint64
+	// MessageHash holds a hash of each message.
+	MessageHash []uint64
 
 	fields map[string]json.RawMessage
 }
@@ -159,6 +163,12 @@
 	p.chat.Model, p.chat.Adapter, _ = strings.Cut(name, ":")
 }
 
+// messageHash returns a cryptographic hash of a message, cut to 64 bits.
+func messageHash(raw json.RawMessage) uint64 {
+	sum := sha256.Sum256(raw)
+	return binary.BigEndian.Uint64(sum[:])
+}
+
 type message struct {
 	Role    string
 	Content json.RawMessage
@@ -178,6 +188,7 @@
 	}
 	p.chat.PromptBound = requestOverheadTokens
 	for i, raw := range all {
+		p.chat.MessageHash = append(p.chat.MessageHash, messageHash(raw))
 		p.message(fmt.Sprintf("%s/%d", fieldMessages, i), raw)
 	}
 }
