--- a/fleet/placer/placer_test.go
+++ b/fleet/placer/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -261,3 +262,37 @@
 		require.False(t, f.engines[0].Draining())
 	})
 }
+
+// TestTwoWritersAtAHandOverOrderOnce covers hosts that take each other for dead, so that both
+// act as the writer of a service and decide at almost the same moments.
+func TestTwoWritersAtAHandOverOrderOnce(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		for seed := range 20 {
+			t.Run(fmt.Sprintf("checks fencing %t, seed %d", checks, seed), func(t *testing.T) {
+				withFixture(t, 4, checks, func(ctx context.Context, t *testing.T, f *fixture) {
+					rng := rand.New(rand.NewPCG(uint64(seed), 1))
+					f.log = memlog.New(memlog.Options{Latency: 5 * time.Millisecond})
+					f.host(ctx, "h1")
+					time.Sleep(time.Duration(rng.Int64N(int64(30 * time.Millisecond))))
+					both, end := context.WithCancel(ctx)
+					f.host(both, "h2")
+					time.Sleep(11 * time.Second)
+					f.src.setVersion(f.svc, "2")
+					time.Sleep(3 * time.Minute)
+					end()
+					time.Sleep(5 * time.Minute)
+					require.Equal(t, []string{"2", "2", "2", "2"}, f.versions())
+					for i, e := range f.engines {
+						loads := 0
+						for _, o := range e.Orders() {
+							if o.Version == "2" && !o.Drain {
+								loads++
+							}
+						}
+						require.Equal(t, 1, loads, "loads of engine %d: %v", i, e.Orders())
+					}
+				})
+			})
+		}
+	}
+}
--- a/fleet/placer/service.go
+++ b/fleet/placer/service.go
@@ -94,10 +94,15 @@
 	s.readWorkers(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.becomeWriter(ctx); err != nil {
+	tookOffice, err := s.becomeWriter(ctx)
+	if err != nil {
 		s.placer.log.Info("Host is not the writer.", "service", s.name, "reason", err.Error())
 		return
 	}
+	if tookOffice {
+		// An order of the writer before may have reached a worker since it was read.
+		return
+	}
 	in := s.planInput(time.Now())
 	s.dwell.Observe(in)
 	in.Dwell = s.dwell.Mean(in.Now)
@@ -106,15 +111,19 @@
 	}
 }
 
-func (s *service) becomeWriter(ctx context.Context) error {
+// becomeWriter makes this host the writer, and reports whether it was not before.
+func (s *service) becomeWriter(ctx context.Context) (tookOffice bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	before := s.writer.epoch
-	err := s.writer.acquire(ctx)
-	if err == nil && s.writer.epoch != before {
-		s.placer.log.Info("In office.", "service", s.name, "epoch", s.writer.epoch)
+	if err := s.writer.acquire(ctx, time.Now()); err != nil {
+		return false, err
+	}
+	if s.writer.epoch == before {
+		return false, nil
 	}
-	return err
+	s.placer.log.Info("In office.", "service", s.name, "epoch", s.writer.epoch)
+	return true, nil
 }
 
 // readWorkers reads from all workers what they serve and their load.
--- a/fleet/placer/writer.go
+++ b/fleet/placer/writer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"github.com/hazelworks/hazelworks/core/placement"
 	"github.com/hazelworks/hazelworks/core/platform"
@@ -23,8 +24,15 @@
 	fold   *placement.Fold
 	// epoch is the offset of this host's newest epoch record; zero if it has none.
 	epoch record.Offset
+	// otherEpoch is the newest epoch of another host, which was first seen at otherSeenAt.
+	otherEpoch  record.Offset
+	otherSeenAt time.Time
 }
 
+// minTerm is how long a host leaves another one in office that it takes for dead. Two hosts
+// that take each other for dead would otherwise replace each other all the time.
+const minTerm = 4 * tickInterval
+
 // readToEnd reads the stream to its end and applies the records that are new. If the
 // log has trimmed the next record, reading continues at the first retained one.
 func (w *streamWriter) readToEnd(ctx context.Context) error {
@@ -66,14 +74,23 @@
 
 // acquire makes this host the writer. It reads the stream and, if this host is not
 // the writer, appends an epoch record and reads it back. It returns errNotWriter if
-// another host's epoch record followed.
-func (w *streamWriter) acquire(ctx context.Context) error {
+// another host's epoch record followed, or if another host has been the writer for less than
+// minTerm.
+func (w *streamWriter) acquire(ctx context.Context, now time.Time) error {
 	if err := w.readToEnd(ctx); err != nil {
 		return err
 	}
 	if w.isWriter() {
 		return nil
 	}
+	if w.fold.Epoch != 0 && w.fold.Writer.Host != w.self.Host {
+		if w.fold.Epoch != w.otherEpoch {
+			w.otherEpoch, w.otherSeenAt = w.fold.Epoch, now
+		}
+		if now.Sub(w.otherSeenAt) < minTerm {
+			return errNotWriter
+		}
+	}
 	nonce := rand.Uint64()
 	r := &placement.Record{Kind: placement.KindEpoch, Writer: w.self, Nonce: nonce}
 	if err := w.append(ctx, r); err != nil {
