--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -80,6 +80,7 @@
 		{name: "worker sheds without an ID", start: upstreamFault(func(b *standin.Behaviour) { b.Shed, b.Anonymous = true, true }), maxDuration: time.Second},
 		{name: "worker fails", start: upstreamFault(func(b *standin.Behaviour) { b.Fail = true }), maxDuration: 2 * time.Second},
 		{name: "worker sends garbage", start: upstreamFault(func(b *standin.Behaviour) { b.Garbage = true }), maxDuration: time.Second},
+		{name: "workers crashed by requests", start: crashUpstreams},
 		{name: "budget raised", start: topUp},
 		{name: "configuration changed", start: bumpConfigVersion},
 	}
--- a/cmd/internal/soak/proxy.go
+++ b/cmd/internal/soak/proxy.go
@@ -29,13 +29,24 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]net.Conn)}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) accept() {
+// reopen listens again after close.
+func (p *proxy) reopen() error {
+	l, err := net.Listen("tcp", p.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	p.setFaults(func(p *proxy) { p.listener = l })
+	go p.accept(l)
+	return nil
+}
+
+func (p *proxy) accept(l net.Listener) {
 	for {
-		inbound, err := p.listener.Accept()
+		inbound, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -130,7 +141,8 @@
 	})
 }
 
+// close refuses new connections and resets the open ones.
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.setFaults(func(p *proxy) { _ = p.listener.Close() })
 	p.resetConns()
 }
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -85,13 +85,10 @@
 	time.Sleep(recoveryWait)
 	stopCalls()
 	// Most of the budget is spent; checkRecovery needs more for each host.
-	tb.changeConfig(func(cfg standin.Config) {
-		tb.prepaid += max(prepaidTokens, int64(len(tb.hosts))*recoveryTokens)
-		cfg.SetPrepaid(tb.prepaid)
-	})
-	time.Sleep(applyWait)
+	tb.topUpHosts()
 	recoveryFindings := checkRecovery(tb, c)
-	calmFindings := checkCalm(ctx, tb, c)
+	calmFindings := append(checkCalm(ctx, tb, c), tb.checkCrashes()...)
+	tb.activeFaults.Wait()
 	outcomes := c.recorded()
 	result := Result{Seed: opt.Seed, Requests: len(outcomes), Faults: faultCount, Findings: slices.Concat(checkOutcomes(tb, outcomes), recoveryFindings, calmFindings)}
 	result.Findings = append(result.Findings, tb.errors()...)
--- a/cmd/internal/soak/testbed.go
+++ b/cmd/internal/soak/testbed.go
@@ -58,6 +58,8 @@
 	activeFaults sync.WaitGroup
 
 	mu sync.Mutex
+	// crashes are the times at which upstreams have crashed, by service.
+	crashes map[string][]time.Time
 	// prepaid is the total of tokens prepaid so far.
 	prepaid int64
 	// internalErrors are failures of the soak itself.
@@ -93,7 +95,7 @@
 func newTestbed(dir, binary string, prepaid int64, hosts int) (*testbed, error) {
 	tb := &testbed{
 		dir: dir, binary: binary, netOctet: 16 + os.Getpid()%200, log: memkeyed.New(),
-		prepaid: prepaid, version: 1, stopped: make(chan struct{}),
+		prepaid: prepaid, version: 1, stopped: make(chan struct{}), crashes: make(map[string][]time.Time),
 	}
 	tb.config = standin.BaseConfig(tb.version)
 	tb.config.SetPrepaid(prepaid)
@@ -105,9 +107,9 @@
 		return nil, err
 	}
 	for i := range modelUpstreamCount + plainUpstreamCount {
-		service, behaviour := "llm", standin.Behaviour{Events: streamEvents, EventGap: eventInterval}
+		service, behaviour := "llm", standin.Behaviour{Events: streamEvents, EventGap: eventInterval, CrashPart: crashPart}
 		if i >= modelUpstreamCount {
-			service, behaviour = "desk", standin.Behaviour{Delay: 5 * time.Millisecond}
+			service, behaviour = "desk", standin.Behaviour{Delay: 5 * time.Millisecond, CrashBody: crashBody}
 		}
 		if i == limitedUpstream {
 			behaviour.Limit = strconv.FormatFloat(statedLimit, 'g', -1, 64)
@@ -158,11 +160,16 @@
 		Service: service, FailureDomain: "z1", State: "ready", StartedMS: time.Now().UnixMilli(),
 	}}
 	upstream.SetBehaviour(behaviour)
+	upstream.OnCrash(func() { tb.crashed(upstream) })
 	upstream.Heartbeat()
 	go upstream.Serve(l)
 	go upstream.sendHeartbeats(tb.stopped)
 	tb.upstreams = append(tb.upstreams, upstream)
-	tb.cleanups = append(tb.cleanups, func() { _ = l.Close(); p.close() })
+	tb.cleanups = append(tb.cleanups, func() {
+		upstream.OnCrash(nil)
+		upstream.Crash() // closes its listener, which may be another one than l
+		p.close()
+	})
 	return nil
 }
 
@@ -175,7 +182,9 @@
 		case <-stopped:
 			return
 		case <-tick.C:
-			u.Heartbeat()
+			if !u.Down() {
+				u.Heartbeat()
+			}
 		}
 	}
 }
--- a/core/knownfault/off.go
+++ b/core/knownfault/off.go
@@ -19,3 +19,6 @@
 
 // CutOnStop makes a host that is stopped end at once.
 const CutOnStop = false
+
+// SendCrashing makes hosts send requests that are known to crash upstreams.
+const SendCrashing = false
--- a/core/knownfault/on.go
+++ b/core/knownfault/on.go
@@ -18,4 +18,6 @@
 	IgnoreLimits = os.Getenv(env) == "ignore-limits"
 	// CutOnStop makes a host that is stopped end at once.
 	CutOnStop = os.Getenv(env) == "cut-on-stop"
+	// SendCrashing makes hosts send requests that are known to crash upstreams.
+	SendCrashing = os.Getenv(env) == "send-crashing"
 )
--- a/fleet/quarantine/keeper.go
+++ b/fleet/quarantine/keeper.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/hazelworks/hazelworks/core/knownfault"
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/record"
@@ -92,7 +93,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	if q, ok := k.tracker.Find(subjects, now); ok {
+	if q, ok := k.tracker.Find(subjects, now); ok && !knownfault.SendCrashing {
 		return &Error{Subject: q.Subject, Remaining: q.Until.Sub(now)}
 	}
 	return nil
