--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -39,7 +39,7 @@
 			}
 			buf = buf[:copy(buf, buf[end:])]
 		}
-		if err == io.EOF && len(buf) == 0 {
+		if err == io.EOF && len(buf) == 0 && (c.events > 0 || !endsWithConnection(resp)) {
 			return c.endStream(resp)
 		}
 		if err == nil && (len(buf) > maxEventBytes || c.tooManyEvents()) {
@@ -53,6 +53,12 @@
 	}
 }
 
+// endsWithConnection reports whether only the end of the connection ends an answer. If it has
+// no event, the upstream has broken it off.
+func endsWithConnection(resp *exchange.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // tooManyEvents reports whether a stream has many more events than the request's longest answer.
 func (c *call) tooManyEvents() bool {
 	if c.req.Work == nil {
