--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -244,7 +244,9 @@
 		last := n >= c.g.limits.Attempts
 		res := c.send(ctx, lease, last)
 		if res.kind == resultAnswered {
-			c.g.opts.Quarantine.CountAnswer(c.service.Name, c.subjects)
+			if res.status < http.StatusMultipleChoices {
+				c.g.opts.Quarantine.CountAnswer(c.service.Name, c.subjects)
+			}
 			return stream.End{}
 		}
 		if last || !c.mayRetry(ctx, res) {
--- a/fleet/quarantine/log.go
+++ b/fleet/quarantine/log.go
@@ -95,8 +95,11 @@
 		}
 		k.mu.Lock()
 		delete(k.logged, s)
+		_, active := k.tracker.Find([]quarantine.Subject{s}, time.Now())
 		k.mu.Unlock()
-		k.lift(s, "its record was deleted", "")
+		if active {
+			k.lift(s, "its record was deleted", "")
+		}
 		return nil
 	}
 	q, err := decodeRecord(r)
--- a/fleet/relay/answer.go
+++ b/fleet/relay/answer.go
@@ -69,7 +69,9 @@
 		c.closedByPeer = exchange.IsClosedByPeer(err)
 		return resultLost
 	}
-	c.recordFirstEvent(lease)
+	if isSuccess(resp.StatusCode) {
+		c.recordFirstEvent(lease)
+	}
 	if !whole {
 		return c.forwardLarge(resp, body)
 	}
@@ -81,11 +83,13 @@
 	c.r.writeHead(c.w, resp.StatusCode)
 	// The error is ignored: a caller that has left needs no answer.
 	_, _ = c.w.Write(body)
-	c.answered = resp.StatusCode < http.StatusMultipleChoices
+	c.answered = isSuccess(resp.StatusCode)
 	c.status = resp.StatusCode
 	return resultAnswered
 }
 
+func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
+
 // forwardLarge forwards an answer of which the first part was read. If the rest is lost, the
 // caller's connection is cut, and no other attempt is made: the caller has a part of this
 // answer.
@@ -102,7 +106,7 @@
 	if _, err := io.Copy(c.w, resp); err != nil {
 		return resultLost
 	}
-	c.answered = resp.StatusCode < http.StatusMultipleChoices
+	c.answered = isSuccess(resp.StatusCode)
 	c.status = resp.StatusCode
 	return resultAnswered
 }
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -393,7 +393,7 @@
 	c.closedByPeer, c.attemptStartedAt = false, time.Time{}
 	result := c.sendOnce(ctx, lease)
 	lease.ObserveEvents(c.events - before)
-	if result == resultAnswered {
+	if result == resultAnswered && isSuccess(c.status) {
 		c.r.opt.Quarantine.Answered([]quarantine.Subject{c.own})
 	}
 	if c.brokenOffAtStart(result) && ctx.Err() == nil {
