--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -48,13 +48,13 @@
 }
 
 // Suspects returns the request's subjects as those of a request that an upstream had begun to
-// run when it crashed. w may be nil.
-func (w *Work) Suspects() []quarantine.Suspect {
+// run when it crashed. request is the same for all repeats of one request. w may be nil.
+func (w *Work) Suspects(request uint64) []quarantine.Suspect {
 	subjects := w.Subjects()
 	if len(subjects) == 0 {
 		return nil
 	}
-	own := rendezvous.Mix(w.Parts[len(w.Parts)-1].ID, rendezvous.Mix(uint64(w.Input), uint64(w.MaxOutput)))
+	own := rendezvous.Mix(request, w.Parts[len(w.Parts)-1].ID)
 	out := make([]quarantine.Suspect, 0, len(subjects))
 	for _, s := range subjects {
 		out = append(out, quarantine.Suspect{Subject: s, Request: own})
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -427,7 +427,7 @@
 }
 
 func (c *call) suspects() []quarantine.Suspect {
-	return append(c.req.Work.Suspects(), quarantine.Suspect{Subject: c.own, Request: c.own.ID})
+	return append(c.req.Work.Suspects(c.own.ID), quarantine.Suspect{Subject: c.own, Request: c.own.ID})
 }
 
 // stallAfter returns the time after which the answer is long overdue.
