--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -48,16 +48,16 @@
 }
 
 // Suspects returns the request's subjects as those of a request that an upstream had begun to
-// run when it crashed. request is the same for all repeats of one request. w may be nil.
-func (w *Work) Suspects(request uint64) []quarantine.Suspect {
+// run when it crashed. own is the suspect that the request itself is. w may be nil.
+func (w *Work) Suspects(own quarantine.Suspect) []quarantine.Suspect {
 	subjects := w.Subjects()
 	if len(subjects) == 0 {
 		return nil
 	}
-	own := rendezvous.Mix(request, w.Parts[len(w.Parts)-1].ID)
+	request := rendezvous.Mix(own.Request, w.Parts[len(w.Parts)-1].ID)
 	out := make([]quarantine.Suspect, 0, len(subjects))
 	for _, s := range subjects {
-		out = append(out, quarantine.Suspect{Subject: s, Request: own})
+		out = append(out, quarantine.Suspect{Subject: s, Request: request, Account: own.Account})
 	}
 	return out
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -47,6 +47,8 @@
 	Subject Subject
 	// Request is the same for all attempts of one request, and for its repeats by the caller.
 	Request uint64
+	// Account is a hash of the client account, see [AccountHash].
+	Account uint64
 }
 
 // String returns the kind and the ID, in hexadecimal.
@@ -108,6 +110,14 @@
 	Since time.Time
 	// Terms is the number of the subject's quarantines, including this one.
 	Terms int
+	// Account is the only account whose requests are concerned, or zero if all are. No account
+	// can bring quarantines upon the requests of others by itself.
+	Account uint64
+}
+
+// concerns reports whether the quarantine is in force for requests of an account.
+func (q *Quarantine) concerns(account uint64, now time.Time) bool {
+	return now.Before(q.Until) && (q.Account == 0 || q.Account == account)
 }
 
 // Upstream identifies an upstream that has crashed.
@@ -127,9 +137,12 @@
 	// answers is the number of answers of the service up to then.
 	answers uint64
 	// requests are the requests of each subject.
-	requests map[Subject][]uint64
+	requests map[Subject][]origin
 }
 
+// origin is a request and its account.
+type origin struct{ request, account uint64 }
+
 // Tracker is one host's view of crashes, answers and quarantines. It is not safe for
 // concurrent use.
 type Tracker struct {
@@ -147,19 +160,29 @@
 	return &Tracker{answered: make(map[Kind]*answerLog), answers: make(map[string]uint64), quarantines: make(map[Subject]*Quarantine)}
 }
 
-// Find returns the quarantine of the first of the subjects that is quarantined.
-func (t *Tracker) Find(subjects []Subject, now time.Time) (Quarantine, bool) {
+// Find returns the quarantine of the first of the subjects that is quarantined for requests of
+// an account.
+func (t *Tracker) Find(subjects []Subject, account uint64, now time.Time) (Quarantine, bool) {
 	if len(t.quarantines) == 0 {
 		return Quarantine{}, false
 	}
 	for _, s := range subjects {
-		if q, ok := t.quarantines[s]; ok && now.Before(q.Until) {
+		if q, ok := t.quarantines[s]; ok && q.concerns(account, now) {
 			return *q, true
 		}
 	}
 	return Quarantine{}, false
 }
 
+// Get returns the quarantine of a subject that has not ended.
+func (t *Tracker) Get(s Subject, now time.Time) (Quarantine, bool) {
+	q, ok := t.quarantines[s]
+	if !ok || !now.Before(q.Until) {
+		return Quarantine{}, false
+	}
+	return *q, true
+}
+
 // Active returns the quarantines that have not ended, ordered by subject.
 func (t *Tracker) Active(now time.Time) []Quarantine {
 	var out []Quarantine
@@ -202,7 +225,7 @@
 	})
 	if i < 0 {
 		t.crashes = append(t.crashes, &crash{
-			upstream: upstream, service: service, at: now, answers: t.answers[service], requests: make(map[Subject][]uint64),
+			upstream: upstream, service: service, at: now, answers: t.answers[service], requests: make(map[Subject][]origin),
 		})
 		i = len(t.crashes) - 1
 	}
@@ -213,7 +236,23 @@
 	if len(t.crashes) > maxCrashes {
 		t.crashes = slices.Delete(t.crashes, 0, len(t.crashes)-maxCrashes)
 	}
-	return t.blame(now)
+	change := t.blame(now)
+	change.Begun = append(t.widen(suspects, now), change.Begun...)
+	return change
+}
+
+// widen extends the quarantines of one account whose subjects were in a crash with another
+// account's request to all accounts, and returns them.
+func (t *Tracker) widen(suspects []Suspect, now time.Time) []Quarantine {
+	var out []Quarantine
+	for _, s := range suspects {
+		q, ok := t.quarantines[s.Subject]
+		if ok && now.Before(q.Until) && q.Account != 0 && q.Account != s.Account {
+			q.Account = 0
+			out = append(out, *q)
+		}
+	}
+	return out
 }
 
 func (t *Tracker) recordAnswer(s Subject, now time.Time) {
@@ -236,10 +275,11 @@
 
 func (c *crash) add(s Suspect) {
 	requests, ok := c.requests[s.Subject]
-	if !ok && len(c.requests) >= maxSubjects || len(requests) >= maxRequests || slices.Contains(requests, s.Request) {
+	from := origin{request: s.Request, account: s.Account}
+	if !ok && len(c.requests) >= maxSubjects || len(requests) >= maxRequests || slices.Contains(requests, from) {
 		return
 	}
-	c.requests[s.Subject] = append(requests, s.Request)
+	c.requests[s.Subject] = append(requests, from)
 }
 
 func (t *Tracker) dropOld(now time.Time) {
@@ -370,7 +410,7 @@
 				out[s] = x
 			}
 			for _, r := range requests {
-				x.requests[r] = struct{}{}
+				x.requests[r.request] = struct{}{}
 			}
 			if x.crashes == 0 || kind == Request || c.at.Sub(x.lastAt) >= sameCause {
 				x.crashes++
@@ -416,11 +456,16 @@
 	if old, ok := t.quarantines[s]; ok {
 		q.Terms = old.Terms + 1
 	}
+	accounts := make(map[uint64]struct{})
 	for _, c := range t.crashes {
-		if _, ok := c.requests[s]; ok && c.at.Before(q.Since) {
-			q.Since = c.at
+		for _, r := range c.requests[s] {
+			accounts[r.account] = struct{}{}
+			q.Since = minTime(q.Since, c.at)
 		}
 	}
+	if len(accounts) == 1 {
+		q.Account = slices.Collect(maps.Keys(accounts))[0]
+	}
 	q.Until = now.Add(term(q.Terms))
 	t.put(q)
 	return *q
@@ -449,17 +494,24 @@
 	delete(t.quarantines, first.Subject)
 }
 
-// Apply applies a quarantine that another host has begun. It returns false if it is refuted:
+// Apply applies a quarantine that another host has begun or extended. It returns false if it is refuted:
 // a request with the subject was answered after the first of the crashes. The quarantine then
-// has no effect, and the other hosts should be told with [Tracker.Lift]. An older or shorter
-// one has no effect either.
+// has no effect, and the other hosts should be told with [Tracker.Lift]. Of two
+// on one subject the later end holds, and all accounts that either concerns.
 func (t *Tracker) Apply(q Quarantine, now time.Time) bool {
 	if at, ok := t.lastAnswer(q.Subject); ok && at.After(q.Since) {
 		return false
 	}
 	q.Until = minTime(q.Until, now.Add(maxTerm))
-	if old, ok := t.quarantines[q.Subject]; !now.Before(q.Until) || ok && !q.Until.After(old.Until) {
+	old, ok := t.quarantines[q.Subject]
+	switch {
+	case !now.Before(q.Until):
 		return true
+	case ok && now.Before(old.Until):
+		if old.Account != q.Account {
+			q.Account = 0
+		}
+		q.Until, q.Terms = maxTime(q.Until, old.Until), max(q.Terms, old.Terms)
 	}
 	t.put(&q)
 	return true
@@ -474,6 +526,13 @@
 	return ok && now.Before(q.Until)
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func minTime(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -17,6 +17,11 @@
 	return out
 }
 
+const (
+	testAccount  = 1
+	otherAccount = 2
+)
+
 // answer records an answer of a service to a request with the subjects.
 func answer(t *Tracker, subjects []Subject, now time.Time) {
 	t.CountAnswer("llm")
@@ -27,7 +32,7 @@
 func suspects(request uint64, ids ...uint64) []Suspect {
 	var out []Suspect
 	for _, s := range parts(ids...) {
-		out = append(out, Suspect{Subject: s, Request: request})
+		out = append(out, Suspect{Subject: s, Request: request, Account: testAccount})
 	}
 	return out
 }
@@ -64,10 +69,10 @@
 		require.Equal(t, parts(9)[0], begun[0].Subject)
 		require.Equal(t, start.Add(time.Second), begun[0].Since)
 	}
-	q, ok := tracker.Find(parts(1, 9, 5), now)
+	q, ok := tracker.Find(parts(1, 9, 5), testAccount, now)
 	require.True(t, ok)
 	require.Equal(t, now.Add(firstTerm), q.Until)
-	_, ok = tracker.Find(parts(1, 2, 3, 4, 5), now)
+	_, ok = tracker.Find(parts(1, 2, 3, 4, 5), testAccount, now)
 	require.False(t, ok)
 }
 
@@ -162,7 +167,7 @@
 	}
 	require.Len(t, begun, 1)
 	require.Equal(t, parts(9)[0], begun[0].Subject)
-	_, ok := tracker.Find(parts(1), now)
+	_, ok := tracker.Find(parts(1), testAccount, now)
 	require.False(t, ok)
 }
 
@@ -200,7 +205,7 @@
 		}
 		tracker.Crashed(Upstream{Hash: i}, "llm", found, now)
 	}
-	q, ok := tracker.Find(parts(5, 9), now)
+	q, ok := tracker.Find(parts(5, 9), testAccount, now)
 	require.True(t, ok)
 	require.Equal(t, parts(5)[0], q.Subject, "the part of fewer requests")
 	var change Change
@@ -214,7 +219,7 @@
 	require.Len(t, change.Begun, 1)
 	require.Equal(t, parts(9)[0], change.Begun[0].Subject)
 	require.Equal(t, parts(5), change.Lifted)
-	_, ok = tracker.Find(parts(5), now)
+	_, ok = tracker.Find(parts(5), testAccount, now)
 	require.False(t, ok)
 }
 
@@ -227,6 +232,31 @@
 	require.Len(t, begun, 2)
 }
 
+// An account crashes upstreams on purpose, with a part that others use too. Its own requests are
+// rejected; another account's are too only once one of them has been in a crash.
+func TestQuarantineConcernsTheAccountsOfTheCrashes(t *testing.T) {
+	tracker := NewTracker()
+	now, begun := crashEach(tracker, start, crashesToBlame, 9)
+	require.Len(t, begun, 1)
+	require.EqualValues(t, testAccount, begun[0].Account)
+	_, ok := tracker.Find(parts(9), testAccount, now)
+	require.True(t, ok)
+	_, ok = tracker.Find(parts(9), otherAccount, now)
+	require.False(t, ok)
+	change := tracker.Crashed(Upstream{Hash: 100}, "llm", []Suspect{{Subject: parts(9)[0], Request: 77, Account: otherAccount}}, now)
+	require.Len(t, change.Begun, 1)
+	require.Zero(t, change.Begun[0].Account)
+	_, ok = tracker.Find(parts(9), otherAccount, now)
+	require.True(t, ok)
+	// What two hosts have begun for different accounts concerns all.
+	other := NewTracker()
+	for _, account := range []uint64{testAccount, otherAccount} {
+		require.True(t, other.Apply(Quarantine{Subject: parts(9)[0], Since: now, Until: now.Add(time.Minute), Terms: 1, Account: account}, now))
+	}
+	_, ok = other.Find(parts(9), 3, now)
+	require.True(t, ok)
+}
+
 // A quarantine ends by itself. A subject that crashes an upstream again is quarantined at once
 // and for longer; one that is answered is cleared.
 func TestQuarantineEndsByItself(t *testing.T) {
@@ -235,7 +265,7 @@
 		now, begun := crashEach(tracker, start, crashesToBlame, 9)
 		require.Len(t, begun, 1)
 		now = now.Add(firstTerm)
-		_, ok := tracker.Find(parts(9), now)
+		_, ok := tracker.Find(parts(9), testAccount, now)
 		require.False(t, ok)
 		if !guilty {
 			answer(tracker, parts(9), now)
@@ -257,7 +287,7 @@
 	q := Quarantine{Subject: parts(9)[0], Since: start, Until: start.Add(time.Minute), Terms: 1}
 	answer(tracker, parts(9), start.Add(time.Second))
 	require.False(t, tracker.Apply(q, start.Add(2*time.Second)))
-	_, ok := tracker.Find(parts(9), start.Add(2*time.Second))
+	_, ok := tracker.Find(parts(9), testAccount, start.Add(2*time.Second))
 	require.False(t, ok)
 	q.Since = start.Add(1500 * time.Millisecond)
 	require.True(t, tracker.Apply(q, start.Add(2*time.Second)))
@@ -278,7 +308,7 @@
 	require.LessOrEqual(t, len(tracker.crashes), maxCrashes)
 	require.LessOrEqual(t, len(tracker.answered[PromptPart].young)+len(tracker.answered[PromptPart].old), maxAnswered)
 	require.LessOrEqual(t, len(tracker.quarantines), maxQuarantines)
-	_, ok := tracker.Find(parts(1<<40|4_999), now)
+	_, ok := tracker.Find(parts(1<<40|4_999), testAccount, now)
 	require.True(t, ok, "the latest is kept")
 	many := make([]uint64, 1000)
 	for i := range many {
@@ -294,7 +324,7 @@
 
 // requestSuspect returns the suspect of a request that is blamed itself.
 func requestSuspect(id uint64) Suspect {
-	return Suspect{Subject: Subject{Kind: Request, ID: id}, Request: id}
+	return Suspect{Subject: Subject{Kind: Request, ID: id}, Request: id, Account: testAccount}
 }
 
 func TestRequestsDifferByEachOfTheirParts(t *testing.T) {
--- a/core/quarantine/request.go
+++ b/core/quarantine/request.go
@@ -5,6 +5,13 @@
 	"encoding/binary"
 )
 
+// AccountHash returns the hash of a client account in suspects and quarantines, which is not
+// zero.
+func AccountHash(account string) uint64 {
+	sum := sha256.Sum256([]byte(account))
+	return max(1, binary.BigEndian.Uint64(sum[:]))
+}
+
 // RequestSubject returns the subject of one request of a client account. Its ID is a
 // cryptographic hash, so that no caller can find a request with the ID of another one.
 func RequestSubject(account, method, host, target string, body []byte) Subject {
--- a/core/quarantine/simulation_test.go
+++ b/core/quarantine/simulation_test.go
@@ -61,7 +61,7 @@
 
 // send sends a request to the upstream with the fewest requests of two.
 func (s *simulation) send(r *simRequest) {
-	if _, ok := s.tracker.Find(parts(r.parts...), s.now); ok {
+	if _, ok := s.tracker.Find(parts(r.parts...), testAccount, s.now); ok {
 		s.rejected[r.guilty]++
 		return
 	}
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -74,7 +74,9 @@
 	// subjects the same without the request.
 	suspects []quarantine.Suspect
 	subjects []quarantine.Subject
-	flight   *fleetquarantine.Flight
+	// accountHash is the [quarantine.AccountHash] of the account.
+	accountHash uint64
+	flight      *fleetquarantine.Flight
 	// buildForward returns the request for another host; nil if it must run here.
 	buildForward func() *peerpb.ForwardRequest
 	// priority is passed to the picker, and to the upstream of a model request.
--- a/fleet/gateway/crash.go
+++ b/fleet/gateway/crash.go
@@ -25,14 +25,15 @@
 // setSuspects sets what the request has in common with others that may crash upstreams: the
 // messages of its prompt but the last, and itself.
 func (c *call) setSuspects(messages []uint64, whole bool) {
+	c.accountHash = corequarantine.AccountHash(c.req.Account)
 	own := binary.BigEndian.Uint64(c.req.Fingerprint[:])
 	for i := range max(0, len(messages)-1) {
 		subject := corequarantine.Subject{Kind: corequarantine.PromptPart, ID: messages[i]}
-		c.suspects = append(c.suspects, corequarantine.Suspect{Subject: subject, Request: own})
+		c.suspects = append(c.suspects, corequarantine.Suspect{Subject: subject, Request: own, Account: c.accountHash})
 	}
 	if whole {
 		subject := corequarantine.RequestSubject(c.req.Account, "", c.req.Service, "", c.req.Fingerprint[:])
-		c.suspects = append(c.suspects, corequarantine.Suspect{Subject: subject, Request: subject.ID})
+		c.suspects = append(c.suspects, corequarantine.Suspect{Subject: subject, Request: subject.ID, Account: c.accountHash})
 	}
 	for _, s := range c.suspects {
 		c.subjects = append(c.subjects, s.Subject)
@@ -41,7 +42,7 @@
 
 // quarantineProblem returns a problem if the request must not be sent to an upstream, or nil.
 func (c *call) quarantineProblem() *problem.Problem {
-	err := c.g.opts.Quarantine.Check(c.subjects)
+	err := c.g.opts.Quarantine.Check(c.subjects, c.accountHash)
 	if err == nil {
 		return nil
 	}
--- a/fleet/gateway/handlers.go
+++ b/fleet/gateway/handlers.go
@@ -231,7 +231,7 @@
 	}
 	g.metrics.requests.Inc(1)
 	g.inflight.add()
-	cl.flight = g.opts.Quarantine.Enter(cl.subjects, cancel)
+	cl.flight = g.opts.Quarantine.Enter(cl.subjects, cl.accountHash, cancel)
 	go func() {
 		defer cl.flight.Leave()
 		defer g.inflight.done()
--- a/fleet/gossip/report.go
+++ b/fleet/gossip/report.go
@@ -55,11 +55,13 @@
 	LeftMillis int64
 	AgeMillis  int64
 	Terms      int
+	// Account is the hash of the only account that is concerned, or zero.
+	Account uint64
 }
 
 // NewQuarantine returns a quarantine as it is sent.
 func NewQuarantine(q quarantine.Quarantine, now time.Time) Quarantine {
-	return Quarantine{Subject: q.Subject, LeftMillis: q.Until.Sub(now).Milliseconds(), AgeMillis: now.Sub(q.Since).Milliseconds(), Terms: q.Terms}
+	return Quarantine{Subject: q.Subject, LeftMillis: q.Until.Sub(now).Milliseconds(), AgeMillis: now.Sub(q.Since).Milliseconds(), Terms: q.Terms, Account: q.Account}
 }
 
 // At returns the quarantine as it is received.
@@ -69,6 +71,7 @@
 		Until:   now.Add(time.Duration(q.LeftMillis) * time.Millisecond),
 		Since:   now.Add(-time.Duration(q.AgeMillis) * time.Millisecond),
 		Terms:   max(1, q.Terms),
+		Account: q.Account,
 	}
 }
 
@@ -78,7 +81,7 @@
 	reportRepeat = 100 * time.Millisecond
 	// maxReportSuspects bounds the suspects of the crashes in a report, so that it fits into
 	// one packet.
-	maxReportSuspects = 50
+	maxReportSuspects = 36
 	// cborMap is the major type of a map, in the highest three bits of the first byte.
 	cborMap = 5
 )
--- a/fleet/gossip/report_test.go
+++ b/fleet/gossip/report_test.go
@@ -32,9 +32,9 @@
 	for range requests {
 		id := rng.Uint64()
 		for range 3 {
-			out = append(out, quarantine.Suspect{Subject: quarantine.Subject{Kind: quarantine.PromptPart, ID: rng.Uint64()}, Request: id})
+			out = append(out, quarantine.Suspect{Subject: quarantine.Subject{Kind: quarantine.PromptPart, ID: rng.Uint64()}, Request: id, Account: 1<<63 | id})
 		}
-		out = append(out, quarantine.Suspect{Subject: quarantine.Subject{Kind: quarantine.Request, ID: id}, Request: id})
+		out = append(out, quarantine.Suspect{Subject: quarantine.Subject{Kind: quarantine.Request, ID: id}, Request: id, Account: 1<<63 | id})
 	}
 	return out
 }
@@ -43,7 +43,7 @@
 // hosts that all agree on in a large one. Quarantines are few, and go to all.
 func TestReportsOfAFleetAreFewAndSmall(t *testing.T) {
 	crash := Report{Host: "host-000", Crashes: []Crash{{Upstream: 1 << 31, Service: "template-model", Suspects: suspectsOf(4)}}}
-	q := quarantine.Quarantine{Subject: quarantine.Subject{Kind: quarantine.PromptPart, ID: 1 << 63}, Until: time.Now().Add(time.Hour), Since: time.Now(), Terms: 3}
+	q := quarantine.Quarantine{Subject: quarantine.Subject{Kind: quarantine.PromptPart, ID: 1 << 63}, Until: time.Now().Add(time.Hour), Since: time.Now(), Terms: 3, Account: 1 << 63}
 	begun := Report{Host: "host-000", Quarantines: []Quarantine{NewQuarantine(q, time.Now())}}
 	for _, n := range []int{7, 49, 295, 617} {
 		hosts := fleetOf(n)
--- a/fleet/quarantine/keeper.go
+++ b/fleet/quarantine/keeper.go
@@ -65,7 +65,7 @@
 	flights map[*Flight]struct{}
 	// logged are the quarantines in the log, and due the times at which the log is
 	// brought in line with the tracker.
-	logged map[quarantine.Subject]time.Time
+	logged map[quarantine.Subject]logged
 	due    map[quarantine.Subject]time.Time
 	loaded bool
 	wake   chan struct{}
@@ -82,18 +82,19 @@
 		active:  metrics.GetOrRegisterGauge("quarantine_active", opt.Metrics),
 		tracker: quarantine.NewTracker(),
 		flights: make(map[*Flight]struct{}),
-		logged:  make(map[quarantine.Subject]time.Time),
+		logged:  make(map[quarantine.Subject]logged),
 		due:     make(map[quarantine.Subject]time.Time),
 		wake:    make(chan struct{}, 1),
 	}
 }
 
-// Check returns an [*Error] if one of the subjects is quarantined.
-func (k *Keeper) Check(subjects []quarantine.Subject) error {
+// Check returns an [*Error] if one of the subjects is quarantined for requests of the account,
+// a [quarantine.AccountHash].
+func (k *Keeper) Check(subjects []quarantine.Subject, account uint64) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	if q, ok := k.tracker.Find(subjects, now); ok && !knownfault.SendCrashing {
+	if q, ok := k.tracker.Find(subjects, account, now); ok && !knownfault.SendCrashing {
 		return &Error{Subject: q.Subject, Remaining: q.Until.Sub(now)}
 	}
 	return nil
@@ -103,13 +104,14 @@
 type Flight struct {
 	keeper   *Keeper
 	subjects []quarantine.Subject
+	account  uint64
 	cancel   func(error)
 }
 
 // Enter registers a request in flight. cancel is called with [ErrQuarantined] if one of its
 // subjects is quarantined before [Flight.Leave].
-func (k *Keeper) Enter(subjects []quarantine.Subject, cancel func(error)) *Flight {
-	f := &Flight{keeper: k, subjects: subjects, cancel: cancel}
+func (k *Keeper) Enter(subjects []quarantine.Subject, account uint64, cancel func(error)) *Flight {
+	f := &Flight{keeper: k, subjects: subjects, account: account, cancel: cancel}
 	if len(subjects) == 0 {
 		return f
 	}
@@ -189,11 +191,9 @@
 	k.mu.Lock()
 	for _, g := range quarantines {
 		q := g.At(now)
-		_, known := k.tracker.Find([]quarantine.Subject{q.Subject}, now)
-		switch {
-		case !k.tracker.Apply(q, now):
+		if applied, isNew := k.apply(q, now); !applied {
 			refuted = append(refuted, q.Subject)
-		case !known:
+		} else if isNew {
 			k.begin(q, by, "word of another host", othersWriteDelay)
 		}
 	}
@@ -206,6 +206,17 @@
 	}
 }
 
+// apply applies a quarantine. It returns whether it was not refuted, and whether it concerns
+// requests that none did before. The caller holds mu.
+func (k *Keeper) apply(q quarantine.Quarantine, now time.Time) (applied, isNew bool) {
+	before, known := k.tracker.Get(q.Subject, now)
+	if !k.tracker.Apply(q, now) {
+		return false, false
+	}
+	after, active := k.tracker.Get(q.Subject, now)
+	return true, active && (!known || before.Account != after.Account)
+}
+
 // begin logs a quarantine and stops the requests in flight that it concerns. The caller
 // holds mu.
 func (k *Keeper) begin(q quarantine.Quarantine, by record.HostID, reason string, writeDelay time.Duration) {
@@ -213,17 +224,16 @@
 	k.schedule(q.Subject, writeDelay)
 	stopped := 0
 	for f := range k.flights {
-		for _, s := range f.subjects {
-			if s == q.Subject {
-				stopped++
-				f.cancel(ErrQuarantined)
-			}
+		if _, ok := k.tracker.Find(f.subjects, f.account, time.Now()); ok {
+			stopped++
+			f.cancel(ErrQuarantined)
+			delete(k.flights, f)
 		}
 	}
 	k.stopped.Inc(int64(stopped))
 	now := time.Now()
 	k.active.Update(int64(len(k.tracker.Active(now))))
-	k.log.Info("Quarantine begun.", "subject", q.Subject.String(), "reason", reason, "told_by", by, "term", q.Terms,
+	k.log.Info("Quarantine begun.", "subject", q.Subject.String(), "reason", reason, "told_by", by, "term", q.Terms, "all_accounts", q.Account == 0,
 		"for", q.Until.Sub(now), "first_crash_ago", now.Sub(q.Since), "stopped", stopped)
 }
 
--- a/fleet/quarantine/log.go
+++ b/fleet/quarantine/log.go
@@ -18,6 +18,18 @@
 	ID      string          `json:"id"`
 	UntilMS int64           `json:"until_ms"`
 	Terms   int             `json:"terms"`
+	// Account is the hash of the only account that is concerned, in hexadecimal, or empty.
+	Account string `json:"account,omitempty"`
+}
+
+// endTolerance is the difference between the ends of a quarantine in the log and at this host for
+// which the log is not written again. Hosts begin the same quarantine at different moments.
+const endTolerance = 5 * time.Second
+
+// logged is what the log has of a quarantine.
+type logged struct {
+	until   int64 // in Unix milliseconds
+	account uint64
 }
 
 func recordKey(s quarantine.Subject) string {
@@ -26,6 +38,9 @@
 
 func encodeRecord(q quarantine.Quarantine) (platform.KeyedRecord, error) {
 	r := logRecord{Kind: q.Subject.Kind, ID: strconv.FormatUint(q.Subject.ID, 16), UntilMS: q.Until.UnixMilli(), Terms: q.Terms}
+	if q.Account != 0 {
+		r.Account = strconv.FormatUint(q.Account, 16)
+	}
 	value, err := json.Marshal(r)
 	return platform.KeyedRecord{Key: recordKey(q.Subject), Value: value}, err
 }
@@ -48,7 +63,13 @@
 	if err := json.Unmarshal(r.Value, &v); err != nil {
 		return quarantine.Quarantine{}, fmt.Errorf("quarantine: record %q: %w", r.Key, err)
 	}
-	return quarantine.Quarantine{Subject: s, Until: time.UnixMilli(v.UntilMS), Since: time.Now(), Terms: max(1, v.Terms)}, nil
+	q := quarantine.Quarantine{Subject: s, Until: time.UnixMilli(v.UntilMS), Since: time.Now(), Terms: max(1, v.Terms)}
+	if v.Account != "" {
+		if q.Account, err = strconv.ParseUint(v.Account, 16, 64); err != nil {
+			return quarantine.Quarantine{}, fmt.Errorf("quarantine: record %q: %w", r.Key, err)
+		}
+	}
+	return q, nil
 }
 
 // Loaded reports whether the quarantines in the log were read.
@@ -95,7 +116,7 @@
 		}
 		k.mu.Lock()
 		delete(k.logged, s)
-		_, active := k.tracker.Find([]quarantine.Subject{s}, time.Now())
+		_, active := k.tracker.Get(s, time.Now())
 		k.mu.Unlock()
 		if active {
 			k.lift(s, "its record was deleted", "")
@@ -109,9 +130,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	k.logged[q.Subject] = q.Until
-	_, known := k.tracker.Find([]quarantine.Subject{q.Subject}, now)
-	if k.tracker.Apply(q, now) && !known && now.Before(q.Until) {
+	k.logged[q.Subject] = logged{until: q.Until.UnixMilli(), account: q.Account}
+	if _, isNew := k.apply(q, now); isNew {
 		k.begin(q, "", "record of the log", othersWriteDelay)
 	}
 	k.scheduleCleaning(q.Subject, q.Until.Sub(now))
@@ -192,12 +212,12 @@
 			continue
 		}
 		delete(k.due, s)
-		q, active := k.tracker.Find([]quarantine.Subject{s}, now)
-		until, logged := k.logged[s]
+		q, active := k.tracker.Get(s, now)
+		old, known := k.logged[s]
 		switch {
-		case !active && logged:
+		case !active && known:
 			out = append(out, platform.KeyedRecord{Key: recordKey(s)})
-		case active && (!logged || until.UnixMilli() < q.Until.UnixMilli()):
+		case active && (!known || old.until+endTolerance.Milliseconds() < q.Until.UnixMilli() || old.account != q.Account):
 			r, err := encodeRecord(q)
 			if err != nil {
 				k.log.Error(err, "Quarantine could not be encoded.", "subject", s.String())
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -38,7 +38,9 @@
 	// is the one of this request and its repeats.
 	subjects []quarantine.Subject
 	own      quarantine.Subject
-	flight   *fleetquarantine.Flight
+	// accountHash is the [quarantine.AccountHash] of the account.
+	accountHash uint64
+	flight      *fleetquarantine.Flight
 	// closedByPeer is true if the upstream closed the connection during the last attempt.
 	closedByPeer bool
 
@@ -114,14 +116,14 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, c.req.Arrived.Add(limit), errTimeout)
 		defer cancel()
 	}
-	c.own = c.requestSubject()
+	c.own, c.accountHash = c.requestSubject()
 	c.subjects = append(c.req.Work.Subjects(), c.own)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c.flight = c.r.opt.Quarantine.Enter(c.subjects, cancel)
+	c.flight = c.r.opt.Quarantine.Enter(c.subjects, c.accountHash, cancel)
 	defer c.flight.Leave()
 	// Checked after Enter, so that a quarantine that begins meanwhile is not missed.
-	if err := c.r.opt.Quarantine.Check(c.subjects); err != nil {
+	if err := c.r.opt.Quarantine.Check(c.subjects, c.accountHash); err != nil {
 		c.giveUp(ctx, err)
 		return
 	}
@@ -135,7 +137,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if err := c.r.opt.Quarantine.Check(c.subjects); err != nil {
+		if err := c.r.opt.Quarantine.Check(c.subjects, c.accountHash); err != nil {
 			c.giveUp(ctx, err)
 			return
 		}
@@ -318,7 +320,7 @@
 	var paused *balancer.PausedError
 	var quarantined *fleetquarantine.Error
 	if errors.Is(cause, fleetquarantine.ErrQuarantined) {
-		reason = c.r.opt.Quarantine.Check(c.subjects)
+		reason = c.r.opt.Quarantine.Check(c.subjects, c.accountHash)
 		if reason == nil {
 			reason = cause
 		}
@@ -417,17 +419,19 @@
 	return c.attemptStartedAt.IsZero() || time.Since(c.attemptStartedAt) < startTime
 }
 
-// requestSubject returns the subject of this request and all its repeats.
-func (c *call) requestSubject() quarantine.Subject {
+// requestSubject returns the subject of this request and all its repeats, and the hash of its
+// account.
+func (c *call) requestSubject() (own quarantine.Subject, accountHash uint64) {
 	account := ""
 	if c.account != nil {
 		account = c.account.Name
 	}
-	return quarantine.RequestSubject(account, c.req.Method, c.req.Host, c.req.Target, c.req.Body)
+	return quarantine.RequestSubject(account, c.req.Method, c.req.Host, c.req.Target, c.req.Body), quarantine.AccountHash(account)
 }
 
 func (c *call) suspects() []quarantine.Suspect {
-	return append(c.req.Work.Suspects(c.own.ID), quarantine.Suspect{Subject: c.own, Request: c.own.ID})
+	own := quarantine.Suspect{Subject: c.own, Request: c.own.ID, Account: c.accountHash}
+	return append(c.req.Work.Suspects(own), own)
 }
 
 // stallAfter returns the time after which the answer is long overdue.
