--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -295,6 +295,21 @@
 	require.False(t, tracker.Lift(q.Subject, start.Add(3*time.Second)))
 }
 
+// All that a host can remember are long quarantines. A new one replaces the one that ends first.
+func TestNewQuarantineReplacesAnother(t *testing.T) {
+	tracker := NewTracker()
+	for i := range uint64(maxQuarantines) {
+		until := start.Add(maxTerm - time.Duration(i)*time.Second)
+		require.True(t, tracker.Apply(Quarantine{Subject: parts(100 + i)[0], Since: start, Until: until, Terms: 5}, start))
+	}
+	now, begun := crashEach(tracker, start, crashesToBlame, 9)
+	require.Len(t, begun, 1)
+	_, ok := tracker.Get(parts(9)[0], now)
+	require.True(t, ok)
+	_, ok = tracker.Get(parts(100 + maxQuarantines - 1)[0], now)
+	require.False(t, ok)
+}
+
 // What a caller who sends ever new parts can make a host remember is bounded.
 func TestMemoryIsBounded(t *testing.T) {
 	tracker := NewTracker()
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -57,8 +57,8 @@
 	// Broadcast sends an event of a request to the other hosts by gossip.
 	Broadcast func(gossip.Event)
 	// Crashed is called when an upstream has crashed while it began to run requests of this
-	// host. Answered is called, with the balancer's lock held, when a
-	// service has answered a request with the subjects, of this or another host.
+	// host. Answered is called, with the balancer's lock held, when a service has answered a
+	// request with the subjects, of this or another host.
 	Crashed  func(up quarantine.Upstream, suspects []corequarantine.Suspect)
 	Answered func(service string, subjects []corequarantine.Subject)
 	Logger   logr.Logger
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -68,41 +68,6 @@
 	events        int64
 }
 
-// sendResult is the result of one attempt.
-type sendResult int
-
-const (
-	// resultAnswered means that the caller has the complete answer, which may be an
-	// upstream's failure that is not retried.
-	resultAnswered sendResult = iota
-	// resultNotSent means that no byte of the request was sent.
-	resultNotSent
-	// resultNotRun means that the upstream states that it did not run it.
-	resultNotRun
-	// resultFailed means that the upstream answered with a failure that another
-	// upstream may not have.
-	resultFailed
-	// resultLost means that the request may have run, but its answer was lost.
-	resultLost
-)
-
-// String returns the name of the result in logs.
-func (r sendResult) String() string {
-	switch r {
-	case resultAnswered:
-		return "answered"
-	case resultNotSent:
-		return "not sent"
-	case resultNotRun:
-		return "not run"
-	case resultFailed:
-		return "failed"
-	case resultLost:
-		return "lost"
-	}
-	return "unknown"
-}
-
 // maxSends bounds the attempts of one request, including those that did not run.
 const maxSends = 4
 
@@ -352,14 +317,6 @@
 	}
 }
 
-// quarantineRefusal returns the answer to a request that is not sent to an upstream any more.
-func (c *call) quarantineRefusal(reason error, retryAfter time.Duration) refusal {
-	if c.runs > 0 {
-		return refusal{status: http.StatusBadGateway, reason: reason.Error()}
-	}
-	return refusal{status: http.StatusServiceUnavailable, reason: reason.Error(), retryAfter: retryAfter}
-}
-
 // errStalled cancels an attempt whose answer is long overdue.
 var errStalled = errors.New("the upstream does not begin its answer")
 
@@ -406,34 +363,6 @@
 	return result
 }
 
-// startTime is the time from the first event of an answer in which a crash may be due to the
-// request.
-const startTime = time.Second
-
-// brokenOffAtStart reports whether the upstream closed the connection before or just after it
-// began to answer.
-func (c *call) brokenOffAtStart(result sendResult) bool {
-	if result != resultLost || !c.closedByPeer {
-		return false
-	}
-	return c.attemptStartedAt.IsZero() || time.Since(c.attemptStartedAt) < startTime
-}
-
-// requestSubject returns the subject of this request and all its repeats, and the hash of its
-// account.
-func (c *call) requestSubject() (own quarantine.Subject, accountHash uint64) {
-	account := ""
-	if c.account != nil {
-		account = c.account.Name
-	}
-	return quarantine.RequestSubject(account, c.req.Method, c.req.Host, c.req.Target, c.req.Body), quarantine.AccountHash(account)
-}
-
-func (c *call) suspects() []quarantine.Suspect {
-	own := quarantine.Suspect{Subject: c.own, Request: c.own.ID, Account: c.accountHash}
-	return append(c.req.Work.Suspects(own), own)
-}
-
 // stallAfter returns the time after which the answer is long overdue.
 func (c *call) stallAfter(lease *balancer.Lease) time.Duration {
 	if c.req.Work == nil && c.route.Objective > 0 {
