--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -131,7 +131,7 @@
 	b.syncConns()
 	b.sync()
 	b.mu.Unlock()
-	b.detector.Unlisted(b.isListed)
+	b.detector.ApplyList(b.listState)
 }
 
 func (b *Balancer) sync() {
--- a/fleet/balancer/crashes.go
+++ b/fleet/balancer/crashes.go
@@ -30,10 +30,16 @@
 	})
 }
 
-// isListed reports whether the upstream with a hash is listed.
-func (b *Balancer) isListed(hash uint64) bool {
+// listState returns the state of the upstream with a hash.
+func (b *Balancer) listState(hash uint64) quarantine.State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, ok := b.byHash[uint32(hash)]
-	return ok
+	c, ok := b.byHash[uint32(hash)]
+	if !ok {
+		return quarantine.Unlisted
+	}
+	if s, ok := b.services[c.up.Service]; ok && s.pool.Leaving(c.up) {
+		return quarantine.Leaving
+	}
+	return quarantine.Listed
 }
--- a/fleet/quarantine/detector.go
+++ b/fleet/quarantine/detector.go
@@ -102,12 +102,27 @@
 	return true
 }
 
-// Unlisted reports a crash of each upstream with broken requests that is not listed any more.
-func (d *Detector) Unlisted(listed func(hash uint64) bool) {
+// State is what the list says of an upstream.
+type State int
+
+// States of an upstream.
+const (
+	Listed State = iota
+	// Leaving upstreams have announced that they will stop.
+	Leaving
+	Unlisted
+)
+
+// ApplyList applies a change of the list of upstreams. It reports a crash of each upstream with
+// broken requests that is not listed any more and has not announced that.
+func (d *Detector) ApplyList(state func(hash uint64) State) {
 	d.mu.Lock()
 	var gone []*brokenRequests
 	for hash, b := range d.broken {
-		if !listed(hash) {
+		switch state(hash) {
+		case Leaving:
+			delete(d.broken, hash)
+		case Unlisted:
 			gone = append(gone, b)
 			delete(d.broken, hash)
 		}
