Give each client account its share of a service where room is scarce

On the deployment whose rules list "pressure" one account can take the room of all others.

A request that would wait longer than the shortened time of its account is rejected. Only hosts whose settings list the rule do so.

--- a/core/admission/shedding.go
+++ b/core/admission/shedding.go
@@ -11,6 +11,9 @@
 	// Zero means no bound.
 	Objective time.Duration
 	Remaining time.Duration
+	// ShareFactor is the part of the usual wait that the request's account has, because it has
+	// used more than its share of the service. Zero means the whole.
+	ShareFactor float64
 	// Retried is true if the caller retries after its request was shed.
 	Retried bool
 	// Delay is the time for which this host would hold the request until the upstream's
@@ -100,6 +103,9 @@
 	if a.Retried {
 		share += retriedShare
 	}
+	if a.ShareFactor > 0 {
+		share *= a.ShareFactor
+	}
 	return a.Delay+a.Wait <= time.Duration(share*float64(a.Objective))
 }
 
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -51,6 +51,17 @@
 	FaultCost time.Duration
 }
 
+// plainRoom is the room that a request at a plain service takes if no estimate is known. Requests
+// are compared with those to the same service only.
+const plainRoom = time.Millisecond
+
+// Room returns the time for which the request keeps the upstream from other work: to read the
+// prompt, and the part of a slot's time for the answer.
+func (c Choice) Room() time.Duration {
+	room := c.Read + c.Generate/time.Duration(max(1, c.Upstream.Slots))
+	return max(room, plainRoom)
+}
+
 // Terms of the cost of an upstream.
 const (
 	// sameDomainBonus is subtracted from the cost of an upstream in the host's own
--- a/fleet/gossip/report.go
+++ b/fleet/gossip/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,7 +13,7 @@
 	"github.com/hazelworks/hazelworks/core/roster"
 )
 
-// Report tells other hosts of crashes of upstreams and of quarantines. It is encoded as a map,
+// Report tells other hosts of crashes of upstreams, of quarantines and of the use by accounts. It is encoded as a map,
 // so that hosts of earlier versions ignore it and later ones can add fields.
 type Report struct {
 	Host record.HostID `cbor:"1,keyasint"`
@@ -21,6 +22,21 @@
 	Crashes     []Crash              `cbor:"3,keyasint,omitempty"`
 	Quarantines []Quarantine         `cbor:"4,keyasint,omitempty"`
 	Lifted      []quarantine.Subject `cbor:"5,keyasint,omitempty"`
+	// Key 6 is left free for the load of hosts.
+	Use []ServiceUse `cbor:"7,keyasint,omitempty"`
+}
+
+// ServiceUse is what the accounts have used of a service by the requests of one host, in millionths
+// of a second of an upstream's time, a second.
+type ServiceUse struct {
+	// Service is the hash of the service, Accounts those of the accounts with the most use.
+	// Micros has their use, in the same order.
+	Service  uint32   `cbor:"1,keyasint"`
+	Accounts []uint32 `cbor:"2,keyasint"`
+	Micros   []uint64 `cbor:"3,keyasint"`
+	// Rest is the number of other accounts, and RestMicros the sum of their use.
+	Rest       int    `cbor:"4,keyasint,omitempty"`
+	RestMicros uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Encode returns the report as it is sent.
@@ -101,6 +117,10 @@
 	}
 }
 
+// BroadcastUse sends a report once to the hosts that serve requests, as another follows soon. It
+// does not block on the network.
+func (g *Gossip) BroadcastUse(r Report) { g.addReport(pendingReport{report: r}) }
+
 // SendReportTo sends a report to one host. It does not block on the network.
 func (g *Gossip) SendReportTo(to roster.Host, r Report) {
 	g.addReport(pendingReport{report: r, to: &to})
@@ -140,14 +160,18 @@
 			p.report.PassOn = true
 			g.sendReport(conn, p.report, []roster.Host{g.relayFor})
 		default:
-			g.sendReport(conn, p.report, g.reportTargets(p.report))
+			g.sendReport(conn, p.report, g.reportTargets(g.opt.Self, p.report))
 		}
 	}
 }
 
-// reportTargets returns the hosts that need a report. All need to know quarantines. In a large
-// fleet crashes are collected by a few hosts.
-func (g *Gossip) reportTargets(r Report) []roster.Host {
+// reportTargets returns the hosts that need a report. All need to know quarantines, and those that
+// serve requests the use by accounts. In a large fleet crashes are collected by a few hosts.
+func (g *Gossip) reportTargets(from roster.Host, r Report) []roster.Host {
+	if len(r.Use) > 0 {
+		others := slices.DeleteFunc(slices.Clone(g.opt.Peers()), func(h roster.Host) bool { return h.ID == from.ID })
+		return receivers(from, others, servingHosts)
+	}
 	if len(r.Quarantines) > 0 || len(r.Lifted) > 0 {
 		return g.opt.Peers()
 	}
@@ -177,8 +201,18 @@
 	if r.PassOn {
 		passed := *r
 		passed.PassOn = false
-		g.sendReport(conn, passed, g.reportTargets(*r))
+		g.sendReport(conn, passed, g.reportTargets(g.sender(r.Host), *r))
 	}
 	g.opt.ReceiveReport(r)
 	return true
 }
+
+// sender returns the host that has sent a report, or this host if it is not listed here.
+func (g *Gossip) sender(id record.HostID) roster.Host {
+	for _, h := range g.opt.Peers() {
+		if h.ID == id {
+			return h
+		}
+	}
+	return g.opt.Self
+}
--- a/fleet/gossip/report_test.go
+++ b/fleet/gossip/report_test.go
@@ -51,8 +51,8 @@
 		for i, self := range hosts {
 			others := append(append([]roster.Host{}, hosts[:i]...), hosts[i+1:]...)
 			g := &Gossip{opt: Options{Self: self, Peers: func() []roster.Host { return others }, Alive: func() []roster.Host { return others }}}
-			targets := g.reportTargets(crash)
-			require.Len(t, g.reportTargets(begun), n-1)
+			targets := g.reportTargets(g.opt.Self, crash)
+			require.Len(t, g.reportTargets(g.opt.Self, begun), n-1)
 			if n < 50 {
 				require.Len(t, targets, n-1)
 				continue
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -155,6 +155,7 @@
 		sentBefore := slices.Contains(c.tried, lease.Upstream.ID)
 		c.tried = append(c.tried, lease.Upstream.ID)
 		c.r.meters.observeWait(c.service, lease.Wait)
+		c.r.opt.Shares.Record(c.service, c.accountName(), lease.Room())
 		if sends > 0 {
 			c.r.meters.retries.Inc(1)
 		}
@@ -223,14 +224,15 @@
 	}
 	remaining := c.timeout() - time.Since(c.req.Arrived)
 	shed, retryAfter := admission.ShouldShed(admission.Arrival{
-		Rank:      c.rank(),
-		Objective: c.route.Objective,
-		Remaining: remaining,
-		Retried:   c.retried,
-		Delay:     choice.Delay,
-		Wait:      choice.Wait,
-		Generate:  choice.Generate,
-		Read:      choice.Read,
+		Rank:        c.rank(),
+		Objective:   c.route.Objective,
+		Remaining:   remaining,
+		Retried:     c.retried,
+		ShareFactor: c.r.opt.Shares.Factor(c.service, c.accountName(), choice.Delay+choice.Wait, c.route.Objective),
+		Delay:       choice.Delay,
+		Wait:        choice.Wait,
+		Generate:    choice.Generate,
+		Read:        choice.Read,
 	}, rand.Float64())
 	if !shed {
 		return nil
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/hazelworks/hazelworks/fleet/logging"
 	"github.com/hazelworks/hazelworks/fleet/origins"
 	"github.com/hazelworks/hazelworks/fleet/quarantine"
+	"github.com/hazelworks/hazelworks/fleet/shares"
 )
 
 // Options configure a [Relay].
@@ -37,6 +38,9 @@
 	Quarantine *quarantine.Keeper
 	// Origins knows which software version has begun each stream.
 	Origins *origins.Keeper
+	// Shares tells how the accounts stand against their shares. It is nil if accounts have no
+	// shares.
+	Shares *shares.Keeper
 	// Forward tells to which other hosts requests are forwarded that this host can't send to
 	// upstreams.
 	Forward ForwardOptions
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -18,6 +18,7 @@
 	"github.com/hazelworks/hazelworks/fleet/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/reach"
 	"github.com/hazelworks/hazelworks/fleet/relay"
+	"github.com/hazelworks/hazelworks/fleet/shares"
 	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
@@ -56,6 +57,11 @@
 		Host: h.cfg.Host, Broadcast: func(r gossip.Report) { h.gossip.BroadcastReport(r) },
 		Log: h.opt.Log, Stream: p.QuarantineStream, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
+	if h.cfg.AccountShares {
+		h.shares = shares.New(shares.Options{
+			Host: h.cfg.Host, Broadcast: func(r gossip.Report) { h.gossip.BroadcastUse(r) }, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+		})
+	}
 	h.origins = origins.New(origins.Options{
 		Self: h.self, Peers: h.hosts.peers, Alive: h.hosts.others, Ask: origins.NewAsker(h.peerClient()),
 		Broadcast:    func(e gossip.Event) { h.gossip.Broadcast(e) },
@@ -87,11 +93,11 @@
 		LimitDomains: func(domains []string) {
 			h.balancer.SetLimitDomains(domains)
 			h.balancer.SetSharers(h.servingHosts())
-		}, Receive: h.receive, ReceiveReport: h.quarantines.Receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+		}, Receive: h.receive, ReceiveReport: h.receiveReport, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
 		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.serviceTable, Balancer: h.balancer, Reserver: h.budgets,
-		Quarantine: h.quarantines, Origins: h.origins,
+		Quarantine: h.quarantines, Origins: h.origins, Shares: h.shares,
 		Forward: relay.ForwardOptions{Self: h.self, Hosts: h.hosts.others, Dial: h.opt.Network.Dialer(peerSockets)}, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
--- a/fleet/relayhost/config.go
+++ b/fleet/relayhost/config.go
@@ -20,6 +20,9 @@
 	StoreAddr netip.AddrPort
 	Limits    Limits
 	Bounds    Bounds
+	// AccountShares is true if accounts compete for too little room at times, and each is to
+	// get its share then.
+	AccountShares bool
 }
 
 // Listen holds the addresses that the process listens on.
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -33,6 +33,7 @@
 	"github.com/hazelworks/hazelworks/fleet/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/reach"
 	"github.com/hazelworks/hazelworks/fleet/relay"
+	"github.com/hazelworks/hazelworks/fleet/shares"
 	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
@@ -123,7 +124,9 @@
 	// reach tells whether other hosts reach an upstream.
 	reach *reach.Prober
 	// origins knows which software version has begun each stream.
-	origins   *origins.Keeper
+	origins *origins.Keeper
+	// shares tells how accounts stand against their shares. It is nil without shares.
+	shares    *shares.Keeper
 	startedAt time.Time
 	budgets   *allocation.Manager
 	relay     *relay.Relay
@@ -236,6 +239,12 @@
 	}
 }
 
+// receiveReport applies a report of another host.
+func (h *Host) receiveReport(r *gossip.Report) {
+	h.shares.Receive(r)
+	h.quarantines.Receive(r)
+}
+
 // noticeDelays are the times after which a new run of a host is told what upstreams have
 // stated. It ignores what arrives before it has read the lists of hosts and upstreams.
 var noticeDelays = []time.Duration{500 * time.Millisecond, 2 * time.Second}
@@ -338,6 +347,9 @@
 	}))
 	add(h.quarantines.Run)
 	add(h.origins.Run)
+	if h.shares != nil {
+		add(h.shares.Run)
+	}
 	add(h.budgets.Run)
 	add(h.serve(h.cfg.Listen.Peer, h.peerHandler()))
 	add(h.runGossip)
