Test that callers who come back when told are served; it fails

Nothing counted them.

Change: the emulator counts shed requests that come back and those of them that are served, and its load can rise and fall.

--- a/replay/overload/engine.go
+++ b/replay/overload/engine.go
@@ -47,8 +47,8 @@
 
 // add queues a request behind those of the same or a more urgent rank.
 func (e *engine) add(r *Request) {
-	at, _ := slices.BinarySearchFunc(e.waiting, r.Kind.Rank, func(x *Request, rank int) int {
-		if x.Kind.Rank <= rank {
+	at, _ := slices.BinarySearchFunc(e.waiting, r.Work.Rank, func(x *Request, rank int) int {
+		if x.Work.Rank <= rank {
 			return -1
 		}
 		return 1
--- a/replay/overload/load.go
+++ b/replay/overload/load.go
@@ -70,15 +70,18 @@
 	finished bool
 }
 
+// wavePeriod is the time in which the load rises and falls once.
+const wavePeriod = 11 * time.Second
+
 // generateRequests returns the requests that arrive during length at a multiple of
 // the usual load, with Poisson arrivals for each kind.
-func generateRequests(kinds []Kind, load float64, length time.Duration, rng *rand.Rand) []*Request {
+func generateRequests(kinds []Kind, load, wave float64, length time.Duration, rng *rand.Rand) []*Request {
 	var out []*Request
 	for k := range kinds {
 		kind := &kinds[k]
 		at := 0.0
 		for {
-			at += rng.ExpFloat64() / (kind.PerSecond * load)
+			at += rng.ExpFloat64() / (kind.PerSecond * load * (1 + wave*math.Sin(2*math.Pi*at/wavePeriod.Seconds())))
 			if at > length.Seconds() {
 				break
 			}
--- a/replay/overload/overload_test.go
+++ b/replay/overload/overload_test.go
@@ -46,6 +46,29 @@
 	})
 }
 
+// Of those who are shed and come back when told, eight in ten are served at their first try, with a
+// load that rises and falls about the capacity.
+func TestReturningCallersAreServed(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		r := Run(Experiment{Policy: withShedding, Load: capacity, Wave: 0.4, Hosts: 7, Engines: usualEngines, Length: 22 * time.Second, Seed: seed})
+		require.Greater(t, r.Retried, 100)
+		require.GreaterOrEqual(t, r.RetriedServed, r.Retried*8/10, "of %d", r.Retried)
+	})
+}
+
+// Far beyond capacity, the goodput at two and three times the capacity stays near the peak, with
+// few and with many hosts.
+func TestGoodputStaysNearItsPeak(t *testing.T) {
+	for _, hosts := range []int{30, 295} {
+		run := func(load float64) float64 {
+			return Run(Experiment{Policy: withShedding, Load: load, Hosts: hosts, Engines: usualEngines, Length: 6 * time.Second, Seed: 1}).Goodput
+		}
+		peak := max(run(capacity), run(1.25*capacity), run(1.5*capacity))
+		require.GreaterOrEqual(t, run(2*capacity), 0.9*peak, "%d hosts", hosts)
+		require.GreaterOrEqual(t, run(3*capacity), 0.85*peak, "%d hosts", hosts)
+	}
+}
+
 // TestSheddingKeepsCreditBelowCapacity checks that the usual load is hardly shed:
 // shedding costs at most 0.01 of the credit.
 func TestSheddingKeepsCreditBelowCapacity(t *testing.T) {
--- a/replay/overload/result.go
+++ b/replay/overload/result.go
@@ -20,6 +20,9 @@
 	// prompt parts that were not cached although some engine had prefilled them
 	// before.
 	ReadTokens, RereadTokens int64
+	// Retried counts the requests that were shed and came back, RetriedServed those of them with
+	// a complete answer.
+	Retried, RetriedServed int
 }
 
 // KindResult counts the requests of one kind.
@@ -46,6 +49,12 @@
 		}
 		k.Requests++
 		possible += r.Kind.Credit
+		if r.retried {
+			out.Retried++
+			if r.doneAt > 0 {
+				out.RetriedServed++
+			}
+		}
 		switch {
 		case r.doneAt == 0:
 			k.Failed++
--- a/replay/overload/simulation.go
+++ b/replay/overload/simulation.go
@@ -17,7 +17,9 @@
 type Experiment struct {
 	Policy Policy
 	// Load is the multiple of the usual load.
-	Load    float64
+	Load float64
+	// Wave is the part by which the load rises and falls.
+	Wave    float64
 	Hosts   int
 	Engines int
 	// Length is the period during which requests arrive.
@@ -49,7 +51,7 @@
 func Run(x Experiment) Result {
 	s := &simulation{experiment: x, rng: rand.New(rand.NewPCG(x.Seed, 1)), seen: make(map[uint64]bool)}
 	s.start()
-	requests := generateRequests(usualKinds(), x.Load*float64(x.Engines)/usualEngines, x.Length, s.rng)
+	requests := generateRequests(usualKinds(), x.Load*float64(x.Engines)/usualEngines, x.Wave, x.Length, s.rng)
 	for _, r := range requests {
 		s.schedule(r.Arrived, func() { s.attempt(r) })
 		s.schedule(r.Arrived+r.Kind.Timeout, func() { s.disconnect(r) })
