Let retries of rejected requests wait behind new ones, and longer

Cause: a caller who comes back after a rejection is late already, since its objective counts from the first attempt. Its retry was ordered at the engine like a new request of its rank, which it could make late too, and was rejected at 0.7 of an objective that no longer mattered.

Change: a retry has the urgency behind the new requests of its rank and before the next rank (admission.Urgency), and may wait for a quarter of its remaining time.

--- a/core/admission/shedding.go
+++ b/core/admission/shedding.go
@@ -38,6 +38,8 @@
 	// retriedShare is added for callers that retry, so that they go before new
 	// callers of their rank. Most callers that are shed twice don't retry again.
 	retriedShare = 0.2
+	// retriedWaitShare is the share of its remaining time that a retry may wait.
+	retriedWaitShare = 0.25
 	// minRetryAfter is the shortest time after which a retry is of use.
 	// defaultRetryAfter is for callers whose remaining time is not known.
 	minRetryAfter     = 50 * time.Millisecond
@@ -51,6 +53,16 @@
 	minRetryAfterFactor = 0.5
 )
 
+// Urgency returns the urgency of a request among all that wait at an upstream; 0 is the most urgent.
+// A retry goes behind the new requests of its rank: its objective, which counts from the first
+// attempt, is mostly over, and theirs is not.
+func Urgency(rank int, retried bool) int {
+	if retried {
+		return 2*rank + 1
+	}
+	return 2 * rank
+}
+
 // maxDelay bounds the delay of requests without an objective or a timeout.
 const maxDelay = 2 * time.Second
 
@@ -106,7 +118,11 @@
 	if a.ShareFactor > 0 {
 		share *= a.ShareFactor
 	}
-	return a.Delay+a.Wait <= time.Duration(share*float64(a.Objective))
+	limit := time.Duration(share * float64(a.Objective))
+	if a.Retried {
+		limit = max(limit, time.Duration(retriedWaitShare*float64(a.Remaining)))
+	}
+	return a.Delay+a.Wait <= limit
 }
 
 // finishesInTime reports whether the answer would end before the caller leaves. Without a
--- a/core/admission/shedding_test.go
+++ b/core/admission/shedding_test.go
@@ -54,3 +54,18 @@
 	require.Equal(t, defaultRetryAfter, RetryAfterOutage(0, 0.5))
 	require.Equal(t, minRetryAfter, RetryAfterOutage(time.Millisecond, 0.5))
 }
+
+// A retry is late already: it waits behind the new requests of its rank, and before less urgent
+// ones, and longer than these may.
+func TestRetriesWaitBehindNewRequestsOfTheirRank(t *testing.T) {
+	for rank := range 4 {
+		require.Less(t, Urgency(rank, false), Urgency(rank, true))
+		require.Less(t, Urgency(rank, true), Urgency(rank+1, false))
+	}
+	a := Arrival{Objective: 600 * time.Millisecond, Remaining: 4 * time.Second, Retried: true, Wait: 900 * time.Millisecond, Read: 100 * time.Millisecond}
+	shed, _ := ShouldShed(a, 0)
+	require.False(t, shed)
+	a.Wait = 1100 * time.Millisecond
+	shed, _ = ShouldShed(a, 0)
+	require.True(t, shed, "it may be answered too late at last")
+}
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/routes"
@@ -136,15 +137,12 @@
 	}
 }
 
-// Urgency at an engine. Requests of others have the middle urgency; the ranks of
-// routes are spread around it.
-const (
-	rank0Urgency = 3
-	urgencyStep  = 2
-)
+// mostUrgent is the urgency of new requests of rank 0 at an engine. Requests of others have the
+// middle urgency, which is 5.
+const mostUrgent = 3
 
-// urgency returns the urgency of the request at an engine.
-func (c *call) urgency() int { return rank0Urgency + urgencyStep*c.rank() }
+// urgency returns the urgency of the request at an engine; 0 is served first.
+func (c *call) urgency() int { return mostUrgent + admission.Urgency(c.rank(), c.retried) }
 
 // rank returns the rank of the request; 0 is the most urgent. The account's priority
 // takes precedence over the route's.
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -90,7 +90,7 @@
 func (c *call) run(ctx context.Context) {
 	defer c.logEnd()
 	if c.req.Work != nil {
-		c.req.Work.Rank = c.rank()
+		c.req.Work.Rank = c.urgency()
 	}
 	if limit := c.timeout(); limit > 0 {
 		var cancel context.CancelFunc
--- a/replay/overload/load.go
+++ b/replay/overload/load.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 )
 
@@ -102,7 +103,7 @@
 	r := &Request{
 		ID: rng.Uint64(), Kind: kind, Arrived: at, Output: output,
 		Work: balance.Work{
-			Input: shared.Tokens + own.Tokens + last, MaxOutput: 4 * int64(kind.Output) * 2, Rank: kind.Rank,
+			Input: shared.Tokens + own.Tokens + last, MaxOutput: 4 * int64(kind.Output) * 2, Rank: admission.Urgency(kind.Rank, false),
 			Hint: drawSize(float64(output), rng), Parts: []balance.Part{shared, own},
 		},
 	}
--- a/replay/overload/simulation.go
+++ b/replay/overload/simulation.go
@@ -118,6 +118,7 @@
 		return
 	}
 	r.retried = true
+	r.Work.Rank = admission.Urgency(r.Kind.Rank, true)
 	s.schedule(s.now+retryAfter, func() { s.attempt(r) })
 }
 
