State the build of each host, and show the fleet's lowest

A host states a build level and its revision in its entry (JSON: earlier builds skip the field, and one without it has level 0). The lowest level of all listed hosts is logged at each change and a metric (hosts.lowest_build); the metrics address lists hosts and builds at /v1/hosts, and hazelctl hosts prints them. roster.Table.Supports tells whether all hosts have a feature; no message needs it yet, see docs/design/builds.md.

--- a/cmd/hazelctl/main.go
+++ b/cmd/hazelctl/main.go
@@ -37,6 +37,7 @@
 		newUpstreamCommand(client),
 		newPlacementCommand(client),
 		newEntryCommand(),
+		newHostsCommand(client),
 	)
 	return root
 }
--- a/cmd/hazelworks/version.go
+++ b/cmd/hazelworks/version.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"runtime/debug"
+	"strings"
 
 	"github.com/spf13/cobra"
 )
@@ -17,12 +18,13 @@
 		Short: "Print the version",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, err := fmt.Fprintf(cmd.OutOrStdout(), "hazelworks %s %s %s/%s%s\n", version, runtime.Version(), runtime.GOOS, runtime.GOARCH, revision())
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "hazelworks %s %s %s/%s%s\n", version, runtime.Version(), runtime.GOOS, runtime.GOARCH, strings.TrimRight(" "+revision(), " "))
 			return err
 		},
 	}
 }
 
+// revision returns the commit from which the program was built, or "" if it is not known.
 func revision() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
@@ -30,7 +32,7 @@
 	}
 	for _, s := range info.Settings {
 		if s.Key == "vcs.revision" {
-			return " " + s.Value
+			return s.Value
 		}
 	}
 	return ""
--- a/cmd/internal/adminclient/client.go
+++ b/cmd/internal/adminclient/client.go
@@ -59,6 +59,15 @@
 	return c.call(ctx, http.MethodGet, path, nil, out)
 }
 
+// GetOpen is Get at an address that asks for no secret; none is sent.
+func (c *Client) GetOpen(ctx context.Context, path string, out any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(c.baseURL, "/")+path, nil)
+	if err != nil {
+		return cli.Exit(cli.ExitUsage, fmt.Errorf("address: %w", err))
+	}
+	return c.do(request, out)
+}
+
 // Post sends in as JSON and decodes the answer into out. Both may be nil.
 func (c *Client) Post(ctx context.Context, path string, in, out any) error {
 	return c.call(ctx, http.MethodPost, path, in, out)
@@ -83,9 +92,13 @@
 	}
 	request.Header.Set("Authorization", "Bearer "+secret)
 	request.Header.Set("Content-Type", "application/json")
+	return c.do(request, out)
+}
+
+func (c *Client) do(request *http.Request, out any) error {
 	response, err := c.http.Do(request)
 	if err != nil {
-		return cli.Exit(cli.ExitUnreachable, fmt.Errorf("call %s: %w", path, err))
+		return cli.Exit(cli.ExitUnreachable, fmt.Errorf("call %s: %w", request.URL.Path, err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	return decode(response, out)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/build"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/rendezvous"
 )
@@ -28,6 +29,8 @@
 	Cores float64 `json:"cores"`
 	// Leaving hosts accept no new callers.
 	Leaving bool `json:"leaving,omitempty"`
+	// Build is zero if the host's build states none.
+	Build build.Info `json:"build,omitzero"`
 	// State is the content of the host's newest heartbeat.
 	State State `json:"-"`
 }
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/escrow"
 	corequarantine "github.com/hazelworks/hazelworks/core/quarantine"
@@ -31,7 +33,9 @@
 
 func (h *Host) build() {
 	p := h.opt.Protocol
-	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self), started: h.tellNotices}
+	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self), started: h.tellNotices,
+		lowestBuild: metrics.GetOrRegisterGauge("hosts.lowest_build", h.opt.Metrics)}
+	metrics.GetOrRegisterGauge("hosts.own_build", h.opt.Metrics).Update(int64(h.self.Build.Level))
 	h.reach = reach.New(reach.Options{
 		Self: h.self, Alive: h.hosts.others, Dial: h.opt.Network.Dialer(upstreamSockets), Client: h.peerClient(), Logger: h.opt.Logger,
 		ReachedAgo: func(service string) (time.Duration, bool) { return h.balancer.ReachedAgo(service) },
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hazelworks/hazelworks/core/admission"
+	"github.com/hazelworks/hazelworks/core/build"
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/roster"
@@ -96,9 +97,11 @@
 
 // Options configure a [Host].
 type Options struct {
-	Config   *Config
-	Log      platform.KeyedLog
-	Network  sockets.Network
+	Config  *Config
+	Log     platform.KeyedLog
+	Network sockets.Network
+	// Revision is the commit of this build, or empty if it is not known.
+	Revision string
 	Protocol Protocol
 	Logger   logr.Logger
 	Metrics  metrics.Registry
@@ -147,6 +150,7 @@
 	h.self = roster.Host{
 		ID: cfg.Host, Run: runID, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
 		Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer, Cores: cfg.Limits.Cores,
+		Build: build.Info{Level: build.Current, Revision: opt.Revision},
 	}
 	h.bounds.Store(&cfg.Bounds)
 	h.build()
@@ -346,7 +350,7 @@
 	add(h.serve(h.cfg.Listen.Ready, h.opt.Protocol.Ready(h.Ready)))
 	add(h.serve(h.cfg.Listen.Directory, h.opt.Protocol.Directory(h.resolve)))
 	if h.cfg.Listen.Metrics.IsValid() {
-		add(h.serve(h.cfg.Listen.Metrics, http.HandlerFunc(h.serveMetrics)))
+		add(h.serve(h.cfg.Listen.Metrics, h.operatorHandler()))
 	}
 	add(h.leave)
 	err := group.Run()
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/hazelworks/hazelworks/core/build"
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/knownfault"
 	"github.com/hazelworks/hazelworks/core/platform"
@@ -287,6 +289,8 @@
 	log logr.Logger
 	// started is called with each new run of another host.
 	started func(roster.Host)
+	// lowestBuild is the fleet's lowest build level.
+	lowestBuild metrics.Gauge
 
 	mu    sync.Mutex
 	table *roster.Table
@@ -294,6 +298,9 @@
 	known bool
 	// grownAt is when a host was last added to the list.
 	grownAt time.Time
+	// lowest is the lowest build that was logged last, if lowestKnown.
+	lowest      build.Info
+	lowestKnown bool
 }
 
 // settleTime is the time without a new host, beyond the pause between reads of the list,
@@ -315,6 +322,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.known = true
+	h.noteLowestBuild()
 }
 
 // count returns the number of hosts that may be alive, including this one, or false if
@@ -347,7 +355,10 @@
 		if h.table.Len() > before {
 			h.grownAt = time.Now()
 		}
-		h.log.Info("Host listed.", "host", host.ID, "run", host.Run, "leaving", host.Leaving, "offset", r.Offset)
+		h.log.Info("Host listed.", "host", host.ID, "run", host.Run, "leaving", host.Leaving, "build", host.Build.Level, "revision", host.Build.Revision, "offset", r.Offset)
+	}
+	if h.known {
+		h.noteLowestBuild()
 	}
 }
 
