--- a/core/knownfault/off.go
+++ b/core/knownfault/off.go
@@ -25,3 +25,6 @@
 
 // MixVersions makes hosts let streams go on at any software version.
 const MixVersions = false
+
+// AddMessageField makes hosts send gossip messages with one more field in the middle.
+const AddMessageField = false
--- a/core/knownfault/on.go
+++ b/core/knownfault/on.go
@@ -22,4 +22,6 @@
 	SendCrashing = os.Getenv(env) == "send-crashing"
 	// MixVersions makes hosts let streams go on at any software version.
 	MixVersions = os.Getenv(env) == "mix-versions"
+	// AddMessageField makes hosts send gossip messages with one more field in the middle.
+	AddMessageField = os.Getenv(env) == "add-message-field"
 )
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
@@ -20,7 +19,8 @@
 	"github.com/hazelworks/hazelworks/core/roster"
 )
 
-// Message is one datagram.
+// Message is one datagram. It is an array by position, whose shape never changes: builds of before
+// and after a change run side by side. What is new goes into [Report].
 type Message struct {
 	_     struct{} `cbor:",toarray"`
 	Host  record.HostID
@@ -160,7 +160,7 @@
 		return
 	}
 	var m Message
-	if err := cbor.Unmarshal(data, &m); err != nil {
+	if err := decodeMessage(data, &m); err != nil {
 		g.malformed.Inc(1)
 		return
 	}
@@ -321,7 +321,7 @@
 }
 
 func (g *Gossip) send(conn net.PacketConn, m Message, peers []roster.Host) {
-	data, err := cbor.Marshal(&m)
+	data, err := encodeMessage(&m)
 	if err != nil {
 		g.log.Error(err, "Gossip could not be encoded.")
 		return
