Count a host that cannot forward as one that has not run the request

Cause: helperDialect took its 404, which has no ID, for an answer to another request. Now it is an answer: not run, and the next host is asked. TestHostsThatCannotForwardHaveNotRunTheRequest failed without this (lost after its 2 s deadline) and passes.

--- a/fleet/relay/forward.go
+++ b/fleet/relay/forward.go
@@ -123,9 +123,18 @@
 
 // Belongs implements exchange.Dialect.
 func (helperDialect) Belongs(resp *http.Response, requestID string, _ bool) bool {
-	return resp.Header.Get(headerForwardID) == requestID
+	return resp.Header.Get(headerForwardID) == requestID || isNoForwardPath(resp)
 }
 
+// isNoForwardPath reports whether an answer is that of a host whose build has no [ForwardPath], which
+// its multiplexer gives. A host that has the path sets the ID first, whatever it answers.
+func isNoForwardPath(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusNotFound && resp.Header.Get(headerForwardID) == ""
+}
+
+// errNoForwardPath reports that a host's build takes no forwarded requests.
+var errNoForwardPath = errors.New("the host's build takes no forwarded requests")
+
 // forwardResult is the result of asking one host to send a request.
 type forwardResult int
 
@@ -193,6 +202,9 @@
 		return forwardLost, err
 	}
 	defer resp.Close()
+	if isNoForwardPath(resp.Response) {
+		return forwardNotRun, errNoForwardPath
+	}
 	if resp.Header.Get(headerUnreached) != "" {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxNotRunBytes))
 		return forwardNotRun, nil
