--- a/core/escrow/claims.go
+++ b/core/escrow/claims.go
@@ -180,6 +180,9 @@
 	return true
 }
 
+// PutUnreadable records that the newest claim at a key is in a form that this build can't read.
+func (t *ClaimTable) PutUnreadable(string) {}
+
 // Claimed returns the sum of all claims on a budget.
 func (t *ClaimTable) Claimed(budget record.BudgetID) record.Tokens {
 	claims, ok := t.budgets[budget]
--- a/core/escrow/escrow_test.go
+++ b/core/escrow/escrow_test.go
@@ -215,3 +215,24 @@
 	require.False(t, table.Crashed("h1"))
 	require.Equal(t, uint64(7), table.Epoch("h1"))
 }
+
+// A claim that this build can't read, of a later build, may be of any amount: nothing more of its
+// budget is spendable until a claim that can be read replaces it. Other budgets are as before.
+func TestNothingIsSpendableBesideAnUnreadableClaim(t *testing.T) {
+	const prepaid = 100
+	table := NewClaimTable()
+	require.True(t, table.Put(Claim{Budget: "acme", Host: "h1", Epoch: 1, Seq: 1, Total: 40}))
+	require.Equal(t, record.Tokens(40), table.Spendable("acme", 40, prepaid))
+
+	later := []byte{0x84, 1, 0x18, 90, 2, 0} // an array of four numbers
+	_, _, err := Decode("acme/h2", later)
+	require.Error(t, err)
+	table.PutUnreadable("acme/h2")
+	require.Zero(t, table.Spendable("acme", 40, prepaid))
+	require.Equal(t, record.Tokens(40), table.Spendable("other", 40, prepaid))
+
+	require.True(t, table.Put(Claim{Budget: "acme", Host: "h2", Epoch: 1, Seq: 3, Total: 10}))
+	require.Equal(t, record.Tokens(40), table.Spendable("acme", 40, prepaid))
+	table.PutUnreadable("/h2")
+	require.Equal(t, record.Tokens(40), table.Spendable("acme", 40, prepaid), "a record of a host has no amount")
+}
