Spend nothing more of a budget with a claim that cannot be read

Cause: a claim in a form that this build does not know was logged and counted as nothing. Now none of the budget is spendable beyond what the host holds, until a readable claim replaces it.

--- a/core/escrow/claims.go
+++ b/core/escrow/claims.go
@@ -108,7 +108,9 @@
 type ClaimTable struct {
 	budgets map[record.BudgetID]*budgetClaims
 	hosts   map[record.HostID]HostRecord
-	era     platform.Era
+	// unreadable has the budgets of the claims that can't be read, by key.
+	unreadable map[string]record.BudgetID
+	era        platform.Era
 }
 
 type budgetClaims struct {
@@ -118,7 +120,7 @@
 
 // NewClaimTable returns an empty table.
 func NewClaimTable() *ClaimTable {
-	return &ClaimTable{budgets: make(map[record.BudgetID]*budgetClaims), hosts: make(map[record.HostID]HostRecord)}
+	return &ClaimTable{budgets: make(map[record.BudgetID]*budgetClaims), hosts: make(map[record.HostID]HostRecord), unreadable: make(map[string]record.BudgetID)}
 }
 
 // PutHost replaces a host record by a newer one. An older one has no effect.
@@ -177,11 +179,27 @@
 	}
 	claims.sum += c.Total - claims.byHost[c.Host].Total
 	claims.byHost[c.Host] = c
+	delete(t.unreadable, c.Key())
 	return true
 }
 
 // PutUnreadable records that the newest claim at a key is in a form that this build can't read.
-func (t *ClaimTable) PutUnreadable(string) {}
+// Its amount is unknown, so nothing more of the budget is spendable until a claim that can be read
+// replaces it. Records of hosts have no amount.
+func (t *ClaimTable) PutUnreadable(key string) {
+	if at := strings.LastIndexByte(key, '/'); at > 0 {
+		t.unreadable[key] = record.BudgetID(key[:at])
+	}
+}
+
+func (t *ClaimTable) hasUnreadable(budget record.BudgetID) bool {
+	for _, b := range t.unreadable {
+		if b == budget {
+			return true
+		}
+	}
+	return false
+}
 
 // Claimed returns the sum of all claims on a budget.
 func (t *ClaimTable) Claimed(budget record.BudgetID) record.Tokens {
@@ -221,6 +239,9 @@
 // has been put into the table. The rest exceeds the prepaid amount and must be given
 // back.
 func (t *ClaimTable) Spendable(budget record.BudgetID, amount, prepaid record.Tokens) record.Tokens {
+	if t.hasUnreadable(budget) {
+		return 0
+	}
 	over := max(0, t.Claimed(budget)+t.Unconfirmed(prepaid)-prepaid)
 	return max(0, amount-over)
 }
--- a/fleet/allocation/claims.go
+++ b/fleet/allocation/claims.go
@@ -145,7 +145,8 @@
 	c, host, err := escrow.Decode(r.Key, r.Value)
 	switch {
 	case err != nil:
-		m.log.Error(err, "Claim could not be read.", "key", r.Key, "offset", r.Offset)
+		m.log.Error(err, "Claim could not be read; no more of its budget is claimed.", "key", r.Key, "offset", r.Offset)
+		m.claims.PutUnreadable(r.Key)
 		return
 	case host != nil:
 		m.claims.PutHost(*host)
