--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -81,7 +81,7 @@
 		Config:   cfg,
 		Log:      store.New(client, cfg.StoreAddr.String(), storeTimeout),
 		Network:  network,
-		Revision: revision(),
+		Revision: shortRevision(),
 		Protocol: platform.Protocol(),
 		Logger:   logger,
 		Metrics:  metrics.NewRegistry(),
--- a/cmd/hazelworks/version.go
+++ b/cmd/hazelworks/version.go
@@ -37,3 +37,11 @@
 	}
 	return ""
 }
+
+// shortRevisionLength keeps the entries in the list of hosts small.
+const shortRevisionLength = 12
+
+func shortRevision() string {
+	r := revision()
+	return r[:min(len(r), shortRevisionLength)]
+}
