--- a/fleet/gossip/report.go
+++ b/fleet/gossip/report.go
@@ -163,6 +163,25 @@
 	g.write(conn, data, to)
 }
 
+// passOnField is the number of [Report.PassOn].
+const passOnField = 2
+
+// passOn sends a received report on, with the fields that only later builds know.
+func (g *Gossip) passOn(conn net.PacketConn, data []byte, to []roster.Host) {
+	var fields map[uint64]cbor.RawMessage
+	if err := cbor.Unmarshal(data, &fields); err != nil {
+		g.malformed.Inc(1)
+		return
+	}
+	delete(fields, passOnField)
+	passed, err := cbor.Marshal(fields)
+	if err != nil {
+		g.log.Error(err, "Report could not be encoded.")
+		return
+	}
+	g.write(conn, passed, to)
+}
+
 // receiveReport applies a report and reports whether data is one.
 func (g *Gossip) receiveReport(conn net.PacketConn, data []byte) bool {
 	if len(data) == 0 || data[0]>>5 != cborMap {
@@ -175,9 +194,7 @@
 	}
 	g.received.Inc(1)
 	if r.PassOn {
-		passed := *r
-		passed.PassOn = false
-		g.sendReport(conn, passed, g.reportTargets(*r))
+		g.passOn(conn, data, g.reportTargets(*r))
 	}
 	g.opt.ReceiveReport(r)
 	return true
