Send nothing to emptied failure domains, and little to cold upstreams

Cause: no code read the operator's request to empty a failure domain, nor how long upstreams are cold and what they tolerate then.

A cold upstream's rate is divided among all listed hosts by a hash, so that the bound needs no message; unused parts are lost. The same division (core/balance/share.go) now serves brittle upstreams and the limits' failure domains in place of two copies. The upstreams of a domain that is taken back count as cold until their entries, read later, state otherwise.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -31,6 +31,11 @@
 	limitDomains []string
 	self         string
 	sharers      []string
+	// members is set by SetMembers, coldPerSecond and coldStart by SetCold, emptied by SetEmptied.
+	members       []string
+	coldPerSecond float64
+	coldStart     time.Duration
+	emptied       []string
 	// latencyFactor is the learned ratio of the measured time to the start of an
 	// answer to its estimate.
 	latencyFactor float64
@@ -57,7 +62,11 @@
 	// sharerRank is this host's rank among the sharers for the upstream, or negative if it has
 	// not been computed.
 	sharerRank int
-	cache      *prefixCache
+	// cold tells until when the upstream is cold.
+	cold cold
+	// emptied is true while its failure domain is emptied.
+	emptied bool
+	cache   *prefixCache
 	// running are the requests that were sent and have not ended.
 	running map[AttemptID]*runningRequest
 	// queue estimates the wait from those whose answer has not started.
@@ -81,10 +90,16 @@
 		u, ok := p.upstreams[up.ID]
 		if !ok || !u.up.SameStart(up) {
 			p.forgetRequests(u)
+			before := u
 			u = &upstreamState{sharerRank: -1, cache: newPrefixCache(p.engine.CacheTokens), running: make(map[AttemptID]*runningRequest)}
+			if before != nil {
+				u.cold.sent = before.cold.sent
+			}
 			p.upstreams[up.ID] = u
 		}
 		u.up, u.version = up, origin.VersionOf(up)
+		u.emptied = p.isEmptied(up)
+		u.cold.apply(up.ColdUntil(p.coldStart), up.ReadAt)
 	}
 	for id, u := range p.upstreams {
 		if !seen[id] {
--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/hazelworks/hazelworks/core/rendezvous"
 )
 
 // Brittleness is what an upstream states about rejections: it falls over if it has to reject more
@@ -92,30 +90,16 @@
 		return max(1, room)
 	}
 	if u.sharerRank < 0 {
-		u.sharerRank = p.rankOf(u)
-	}
-	quota := room / len(p.sharers)
-	if u.sharerRank < room%len(p.sharers) {
-		quota++
-	}
-	return quota
-}
-
-// rankOf returns the number of sharers that come before this host for an upstream.
-func (p *Pool) rankOf(u *upstreamState) int {
-	key := rendezvous.KeyOf(u.up.ID)
-	own := rendezvous.Mix(key, rendezvous.KeyOf(p.self))
-	rank := 0
-	for _, h := range p.sharers {
-		if rendezvous.Mix(key, rendezvous.KeyOf(h)) > own {
-			rank++
-		}
+		u.sharerRank = rankAmong(u.up.ID, p.self, p.sharers)
 	}
-	return rank
+	return shareOf(room, u.sharerRank, len(p.sharers))
 }
 
 // hasRoom reports whether an upstream may get another request of this host.
 func (p *Pool) hasRoom(u *upstreamState, now time.Time) bool {
+	if p.coldDelay(u, now) > 0 {
+		return false
+	}
 	if !u.brittle.active() || u.up.Slots <= 0 {
 		return true
 	}
@@ -145,7 +129,8 @@
 	return n
 }
 
-// Full reports whether upstreams take requests that fit a query, but none of them has room.
+// Full reports whether upstreams take requests that fit a query, but none of them has room: they
+// are brittle or cold.
 func (p *Pool) Full(q *Query, now time.Time) bool {
 	open := false
 	for _, u := range p.ordered {
--- a/core/balance/limit.go
+++ b/core/balance/limit.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -139,12 +138,9 @@
 		return
 	}
 	leastRate := probeRate / float64(len(p.limitDomains))
-	users := slices.Clone(p.limitDomains)
-	slices.SortFunc(users, func(a, b string) int {
-		return cmp.Or(cmp.Compare(domainScore(u.up.ID, b), domainScore(u.up.ID, a)), cmp.Compare(a, b))
-	})
-	users = users[:min(len(users), max(1, int(limit/minDomainRate)))]
-	if rate := limit / float64(len(users)); rate > leastRate && slices.Contains(users, p.domain) {
+	users := min(len(p.limitDomains), max(1, int(limit/minDomainRate)))
+	rank := rankAmong(u.up.ID, p.domain, p.limitDomains)
+	if rate := limit / float64(users); rate > leastRate && rank >= 0 && rank < users {
 		u.limit.setRate(rate, now)
 		return
 	}
@@ -161,7 +157,7 @@
 }
 
 // Accepts reports whether one start of an upstream still takes requests: it is listed,
-// stays, and has not asked this host to pause.
+// stays, is in no emptied failure domain, and has not asked this host to pause.
 func (p *Pool) Accepts(up catalog.Upstream, now time.Time) bool {
 	u, ok := p.upstreams[up.ID]
 	return ok && u.up.SameStart(up) && u.open(now)
@@ -173,7 +169,8 @@
 	return !ok || !u.up.SameStart(up) || u.isLeaving()
 }
 
-// open reports whether the upstream stays and has not asked this host to pause.
+// open reports whether the upstream stays, is in no emptied failure domain, and has not asked this
+// host to pause.
 func (u *upstreamState) open(now time.Time) bool {
-	return !u.isLeaving() && !now.Before(u.pausedUntil)
+	return !u.isLeaving() && !u.emptied && !now.Before(u.pausedUntil)
 }
--- a/core/balance/notice.go
+++ b/core/balance/notice.go
@@ -121,7 +121,7 @@
 	for _, u := range p.upstreams {
 		left := u.pausedUntil.Sub(now)
 		switch {
-		case u.isLeaving() || !u.fits(q):
+		case u.isLeaving() || u.emptied || !u.fits(q):
 		case left <= 0:
 			return 0, false
 		case !found || left < soonest:
--- a/core/balance/running.go
+++ b/core/balance/running.go
@@ -40,6 +40,9 @@
 	} else {
 		r.answering = true
 	}
+	if t.Host == p.self {
+		p.countColdSend(u, now)
+	}
 	u.running[t] = r
 	if p.requests[t.Host] == nil {
 		p.requests[t.Host] = make(map[AttemptID]string)
--- a/core/balance/version.go
+++ b/core/balance/version.go
@@ -18,6 +18,9 @@
 func (p *Pool) fetchSources(keys []uint64, work *Work) map[origin.Version]fetchSource {
 	sources := make(map[origin.Version]fetchSource, 1)
 	for _, u := range p.upstreams {
+		if u.emptied {
+			continue // it would be asked for a transfer
+		}
 		if n := min(u.cache.fetchable(keys, work.Parts), work.Input-1); n > sources[u.version].tokens {
 			sources[u.version] = fetchSource{upstream: u, tokens: n}
 		}
--- a/core/knownfault/off.go
+++ b/core/knownfault/off.go
@@ -17,6 +17,12 @@
 // IgnoreLimits makes hosts send more requests to an upstream than its limit allows.
 const IgnoreLimits = false
 
+// IgnoreCold makes hosts send more requests to cold upstreams than these take.
+const IgnoreCold = false
+
+// IgnoreEmptied makes hosts send requests to emptied failure domains.
+const IgnoreEmptied = false
+
 // CutOnStop makes a host that is stopped end at once.
 const CutOnStop = false
 
--- a/core/knownfault/on.go
+++ b/core/knownfault/on.go
@@ -16,6 +16,10 @@
 	KeepOldSettings = os.Getenv(env) == "keep-old-settings"
 	// IgnoreLimits makes hosts send more requests to an upstream than its limit allows.
 	IgnoreLimits = os.Getenv(env) == "ignore-limits"
+	// IgnoreCold makes hosts send more requests to cold upstreams than these take.
+	IgnoreCold = os.Getenv(env) == "ignore-cold"
+	// IgnoreEmptied makes hosts send requests to emptied failure domains.
+	IgnoreEmptied = os.Getenv(env) == "ignore-emptied"
 	// CutOnStop makes a host that is stopped end at once.
 	CutOnStop = os.Getenv(env) == "cut-on-stop"
 	// SendCrashing makes hosts send requests that are known to crash upstreams.
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -81,6 +81,11 @@
 	// MaxConns is the maximum number of connections that an upstream accepts from all
 	// hosts together.
 	MaxConns int
+	// ColdStart is how long an upstream is cold after a start, and ColdPerSecond the number of
+	// requests per second that it takes from all hosts together while it is cold. Zero means
+	// that upstreams are never cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -44,8 +44,11 @@
 	// ErrNoVersion reports that no eligible upstream has the software version that has begun
 	// the stream. Such a version is not started again.
 	ErrNoVersion = errors.New("balancer: no upstream of the software version that began the stream")
-	// ErrFull reports that all upstreams are brittle and have no room for another request now.
-	ErrFull = errors.New("balancer: the upstreams have no room, and fall over if they have to reject requests")
+	// ErrFull reports that all upstreams are brittle or cold and have no room for another request
+	// of this host now.
+	ErrFull = errors.New("balancer: the upstreams are brittle or cold and have no room")
+	// ErrEmptied reports that all upstreams of a service are in emptied failure domains.
+	ErrEmptied = errors.New("balancer: the failure domains of all upstreams are emptied")
 	// ErrCutOff reports that this host reaches no upstream of the service.
 	ErrCutOff = errors.New("balancer: no upstream is within reach of this host")
 	// ErrRetryBudget reports that the retry budget allows no further retry now.
@@ -112,6 +115,9 @@
 	limitDomains []string
 	// sharers is set by SetSharers.
 	sharers []string
+	// members is set by SetMembers, emptied by SetEmptied.
+	members []string
+	emptied []string
 	closed  bool
 }
 
@@ -177,6 +183,7 @@
 			s = b.newService(svc)
 			b.services[svc.Name] = s
 		}
+		s.pool.SetCold(svc.ColdPerSecond, svc.ColdStart)
 		s.pool.Sync(byService[svc.Name])
 	}
 }
@@ -188,8 +195,7 @@
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	pool := balance.NewPool(b.opt.FailureDomain, engine, rng)
-	pool.SetLimitDomains(b.limitDomains, time.Now())
-	pool.SetSharers(b.opt.Host, b.sharers)
+	b.setUpFleet(pool, svc)
 	return &service{
 		pool:    pool,
 		retries: admission.NewFleetRetryBudget(b.opt.Retries(), time.Now()),
@@ -278,6 +284,9 @@
 	if left, paused := s.pool.NextReturn(q, now); paused {
 		return &PausedError{RetryAfter: left}
 	}
+	if s.pool.AllEmptied(q) {
+		return ErrEmptied
+	}
 	if q.Version != origin.Unknown {
 		return ErrNoVersion
 	}
@@ -289,8 +298,8 @@
 type AdmitFunc func(balance.Choice) error
 
 // Pick leases the best upstream of a service if admit returns nil. A retry is charged to
-// the retry budget. The error is [ErrNoUpstream], [ErrNoVersion], a [*PausedError], [ErrRetryBudget] or
-// that of admit.
+// the retry budget. The error is [ErrNoUpstream], [ErrNoVersion], [ErrFull], [ErrEmptied], a
+// [*PausedError], [ErrRetryBudget] or that of admit.
 func (b *Balancer) Pick(service string, q *balance.Query, retry bool, admit AdmitFunc) (*Lease, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -432,21 +441,18 @@
 	return ok && s.retries.AllowRetry(time.Now())
 }
 
-// roomPollInterval is the time between two looks for room at brittle upstreams.
+// roomPollInterval is the least time between two looks for room at brittle or cold upstreams.
 const roomPollInterval = 5 * time.Millisecond
 
-// AwaitRoom waits until an upstream has room for the request of a query, if all are brittle. It
-// returns when it has waited long enough, or when ctx ends.
+// AwaitRoom waits until an upstream has room for the request of a query, if all are brittle or
+// cold. It returns when it has waited long enough or would wait in vain, or when ctx ends.
 func (b *Balancer) AwaitRoom(ctx context.Context, service string, q *balance.Query, limit time.Duration) {
 	end := time.Now().Add(limit)
-	for b.full(service, q) && time.Now().Before(end) && ctx.Err() == nil {
-		time.Sleep(roomPollInterval)
+	for ctx.Err() == nil {
+		delay, full := b.roomDelay(service, q)
+		if !full || !time.Now().Add(delay).Before(end) {
+			return
+		}
+		time.Sleep(max(roomPollInterval, delay))
 	}
 }
-
-func (b *Balancer) full(service string, q *balance.Query) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s, ok := b.services[service]
-	return ok && s.pool.Full(q, time.Now())
-}
--- a/fleet/balancer/reach.go
+++ b/fleet/balancer/reach.go
@@ -62,11 +62,14 @@
 		b.mu.Lock()
 		c, listed := b.conns[l.Upstream.ID]
 		listed = listed && c.pool == l.Conns
-		closed := b.closed
+		closed, emptied := b.closed, b.isEmptied(l.service, l.Upstream.ID)
 		b.mu.Unlock()
 		if !listed || closed {
 			return
 		}
+		if emptied {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 		err := l.Conns.Preconnect(ctx)
 		cancel()
@@ -165,7 +168,7 @@
 func (b *Balancer) randomConns(service string) *exchange.Pool {
 	var all []*exchange.Pool
 	for _, c := range b.conns {
-		if c.up.Service == service && !c.up.Leaving {
+		if c.up.Service == service && !c.up.Leaving && !b.isEmptied(service, c.up.ID) {
 			all = append(all, c.pool)
 		}
 	}
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -197,10 +197,10 @@
 var errNotAccepted = errors.New("no upstream accepted the request")
 
 // roomWaitShare is the part of the route's latency objective for which a request waits for room at
-// brittle upstreams.
+// brittle or cold upstreams.
 const roomWaitShare = 0.5
 
-// roomWait returns how long the request waits for room at brittle upstreams.
+// roomWait returns how long the request waits for room at brittle or cold upstreams.
 func (c *call) roomWait() time.Duration {
 	return time.Duration(roomWaitShare*float64(c.route.Objective)) - time.Since(c.req.Arrived)
 }
@@ -375,7 +375,7 @@
 		retryAfter = paused.RetryAfter
 	case errors.As(reason, &quarantined):
 		retryAfter = quarantined.Remaining
-	case errors.Is(reason, balancer.ErrFull):
+	case errors.Is(reason, balancer.ErrFull), errors.Is(reason, balancer.ErrEmptied):
 		retryAfter = admission.RetryAfterOutage(c.timeout()-time.Since(c.req.Arrived), rand.Float64())
 	case errors.Is(reason, origins.ErrUnknown), errors.Is(reason, balancer.ErrNoVersion):
 		c.r.meters.notResumed.Inc(1)
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -64,6 +64,7 @@
 		Log:          h.opt.Log, Stream: p.VersionStream, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, changed: h.setTable, log: h.opt.Logger.WithName("table")}
+	h.emptied = newEmptiedWatch(p, h.balancer.SetEmptied, h.opt.Logger.WithName("emptied"), h.opt.Metrics)
 	h.upstreams = newUpstreamWatch(func() time.Duration { return h.bounds.Load().UpstreamHeartbeat }, p.DecodeUpstream, h.setUpstreams, h.opt.Logger.WithName("upstreams"))
 	h.budgets = allocation.New(allocation.Options{
 		Host:     h.cfg.Host,
@@ -87,6 +88,7 @@
 		LimitDomains: func(domains []string) {
 			h.balancer.SetLimitDomains(domains)
 			h.balancer.SetSharers(h.servingHosts())
+			h.balancer.SetMembers(h.hosts.members(followWait + h.hostsPause()))
 		}, Receive: h.receive, ReceiveReport: h.quarantines.Receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -77,6 +77,9 @@
 	Dialect        relay.Dialect
 	OperatorStream string
 	ConfigKey      string
+	// EmptiedDomain returns the failure domain that a record with a key in OperatorStream
+	// empties.
+	EmptiedDomain  func(key string) (domain string, ok bool)
 	UpstreamStream string
 	// HostStream is the stream of the hosts' entries, keyed by host. BudgetStream is
 	// the stream of their claims, QuarantineStream that of the quarantines.
@@ -113,6 +116,7 @@
 	log       logr.Logger
 	self      roster.Host
 	table     *tableWatch
+	emptied   *emptiedWatch
 	upstreams *upstreamWatch
 	hosts     *hostWatch
 	gossip    *gossip.Gossip
@@ -316,7 +320,7 @@
 		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
 	add(h.follower(follow.Options{
-		Log: h.settings, Stream: h.opt.Protocol.OperatorStream, Snapshot: h.table.apply, Records: h.table.apply,
+		Log: h.settings, Stream: h.opt.Protocol.OperatorStream, Snapshot: h.operatorSnapshot, Records: h.operatorRecords, Rewound: h.operatorRewound,
 		Pause: func() time.Duration { return tablePause }, Retry: tableRetry,
 	}))
 	add(h.follower(follow.Options{
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -244,7 +244,11 @@
 	if old.Leaving && old.SameStart(up) {
 		up.Leaving = true // an older record, since no upstream takes its leave back
 	}
-	if !known || old != up {
+	up.ReadAt = time.Now()
+	if up.ColdLeft > 0 && (old.ColdLeft <= 0 || !old.SameStart(up)) {
+		u.log.Info("Upstream is cold.", "upstream", up.ID, "service", up.Service, "for", up.ColdLeft, "offset", r.Offset)
+	}
+	if !known || !old.SameFacts(up) {
 		u.log.Info("Upstream changed.", "upstream", up.ID, "service", up.Service, "version", up.Version, "address", up.Addr, "leaving", up.Leaving, "offset", r.Offset)
 	}
 	u.entries[r.Key] = up
@@ -292,7 +296,8 @@
 	table *roster.Table
 	// known is true once the entries of the other hosts were read from the log.
 	known bool
-	// grownAt is when a host was last added to the list.
+	// knownAt is when they were first read, grownAt when a host was last added to the list.
+	knownAt time.Time
 	grownAt time.Time
 }
 
@@ -314,7 +319,28 @@
 	h.apply(records)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.known = true
+	if !h.known {
+		h.known, h.knownAt = true, time.Now()
+	}
+}
+
+// members returns the hosts, with this one, that may send to upstreams, in touch or not: all that
+// are listed and don't leave. It is nil while this host leaves, and until the others had the time
+// readTime to read this host's entry.
+func (h *hostWatch) members(readTime time.Duration) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	self := h.table.Self()
+	if !h.known || time.Since(h.knownAt) < readTime || self.Leaving {
+		return nil
+	}
+	members := []string{string(self.ID)}
+	for _, o := range h.table.Peers() {
+		if !o.Leaving {
+			members = append(members, string(o.ID))
+		}
+	}
+	return members
 }
 
 // count returns the number of hosts that may be alive, including this one, or false if
