Let the soak empty a failure domain and return it cold

In calm times the failure domain of one plain upstream, an eighth one, is emptied for 3.5 s and taken back cold: nothing may reach it from 2 s on, and then it must get requests again without crashing. The calm time is 6 s instead of 5 s.

--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -48,9 +48,10 @@
 	// recoveryWait is the time for hosts to recover after the last fault. It covers a
 	// host's start, the end of an outage and a heartbeat of the upstreams.
 	recoveryWait = 5 * time.Second
-	// calmTime follows the check of the recovery. Limits must be kept in it, and a planned
-	// stop, calmWarmUp after its begin, must cut off nothing.
-	calmTime   = 5 * time.Second
+	// calmTime follows the check of the recovery. Limits must be kept in it, an emptied failure
+	// domain must get nothing, and a planned stop, calmWarmUp after its begin, must cut off
+	// nothing.
+	calmTime   = 6 * time.Second
 	calmWarmUp = time.Second
 	// applyWait is the time within which a configuration change must take effect.
 	applyWait = 2 * time.Second
@@ -135,11 +136,12 @@
 func checkCalm(ctx context.Context, tb *testbed, c *callers) []string {
 	stopCalls := c.start(ctx)
 	calm := time.Now()
+	tb.evacuate()
 	time.Sleep(calmWarmUp)
 	stopping, stopped := tb.stopInCalm(c.recorded())
 	time.Sleep(time.Until(calm.Add(calmTime)))
 	stopCalls()
-	return slices.Concat(checkLimits(tb, calm), tb.checkFalls(calm.Add(calmWarmUp)), checkPlannedStop(c.recorded(), stopping, calm, stopped))
+	return slices.Concat(checkLimits(tb, calm), tb.checkEvacuation(calm), tb.checkFalls(calm.Add(calmWarmUp)), checkPlannedStop(c.recorded(), stopping, calm, stopped))
 }
 
 // calmDelay is the time that plain upstreams take in calm times, so that a planned stop meets
--- a/cmd/internal/soak/testbed.go
+++ b/cmd/internal/soak/testbed.go
@@ -23,7 +23,7 @@
 const (
 	defaultHosts       = 4
 	modelUpstreamCount = 4
-	plainUpstreamCount = 3
+	plainUpstreamCount = 4
 	heartbeatInterval  = 400 * time.Millisecond
 	grace              = 2 * time.Second
 	streamEvents       = 8
@@ -108,6 +108,7 @@
 	tb.config = standin.BaseConfig(tb.version)
 	tb.config.SetPrepaid(prepaid)
 	tb.config.SetKeys(validKey, revokedKey)
+	tb.config.SetCold(time.Second, coldPerSecond)
 	if err := standin.Configure(tb.log, tb.config); err != nil {
 		return nil, err
 	}
@@ -168,7 +169,7 @@
 	}
 	upstream := &upstream{proxy: p, defaultBehaviour: behaviour, done: make(chan struct{}), Upstream: &standin.Upstream{
 		Log: tb.log, Recorder: &tb.recorder, ID: fmt.Sprintf("i-%02d", i), Address: p.listener.Addr().String(),
-		Service: service, FailureDomain: "z1", Version: softwareVersions[i%len(softwareVersions)], State: "ready", StartedMS: time.Now().UnixMilli(),
+		Service: service, FailureDomain: upstreamDomain(i), Version: softwareVersions[i%len(softwareVersions)], State: "ready", StartedMS: time.Now().UnixMilli(),
 	}}
 	if behaviour.Room > 0 {
 		upstream.Slots = behaviour.Room
@@ -220,7 +221,7 @@
 
 func (h *host) writeSettings() error {
 	return os.WriteFile(h.settingsPath, []byte(standin.HostSettings(standin.HostOptions{
-		Name: h.name, FailureDomain: "z1", IP: h.ip, Store: h.storeProxy.listener.Addr().String(), Grace: grace,
+		Name: h.name, FailureDomain: hostDomain, IP: h.ip, Store: h.storeProxy.listener.Addr().String(), Grace: grace,
 	})), 0o600)
 }
 
