Note a software version before a stream of it reaches a caller

Cause: a version was noted in the log 1 to 3 s after it was listed, and streams began there at once. After a loss of all hosts the notes and the list named another version as the only one. The same followed from notes that a store restored from an older copy had lost, and from a version that was noted and left the list between a host's reads of the notes and of the list (noteSlack).

Change: the first event of a stream that may be taken up waits until the log has a note of its version, at most 1 s; streams begin at noted versions first, and a new version is noted when it is listed, by one host, others after 150 to 300 ms. Notes name the latest era of the log in which their writer knew that none is missing. A host that has not watched the list for a minute goes by them only if one is of the log's era, and only if they were read after the list. Notes are read again after a gap and in a new era, and written again. Earlier builds read the notes and ignore the era. TestSoleVersionAfterARestartOfAllHosts: notes that are older than the list used to be taken for 5 s; that was the fault, and the test asks for the contrary now.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -21,6 +21,9 @@
 	Version origin.Version
 	// Resumable requests are answered by streams that can go on at another upstream.
 	Resumable bool
+	// Noted are the software versions at which such a stream can begin at once. At another one
+	// it waits until the log has a note of the version.
+	Noted map[origin.Version]bool
 }
 
 // Choice is the chosen upstream and the estimates behind the choice.
@@ -69,6 +72,9 @@
 	// lastOfVersionCost is the cost of beginning a stream at the only upstream of its software
 	// version. If that upstream fails, the stream can't go on.
 	lastOfVersionCost = 50 * time.Millisecond
+	// unnotedCost is the cost of beginning a stream at a software version of which the log has
+	// no note yet: the longest time for which the stream may wait for it.
+	unnotedCost = time.Second
 )
 
 // Choose returns the upstream with the lowest cost, or false if there is none.
@@ -95,6 +101,7 @@
 		if lastOfVersion[u.version] {
 			cost += lastOfVersionCost
 		}
+		cost += noteCost(q, u)
 		if best.Candidates == 0 || cost < bestCost {
 			best, bestCost = c, cost
 			best.Candidates = len(candidates)
--- a/core/balance/reach.go
+++ b/core/balance/reach.go
@@ -50,7 +50,7 @@
 	gain := time.Duration(0)
 	for _, u := range p.ordered {
 		if u.onlyOthersReach(now) && u.open(now) && u.fits(q) && !slices.Contains(q.Exclude, u.up.ID) {
-			gain = max(gain, cost-p.cost(u, p.estimate(u, q.Work, keys, sources[u.version], now)))
+			gain = max(gain, cost-noteCost(q, u)-p.cost(u, p.estimate(u, q.Work, keys, sources[u.version], now)))
 		}
 	}
 	return gain
--- a/core/balance/version.go
+++ b/core/balance/version.go
@@ -44,6 +44,14 @@
 	return last
 }
 
+// noteCost returns the cost of waiting for the note of an upstream's version.
+func noteCost(q *Query, u *upstreamState) time.Duration {
+	if q.Resumable && q.Version == origin.Unknown && !q.Noted[u.version] {
+		return unnotedCost
+	}
+	return 0
+}
+
 // fits reports whether an upstream may answer the request of a query. The software of a lapsed
 // upstream may have changed.
 func (u *upstreamState) fits(q *Query) bool {
--- a/core/balance/version_test.go
+++ b/core/balance/version_test.go
@@ -101,3 +101,19 @@
 	require.True(t, ok)
 	require.Equal(t, "v1", c.Upstream.Version, "the others are busy")
 }
+
+// A version is listed that the log has no note of yet. Streams that may have to go on elsewhere
+// begin at the others, unless there is none.
+func TestStreamBeginsAtANotedVersion(t *testing.T) {
+	p, ups := versionPool("v1", "v1", "v2", "v2")
+	noted := map[origin.Version]bool{origin.VersionOf(ups[0]): true}
+	for range 50 {
+		c, ok := p.Choose(&Query{Resumable: true, Noted: noted}, start)
+		require.True(t, ok)
+		require.Equal(t, "v1", c.Upstream.Version)
+		c, ok = p.Choose(&Query{Resumable: true, Noted: noted, Exclude: []string{ups[0].ID, ups[1].ID}}, start)
+		require.True(t, ok)
+		require.Equal(t, "v2", c.Upstream.Version)
+		require.Zero(t, c.Elsewhere, "another host would wait as well")
+	}
+}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestSoleVersionNeedsAWholeHistory(t *testing.T) {
-	h := NewHistory()
+	h := NewHistory(time.Time{})
 	require.Equal(t, Unknown, h.Sole(start), "the list was never read")
 	h.Observe([]Version{v1, v1}, start)
 	require.Equal(t, Unknown, h.Sole(start.Add(Lifetime-1)), "another version may have served before")
@@ -75,13 +75,37 @@
 
 // All hosts start again at once. The log tells which versions had served before.
 func TestSoleVersionAfterARestartOfAllHosts(t *testing.T) {
-	h := NewHistory()
-	h.Note([]Version{v1}, start)
-	h.Observe([]Version{v1}, start.Add(noteSlack+1))
-	require.Equal(t, Unknown, h.Sole(start.Add(noteSlack+1)), "the notes are much older than the list")
-	h.Gap(start.Add(noteSlack))
-	require.Equal(t, v1, h.Sole(start.Add(noteSlack)))
-	h.Note([]Version{v1, v2}, start.Add(2*time.Second))
+	h := NewHistory(time.Time{})
+	h.Note([]Version{v1}, true, start)
+	h.Observe([]Version{v1}, start.Add(1))
+	require.Equal(t, Unknown, h.Sole(start.Add(1)), "a version may have been noted and have left since the notes were read")
+	h.Note([]Version{v1}, true, start.Add(1))
+	require.Equal(t, v1, h.Sole(start.Add(1)))
+	h.Gap(start.Add(2))
+	require.Equal(t, Unknown, h.Sole(start.Add(2)))
+	h.Note([]Version{v1, v2}, true, start.Add(2*time.Second))
 	require.Equal(t, Unknown, h.Sole(start.Add(2*time.Second)))
-	require.Equal(t, v1, h.Sole(start.Add(Lifetime+noteSlack)), "by then all streams of the other have ended")
+	require.Equal(t, v1, h.Sole(start.Add(Lifetime+2)), "by then all streams of the other have ended")
+}
+
+// The log comes back from an older copy, in which the note of a version is missing.
+func TestSoleVersionAfterTheLogLostNotes(t *testing.T) {
+	h := NewHistory(time.Time{})
+	h.Observe([]Version{v1}, start)
+	h.Note([]Version{v1, v2}, true, start)
+	now := start.Add(time.Second)
+	h.Rewind(now)
+	h.Note([]Version{v1}, false, now)
+	require.Equal(t, []Version{v2}, h.Unnoted(now), "it has to be noted again")
+	require.Equal(t, Unknown, h.Sole(now))
+	h.Note([]Version{v1}, true, now)
+	require.Equal(t, Unknown, h.Sole(now))
+	require.False(t, h.Left(v2, now))
+
+	restarted := NewHistory(now)
+	restarted.Observe([]Version{v1}, now)
+	restarted.Note([]Version{v1}, false, now)
+	require.Equal(t, Unknown, restarted.Sole(now), "notes may be missing")
+	restarted.Note([]Version{v1}, true, now)
+	require.Equal(t, v1, restarted.Sole(now))
 }
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -34,6 +34,9 @@
 	Rewound func([]platform.KeyedRecord)
 	// Records applies new records, in order.
 	Records func([]platform.KeyedRecord)
+	// Position is called with the position up to which records reach, before they are
+	// applied. Position may be nil.
+	Position func(platform.Position)
 	// Regained is called when the log is reachable again, before new records are
 	// applied. lost is the duration of the outage. Regained may be nil.
 	Regained func(lost time.Duration)
@@ -89,6 +92,7 @@
 		return err
 	}
 	f.recordSuccess()
+	f.position(next)
 	if len(records) > 0 {
 		f.opt.Records(records)
 	}
@@ -97,6 +101,12 @@
 	return nil
 }
 
+func (f *Follower) position(p platform.Position) {
+	if f.opt.Position != nil {
+		f.opt.Position(p)
+	}
+}
+
 func (f *Follower) read() {
 	if f.opt.Read != nil {
 		f.opt.Read()
@@ -109,6 +119,7 @@
 		return err
 	}
 	f.recordSuccess()
+	f.position(next)
 	f.apply(records, next)
 	f.next = next
 	f.synced, f.loaded = true, true
--- a/fleet/origins/keeper.go
+++ b/fleet/origins/keeper.go
@@ -8,6 +8,7 @@
 	"errors"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -69,9 +70,31 @@
 	// unconfirmed are the streams that this host has seen begin on connections that were opened
 	// after the last read of the list.
 	unconfirmed []begun
-	// notes are the versions in the log, by key.
-	notes   map[string]note
-	notedAt time.Time
+	// watchedSince is when the list was first read, or read again after a gap. knewAt is when
+	// this host last knew all versions that can have begun a stream.
+	watchedSince time.Time
+	knewAt       time.Time
+	// notes are the versions in the log, by key, as read in an era. followEra is the era of the
+	// records that are read next.
+	notes     map[string]note
+	notedAt   time.Time
+	notesEra  platform.Era
+	followEra platform.Era
+	// rewoundAt is when the log came back from an older copy. vouches is true if this host
+	// knew all versions then.
+	rewoundAt time.Time
+	vouches   bool
+	// noted are the versions in the notes.
+	noted atomic.Pointer[map[origin.Version]bool]
+	// texts has the text of each version.
+	texts map[origin.Version]note
+	// waiting counts the streams that wait for the note of a version. changed is closed when
+	// the notes change.
+	waiting map[origin.Version]int
+	changed chan struct{}
+	// now and soon ask for a comparison of the notes.
+	now  chan struct{}
+	soon chan struct{}
 }
 
 // startID identifies one start of an upstream.
@@ -99,20 +122,34 @@
 		unknown:   metrics.GetOrRegisterCounter("origins.unknown", opt.Metrics),
 		uncertain: metrics.GetOrRegisterCounter("origins.uncertain", opt.Metrics),
 		table:     origin.NewTable(), histories: make(map[string]*origin.History),
-		listed: make(map[string]catalog.Upstream), ended: make(map[startID]time.Time), doubts: make(map[startID]time.Time), notes: make(map[string]note),
+		listed: make(map[string]catalog.Upstream), ended: make(map[startID]time.Time), doubts: make(map[startID]time.Time),
+		notes: make(map[string]note), texts: make(map[origin.Version]note), waiting: make(map[origin.Version]int),
+		changed: make(chan struct{}), now: make(chan struct{}, 1), soon: make(chan struct{}, 1),
 	}
 }
 
 // SetUpstreams applies the list of upstreams.
 func (k *Keeper) SetUpstreams(ups []catalog.Upstream) {
+	for _, v := range k.setUpstreams(ups) {
+		k.wake(k.writesFirst(v))
+	}
+}
+
+// setUpstreams applies the list of upstreams and returns the versions without a note.
+func (k *Keeper) setUpstreams(ups []catalog.Upstream) (unnoted []origin.Version) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
+	if k.watchedSince.IsZero() {
+		k.watchedSince = now
+	}
 	listed := make(map[string]catalog.Upstream, len(ups))
 	versions := make(map[string][]origin.Version)
 	for _, up := range ups {
 		listed[up.ID] = up
-		versions[up.Service] = append(versions[up.Service], origin.VersionOf(up))
+		v := origin.VersionOf(up)
+		versions[up.Service] = append(versions[up.Service], v)
+		k.texts[v] = note{Service: up.Service, Version: up.Version}
 	}
 	for id, up := range k.listed {
 		if now, ok := listed[id]; !ok || !now.SameStart(up) || now.Lapsed && !up.Lapsed {
@@ -131,14 +168,16 @@
 	}
 	for service, h := range k.histories {
 		h.Observe(versions[service], now)
+		unnoted = append(unnoted, h.Unnoted(now)...)
 	}
+	return unnoted
 }
 
 // history returns the history of a service. The caller holds mu.
 func (k *Keeper) history(service string) *origin.History {
 	h, ok := k.histories[service]
 	if !ok {
-		h = origin.NewHistory()
+		h = origin.NewHistory(k.watchedSince)
 		k.histories[service] = h
 		k.applyNotes(service)
 	}
@@ -153,11 +192,17 @@
 	k.mu.Lock()
 	now := time.Now()
 	if !k.readAt.IsZero() && now.Sub(k.readAt) > k.maxAge() {
+		k.watchedSince = now
 		for _, h := range k.histories {
 			h.Gap(now)
 		}
+	} else if k.knows(now) {
+		k.knewAt = now
 	}
 	k.readAt = now
+	if k.notedAt.Before(k.watchedSince) || k.notesEra < k.opt.Log.Era() {
+		k.wake(true)
+	}
 	streams := k.unconfirmed
 	k.unconfirmed = nil
 	var confirmed, wrong []begun
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -79,6 +79,8 @@
 		return balance.Refused
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
 		return balance.Neutral // the caller left, or the request timed out
+	case result == resultWithheld:
+		return balance.Neutral
 	case errors.Is(context.Cause(ctx), errStalled):
 		return balance.Neutral // was recorded when the attempt stalled
 	}
@@ -113,7 +115,7 @@
 	began := time.Now()
 	resp, err := lease.Conns.Send(ctx, out)
 	c.recordReach(ctx, lease, err)
-	result := c.receive(resp, err, lease)
+	result := c.receive(ctx, resp, err, lease)
 	c.r.logFor(result != resultAnswered).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID, "version", lease.Upstream.Version, "after_event", c.lastEventID,
 		"delay", lease.Delay, "wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
 	return result
@@ -162,7 +164,7 @@
 	return err.Error()
 }
 
-func (c *call) receive(resp *exchange.Response, err error, lease *balancer.Lease) sendResult {
+func (c *call) receive(ctx context.Context, resp *exchange.Response, err error, lease *balancer.Lease) sendResult {
 	if errors.Is(err, exchange.ErrNotSent) {
 		return resultNotSent
 	}
@@ -182,7 +184,7 @@
 		return resultLost
 	}
 	if c.route.Kind == routes.KindStream && resp.StatusCode == http.StatusOK {
-		return c.forwardStream(resp, lease)
+		return c.forwardStream(ctx, resp, lease)
 	}
 	if c.answerStarted {
 		return resultLost // a stream can't continue with another kind of answer
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -80,6 +80,8 @@
 	// connection to it was opened.
 	beganAt     catalog.Upstream
 	beganConnAt time.Time
+	// unsafe is why the caller may not have the answer of the last attempt, if so.
+	unsafe      error
 	lastEventAt time.Time
 	events      int64
 }
@@ -167,6 +169,10 @@
 		if last == resultAnswered {
 			return
 		}
+		if last == resultWithheld {
+			c.giveUp(ctx, c.unsafe)
+			return
+		}
 		if !c.mayRetry(last) {
 			break
 		}
--- a/fleet/relay/origin.go
+++ b/fleet/relay/origin.go
@@ -25,7 +25,7 @@
 func (c *call) query() *balance.Query {
 	return &balance.Query{
 		Work: c.req.Work, Exclude: c.tried, Version: c.version,
-		Resumable: c.route.Kind == routes.KindStream && c.route.Repeatable(),
+		Resumable: c.route.Kind == routes.KindStream && c.route.Repeatable(), Noted: c.r.opt.Origins.Noted(),
 	}
 }
 
@@ -68,14 +68,19 @@
 	return false
 }
 
-// recordOrigin records which version begins the stream, before its first part is passed on.
-func (c *call) recordOrigin(resp *exchange.Response, lease *balancer.Lease) {
+// recordOrigin records which version begins the stream, before its first part is passed on. The
+// error is [origins.ErrNotNoted].
+func (c *call) recordOrigin(ctx context.Context, resp *exchange.Response, lease *balancer.Lease) error {
 	if c.goesOn() || !c.route.Repeatable() || knownfault.MixVersions {
-		return
+		return nil
+	}
+	if err := c.r.opt.Origins.AwaitNoted(ctx, lease.Upstream); err != nil {
+		return err
 	}
 	c.beganAt, c.beganConnAt = lease.Upstream, resp.OpenedAt
 	c.version = origin.VersionOf(lease.Upstream)
 	c.r.opt.Origins.Begun(origin.KeyOf(c.accountName(), c.req.ID), lease.Upstream, resp.OpenedAt)
+	return nil
 }
 
 // confirmVersion checks, before another attempt, that the version is known if the caller has a
--- a/fleet/relay/result.go
+++ b/fleet/relay/result.go
@@ -16,6 +16,9 @@
 	resultFailed
 	// resultLost means that the request may have run, but its answer was lost.
 	resultLost
+	// resultWithheld means that the upstream has answered, but that the caller may not have
+	// the answer, since it could not be taken up safely.
+	resultWithheld
 )
 
 // String returns the name of the result in logs.
@@ -31,6 +34,8 @@
 		return "failed"
 	case resultLost:
 		return "lost"
+	case resultWithheld:
+		return "withheld"
 	}
 	return "unknown"
 }
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -24,7 +25,7 @@
 
 // forwardStream forwards a stream of events. It forwards each event as soon as it is
 // complete, and no partial event.
-func (c *call) forwardStream(resp *exchange.Response, lease *balancer.Lease) sendResult {
+func (c *call) forwardStream(ctx context.Context, resp *exchange.Response, lease *balancer.Lease) sendResult {
 	buf := make([]byte, 0, eventBufferBytes)
 	for {
 		if len(buf) == cap(buf) {
@@ -34,7 +35,10 @@
 		buf = buf[:len(buf)+n]
 		if end := eventsEnd(buf); end > 0 {
 			c.recordFirstEvent(lease)
-			if writeErr := c.forwardEvents(resp, lease, buf[:end]); writeErr != nil {
+			if c.unsafe = c.recordOrigin(ctx, resp, lease); c.unsafe != nil {
+				return resultWithheld
+			}
+			if writeErr := c.forwardEvents(resp, buf[:end]); writeErr != nil {
 				return resultLost
 			}
 			buf = buf[:copy(buf, buf[end:])]
@@ -80,8 +84,7 @@
 }
 
 // forwardEvents sends complete events to the caller.
-func (c *call) forwardEvents(resp *exchange.Response, lease *balancer.Lease, events []byte) error {
-	c.recordOrigin(resp, lease)
+func (c *call) forwardEvents(resp *exchange.Response, events []byte) error {
 	c.writeStreamHead(resp)
 	if _, err := c.w.Write(events); err != nil {
 		return err
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -334,7 +334,7 @@
 	}))
 	add(h.follower(follow.Options{
 		Stream: h.opt.Protocol.VersionStream, Wait: rareFollowWait, Pause: func() time.Duration { return h.scaledPause(listPause, maxListPause) }, Retry: listRetry,
-		Snapshot: h.origins.Snapshot, Records: h.origins.Records, Read: h.origins.NotesRead,
+		Snapshot: h.origins.Snapshot, Records: h.origins.Records, Read: h.origins.NotesRead, Position: h.origins.Position,
 	}))
 	add(h.quarantines.Run)
 	add(h.origins.Run)
