Test that removed records reach hosts that read from others

The operator takes a failure domain back by removing a record. Hosts of a large fleet must learn that through the few that read the log. Passes; it pins what the evacuation relies on.

--- a/fleet/fanout/fanout_test.go
+++ b/fleet/fanout/fanout_test.go
@@ -252,3 +252,30 @@
 	require.Empty(t, page.Records)
 	require.Less(t, len(s.encoded.data), len(value)/10, "compressed")
 }
+
+// Hosts that read from others learn that the operator has removed a record, with a record in between
+// or with the newest ones.
+func TestRemovedRecordReachesOtherHosts(t *testing.T) {
+	log := memkeyed.New()
+	log.Append(testStream, platform.KeyedRecord{Key: "config", Value: []byte("1")}, platform.KeyedRecord{Key: "evacuate/z", Value: []byte("{}")})
+	s := New(Options{
+		Log: log.Link(1), Stream: testStream, Alive: func() []roster.Host { return nil },
+		HostsKnown: func() bool { return true }, DirectHosts: func() int { return 10 }, Logger: logr.Discard(),
+	})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	ask := NewAsker(server.Client())
+	host := roster.Host{Peer: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	_, next, err := s.Newest(t.Context(), testStream)
+	require.NoError(t, err)
+	log.Append(testStream, platform.KeyedRecord{Key: "evacuate/z"})
+	_, _, err = s.Follow(t.Context(), testStream, next, time.Second)
+	require.NoError(t, err)
+	for _, from := range []platform.Position{next, {}} {
+		page, err := ask(t.Context(), host, from, 0)
+		require.NoError(t, err)
+		last := page.Records[len(page.Records)-1]
+		require.Equal(t, "evacuate/z", last.Key)
+		require.Nil(t, last.Value)
+	}
+}
