--- a/core/balance/notice.go
+++ b/core/balance/notice.go
@@ -20,6 +20,8 @@
 	Limit Limit
 	// Brittle tells how many rejections the upstream bears, if it states that.
 	Brittle Brittleness
+	// Load is the load of the upstream, if it states that.
+	Load Load
 }
 
 // LimitState is whether an answer states a [Limit].
