Estimate the speed, wait and memory of each upstream

Cause: one factor for all upstreams of a service, no wait estimated for plain requests, the tokens held at an upstream never read, Server-Load not decoded.

Change: each upstream has a slowness, learned from the time that it takes to read prompts or to do plain work, for this host and all that gossip their requests, times the filtered and aged fourth figure of Server-Load. Plain services learn their work time and how many requests an upstream takes before it rejects. A plain request is placed among two upstreams of the own failure domain and two of all, drawn by speed, waits at the host if none has places, and is shed if its answer would be late. Requests that exceed an engine's memory with those that it holds go elsewhere or wait; the length of answers is learned. Requests of other hosts without news are dropped after a minute, or 5 s if the host does not serve.

Tried: least cost among all plain upstreams: hosts with old pictures choose the same one and it earns less than two choices.

--- a/core/admission/shedding.go
+++ b/core/admission/shedding.go
@@ -11,6 +11,9 @@
 	// Zero means no bound.
 	Objective time.Duration
 	Remaining time.Duration
+	// Whole is true if the objective is for the whole answer, which comes at its end. Such a
+	// request may wait for as long as its answer is in time.
+	Whole bool
 	// Retried is true if the caller retries after its request was shed.
 	Retried bool
 	// Delay is the time for which this host would hold the request until the upstream's
@@ -97,6 +100,9 @@
 		return a.Delay <= maxDelay
 	}
 	share := max(minWaitShare, waitShare-rankStep*float64(a.Rank))
+	if a.Whole {
+		share = max(minWaitShare, 1-rankStep*float64(a.Rank)-a.Read.Seconds()/a.Objective.Seconds())
+	}
 	if a.Retried {
 		share += retriedShare
 	}
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -36,6 +36,18 @@
 	latencyFactor float64
 	// eventInterval is the learned time between the events of an answer.
 	eventInterval time.Duration
+	// plain is the usual work of plain services, outputs the length of answers of engines.
+	plain   plainWork
+	outputs outputs
+	// usualSpeeds is set by UseUsualSpeeds.
+	usualSpeeds bool
+	// expiredAt is when requests without news were last dropped.
+	expiredAt time.Time
+	// meanSlowness is the mean over all upstreams as of meanSlownessAt.
+	meanSlowness   float64
+	meanSlownessAt time.Time
+	// usualTime is the mean of the expected times to read a prompt.
+	usualTime time.Duration
 }
 
 type upstreamState struct {
@@ -61,9 +73,16 @@
 	// running are the requests that were sent and have not ended.
 	running map[AttemptID]*runningRequest
 	// queue estimates the wait from those whose answer has not started.
-	queue  queue
+	queue queue
+	// tokens is the number of tokens that the running requests will probably hold.
 	tokens int64
 	health health
+	speed  speed
+	// places is how many requests a plain upstream takes.
+	places places
+	// hidden is the number of requests that only the upstream's statement of hiddenAt shows.
+	hidden   float64
+	hiddenAt time.Time
 }
 
 // NewPool returns an empty pool for a host in the failure domain. engine is zero for
--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -114,8 +114,12 @@
 	return rank
 }
 
-// hasRoom reports whether an upstream may get another request of this host.
-func (p *Pool) hasRoom(u *upstreamState, now time.Time) bool {
+// hasRoom reports whether an upstream may get the request of a query: it has places or memory for
+// it, and this host has a part of the room if the upstream is brittle.
+func (p *Pool) hasRoom(u *upstreamState, q *Query, now time.Time) bool {
+	if q.Work == nil && !p.hasPlaces(u, now) || !p.hasMemory(u, q.Work) {
+		return false
+	}
 	if !u.brittle.active() || u.up.Slots <= 0 {
 		return true
 	}
@@ -147,12 +151,15 @@
 
 // Full reports whether upstreams take requests that fit a query, but none of them has room.
 func (p *Pool) Full(q *Query, now time.Time) bool {
+	if p.exceedsMemory(q.Work) {
+		return false // it won't have room later either
+	}
 	open := false
 	for _, u := range p.ordered {
 		if !u.open(now) || !u.fits(q) {
 			continue
 		}
-		if p.hasRoom(u, now) {
+		if p.hasRoom(u, q, now) {
 			return false
 		}
 		open = true
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -42,6 +42,12 @@
 	// Fetched tokens. It is not valid if there is none.
 	FetchFrom netip.AddrPort
 	Fetched   int64
+	// UsualWait and UsualRead are Wait and Read at an upstream of the usual speed of the
+	// service, and Slowness is the factor of this one, or zero if it is not known.
+	UsualWait, UsualRead time.Duration
+	Slowness             float64
+	// Held is the number of tokens that the requests at the upstream will hold.
+	Held int64
 	// Running is the number of requests at the upstream.
 	Running int
 	// Elsewhere is by how much less the best upstream costs that is out of reach of this host
@@ -73,10 +79,15 @@
 
 // Choose returns the upstream with the lowest cost, or false if there is none.
 func (p *Pool) Choose(q *Query, now time.Time) (Choice, bool) {
+	p.expire(now)
 	candidates := p.candidates(q, now)
-	if len(candidates) == 0 {
+	open := len(candidates)
+	if open == 0 {
 		return Choice{}, false
 	}
+	if q.Work == nil {
+		candidates = p.sample(candidates, now)
+	}
 	var keys []uint64
 	var sources map[origin.Version]fetchSource
 	if q.Work != nil {
@@ -97,7 +108,7 @@
 		}
 		if best.Candidates == 0 || cost < bestCost {
 			best, bestCost = c, cost
-			best.Candidates = len(candidates)
+			best.Candidates = open
 		}
 	}
 	best.Elsewhere = p.elsewhere(q, keys, sources, bestCost, now)
@@ -121,7 +132,7 @@
 	for _, u := range p.ordered {
 		delay := u.limit.delay(now)
 		switch {
-		case !u.open(now) || !u.fits(q) || !p.hasRoom(u, now):
+		case !u.open(now) || !u.fits(q) || !p.hasRoom(u, q, now):
 		case delay > 0:
 			if first == nil || delay < firstDelay {
 				first, firstDelay = []*upstreamState{u}, delay
--- a/core/balance/estimate.go
+++ b/core/balance/estimate.go
@@ -29,25 +29,31 @@
 }
 
 func (p *Pool) estimate(u *upstreamState, work *Work, keys []uint64, source fetchSource, now time.Time) Choice {
-	c := Choice{Upstream: u.up, Running: len(u.running), Delay: u.limit.delay(now)}
+	c := Choice{Upstream: u.up, Running: len(u.running), Delay: u.limit.delay(now), Held: u.tokens}
 	if work == nil {
+		p.estimatePlain(&c, u, now)
 		return c
 	}
-	c.Wait, c.Generate = u.queue.wait(work.Rank, now), p.generateTime(work)
+	c.Slowness = p.slowness(u, now)
+	c.UsualWait, c.Wait = u.queue.wait(work.Rank, 1, now), u.queue.wait(work.Rank, c.Slowness, now)
+	c.Generate = p.generateTime(work)
 	c.Cached = u.cached(keys, work)
-	c.Read = p.readTime(work.Input, c.Cached)
+	c.UsualRead = p.readTime(work.Input, c.Cached)
+	c.Read = scale(c.UsualRead, c.Slowness)
 	extra := source.tokens - c.Cached
 	if source.upstream == nil || source.upstream == u || extra < minFetchTokens {
 		return c
 	}
-	fetchAndRead := p.fetchTime(extra) + p.readTime(work.Input, source.tokens)
-	if fetchAndRead < c.Read {
-		c.Read = fetchAndRead
+	fetch, rest := p.fetchTime(extra), p.readTime(work.Input, source.tokens)
+	if fetchAndRead := fetch + scale(rest, c.Slowness); fetchAndRead < c.Read {
+		c.Read, c.UsualRead = fetchAndRead, fetch+rest
 		c.FetchFrom, c.Fetched = source.upstream.up.Addr, extra
 	}
 	return c
 }
 
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
+
 // fetchTime returns the time to fetch tokens from another upstream's cache.
 func (p *Pool) fetchTime(tokens int64) time.Duration {
 	if p.engine.LinkBits <= 0 || p.engine.TokenBytes <= 0 {
@@ -77,8 +83,8 @@
 // ObserveLatency updates the latency factor with the time that an answer took to start.
 // c has the estimates. Choices without an estimate are ignored.
 func (p *Pool) ObserveLatency(c Choice, took time.Duration) {
-	expected := c.Wait + c.Read
-	if c.Read <= 0 || expected <= 0 || took <= 0 {
+	expected := c.UsualWait + c.UsualRead
+	if c.UsualRead <= 0 || expected <= 0 || took <= 0 {
 		return
 	}
 	ratio := min(max(took.Seconds()/expected.Seconds(), 1.0/maxLatencyFactor), maxLatencyFactor)
--- a/core/balance/notice.go
+++ b/core/balance/notice.go
@@ -87,6 +87,7 @@
 		p.shareLimit(u, now)
 	}
 	u.leaving = u.leaving || n.Leaving
+	u.applyLoad(n.Load, now)
 	return news
 }
 
--- a/core/balance/queue.go
+++ b/core/balance/queue.go
@@ -66,11 +66,12 @@
 	return n
 }
 
-// wait estimates the time until a new request of the rank would be read. It waits for the
+// wait estimates the time until a new request of the rank would be read, at an upstream where
+// reading takes slowness times as long as usual. It waits for the
 // prompts that are no less urgent, and for more urgent ones that arrive meanwhile. With a
 // load rho of more urgent requests, the wait is 1/(1-rho) times as long, as in any
 // priority queue.
-func (q *queue) wait(rank int, now time.Time) time.Duration {
+func (q *queue) wait(rank int, slowness float64, now time.Time) time.Duration {
 	rank = clampRank(rank)
 	unread, waiting, urgentLoad := time.Duration(0), 0, 0.0
 	for i := range rank + 1 {
@@ -85,9 +86,10 @@
 		return 0
 	}
 	// The prompt that is being read is assumed to be as long as the mean of all waiting ones.
+	unread = scale(unread, slowness)
 	progress := min(now.Sub(q.readingSince), unread/time.Duration(waiting))
 	ahead := max(0, unread-progress)
-	return time.Duration(float64(ahead) / (1 - min(urgentLoad, maxUrgentLoad)))
+	return time.Duration(float64(ahead) / (1 - min(urgentLoad*slowness, maxUrgentLoad)))
 }
 
 func (r *rankQueue) loadAt(now time.Time) float64 {
--- a/core/balance/running.go
+++ b/core/balance/running.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 )
 
@@ -13,6 +14,10 @@
 	keys      []uint64
 	tokens    int64
 	answering bool
+	// begun is when this host was told of the request, and ahead the number of requests that
+	// were at the upstream then.
+	begun time.Time
+	ahead float64
 }
 
 // AttemptID identifies, in the whole fleet, a request that a host sent to an upstream.
@@ -29,10 +34,10 @@
 	if !ok {
 		return
 	}
-	r := &runningRequest{work: work}
+	r := &runningRequest{work: work, begun: now, ahead: u.atUpstream(now)}
 	if work != nil {
 		r.rank, r.read = work.Rank, read
-		r.tokens = work.Input + work.MaxOutput
+		r.tokens = work.Input + p.expectedOutput(work)
 		r.keys = chainKeys(work.Parts)
 		u.cache.add(r.keys, work.Parts)
 		u.queue.add(r.rank, r.read, now)
@@ -54,6 +59,10 @@
 		return
 	}
 	if r, ok := u.running[t]; ok {
+		if !r.answering {
+			// The engine has read this prompt since it was sent, or since the prompt before.
+			u.speed.observe(min(now.Sub(r.begun), now.Sub(u.queue.readingSince)), r.read, p.observeUsual(r.read), now)
+		}
 		u.markAnswering(r, now)
 		u.cache.markRead(r.keys)
 	}
@@ -79,6 +88,12 @@
 		return nil, false
 	}
 	answering := r.answering
+	switch {
+	case r.work == nil && o == Succeeded:
+		p.observePlain(u, r, now)
+	case r.work == nil && o == Refused:
+		u.places.reject(len(u.running)-1, u.up.Slots, now)
+	}
 	if o == Refused {
 		u.brittle.reject(len(u.running)-1, u.up.Slots, now)
 	}
@@ -107,6 +122,38 @@
 	}
 }
 
+const (
+	// expireInterval is the time between two looks for requests without news.
+	expireInterval = time.Second
+	// lostHostAge is the age from which the requests of a host that does not serve any more are
+	// dropped, and maxForeignAge that for all other hosts: the message of the end may be lost.
+	lostHostAge   = 5 * time.Second
+	maxForeignAge = time.Minute
+)
+
+// expire drops old requests of other hosts, which have probably ended without news. Counted on,
+// they would take places and memory of their upstreams.
+func (p *Pool) expire(now time.Time) {
+	if now.Sub(p.expiredAt) < expireInterval || p.self == "" {
+		return
+	}
+	p.expiredAt = now
+	for host, attempts := range p.requests {
+		if host == p.self {
+			continue
+		}
+		limit := maxForeignAge
+		if !slices.Contains(p.sharers, host) {
+			limit = lostHostAge
+		}
+		for t, id := range attempts {
+			if u := p.upstreams[id]; now.Sub(u.running[t].begun) > limit {
+				p.remove(u, t, u.running[t], now)
+			}
+		}
+	}
+}
+
 func (p *Pool) remove(u *upstreamState, t AttemptID, r *runningRequest, now time.Time) {
 	u.markAnswering(r, now)
 	u.tokens -= r.tokens
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -44,8 +44,9 @@
 	// ErrNoVersion reports that no eligible upstream has the software version that has begun
 	// the stream. Such a version is not started again.
 	ErrNoVersion = errors.New("balancer: no upstream of the software version that began the stream")
-	// ErrFull reports that all upstreams are brittle and have no room for another request now.
-	ErrFull = errors.New("balancer: the upstreams have no room, and fall over if they have to reject requests")
+	// ErrFull reports that no upstream has places or memory for another request now, or that all
+	// are brittle and this host has used its part of their room.
+	ErrFull = errors.New("balancer: the upstreams have no room")
 	// ErrCutOff reports that this host reaches no upstream of the service.
 	ErrCutOff = errors.New("balancer: no upstream is within reach of this host")
 	// ErrRetryBudget reports that the retry budget allows no further retry now.
@@ -190,6 +191,7 @@
 	pool := balance.NewPool(b.opt.FailureDomain, engine, rng)
 	pool.SetLimitDomains(b.limitDomains, time.Now())
 	pool.SetSharers(b.opt.Host, b.sharers)
+	b.registerSpeeds(svc.Name)
 	return &service{
 		pool:    pool,
 		retries: admission.NewFleetRetryBudget(b.opt.Retries(), time.Now()),
@@ -322,10 +324,10 @@
 	b.running[b.seq] = struct{}{}
 	b.recentLeases = b.recentAt(now) + 1
 	b.lastPick = now
-	s.pool.Begin(l.attempt, choice.Upstream.ID, q.Work, choice.Read, now)
+	s.pool.Begin(l.attempt, choice.Upstream.ID, q.Work, choice.UsualRead, now)
 	b.opt.Broadcast(gossip.Event{
 		Kind: gossip.Begun, Seq: b.seq, Upstream: gossip.UpstreamHash(choice.Upstream),
-		Begun: &gossip.RequestInfo{ReadMillis: uint32(choice.Read.Milliseconds()), Work: q.Work},
+		Begun: &gossip.RequestInfo{ReadMillis: uint32(choice.UsualRead.Milliseconds()), Work: q.Work},
 	})
 	if s.pool.TakeToken(choice.Upstream.ID, now) {
 		b.opt.Broadcast(gossip.Event{Kind: gossip.TokenTaken, Seq: b.seq, Upstream: gossip.UpstreamHash(choice.Upstream)})
@@ -432,10 +434,10 @@
 	return ok && s.retries.AllowRetry(time.Now())
 }
 
-// roomPollInterval is the time between two looks for room at brittle upstreams.
+// roomPollInterval is the time between two looks for room.
 const roomPollInterval = 5 * time.Millisecond
 
-// AwaitRoom waits until an upstream has room for the request of a query, if all are brittle. It
+// AwaitRoom waits until an upstream has room for the request of a query, if none has any. It
 // returns when it has waited long enough, or when ctx ends.
 func (b *Balancer) AwaitRoom(ctx context.Context, service string, q *balance.Query, limit time.Duration) {
 	end := time.Now().Add(limit)
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -47,10 +48,13 @@
 			cancel(errStalled)
 		}
 	})
-	before := c.events
+	before, goesOn := c.events, c.goesOn()
 	c.closedByPeer, c.attemptStartedAt = false, time.Time{}
 	result := c.sendOnce(ctx, lease)
 	lease.ObserveEvents(c.events - before)
+	if result == resultAnswered && c.req.Work != nil && !goesOn {
+		lease.ObserveOutput(c.req.Work, (c.events-before)*c.eventTokens())
+	}
 	if result == resultAnswered && isSuccess(c.status) {
 		c.r.opt.Quarantine.Answered([]quarantine.Subject{c.own})
 	}
@@ -115,10 +119,13 @@
 	c.recordReach(ctx, lease, err)
 	result := c.receive(resp, err, lease)
 	c.r.logFor(result != resultAnswered).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID, "version", lease.Upstream.Version, "after_event", c.lastEventID,
-		"delay", lease.Delay, "wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
+		"delay", lease.Delay, "wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "held", lease.Held, "slowness", round2(lease.Slowness), "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
 	return result
 }
 
+// round2 rounds a factor for the log.
+func round2(f float64) float64 { return math.Round(f*100) / 100 }
+
 // recordReach records whether the upstream was within reach. err is the error of the attempt
 // before the head of the answer, if any.
 func (c *call) recordReach(ctx context.Context, lease *balancer.Lease, err error) {
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -196,11 +196,11 @@
 // errNotAccepted reports that no upstream accepted a request.
 var errNotAccepted = errors.New("no upstream accepted the request")
 
-// roomWaitShare is the part of the route's latency objective for which a request waits for room at
-// brittle upstreams.
+// roomWaitShare is the part of the route's latency objective for which a request waits at this
+// host for room at an upstream.
 const roomWaitShare = 0.5
 
-// roomWait returns how long the request waits for room at brittle upstreams.
+// roomWait returns how long the request waits for room at an upstream.
 func (c *call) roomWait() time.Duration {
 	return time.Duration(roomWaitShare*float64(c.route.Objective)) - time.Since(c.req.Arrived)
 }
@@ -212,13 +212,13 @@
 // errElsewhere reports that another host can send the request to a better upstream.
 var errElsewhere = errors.New("an upstream out of reach is better")
 
-// admit sheds the request if the chosen upstream would start on it too late. A request
-// that can be sent at once is not shed if it was sent before or its upstream is no engine.
+// admit sheds the request if the chosen upstream would start on it too late. A request that can
+// be sent at once is not shed if it was sent before, or if a plain upstream runs it at once.
 func (c *call) admit(choice balance.Choice) error {
 	if choice.Elsewhere > forwardGain && !c.staysHere {
 		return errElsewhere
 	}
-	if choice.Delay == 0 && (c.req.Work == nil || len(c.tried) > 0) {
+	if choice.Delay == 0 && (c.req.Work == nil && choice.Wait == 0 || len(c.tried) > 0) {
 		return nil
 	}
 	remaining := c.timeout() - time.Since(c.req.Arrived)
@@ -226,6 +226,7 @@
 		Rank:      c.rank(),
 		Objective: c.route.Objective,
 		Remaining: remaining,
+		Whole:     c.req.Work == nil && c.route.Kind != routes.KindStream,
 		Retried:   c.retried,
 		Delay:     choice.Delay,
 		Wait:      choice.Wait,
--- a/replay/overload/engine.go
+++ b/replay/overload/engine.go
@@ -56,8 +56,9 @@
 	e.waiting = slices.Insert(e.waiting, at, r)
 }
 
-// startStep starts the next step. Without work it marks the engine as idle.
-func (e *engine) startStep(now time.Duration, seen map[uint64]bool) {
+// startStep starts the next step, which takes slowness times as long as usual. Without work it
+// marks the engine as idle.
+func (e *engine) startStep(now time.Duration, seen map[uint64]bool, slowness float64) {
 	if e.reading == nil && len(e.waiting) > 0 && len(e.running) < maxGenerations {
 		e.reading, e.waiting = e.waiting[0], e.waiting[1:]
 		e.unread = e.readPrompt(e.reading.Work, seen)
@@ -70,7 +71,7 @@
 	if e.reading != nil {
 		duration += time.Duration(float64(min(e.unread, chunkTokens)) / prefillTokensPerMilli * float64(time.Millisecond))
 	}
-	e.stepEnds = now + duration
+	e.stepEnds = now + time.Duration(float64(duration)*slowness)
 }
 
 // readPrompt returns the number of tokens to prefill, at least 1: the input without
--- a/replay/overload/policy.go
+++ b/replay/overload/policy.go
@@ -22,6 +22,8 @@
 	// Shed enables admission control: requests whose answers would start or end too
 	// late are shed.
 	Shed bool
+	// UsualSpeeds makes LeastCost take all engines for equally fast.
+	UsualSpeeds bool
 }
 
 // policies returns the baselines, then LeastCost without and with shedding.
@@ -36,7 +38,7 @@
 }
 
 // choose selects an engine by what the request's host knows. Only LeastCost returns
-// a choice that is not empty.
+// a choice that is not empty. It returns a negative index if no engine has memory for the request.
 func (s *simulation) choose(r *Request) (int, balance.Choice) {
 	switch s.experiment.Policy.Placement {
 	case Random:
@@ -53,7 +55,10 @@
 		}
 		return best, balance.Choice{}
 	}
-	choice, _ := s.hosts[r.host].Choose(&balance.Query{Work: &r.Work}, s.clock())
+	choice, ok := s.hosts[r.host].Choose(&balance.Query{Work: &r.Work}, s.clock())
+	if !ok {
+		return -1, choice
+	}
 	for id := range s.engines {
 		if upstreamID(id) == choice.Upstream.ID {
 			return id, choice
--- a/replay/overload/simulation.go
+++ b/replay/overload/simulation.go
@@ -10,6 +10,7 @@
 	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/rendezvous"
 	"github.com/hazelworks/hazelworks/core/routes"
 )
 
@@ -23,11 +24,42 @@
 	// Length is the period during which requests arrive.
 	Length time.Duration
 	Seed   uint64
+	// Speeds are the speeds of the engines, repeated, as factors on the usual one. If there are
+	// any, each engine is also slowed down by noiseFactor in a share of the periods.
+	Speeds []float64
+}
+
+// Noise of engines that share their machines.
+const (
+	noisePeriod = 600 * time.Millisecond
+	noiseShare  = 0.15
+	noiseFactor = 2.5
+)
+
+// slowness returns the factor on the time of a step that begins now.
+func (s *simulation) slowness(id int) float64 {
+	speeds := s.experiment.Speeds
+	if len(speeds) == 0 {
+		return 1
+	}
+	return s.noise(id) / speeds[id%len(speeds)]
+}
+
+// noise returns how long work takes now at an engine that shares its machine, as a factor on its
+// usual time.
+func (s *simulation) noise(id int) float64 {
+	if float64(rendezvous.Mix(uint64(id), uint64(s.now/noisePeriod))%1000) < 1000*noiseShare {
+		return noiseFactor
+	}
+	return 1
 }
 
 // gossipDelay is the delay until other hosts learn of an event at one host.
 const gossipDelay = 20 * time.Millisecond
 
+// retryShare is the part of its timeout after which a caller retries that finds no memory free.
+const retryShare = 4
+
 // simulation runs one experiment in virtual time.
 type simulation struct {
 	experiment Experiment
@@ -75,6 +107,9 @@
 	for range s.experiment.Hosts {
 		pool := balance.NewPool("", settings, s.rng)
 		pool.Sync(upstreams)
+		if s.experiment.Policy.UsualSpeeds {
+			pool.UseUsualSpeeds()
+		}
 		s.hosts = append(s.hosts, pool)
 		s.inFlight = append(s.inFlight, make([]int, s.experiment.Engines))
 	}
@@ -87,6 +122,10 @@
 	}
 	r.host = s.rng.IntN(s.experiment.Hosts)
 	id, choice := s.choose(r)
+	if id < 0 {
+		s.shed(r, r.Kind.Timeout/retryShare)
+		return
+	}
 	if s.experiment.Policy.Shed {
 		shed, retryAfter := admission.ShouldShed(admission.Arrival{
 			Rank: r.Kind.Rank, Objective: r.Kind.Objective, Remaining: r.Arrived + r.Kind.Timeout - s.now,
@@ -102,7 +141,7 @@
 	attempt := balance.AttemptID{Host: "h", Run: 1, Seq: s.seq}
 	r.ID = s.seq
 	s.broadcast(r, func(host int, p *balance.Pool, at time.Time) {
-		p.Begin(attempt, upstreamID(id), &r.Work, choice.Read, at)
+		p.Begin(attempt, upstreamID(id), &r.Work, choice.UsualRead, at)
 		s.inFlight[host][id]++
 	})
 	s.engines[id].add(r)
@@ -165,6 +204,9 @@
 // reportFirstEvent records the start of an answer and reports it to all hosts.
 func (s *simulation) reportFirstEvent(r *Request) {
 	r.firstAt = s.now
+	if len(s.experiment.Speeds) > 0 {
+		s.hosts[r.host].ApplyNotice(r.choice.Upstream, balance.Notice{Load: balance.Load{Known: true, Percent: 100 * s.noise(r.engine)}}, s.clock())
+	}
 	s.hosts[r.host].ObserveLatency(r.choice, s.now-r.sentAt)
 	attempt := balance.AttemptID{Host: "h", Run: 1, Seq: r.ID}
 	s.broadcast(r, func(_ int, p *balance.Pool, at time.Time) { p.FirstEvent(attempt, upstreamID(r.engine), at) })
@@ -177,7 +219,7 @@
 	if e.stepEnds > s.now {
 		return
 	}
-	e.startStep(s.now, s.seen)
+	e.startStep(s.now, s.seen, s.slowness(id))
 	if e.stepEnds == 0 {
 		return
 	}
