Count the delay that a long prompt imposes on others in the choice of its upstream

Cause: a request was placed by its own wait and reading time only. A long prompt that finds two upstreams nearly equal for itself went to the one where more short ones were about to wait.

The simulation of overload knows kinds, pauses and session shares.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -46,6 +46,8 @@
 	// service, and Slowness is the factor of this one, or zero if it is not known.
 	UsualWait, UsualRead time.Duration
 	Slowness             float64
+	// Imposed is the time by which the request delays others at the upstream.
+	Imposed time.Duration
 	// Held is the number of tokens that the requests at the upstream will hold.
 	Held int64
 	// Running is the number of requests at the upstream.
@@ -153,7 +155,7 @@
 }
 
 func (p *Pool) cost(u *upstreamState, c Choice) time.Duration {
-	cost := c.Wait + time.Duration(float64(c.Read)*readWeight) + c.FaultCost
+	cost := c.Wait + time.Duration(float64(c.Read)*readWeight) + c.FaultCost + scale(c.Imposed, imposedWeight)
 	cost += time.Duration(c.Fetched) * fetchCostPer1000 / 1000
 	if u.up.Slots > 0 {
 		cost += time.Duration(len(u.running)) * slotCost / time.Duration(u.up.Slots)
--- a/core/balance/estimate.go
+++ b/core/balance/estimate.go
@@ -40,16 +40,25 @@
 	c.Cached = u.cached(keys, work)
 	c.UsualRead = p.readTime(work.Input, c.Cached)
 	c.Read = scale(c.UsualRead, c.Slowness)
+	p.fetchPart(&c, u, work, source)
+	if !p.usualSpeeds {
+		c.Imposed = u.queue.imposed(work.Rank, c.Wait, c.Read, now)
+	}
+	return c
+}
+
+// fetchPart lets the upstream fetch a part of the prompt from the source, if that is faster than
+// reading it.
+func (p *Pool) fetchPart(c *Choice, u *upstreamState, work *Work, source fetchSource) {
 	extra := source.tokens - c.Cached
 	if source.upstream == nil || source.upstream == u || extra < minFetchTokens {
-		return c
+		return
 	}
 	fetch, rest := p.fetchTime(extra), p.readTime(work.Input, source.tokens)
 	if fetchAndRead := fetch + scale(rest, c.Slowness); fetchAndRead < c.Read {
 		c.Read, c.UsualRead = fetchAndRead, fetch+rest
 		c.FetchFrom, c.Fetched = source.upstream.up.Addr, extra
 	}
-	return c
 }
 
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
--- a/core/balance/queue.go
+++ b/core/balance/queue.go
@@ -34,6 +34,8 @@
 	// arrived, as a share of the window.
 	load          float64
 	loadUpdatedAt time.Time
+	// arrived is the decayed number of arrivals, at loadUpdatedAt.
+	arrived float64
 }
 
 func clampRank(rank int) int { return min(max(rank, 0), maxRank) }
@@ -47,6 +49,7 @@
 	r.waiting++
 	r.unread += read
 	r.load = r.loadAt(now) + read.Seconds()/loadWindow.Seconds()
+	r.arrived = 1 + r.arrived*decay(now.Sub(r.loadUpdatedAt), loadWindow)
 	r.loadUpdatedAt = now
 }
 
--- a/replay/overload/engine.go
+++ b/replay/overload/engine.go
@@ -43,6 +43,8 @@
 type generation struct {
 	r         *Request
 	remaining int64
+	// eventAt is the time of the last event.
+	eventAt time.Duration
 }
 
 // add queues a request behind those of the same or a more urgent rank.
@@ -101,6 +103,9 @@
 	kept := e.running[:0]
 	for _, x := range e.running {
 		x.remaining--
+		if x.remaining <= 0 || (x.r.Output-x.remaining)%eventTokens == 0 {
+			x.r.pause, x.eventAt = max(x.r.pause, e.stepEnds-x.eventAt), e.stepEnds
+		}
 		if x.remaining <= 0 {
 			ended = append(ended, x.r)
 			continue
@@ -117,7 +122,7 @@
 	}
 	r := e.reading
 	e.reading = nil
-	e.running = append(e.running, &generation{r: r, remaining: r.Output})
+	e.running = append(e.running, &generation{r: r, remaining: r.Output, eventAt: e.stepEnds})
 	return []*Request{r}, ended
 }
 
--- a/replay/overload/load.go
+++ b/replay/overload/load.go
@@ -17,12 +17,14 @@
 	// Objective is the target time to the first event. Timeout is the time from
 	// arrival until the caller disconnects.
 	Objective, Timeout time.Duration
+	// Pause is the longest pause between events of an answer that is in time, or zero if any is.
+	Pause time.Duration
 	// PerSecond is the usual arrival rate in requests per second.
 	PerSecond float64
 	// SharedTokens is the length of the prompt part that all requests of a group
-	// share. SessionTokens is the mean length of the rest: two thirds are shared by
-	// the requests of a session, the last third is new in each request.
-	SharedTokens, SessionTokens float64
+	// share. SessionTokens is the mean length of the rest: SessionShare of it is shared by
+	// the requests of a session, what is left is new in each request.
+	SharedTokens, SessionTokens, SessionShare float64
 	// Groups and Sessions are the numbers of groups and of sessions.
 	Groups, Sessions int
 	// Output is the mean length of the answer in tokens.
@@ -39,11 +41,11 @@
 func usualKinds() []Kind {
 	return []Kind{
 		{Name: "urgent", Rank: 0, Objective: 500 * time.Millisecond, Timeout: 4 * time.Second, PerSecond: 14,
-			SharedTokens: 340, SessionTokens: 1700, Groups: 20, Sessions: 120, Output: 22, Credit: 1.8, LateCredit: 0.55},
+			SharedTokens: 340, SessionTokens: 1700, SessionShare: 2.0 / 3, Groups: 20, Sessions: 120, Output: 22, Credit: 1.8, LateCredit: 0.55},
 		{Name: "large", Rank: 1, Objective: 600 * time.Millisecond, Timeout: 6 * time.Second, PerSecond: 20,
-			SharedTokens: 2500, SessionTokens: 6500, Groups: 4, Sessions: 170, Output: 52, Credit: 3.4, LateCredit: 1},
+			SharedTokens: 2500, SessionTokens: 6500, SessionShare: 2.0 / 3, Groups: 4, Sessions: 170, Output: 52, Credit: 3.4, LateCredit: 1},
 		{Name: "chat", Rank: 2, Objective: 400 * time.Millisecond, Timeout: 15 * time.Second, PerSecond: 20,
-			SharedTokens: 100, SessionTokens: 600, Groups: 20, Sessions: 115, Output: 280, Credit: 0.46, LateCredit: 0.14},
+			SharedTokens: 100, SessionTokens: 600, SessionShare: 2.0 / 3, Groups: 20, Sessions: 115, Output: 280, Credit: 0.46, LateCredit: 0.14},
 	}
 }
 
@@ -60,12 +62,14 @@
 	Output int64
 
 	// retried is set once the request was shed; the next attempt is a retry.
-	retried  bool
-	engine   int
-	host     int
-	choice   balance.Choice
-	sentAt   time.Duration
-	firstAt  time.Duration
+	retried bool
+	engine  int
+	host    int
+	choice  balance.Choice
+	sentAt  time.Duration
+	firstAt time.Duration
+	// pause is the longest pause between two events.
+	pause    time.Duration
 	doneAt   time.Duration
 	finished bool
 }
@@ -93,8 +97,8 @@
 	session := rng.IntN(kind.Sessions)
 	base := uint64(index+1) << 40
 	shared := balance.Part{ID: base | 1<<32 | uint64(group), Tokens: int64(kind.SharedTokens)}
-	own := balance.Part{ID: base | 2<<32 | uint64(session), Tokens: int64(kind.SessionTokens * 2 / 3)}
-	last := drawSize(kind.SessionTokens/3, rng)
+	own := balance.Part{ID: base | 2<<32 | uint64(session), Tokens: int64(kind.SessionTokens * kind.SessionShare)}
+	last := drawSize(kind.SessionTokens*(1-kind.SessionShare), rng)
 	output := drawSize(kind.Output, rng)
 	r := &Request{
 		ID: rng.Uint64(), Kind: kind, Arrived: at, Output: output,
--- a/replay/overload/result.go
+++ b/replay/overload/result.go
@@ -26,8 +26,9 @@
 type KindResult struct {
 	Name                           string
 	Requests, InTime, Late, Failed int
-	// FirstEvent is the median time to the first event of the completed requests.
-	FirstEvent time.Duration
+	// FirstEvent and FirstEvent99 are the median and the 99th percentile of the time to the first
+	// event of the completed requests, Pause99 that of their longest pauses.
+	FirstEvent, FirstEvent99, Pause99 time.Duration
 }
 
 // Served returns the share of requests with a complete answer, from 0 to 1.
@@ -36,7 +37,7 @@
 func summarize(x Experiment, requests []*Request, engines []*engine) Result {
 	out := Result{Experiment: x}
 	byKind := make(map[string]*KindResult)
-	firstEvents := make(map[string][]time.Duration)
+	firstEvents, pauses := make(map[string][]time.Duration), make(map[string][]time.Duration)
 	possible := 0.0
 	for _, r := range requests {
 		k, ok := byKind[r.Kind.Name]
@@ -50,22 +51,25 @@
 		case r.doneAt == 0:
 			k.Failed++
 			continue
-		case r.firstAt-r.Arrived <= r.Kind.Objective:
+		case r.firstAt-r.Arrived <= r.Kind.Objective && (r.Kind.Pause == 0 || r.pause <= r.Kind.Pause):
 			k.InTime++
 			out.Credit += r.Kind.Credit
 		default:
 			k.Late++
 			out.Credit += r.Kind.LateCredit
 		}
+		pauses[r.Kind.Name] = append(pauses[r.Kind.Name], r.pause)
 		firstEvents[r.Kind.Name] = append(firstEvents[r.Kind.Name], r.firstAt-r.Arrived)
 	}
 	out.Goodput = out.Credit / x.Length.Seconds()
 	out.Credit /= possible
-	for _, kind := range usualKinds() {
+	for _, kind := range x.kinds() {
 		if k, ok := byKind[kind.Name]; ok {
 			if f := firstEvents[kind.Name]; len(f) > 0 {
+				g := pauses[kind.Name]
 				slices.Sort(f)
-				k.FirstEvent = f[len(f)/2]
+				slices.Sort(g)
+				k.FirstEvent, k.FirstEvent99, k.Pause99 = f[len(f)/2], f[len(f)*99/100], g[len(g)*99/100]
 			}
 			out.Kinds = append(out.Kinds, *k)
 		}
--- a/replay/overload/simulation.go
+++ b/replay/overload/simulation.go
@@ -24,11 +24,20 @@
 	// Length is the period during which requests arrive.
 	Length time.Duration
 	Seed   uint64
+	// Kinds are the kinds of requests, by default the usual ones.
+	Kinds []Kind
 	// Speeds are the speeds of the engines, repeated, as factors on the usual one. If there are
 	// any, each engine is also slowed down by noiseFactor in a share of the periods.
 	Speeds []float64
 }
 
+func (x *Experiment) kinds() []Kind {
+	if x.Kinds != nil {
+		return x.Kinds
+	}
+	return usualKinds()
+}
+
 // Noise of engines that share their machines.
 const (
 	noisePeriod = 600 * time.Millisecond
@@ -81,7 +90,7 @@
 func Run(x Experiment) Result {
 	s := &simulation{experiment: x, rng: rand.New(rand.NewPCG(x.Seed, 1)), seen: make(map[uint64]bool)}
 	s.start()
-	requests := generateRequests(usualKinds(), x.Load*float64(x.Engines)/usualEngines, x.Length, s.rng)
+	requests := generateRequests(x.kinds(), x.Load*float64(x.Engines)/usualEngines, x.Length, s.rng)
 	for _, r := range requests {
 		s.schedule(r.Arrived, func() { s.attempt(r) })
 		s.schedule(r.Arrived+r.Kind.Timeout, func() { s.disconnect(r) })
