--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -95,9 +95,10 @@
 	return shareOf(room, u.sharerRank, len(p.sharers))
 }
 
-// hasRoom reports whether an upstream may get another request of this host.
-func (p *Pool) hasRoom(u *upstreamState, now time.Time) bool {
-	if p.coldDelay(u, now) > 0 {
+// hasRoom reports whether an upstream may get the request of a query: it has places or memory for
+// it, and this host has a part of the room if the upstream is brittle or cold.
+func (p *Pool) hasRoom(u *upstreamState, q *Query, now time.Time) bool {
+	if p.coldDelay(u, now) > 0 || q.Work == nil && !p.hasPlaces(u, now) || !p.hasMemory(u, q.Work) {
 		return false
 	}
 	if !u.brittle.active() || u.up.Slots <= 0 {
@@ -132,12 +133,15 @@
 // Full reports whether upstreams take requests that fit a query, but none of them has room: they
 // are brittle or cold.
 func (p *Pool) Full(q *Query, now time.Time) bool {
+	if p.exceedsMemory(q.Work) {
+		return false // it won't have room later either
+	}
 	open := false
 	for _, u := range p.ordered {
 		if !u.open(now) || !u.fits(q) {
 			continue
 		}
-		if p.hasRoom(u, now) {
+		if p.hasRoom(u, q, now) {
 			return false
 		}
 		open = true
--- a/core/balance/notice.go
+++ b/core/balance/notice.go
@@ -20,6 +20,8 @@
 	Limit Limit
 	// Brittle tells how many rejections the upstream bears, if it states that.
 	Brittle Brittleness
+	// Load is the load of the upstream, if it states that.
+	Load Load
 }
 
 // LimitState is whether an answer states a [Limit].
@@ -85,6 +87,7 @@
 		p.shareLimit(u, now)
 	}
 	u.leaving = u.leaving || n.Leaving
+	u.applyLoad(n.Load, now)
 	return news
 }
 
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -44,9 +44,9 @@
 	// ErrNoVersion reports that no eligible upstream has the software version that has begun
 	// the stream. Such a version is not started again.
 	ErrNoVersion = errors.New("balancer: no upstream of the software version that began the stream")
-	// ErrFull reports that all upstreams are brittle or cold and have no room for another request
-	// of this host now.
-	ErrFull = errors.New("balancer: the upstreams are brittle or cold and have no room")
+	// ErrFull reports that no upstream has places or memory for another request now, or that all
+	// are brittle or cold and this host has used its part of their room.
+	ErrFull = errors.New("balancer: the upstreams have no room")
 	// ErrEmptied reports that all upstreams of a service are in emptied failure domains.
 	ErrEmptied = errors.New("balancer: the failure domains of all upstreams are emptied")
 	// ErrCutOff reports that this host reaches no upstream of the service.
@@ -196,6 +196,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	pool := balance.NewPool(b.opt.FailureDomain, engine, rng)
 	b.setUpFleet(pool, svc)
+	b.registerSpeeds(svc.Name)
 	return &service{
 		pool:    pool,
 		retries: admission.NewFleetRetryBudget(b.opt.Retries(), time.Now()),
@@ -331,10 +332,10 @@
 	b.running[b.seq] = struct{}{}
 	b.recentLeases = b.recentAt(now) + 1
 	b.lastPick = now
-	s.pool.Begin(l.attempt, choice.Upstream.ID, q.Work, choice.Read, now)
+	s.pool.Begin(l.attempt, choice.Upstream.ID, q.Work, choice.UsualRead, now)
 	b.opt.Broadcast(gossip.Event{
 		Kind: gossip.Begun, Seq: b.seq, Upstream: gossip.UpstreamHash(choice.Upstream),
-		Begun: &gossip.RequestInfo{ReadMillis: uint32(choice.Read.Milliseconds()), Work: q.Work},
+		Begun: &gossip.RequestInfo{ReadMillis: uint32(choice.UsualRead.Milliseconds()), Work: q.Work},
 	})
 	if s.pool.TakeToken(choice.Upstream.ID, now) {
 		b.opt.Broadcast(gossip.Event{Kind: gossip.TokenTaken, Seq: b.seq, Upstream: gossip.UpstreamHash(choice.Upstream)})
@@ -441,11 +442,11 @@
 	return ok && s.retries.AllowRetry(time.Now())
 }
 
-// roomPollInterval is the least time between two looks for room at brittle or cold upstreams.
+// roomPollInterval is the least time between two looks for room.
 const roomPollInterval = 5 * time.Millisecond
 
-// AwaitRoom waits until an upstream has room for the request of a query, if all are brittle or
-// cold. It returns when it has waited long enough or would wait in vain, or when ctx ends.
+// AwaitRoom waits until an upstream has room for the request of a query, if none has any. It
+// returns when it has waited long enough or would wait in vain, or when ctx ends.
 func (b *Balancer) AwaitRoom(ctx context.Context, service string, q *balance.Query, limit time.Duration) {
 	end := time.Now().Add(limit)
 	for ctx.Err() == nil {
--- a/replay/overload/engine.go
+++ b/replay/overload/engine.go
@@ -43,6 +43,8 @@
 type generation struct {
 	r         *Request
 	remaining int64
+	// eventAt is the time of the last event.
+	eventAt time.Duration
 }
 
 // add queues a request behind those of the same or a more urgent rank.
@@ -56,8 +58,9 @@
 	e.waiting = slices.Insert(e.waiting, at, r)
 }
 
-// startStep starts the next step. Without work it marks the engine as idle.
-func (e *engine) startStep(now time.Duration, seen map[uint64]bool) {
+// startStep starts the next step, which takes slowness times as long as usual. Without work it
+// marks the engine as idle.
+func (e *engine) startStep(now time.Duration, seen map[uint64]bool, slowness float64) {
 	if e.reading == nil && len(e.waiting) > 0 && len(e.running) < maxGenerations {
 		e.reading, e.waiting = e.waiting[0], e.waiting[1:]
 		e.unread = e.readPrompt(e.reading.Work, seen)
@@ -70,7 +73,7 @@
 	if e.reading != nil {
 		duration += time.Duration(float64(min(e.unread, chunkTokens)) / prefillTokensPerMilli * float64(time.Millisecond))
 	}
-	e.stepEnds = now + duration
+	e.stepEnds = now + time.Duration(float64(duration)*slowness)
 }
 
 // readPrompt returns the number of tokens to prefill, at least 1: the input without
@@ -100,6 +103,9 @@
 	kept := e.running[:0]
 	for _, x := range e.running {
 		x.remaining--
+		if x.remaining <= 0 || (x.r.Output-x.remaining)%eventTokens == 0 {
+			x.r.pause, x.eventAt = max(x.r.pause, e.stepEnds-x.eventAt), e.stepEnds
+		}
 		if x.remaining <= 0 {
 			ended = append(ended, x.r)
 			continue
@@ -116,7 +122,7 @@
 	}
 	r := e.reading
 	e.reading = nil
-	e.running = append(e.running, &generation{r: r, remaining: r.Output})
+	e.running = append(e.running, &generation{r: r, remaining: r.Output, eventAt: e.stepEnds})
 	return []*Request{r}, ended
 }
 
