--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -43,7 +43,7 @@
 }
 
 // New returns a server; onError is called with errors of accepting and serving connections.
-func New(handler http.Handler, limits Limits, onError func(error)) *Server {
+func New(handler http.Handler, limits Limits, onError func(error), _ ...Option) *Server {
 	s := &Server{handler: handler, onError: onError, accepted: make(chan struct{}), conns: make(map[*trackedConn]struct{})}
 	s.SetLimits(limits)
 	return s
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -102,6 +102,9 @@
 	Protocol Protocol
 	Logger   logr.Logger
 	Metrics  metrics.Registry
+	// Processor returns the processor time that the process has used. It may be nil: then that
+	// is not known.
+	Processor func() time.Duration
 }
 
 // Host is one host process.
