Have each host count its load, turn away what it can't carry, and judge no timeout while late

Cause: one account's callers send 100 to 300 requests a second to a host with a fifth of a core and 10 Mbit/s. It took its own lateness for upstreams, hosts and a log out of reach. Change: core/hostload with fleet/hostmeter; a listener that is closed in turn while the host is full; gossip.Report key 6 to the hosts of the failure domain, and replacements of full hosts in roster.Resolve; timeouts of a late host prove nothing (balancer, allocation).

--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hazelworks/hazelworks/cmd/internal/cli"
+	"github.com/hazelworks/hazelworks/fleet/hostmeter"
 	"github.com/hazelworks/hazelworks/fleet/logging"
 	"github.com/hazelworks/hazelworks/fleet/relayhost"
 	"github.com/hazelworks/hazelworks/fleet/sockets"
@@ -84,6 +85,8 @@
 		Protocol: platform.Protocol(),
 		Logger:   logger,
 		Metrics:  metrics.NewRegistry(),
+
+		Processor: hostmeter.ProcessorTime, Memory: hostmeter.MemoryInUse,
 	})
 	if err != nil {
 		return err
--- a/core/hostload/hostload.go
+++ b/core/hostload/hostload.go
@@ -70,18 +70,154 @@
 	return "unknown"
 }
 
-// Interval is the time between two samples.
-const Interval = 100 * time.Millisecond
+const (
+	// Interval is the time between two samples.
+	Interval = 100 * time.Millisecond
+	// smoothTime is the time over which shares are averaged. A garbage collection or a burst of
+	// requests that arrive together is shorter.
+	smoothTime = 400 * time.Millisecond
+	// busyShare and fullShare are the shares of a resource from which a host is busy and full.
+	// The mean wait for a resource is use/(1-use) times the time that a request takes of it: six
+	// times at fullShare. A request takes a few milliseconds, and the shortest latency objectives
+	// are about a hundred.
+	busyShare = 0.7
+	fullShare = 0.85
+	// calmerBy is how far all shares must fall below the share of a level for the level to end.
+	calmerBy = 0.15
+	// minLevelTime is the least time that a host is full. Callers that were turned away take
+	// about that long to come back.
+	minLevelTime = time.Second
+	// FullLate is the mean lateness from which a host is full: a request waits for the processor
+	// several times, and together a large part of a latency objective of a hundred milliseconds.
+	FullLate = 20 * time.Millisecond
+	// UnreliableLate is the lateness from which this host's timeouts prove nothing about others.
+	// An exchange takes a few wake-ups, and the shortest timeouts are some hundred milliseconds.
+	UnreliableLate = 40 * time.Millisecond
+	// unreliableLink is the share of the link from which packets wait for it.
+	unreliableLink = 0.9
+	// historyTime is how long lateness is remembered.
+	historyTime = 3 * time.Second
+)
 
 // Monitor is the load of one host. It is not safe for concurrent use.
-type Monitor struct{ level Level }
+type Monitor struct {
+	limits Limits
+	last   Sample
+	use    Use
+	// long is the use averaged over costTime.
+	long  Use
+	level Level
+	// since is when the level began.
+	since time.Time
+	// bearable is the number of requests per second that the host takes, if limitedAt is not
+	// zero. limitedAt is when the limit was last needed.
+	bearable  float64
+	limitedAt time.Time
+	// strained are the times in which timeouts prove nothing, newest last.
+	strained []span
+}
+
+type span struct{ from, to time.Time }
 
 // NewMonitor returns a monitor of a calm host.
-func NewMonitor(Limits) *Monitor { return &Monitor{} }
+func NewMonitor(l Limits) *Monitor { return &Monitor{limits: l} }
 
 // Add adds a sample and reports whether the level has changed.
-func (m *Monitor) Add(Sample) (changed bool) { return false }
+func (m *Monitor) Add(s Sample) (changed bool) {
+	last := m.last
+	m.last = s
+	elapsed := s.At.Sub(last.At)
+	if last.At.IsZero() || elapsed <= 0 {
+		return false
+	}
+	m.update(s, last, elapsed)
+	if max(s.Late, s.Connect, s.Probe) >= UnreliableLate || max(m.use.In, m.use.Out) >= unreliableLink {
+		m.strain(last.At, s.At)
+	}
+	level := m.nextLevel(s.At)
+	changed = level != m.level
+	if changed {
+		m.level, m.since = level, s.At
+	}
+	m.updateBearable(s.At)
+	return changed
+}
+
+// update averages the shares in use.
+func (m *Monitor) update(s, last Sample, elapsed time.Duration) {
+	rate := func(n int64, limit float64) float64 {
+		if limit <= 0 {
+			return 0
+		}
+		return float64(n) / elapsed.Seconds() / limit
+	}
+	now := Use{
+		Processor: rate(int64(s.Processor-last.Processor), m.limits.Cores*float64(time.Second)),
+		In:        rate(8*(s.In-last.In), m.limits.LinkBits),
+		Out:       rate(8*(s.Out-last.Out), m.limits.LinkBits),
+		Requests:  rate(s.Requests-last.Requests, 1),
+		Late:      max(s.Late, s.Connect),
+	}
+	m.use.average(now, elapsed, smoothTime)
+	m.long.average(now, elapsed, costTime)
+	if m.limits.MemoryBytes > 0 {
+		m.use.Memory = float64(s.Memory) / float64(m.limits.MemoryBytes)
+	}
+}
+
+// average moves the averages over a time towards what was measured in the time elapsed.
+func (u *Use) average(now Use, elapsed, over time.Duration) {
+	weight := min(1, elapsed.Seconds()/over.Seconds())
+	move := func(old *float64, to float64) { *old += weight * (to - *old) }
+	move(&u.Processor, now.Processor)
+	move(&u.In, now.In)
+	move(&u.Out, now.Out)
+	move(&u.Requests, now.Requests)
+	u.Late += time.Duration(weight * float64(now.Late-u.Late))
+}
+
+// strain records a time in which timeouts prove nothing.
+func (m *Monitor) strain(from, to time.Time) {
+	for len(m.strained) > 0 && to.Sub(m.strained[0].to) > historyTime {
+		m.strained = m.strained[1:]
+	}
+	if n := len(m.strained); n > 0 && !from.After(m.strained[n-1].to) {
+		m.strained[n-1].to = to
+		return
+	}
+	m.strained = append(m.strained, span{from, to})
+}
+
+// share returns the largest share in use. Lateness counts as a share of [FullLate].
+func (m *Monitor) share() float64 {
+	return max(m.use.Processor, m.use.In, m.use.Out, m.use.Memory, fullShare*m.use.Late.Seconds()/FullLate.Seconds())
+}
+
+func (m *Monitor) nextLevel(now time.Time) Level {
+	share := m.share()
+	switch {
+	case share >= fullShare:
+		return Full
+	case m.level == Full && (share >= fullShare-calmerBy || now.Sub(m.since) < minLevelTime):
+		return Full
+	case share >= busyShare:
+		return Busy
+	case m.level >= Busy && share >= busyShare-calmerBy:
+		return Busy
+	}
+	return Calm
+}
 
 // Late reports whether the host's own timers or packets were late at some time of the span before
-// now. Its timeouts of that time then prove nothing about others.
-func (m *Monitor) Late(time.Time, time.Duration) bool { return false }
+// now. Its timeouts of that time then prove nothing about others. A host that was stopped is late
+// before it has taken another sample.
+func (m *Monitor) Late(now time.Time, d time.Duration) bool {
+	if m.last.At.IsZero() {
+		return false
+	}
+	if now.Sub(m.last.At) >= Interval+UnreliableLate {
+		return true
+	}
+	n := len(m.strained)
+	return n > 0 && now.Sub(m.strained[n-1].to) < d
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -62,6 +62,8 @@
 	ended map[uint64]bool
 	// byRun has the same entries by [runHash].
 	byRun map[uint32]*entry
+	// selfFull is true while this host is full.
+	selfFull bool
 }
 
 type entry struct {
@@ -78,6 +80,8 @@
 	// began to ask it for digests.
 	watchAt      time.Time
 	watchedSince time.Time
+	// fullUntil is when the host counts as full no more, see [Table.SetFull].
+	fullUntil time.Time
 }
 
 // NewTable returns a table that knows only the host itself.
@@ -189,20 +193,21 @@
 // of that domain, and if these are fewer than minAddresses, then large hosts of
 // other domains, small ones of the same domain and other small ones. Leaving hosts
 // are left out. Isolated hosts can't claim amounts of budgets, so they are left out
-// too if enough others remain. shuffle has the signature of rand.Shuffle.
+// too if enough others remain. The place of a full host is taken by another one, see
+// [Table.replaceFull]. shuffle has the signature of rand.Shuffle.
 func (t *Table) Resolve(domain string, now time.Time, shuffle func(n int, swap func(i, j int))) []netip.AddrPort {
 	alive := slices.DeleteFunc(t.Alive(now), func(h Host) bool { return h.Leaving })
 	shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 	alive = preferConnected(alive)
 	large := isLargeAmong(alive)
 	near := func(h Host) bool { return h.FailureDomain == domain }
-	out := addresses(alive, func(h Host) bool { return near(h) && large(h) })
+	out := t.replaceFull(alive, near, large, now)
 	for _, match := range []func(Host) bool{
 		func(h Host) bool { return !near(h) && large(h) },
 		func(h Host) bool { return near(h) && !large(h) },
 		func(h Host) bool { return !near(h) && !large(h) },
 	} {
-		more := addresses(alive, match)
+		more := slices.DeleteFunc(addresses(alive, match), func(a netip.AddrPort) bool { return slices.Contains(out, a) })
 		out = append(out, more[:max(0, min(len(more), minAddresses-len(out)))]...)
 	}
 	return out[:min(len(out), maxAddresses)]
--- a/fleet/allocation/manager.go
+++ b/fleet/allocation/manager.go
@@ -62,9 +62,12 @@
 	// limit all hosts share. Nil means no minimum.
 	Spacing  func() time.Duration
 	Borrower Borrower
-	Policy   escrow.Policy
-	Logger   logr.Logger
-	Metrics  metrics.Registry
+	// Late reports whether this host's own timers were late in the time before now. An overdue
+	// answer then proves nothing about the log. It may be nil.
+	Late    func(span time.Duration) bool
+	Policy  escrow.Policy
+	Logger  logr.Logger
+	Metrics metrics.Registry
 }
 
 // Fleet describes the hosts among which budgets are divided ahead of requests: those to
@@ -212,7 +215,7 @@
 		// Claims that become due during the pause share one write.
 		pause(ctx, m.spacing()-time.Since(last))
 		last = time.Now()
-		overdue := time.AfterFunc(logOverdueAfter, func() { m.markUnreachable(ctx, errOverdue) })
+		overdue := time.AfterFunc(logOverdueAfter, func() { m.markOverdue(ctx) })
 		err := m.round(ctx)
 		overdue.Stop()
 		if err == nil {
@@ -220,7 +223,9 @@
 			continue
 		}
 		throttled = admission.CountThrottled(throttled, err)
-		m.markUnreachable(ctx, err)
+		if !isTimeout(err) || !m.late(time.Since(last)) {
+			m.markUnreachable(ctx, err)
+		}
 		pause(ctx, retryBackoff.Delay(1+throttled, rand.Float64()))
 	}
 }
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -69,6 +69,9 @@
 	Broadcast func(gossip.Event)
 	// Reach tells what other hosts reach. It may be nil.
 	Reach Reach
+	// Late reports whether this host's own timers were late in the time before now. It may be
+	// nil.
+	Late func(span time.Duration) bool
 	// Crashed is called when an upstream has crashed while it began to run requests of this
 	// host. Answered is called, with the balancer's lock held, when a service has answered a
 	// request with the subjects, of this or another host.
--- a/fleet/balancer/reach.go
+++ b/fleet/balancer/reach.go
@@ -40,6 +40,23 @@
 	}
 }
 
+// Overdue records that the upstream has not answered within a time. That proves nothing while this
+// host's own timers are late.
+func (l *Lease) Overdue(waited time.Duration) {
+	if !l.balancer.late(waited) {
+		l.NotReached()
+	}
+}
+
+// TimeoutProves reports whether a timeout after a time says something about the upstream. Another
+// request may have begun to wait for the connection before.
+func (l *Lease) TimeoutProves(waited time.Duration) bool {
+	return !l.balancer.late(max(waited, connectTimeout))
+}
+
+// late reports whether this host's own timers were late in the time before now.
+func (b *Balancer) late(span time.Duration) bool { return b.opt.Late != nil && b.opt.Late(span) }
+
 // NotConnected records that the upstream has not accepted a connection. Other upstreams are
 // preferred until it accepts one, which is tried now and then.
 func (l *Lease) NotConnected() {
--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -34,6 +34,9 @@
 	// accepted is closed once no connections are accepted any more.
 	accepted chan struct{}
 	conns    map[*trackedConn]struct{}
+	door     Door
+	// listen opens the listener again. It may be nil.
+	listen func() (net.Listener, error)
 }
 
 // generation is an HTTP server with one set of limits.
@@ -43,8 +46,11 @@
 }
 
 // New returns a server; onError is called with errors of accepting and serving connections.
-func New(handler http.Handler, limits Limits, onError func(error), _ ...Option) *Server {
-	s := &Server{handler: handler, onError: onError, accepted: make(chan struct{}), conns: make(map[*trackedConn]struct{})}
+func New(handler http.Handler, limits Limits, onError func(error), options ...Option) *Server {
+	s := &Server{handler: handler, onError: onError, accepted: make(chan struct{}), conns: make(map[*trackedConn]struct{}), door: openDoor{}}
+	for _, o := range options {
+		o(s)
+	}
 	s.SetLimits(limits)
 	return s
 }
@@ -59,11 +65,12 @@
 	s.limits = l
 	g := &generation{
 		server: &http.Server{
-			Handler:           s.handler,
+			Handler:           http.HandlerFunc(s.serveRequest),
 			ReadHeaderTimeout: l.HeaderTimeout,
 			IdleTimeout:       l.IdleTimeout,
 			MaxHeaderBytes:    l.HeaderBytes,
 			ConnState:         s.trackState,
+			ConnContext:       withConn,
 		},
 		conns: newConnQueue(),
 	}
@@ -91,7 +98,14 @@
 	}
 	s.mu.Unlock()
 	for {
+		if l = s.awaitDoor(l); l == nil {
+			return nil
+		}
 		c, err := l.Accept()
+		if err == nil && !s.door.Connect() {
+			_ = c.Close() // unread: the caller may repeat its request at another host
+			continue
+		}
 		if err == nil {
 			s.serveConn(c)
 			continue
--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -22,6 +22,8 @@
 	state http.ConnState
 	// arrived is true if bytes were read since the connection was last idle.
 	arrived bool
+	// served is true once a request was served.
+	served bool
 }
 
 func newTrackedConn(c net.Conn) *trackedConn { return &trackedConn{Conn: c, openedAt: time.Now()} }
@@ -46,6 +48,15 @@
 	return nil
 }
 
+// isFirst reports whether a request is the first one of the connection.
+func (c *trackedConn) isFirst() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.served
+	c.served = true
+	return first
+}
+
 func (c *trackedConn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fleet/gossip/report.go
+++ b/fleet/gossip/report.go
@@ -21,6 +21,8 @@
 	Crashes     []Crash              `cbor:"3,keyasint,omitempty"`
 	Quarantines []Quarantine         `cbor:"4,keyasint,omitempty"`
 	Lifted      []quarantine.Subject `cbor:"5,keyasint,omitempty"`
+	// Load is the load of the sender, which full hosts send.
+	Load *HostLoad `cbor:"6,keyasint,omitempty"`
 }
 
 // Encode returns the report as it is sent.
@@ -151,6 +153,9 @@
 	if len(r.Quarantines) > 0 || len(r.Lifted) > 0 {
 		return g.opt.Peers()
 	}
+	if r.Load != nil {
+		return g.loadTargets(r.Host)
+	}
 	return roster.CrashCollectors(g.opt.Self, g.opt.Peers(), g.opt.Alive())
 }
 
--- /dev/null
+++ b/fleet/hostmeter/connects.go
@@ -0,0 +1,119 @@
+package hostmeter
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/hazelworks/hazelworks/fleet/sockets"
+)
+
+const (
+	// connectWindow is the time over which the shortest one is taken. If none or too few were
+	// opened in it, those before count, up to maxConnectAge: while packets wait for long, the
+	// attempts to connect fail.
+	connectWindow = 500 * time.Millisecond
+	maxConnectAge = 1500 * time.Millisecond
+	// minPeers is the number of machines to which connections must have been opened: a single one
+	// may be slow.
+	minPeers = 2
+)
+
+// connects are the connections that this host has opened lately. Those that failed don't count: the
+// other machine may be down or cut off.
+type connects []connect
+
+type connect struct {
+	peer string
+	at   time.Time
+	took time.Duration
+	// probed is true if it was opened again with a longer timeout.
+	probed bool
+}
+
+func (c *connects) add(one connect) {
+	c.drop(one.at)
+	*c = append(*c, one)
+}
+
+func (c *connects) drop(now time.Time) {
+	for len(*c) > 0 && now.Sub((*c)[0].at) >= maxConnectAge {
+		*c = (*c)[1:]
+	}
+}
+
+// shortest returns the shortest time in which a connection was opened, or zero if there were too
+// few. It counts those that were probed if asked to.
+func (c *connects) shortest(now time.Time, probed bool) time.Duration {
+	c.drop(now)
+	if len(*c) == 0 {
+		return 0
+	}
+	from := now
+	if last := (*c)[len(*c)-1].at; now.Sub(last) > connectWindow {
+		from = last
+	}
+	peers := make(map[string]bool, minPeers)
+	var least time.Duration
+	for _, one := range slices.Backward(*c) {
+		if from.Sub(one.at) > connectWindow && len(peers) >= minPeers {
+			break
+		}
+		if one.probed && !probed {
+			continue
+		}
+		if len(peers) == 0 || one.took < least {
+			least = one.took
+		}
+		peers[one.peer] = true
+	}
+	if len(peers) < minPeers {
+		return 0
+	}
+	return least
+}
+
+// connected records a connection that was opened.
+func (m *Meter) connected(peer string, took time.Duration, probed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.connects.add(connect{peer: peer, at: time.Now(), took: took, probed: probed})
+}
+
+const (
+	// probeTimeout bounds a connection that is opened after a timeout. Packets wait at a full link
+	// for about a second at most.
+	probeTimeout = 1500 * time.Millisecond
+	// maxProbes is the number of such connections at a time.
+	maxProbes = minPeers
+)
+
+// probe opens a connection again that was not opened in time, with a longer timeout. If that
+// succeeds, it was late and not lost.
+func (m *Meter) probe(dial sockets.DialFunc, network, address string, err error) {
+	var timeout net.Error
+	if !errors.As(err, &timeout) || !timeout.Timeout() {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.probed[address] || len(m.probed) >= maxProbes {
+		return
+	}
+	m.probed[address] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		began := time.Now()
+		c, err := dial(ctx, network, address)
+		if err == nil {
+			_ = c.Close()
+			m.connected(address, time.Since(began), true)
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.probed, address)
+	}()
+}
--- /dev/null
+++ b/fleet/hostmeter/hostmeter.go
@@ -0,0 +1,183 @@
+// Package hostmeter measures the load of this host for core/hostload.
+package hostmeter
+
+import (
+	"context"
+	"runtime/metrics"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	gometrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+
+	"github.com/hazelworks/hazelworks/core/hostload"
+)
+
+// Options configure a [Meter].
+type Options struct {
+	Limits hostload.Limits
+	// Processor returns the processor time that the process has used, Memory its memory in
+	// bytes. They may be nil: then that is not known.
+	Processor func() time.Duration
+	Memory    func() int64
+	// Changed is called when the host begins or ceases to turn callers away, and twice a second
+	// while it does. It may be nil.
+	Changed func(full bool)
+	Logger  logr.Logger
+	Metrics gometrics.Registry
+}
+
+// Meter measures the load of this host. It is safe for concurrent use.
+type Meter struct {
+	opt      Options
+	log      logr.Logger
+	in, out  atomic.Int64
+	requests atomic.Int64
+
+	processor, link, memory, late, level, refused gometrics.Gauge
+
+	mu      sync.Mutex
+	monitor *hostload.Monitor
+	door    hostload.Door
+	// turnedAway counts the connections that were closed unread.
+	turnedAway int64
+	toldAt     time.Time
+	connects   connects
+	// probed holds the addresses to which probes are under way.
+	probed map[string]bool
+}
+
+// New returns a meter; Run takes the samples.
+func New(opt Options) *Meter {
+	gauge := func(name string) gometrics.Gauge { return gometrics.GetOrRegisterGauge(name, opt.Metrics) }
+	return &Meter{
+		opt: opt, log: opt.Logger.WithName("load"), monitor: hostload.NewMonitor(opt.Limits), probed: make(map[string]bool),
+		processor: gauge("host_load_processor_percent"), link: gauge("host_load_link_percent"), memory: gauge("host_load_memory_percent"),
+		late: gauge("host_load_late_us"), level: gauge("host_load_level"), refused: gauge("host_load_connections_closed"),
+	}
+}
+
+// ProcessorTime returns the processor time that the process has used.
+func ProcessorTime() time.Duration {
+	var used unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &used) != nil {
+		return 0
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// MemoryInUse returns the memory that the Go runtime holds, in bytes.
+func MemoryInUse() int64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
+
+// Run takes samples until ctx ends.
+func (m *Meter) Run(ctx context.Context) error {
+	timer := time.NewTimer(hostload.Interval)
+	defer timer.Stop()
+	due := time.Now().Add(hostload.Interval)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		now := time.Now()
+		m.sample(now, now.Sub(due))
+		due = now.Add(hostload.Interval)
+		timer.Reset(hostload.Interval)
+	}
+}
+
+func (m *Meter) sample(now time.Time, late time.Duration) {
+	s := hostload.Sample{At: now, In: m.in.Load(), Out: m.out.Load(), Requests: m.requests.Load(), Late: max(0, late)}
+	if m.opt.Processor != nil {
+		s.Processor = m.opt.Processor()
+	}
+	if m.opt.Memory != nil {
+		s.Memory = m.opt.Memory()
+	}
+	m.mu.Lock()
+	s.Connect, s.Probe = m.connects.shortest(now, false), m.connects.shortest(now, true)
+	before := m.monitor.Level()
+	_, wasLimited := m.monitor.Bearable()
+	changed := m.monitor.Add(s)
+	level, use := m.monitor.Level(), m.monitor.Use()
+	bearable, limited := m.monitor.Bearable()
+	m.door.SetRate(bearable, limited, now)
+	turnedAway := m.turnedAway
+	tell := limited != wasLimited || limited && now.Sub(m.toldAt) >= tellInterval
+	if tell {
+		m.toldAt = now
+	}
+	m.mu.Unlock()
+	m.updateGauges(use, level, turnedAway)
+	if changed || limited != wasLimited {
+		m.log.Info("Load of this host changed.", "level", level.String(), "before", before.String(), "processor", use.Processor, "link_in", use.In,
+			"link_out", use.Out, "memory", use.Memory, "late", use.Late, "requests_per_s", use.Requests, "limited", limited, "taken_per_s", bearable, "closed_unread", turnedAway)
+	}
+	if tell && m.opt.Changed != nil {
+		m.opt.Changed(limited)
+	}
+}
+
+// tellInterval is the time between two reports of a full host.
+const tellInterval = 500 * time.Millisecond
+
+const percent = 100
+
+func (m *Meter) updateGauges(use hostload.Use, level hostload.Level, turnedAway int64) {
+	m.processor.Update(int64(percent * use.Processor))
+	m.link.Update(int64(percent * max(use.In, use.Out)))
+	m.memory.Update(int64(percent * use.Memory))
+	m.late.Update(use.Late.Microseconds())
+	m.level.Update(int64(level))
+	m.refused.Update(turnedAway)
+}
+
+// Late reports whether this host's timeouts in the span before now prove nothing about others.
+func (m *Meter) Late(span time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.monitor.Late(time.Now(), span)
+}
+
+// Level returns the level.
+func (m *Meter) Level() hostload.Level {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.monitor.Level()
+}
+
+// Request counts a request on an open connection. It reports whether the connection is kept after
+// the answer.
+func (m *Meter) Request() (keep bool) {
+	m.requests.Add(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.door.Request(time.Now())
+}
+
+// ClosedFor returns the time for which no new connection of a caller is taken.
+func (m *Meter) ClosedFor() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.door.ClosedFor(time.Now())
+}
+
+// Connect counts a caller's new connection, with the request that it brings, and reports whether
+// it is taken.
+func (m *Meter) Connect() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.door.Connect(time.Now()) {
+		m.requests.Add(1)
+		return true
+	}
+	m.turnedAway++
+	return false
+}
--- /dev/null
+++ b/fleet/hostmeter/network.go
@@ -0,0 +1,131 @@
+package hostmeter
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/hazelworks/hazelworks/fleet/sockets"
+)
+
+// Network returns a network whose bytes the meter counts.
+func (m *Meter) Network(n sockets.Network) sockets.Network { return network{n, m} }
+
+type network struct {
+	sockets.Network
+	meter *Meter
+}
+
+// Dialer implements sockets.Network.
+func (n network) Dialer(o sockets.Options) sockets.DialFunc {
+	dial := n.Network.Dialer(o)
+	o.ConnectTimeout = probeTimeout
+	slowDial := n.Network.Dialer(o)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		began := time.Now()
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			n.meter.probe(slowDial, network, address, err)
+			return nil, err
+		}
+		n.meter.connected(address, time.Since(began), false)
+		return &conn{c, n.meter}, nil
+	}
+}
+
+// Listen implements sockets.Network.
+func (n network) Listen(ctx context.Context, address string, o sockets.Options) (net.Listener, error) {
+	l, err := n.Network.Listen(ctx, address, o)
+	if err != nil {
+		return nil, err
+	}
+	return listener{l, n.meter}, nil
+}
+
+// ListenPacket implements sockets.Network.
+func (n network) ListenPacket(ctx context.Context, address string) (net.PacketConn, error) {
+	c, err := n.Network.ListenPacket(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return packetConn{c, n.meter}, nil
+}
+
+type listener struct {
+	net.Listener
+	meter *Meter
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{c, l.meter}, nil
+}
+
+// SetDeadline sets the time at which Accept fails.
+func (l listener) SetDeadline(t time.Time) error {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return d.SetDeadline(t)
+	}
+	return errNoDeadline
+}
+
+var errNoDeadline = net.UnknownNetworkError("no deadline")
+
+type conn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.in.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.out.Add(int64(n))
+	return n, err
+}
+
+// CloseWrite closes the writing side, if the connection has one.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SyscallConn implements [syscall.Conn].
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	if sys, ok := c.Conn.(syscall.Conn); ok {
+		return sys.SyscallConn()
+	}
+	return nil, syscall.ENOTSUP
+}
+
+type packetConn struct {
+	net.PacketConn
+	meter *Meter
+}
+
+// ReadFrom implements net.PacketConn.
+func (c packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	n, addr, err := c.PacketConn.ReadFrom(p)
+	c.meter.in.Add(int64(n))
+	return n, addr, err
+}
+
+// WriteTo implements net.PacketConn.
+func (c packetConn) WriteTo(p []byte, addr net.Addr) (int, error) {
+	n, err := c.PacketConn.WriteTo(p, addr)
+	c.meter.out.Add(int64(n))
+	return n, err
+}
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -39,8 +40,9 @@
 	defer cancel(nil)
 	// Only a request that may run again is cancelled, for a retry elsewhere.
 	mayRepeat := c.route.Repeatable() && c.runs+1 < c.route.Attempts
-	lease.OnStall(c.stallAfter(lease), func() {
-		lease.NotReached()
+	stallAfter := c.stallAfter(lease)
+	lease.OnStall(stallAfter, func() {
+		lease.Overdue(stallAfter)
 		// The path has probably lost the state of the other idle connections too.
 		lease.Conns.CloseIdle()
 		if mayRepeat {
@@ -112,7 +114,7 @@
 	}
 	began := time.Now()
 	resp, err := lease.Conns.Send(ctx, out)
-	c.recordReach(ctx, lease, err)
+	c.recordReach(ctx, lease, err, time.Since(began))
 	result := c.receive(resp, err, lease)
 	c.r.logFor(result != resultAnswered).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID, "version", lease.Upstream.Version, "after_event", c.lastEventID,
 		"delay", lease.Delay, "wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
@@ -120,13 +122,16 @@
 }
 
 // recordReach records whether the upstream was within reach. err is the error of the attempt
-// before the head of the answer, if any.
-func (c *call) recordReach(ctx context.Context, lease *balancer.Lease, err error) {
+// before the head of the answer, if any, and took the time until then.
+func (c *call) recordReach(ctx context.Context, lease *balancer.Lease, err error, took time.Duration) {
+	var timeout net.Error
 	switch {
 	case err == nil:
 		lease.Reached()
 	case ctx.Err() != nil || errors.Is(err, exchange.ErrTooNew):
 		// It has not been tried, or not for long enough.
+	case errors.As(err, &timeout) && timeout.Timeout() && !lease.TimeoutProves(took):
+		// This host may have been too slow to see the answer.
 	default:
 		lease.NotReached()
 		if errors.Is(err, exchange.ErrNotSent) {
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -31,6 +31,7 @@
 
 func (h *Host) build() {
 	p := h.opt.Protocol
+	h.buildLoad()
 	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self), started: h.tellNotices}
 	h.reach = reach.New(reach.Options{
 		Self: h.self, Alive: h.hosts.others, Dial: h.opt.Network.Dialer(upstreamSockets), Client: h.peerClient(), Logger: h.opt.Logger,
@@ -49,6 +50,7 @@
 		Metrics:       h.opt.Metrics,
 		Broadcast:     func(e gossip.Event) { h.gossip.Broadcast(e) },
 		Reach:         h.reach,
+		Late:          h.load.Late,
 		Crashed:       func(up quarantine.Upstream, s []corequarantine.Suspect) { h.quarantines.Crashed(up, s) },
 		Answered:      func(service string, s []corequarantine.Subject) { h.quarantines.CountAnswer(service, s) },
 	})
@@ -72,6 +74,7 @@
 		Fleet:    func() allocation.Fleet { return h.hosts.fleet(h.hostsPause()) },
 		Spacing:  h.claimSpacing,
 		Borrower: lending.NewClient(h.peerClient(), h.hosts.others, h.opt.Logger),
+		Late:     h.load.Late,
 		Policy:   escrow.DefaultPolicy(),
 		Logger:   h.opt.Logger,
 		Metrics:  h.opt.Metrics,
@@ -87,7 +90,7 @@
 		LimitDomains: func(domains []string) {
 			h.balancer.SetLimitDomains(domains)
 			h.balancer.SetSharers(h.servingHosts())
-		}, Receive: h.receive, ReceiveReport: h.quarantines.Receive, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+		}, Receive: h.receive, ReceiveReport: h.receiveReport, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
 		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.serviceTable, Balancer: h.balancer, Reserver: h.budgets,
@@ -95,7 +98,7 @@
 		Forward: relay.ForwardOptions{Self: h.self, Hosts: h.hosts.others, Dial: h.opt.Network.Dialer(peerSockets)}, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
-		func(err error) { h.log.Error(err, "Serving callers failed.") })
+		func(err error) { h.log.Error(err, "Serving callers failed.") }, callerserver.WithDoor(h.load), callerserver.WithListen(h.listenCallers))
 }
 
 // peerHandler returns the handler of other hosts' calls.
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -29,6 +29,7 @@
 	"github.com/hazelworks/hazelworks/fleet/fanout"
 	"github.com/hazelworks/hazelworks/fleet/follow"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
+	"github.com/hazelworks/hazelworks/fleet/hostmeter"
 	"github.com/hazelworks/hazelworks/fleet/origins"
 	"github.com/hazelworks/hazelworks/fleet/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/reach"
@@ -102,9 +103,10 @@
 	Protocol Protocol
 	Logger   logr.Logger
 	Metrics  metrics.Registry
-	// Processor returns the processor time that the process has used. It may be nil: then that
-	// is not known.
+	// Processor returns the processor time that the process has used, Memory its memory in
+	// bytes. They may be nil: then that is not known.
 	Processor func() time.Duration
+	Memory    func() int64
 }
 
 // Host is one host process.
@@ -131,6 +133,7 @@
 	budgets   *allocation.Manager
 	relay     *relay.Relay
 	callers   *callerserver.Server
+	load      *hostmeter.Meter
 	leaving   atomic.Bool
 	stop      chan struct{}
 	// announceAgain asks for another write of this host's entry.
@@ -306,7 +309,7 @@
 	h.hosts.table.SetIsolated(isolated)
 	addresses := h.hosts.table.Resolve(domain, now, mathrand.Shuffle)
 	h.log.Info("Directory answered.", "domain", domain, "addresses", len(addresses),
-		"alive", len(h.hosts.table.Alive(now)), "known", h.hosts.table.Len())
+		"alive", len(h.hosts.table.Alive(now)), "known", h.hosts.table.Len(), "full", h.hosts.table.FullHosts(now))
 	return addresses, min(directoryTTL, h.bounds.Load().DirectoryTTL)
 }
 
@@ -342,6 +345,7 @@
 	add(h.quarantines.Run)
 	add(h.origins.Run)
 	add(h.budgets.Run)
+	add(h.load.Run)
 	add(h.serve(h.cfg.Listen.Peer, h.peerHandler()))
 	add(h.runGossip)
 	add(h.announce)
@@ -425,11 +429,11 @@
 }
 
 func (h *Host) serveCallers(ctx context.Context) error {
-	l, err := h.opt.Network.Listen(ctx, h.cfg.Listen.Caller.String(), callerSockets)
+	l, err := h.listenCallers()
 	if err != nil {
-		return fmt.Errorf("relayhost: callers: %w", err)
+		return err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = h.callers.Close() })
 	defer stop()
 	err = h.callers.Serve(l)
 	if err == nil {
