Count a connection's bytes without hiding whether it has a socket

Cause: the counting wrapper said of each connection that it is a socket; connections in memory then counted as unusable and were not reused.

--- a/fleet/hostmeter/network.go
+++ b/fleet/hostmeter/network.go
@@ -30,7 +30,7 @@
 			return nil, err
 		}
 		n.meter.connected(address, time.Since(began), false)
-		return &conn{c, n.meter}, nil
+		return n.meter.count(c), nil
 	}
 }
 
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{c, l.meter}, nil
+	return l.meter.count(c), nil
 }
 
 // SetDeadline sets the time at which Accept fails.
@@ -103,12 +103,19 @@
 	return nil
 }
 
-// SyscallConn implements [syscall.Conn].
-func (c *conn) SyscallConn() (syscall.RawConn, error) {
-	if sys, ok := c.Conn.(syscall.Conn); ok {
-		return sys.SyscallConn()
+// sysConn is a connection with a socket.
+type sysConn struct {
+	*conn
+	syscall.Conn
+}
+
+// count returns a connection whose bytes the meter counts. It has a socket if c has one.
+func (m *Meter) count(c net.Conn) net.Conn {
+	counted := &conn{c, m}
+	if sys, ok := c.(syscall.Conn); ok {
+		return sysConn{counted, sys}
 	}
-	return nil, syscall.ENOTSUP
+	return counted
 }
 
 type packetConn struct {
