--- a/fleet/gossip/report.go
+++ b/fleet/gossip/report.go
@@ -13,8 +13,9 @@
 	"github.com/hazelworks/hazelworks/core/roster"
 )
 
-// Report tells other hosts of crashes of upstreams, of quarantines and of the use by accounts. It is encoded as a map,
-// so that hosts of earlier versions ignore it and later ones can add fields.
+// Report tells other hosts of crashes of upstreams, of quarantines, of this host's load and of the
+// use by accounts. It is encoded as a map, so that hosts of earlier versions ignore it and later
+// ones can add fields.
 type Report struct {
 	Host record.HostID `cbor:"1,keyasint"`
 	// PassOn asks the receiver to relay the report.
@@ -22,8 +23,9 @@
 	Crashes     []Crash              `cbor:"3,keyasint,omitempty"`
 	Quarantines []Quarantine         `cbor:"4,keyasint,omitempty"`
 	Lifted      []quarantine.Subject `cbor:"5,keyasint,omitempty"`
-	// Key 6 is left free for the load of hosts.
-	Use []ServiceUse `cbor:"7,keyasint,omitempty"`
+	// Load is the load of the sender, which full hosts send.
+	Load *HostLoad    `cbor:"6,keyasint,omitempty"`
+	Use  []ServiceUse `cbor:"7,keyasint,omitempty"`
 }
 
 // ServiceUse is what the accounts have used of a service by the requests of one host, in millionths
@@ -175,6 +177,9 @@
 	if len(r.Quarantines) > 0 || len(r.Lifted) > 0 {
 		return g.opt.Peers()
 	}
+	if r.Load != nil {
+		return g.loadTargets(r.Host)
+	}
 	return roster.CrashCollectors(g.opt.Self, g.opt.Peers(), g.opt.Alive())
 }
 
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"time"
 
@@ -41,8 +42,9 @@
 	defer cancel(nil)
 	// Only a request that may run again is cancelled, for a retry elsewhere.
 	mayRepeat := c.route.Repeatable() && c.runs+1 < c.route.Attempts
-	lease.OnStall(c.stallAfter(lease), func() {
-		lease.NotReached()
+	stallAfter := c.stallAfter(lease)
+	lease.OnStall(stallAfter, func() {
+		lease.Overdue(stallAfter)
 		// The path has probably lost the state of the other idle connections too.
 		lease.Conns.CloseIdle()
 		if mayRepeat {
@@ -119,7 +121,7 @@
 	}
 	began := time.Now()
 	resp, err := lease.Conns.Send(ctx, out)
-	c.recordReach(ctx, lease, err)
+	c.recordReach(ctx, lease, err, time.Since(began))
 	result := c.receive(ctx, resp, err, lease)
 	c.r.logFor(result != resultAnswered).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID, "version", lease.Upstream.Version, "after_event", c.lastEventID,
 		"delay", lease.Delay, "wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "held", lease.Held, "slowness", round2(lease.Slowness), "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
@@ -130,13 +132,16 @@
 func round2(f float64) float64 { return math.Round(f*100) / 100 }
 
 // recordReach records whether the upstream was within reach. err is the error of the attempt
-// before the head of the answer, if any.
-func (c *call) recordReach(ctx context.Context, lease *balancer.Lease, err error) {
+// before the head of the answer, if any, and took the time until then.
+func (c *call) recordReach(ctx context.Context, lease *balancer.Lease, err error, took time.Duration) {
+	var timeout net.Error
 	switch {
 	case err == nil:
 		lease.Reached()
 	case ctx.Err() != nil || errors.Is(err, exchange.ErrTooNew):
 		// It has not been tried, or not for long enough.
+	case errors.As(err, &timeout) && timeout.Timeout() && !lease.TimeoutProves(took):
+		// This host may have been too slow to see the answer.
 	default:
 		lease.NotReached()
 		if errors.Is(err, exchange.ErrNotSent) {
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -34,6 +34,7 @@
 
 func (h *Host) build() {
 	p := h.opt.Protocol
+	h.buildLoad()
 	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self), started: h.tellNotices,
 		lowestBuild: metrics.GetOrRegisterGauge("hosts.lowest_build", h.opt.Metrics)}
 	metrics.GetOrRegisterGauge("hosts.own_build", h.opt.Metrics).Update(int64(h.self.Build.Level))
@@ -54,6 +55,7 @@
 		Metrics:       h.opt.Metrics,
 		Broadcast:     func(e gossip.Event) { h.gossip.Broadcast(e) },
 		Reach:         h.reach,
+		Late:          h.load.Late,
 		Crashed:       func(up quarantine.Upstream, s []corequarantine.Suspect) { h.quarantines.Crashed(up, s) },
 		Answered:      func(service string, s []corequarantine.Subject) { h.quarantines.CountAnswer(service, s) },
 	})
@@ -83,6 +85,7 @@
 		Fleet:    func() allocation.Fleet { return h.hosts.fleet(h.hostsPause()) },
 		Spacing:  h.claimSpacing,
 		Borrower: lending.NewClient(h.peerClient(), h.hosts.others, h.opt.Logger),
+		Late:     h.load.Late,
 		Policy:   escrow.DefaultPolicy(),
 		Logger:   h.opt.Logger,
 		Metrics:  h.opt.Metrics,
@@ -107,7 +110,7 @@
 		Forward: relay.ForwardOptions{Self: h.self, Hosts: h.hosts.others, Dial: h.opt.Network.Dialer(peerSockets)}, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
-		func(err error) { h.log.Error(err, "Serving callers failed.") })
+		func(err error) { h.log.Error(err, "Serving callers failed.") }, callerserver.WithDoor(h.load), callerserver.WithListen(h.listenCallers))
 }
 
 // peerHandler returns the handler of other hosts' calls.
