Test that requests without news leave the counts; skip ranks without arrivals

Requests of dead hosts took places and memory for ever, which mattered little while they were only a preference. The test fails if Pool.expire does nothing.

--- a/core/balance/memory_test.go
+++ b/core/balance/memory_test.go
@@ -56,3 +56,25 @@
 	_, ok = fresh.Choose(&Query{Work: large}, now)
 	require.True(t, ok)
 }
+
+// The requests of hosts that have died, and those whose end was not heard of, don't take room for
+// ever. Those of this host, and of others that serve, stay.
+func TestRequestsWithoutNewsLeaveTheCount(t *testing.T) {
+	p := newTestPool(1)
+	p.SetSharers("self", []string{"self", "alive", "dead"})
+	for _, host := range []string{"self", "alive", "dead"} {
+		p.Begin(AttemptID{Host: host, Run: 1, Seq: 1}, "e0", promptOf(1, 25_000), 0, start)
+	}
+	held := func(after time.Duration) int64 {
+		now := start.Add(after)
+		p.expire(now)
+		return p.upstreams["e0"].tokens
+	}
+	one := held(10*time.Second) / 3
+	require.Positive(t, one)
+	p.SetSharers("self", []string{"self", "alive"})
+	require.Equal(t, 2*one, held(12*time.Second))
+	require.Equal(t, 2*one, held(50*time.Second))
+	require.Equal(t, one, held(2*time.Minute))
+	require.Empty(t, p.requests["dead"])
+}
--- a/core/balance/mixed.go
+++ b/core/balance/mixed.go
@@ -28,5 +28,8 @@
 
 // rateAt returns the rate at which requests of the rank arrive, in requests a second.
 func (r *rankQueue) rateAt(now time.Time) float64 {
+	if r.arrived == 0 {
+		return 0
+	}
 	return r.arrived * decay(now.Sub(r.loadUpdatedAt), loadWindow) / loadWindow.Seconds()
 }
