--- a/core/admission/shedding_test.go
+++ b/core/admission/shedding_test.go
@@ -54,3 +54,22 @@
 	require.Equal(t, defaultRetryAfter, RetryAfterOutage(0, 0.5))
 	require.Equal(t, minRetryAfter, RetryAfterOutage(time.Millisecond, 0.5))
 }
+
+// A request whose objective is for its whole answer may wait as long as the answer is in time,
+// less urgent ones a little less; it is shed if the answer would be late.
+func TestWholeAnswersMayWaitUntilTheyWouldBeLate(t *testing.T) {
+	a := Arrival{Objective: 300 * time.Millisecond, Remaining: 800 * time.Millisecond, Whole: true, Read: 60 * time.Millisecond}
+	shed := func(rank int, wait time.Duration) bool {
+		a.Rank, a.Wait = rank, wait
+		shed, _ := ShouldShed(a, 0)
+		return shed
+	}
+	require.False(t, shed(0, 239*time.Millisecond))
+	require.True(t, shed(0, 241*time.Millisecond))
+	require.False(t, shed(2, 179*time.Millisecond))
+	require.True(t, shed(2, 181*time.Millisecond))
+	a.Read = 400 * time.Millisecond
+	require.False(t, shed(0, 50*time.Millisecond), "slow work is not a reason by itself")
+	a.Read = 900 * time.Millisecond
+	require.True(t, shed(0, 0), "it can't end before the caller leaves")
+}
