Hold retries of an account beyond its share to the shorter wait

Cause (review): a retry may wait for a quarter of its remaining time, which was applied after the share's factor, so the retries of a heavy account escaped its share.

Result: TestRetriesOfAnAccountBeyondItsShareWaitShorter fails without it (reviewer's run) and passes.

--- a/core/admission/shedding.go
+++ b/core/admission/shedding.go
@@ -121,13 +121,13 @@
 	if a.Retried {
 		share += retriedShare
 	}
-	if a.ShareFactor > 0 {
-		share *= a.ShareFactor
-	}
 	limit := time.Duration(share * float64(a.Objective))
 	if a.Retried {
 		limit = max(limit, time.Duration(retriedWaitShare*float64(a.Remaining)))
 	}
+	if a.ShareFactor > 0 {
+		limit = time.Duration(a.ShareFactor * float64(limit))
+	}
 	return a.Delay+a.Wait <= limit
 }
 
--- a/core/admission/shedding_test.go
+++ b/core/admission/shedding_test.go
@@ -7,6 +7,16 @@
 	"github.com/stretchr/testify/require"
 )
 
+// The retries of an account that has used more than its share keep to the shorter wait too.
+func TestRetriesOfAnAccountBeyondItsShareWaitShorter(t *testing.T) {
+	a := Arrival{Objective: 600 * time.Millisecond, Remaining: 4 * time.Second, Retried: true, Wait: 300 * time.Millisecond, ShareFactor: 0.2}
+	shed, _ := ShouldShed(a, 0)
+	require.True(t, shed)
+	a.ShareFactor = 0
+	shed, _ = ShouldShed(a, 0)
+	require.False(t, shed)
+}
+
 func TestRequestsThatMissTheirObjectiveAreShed(t *testing.T) {
 	const objective, remaining = 600 * time.Millisecond, 6 * time.Second
 	idle := Arrival{Objective: objective, Remaining: remaining, Read: 50 * time.Millisecond, Generate: 200 * time.Millisecond}
