Take no notes for whole beside builds without them; write failed notes at a bounded rate

Cause (review, and the survey of builds): notes no software versions and only after they serve, so beside them the notes can lack a version that has served. While the log refuses writes, each stream that waits for a note caused another write.

Change: while a host of build level 0 is listed, and for a minute after, notes don't count as whole; the notes are marked, so that hosts that start then know. After a failed write the next one waits.

--- a/fleet/origins/histories_test.go
+++ b/fleet/origins/histories_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelworks/hazelworks/core/admission"
+	"github.com/hazelworks/hazelworks/core/build"
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/origin"
 	"github.com/hazelworks/hazelworks/core/record"
@@ -102,6 +103,7 @@
 	host.Keeper = New(Options{
 		Self: self, Peers: others, Alive: others, Log: host.link, Stream: notesStream, Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
 		ReadInterval: func() time.Duration { return 1400 * time.Millisecond },
+		LowestBuild:  func() (build.Level, bool) { return build.Stated, true },
 		Ask: func(_ context.Context, to roster.Host, q Query) (Answer, error) {
 			for _, o := range h.running(host) {
 				if o.opt.Self.ID == to.ID {
--- a/fleet/origins/keeper.go
+++ b/fleet/origins/keeper.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/hazelworks/hazelworks/core/build"
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/origin"
 	"github.com/hazelworks/hazelworks/core/platform"
@@ -41,6 +42,9 @@
 	SendTo    func(roster.Host, []gossip.Event)
 	// ReadInterval returns the longest usual time between two reads of the list of upstreams.
 	ReadInterval func() time.Duration
+	// LowestBuild returns the lowest build level of all listed hosts, or false if the list of hosts
+	// has not been read yet. It is called often.
+	LowestBuild func() (build.Level, bool)
 	// Log is the platform's log, and Stream the stream of the versions that services have.
 	Log     platform.KeyedLog
 	Stream  string
@@ -84,6 +88,12 @@
 	// knew all versions then.
 	rewoundAt time.Time
 	vouches   bool
+	// buildsKnownAt is when the builds of the listed hosts were first known, earlierAt when a host
+	// of an earlier build was last seen among them.
+	buildsKnownAt time.Time
+	earlierAt     time.Time
+	// appliedWhole is what the histories were last told of the notes as a whole.
+	appliedWhole bool
 	// noted are the versions in the notes.
 	noted atomic.Pointer[map[origin.Version]bool]
 	// texts has the text of each version.
@@ -191,6 +201,7 @@
 func (k *Keeper) ListRead() {
 	k.mu.Lock()
 	now := time.Now()
+	k.observeBuilds(now)
 	if !k.readAt.IsZero() && now.Sub(k.readAt) > k.maxAge() {
 		k.watchedSince = now
 		for _, h := range k.histories {
--- a/fleet/origins/notes.go
+++ b/fleet/origins/notes.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/build"
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/origin"
 	"github.com/hazelworks/hazelworks/core/platform"
@@ -23,6 +24,9 @@
 	// Era is the latest era of the log in which the writer knew that no note is missing. Notes
 	// of earlier builds have none.
 	Era platform.Era `json:"era,omitempty"`
+	// Earlier is true if hosts of a build that writes no notes before it serves were listed in
+	// the [origin.Lifetime] before. Notes of versions may then be missing.
+	Earlier bool `json:"earlier,omitempty"`
 }
 
 // key returns the key of the note's record.
@@ -134,6 +138,7 @@
 
 // notesChanged passes the notes on to the histories and to whoever waits. The caller holds mu.
 func (k *Keeper) notesChanged() {
+	k.appliedWhole = k.whole()
 	noted := make(map[origin.Version]bool, len(k.notes))
 	for _, n := range k.notes {
 		noted[n.version()] = true
@@ -161,18 +166,54 @@
 }
 
 // whole reports whether the log has a note of each version that has served: a host has stated
-// so in the era of the log, or the log has never come back from an older copy. The caller holds
-// mu.
+// so in the era of the log, or the log has never come back from an older copy; and no host of a
+// build that begins streams without notes was listed in the last [origin.Lifetime], as far as this
+// host and the notes tell. The caller holds mu.
 func (k *Keeper) whole() bool {
-	if k.notesEra == firstEra {
-		return true
+	if k.buildsKnownAt.IsZero() || k.earlierListed(time.Now()) {
+		return false
 	}
+	stated := k.notesEra == firstEra
 	for _, n := range k.notes {
-		if n.Era == k.notesEra {
-			return true
+		if n.Earlier {
+			return false
 		}
+		stated = stated || n.Era == k.notesEra
+	}
+	return stated
+}
+
+// observeBuilds records whether hosts of earlier builds are listed. The caller holds mu.
+func (k *Keeper) observeBuilds(now time.Time) {
+	lowest, known := k.opt.LowestBuild()
+	if !known {
+		return
+	}
+	if k.buildsKnownAt.IsZero() {
+		k.buildsKnownAt = now
+	}
+	if lowest < build.Stated {
+		k.earlierAt = now
+	}
+	if whole := k.whole(); whole != k.appliedWhole {
+		k.notesChanged()
+	}
+}
+
+// earlierListed reports whether this host has seen hosts of earlier builds in the list in the last
+// [origin.Lifetime]. The caller holds mu.
+func (k *Keeper) earlierListed(now time.Time) bool {
+	return !k.earlierAt.IsZero() && now.Sub(k.earlierAt) < origin.Lifetime
+}
+
+// marksEarlier returns what a note has to state in place of [note.Earlier]. Only a host that has
+// watched the lists for [origin.Lifetime] takes it back. The caller holds mu.
+func (k *Keeper) marksEarlier(n note, now time.Time) bool {
+	if k.earlierListed(now) {
+		return true
 	}
-	return false
+	watched := func(since time.Time) bool { return !since.IsZero() && now.Sub(since) >= origin.Lifetime }
+	return n.Earlier && !(watched(k.buildsKnownAt) && watched(k.watchedSince))
 }
 
 // knows reports whether this host knows all versions that can have begun a stream. The caller
@@ -279,6 +320,7 @@
 	timer := time.NewTimer(delay())
 	defer timer.Stop()
 	at := time.Now().Add(noteInterval)
+	now := k.now // nil after a failed call, until the next one is due
 	for {
 		select {
 		case <-ctx.Done():
@@ -289,13 +331,14 @@
 				timer.Reset(d)
 			}
 			continue
-		case <-k.now:
+		case <-now:
 		case <-timer.C:
 		}
 		next := delay()
+		now = k.now
 		if err := k.compare(ctx); err != nil && ctx.Err() == nil {
 			k.log.Info("Software versions could not be noted.", "error", err.Error())
-			next = noteRetryDelay + rand.N(noteRetryDelay)
+			now, next = nil, noteRetryDelay+rand.N(noteRetryDelay)
 		}
 		at = time.Now().Add(next)
 		timer.Reset(next)
@@ -305,6 +348,7 @@
 // compare reads the notes again if they may be too old, and writes those that are missing.
 func (k *Keeper) compare(ctx context.Context) error {
 	k.mu.Lock()
+	k.observeBuilds(time.Now())
 	stale := k.notedAt.IsZero() || k.notedAt.Before(k.watchedSince) || k.notesEra < k.opt.Log.Era()
 	k.mu.Unlock()
 	if stale {
@@ -365,10 +409,12 @@
 	for v, n := range k.texts {
 		noted := k.Noted()[v]
 		restate := era > 0 && stated[v] && k.notes[n.key()].Era < era && k.restates(v)
-		if (!wanted[v] || noted) && !restate {
+		earlier := k.marksEarlier(k.notes[n.key()], now)
+		remark := fresh && noted && earlier != k.notes[n.key()].Earlier && k.restates(v)
+		if (!wanted[v] || noted) && !restate && !remark {
 			continue
 		}
-		n.Era = max(era, k.notes[n.key()].Era)
+		n.Era, n.Earlier = max(era, k.notes[n.key()].Era), earlier
 		if value, err := json.Marshal(n); err == nil {
 			out = append(out, platform.KeyedRecord{Key: n.key(), Value: value})
 		}
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -73,6 +73,7 @@
 		Broadcast:    func(e gossip.Event) { h.gossip.Broadcast(e) },
 		SendTo:       func(to roster.Host, e []gossip.Event) { h.gossip.SendTo(to, e) },
 		ReadInterval: func() time.Duration { return followWait + h.scaledPause(listPause, maxListPause) },
+		LowestBuild:  h.hosts.lowestLevel,
 		Log:          h.opt.Log, Stream: p.VersionStream, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, changed: h.setTable, log: h.opt.Logger.WithName("table")}
--- a/fleet/relayhost/builds.go
+++ b/fleet/relayhost/builds.go
@@ -42,6 +42,13 @@
 	h.lowest, h.lowestKnown = lowest.Build, true
 }
 
+// lowestLevel returns the fleet's lowest build level, or false if the list has not been read yet.
+func (h *hostWatch) lowestLevel() (build.Level, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lowest.Level, h.lowestKnown
+}
+
 // list returns all hosts, ordered by ID.
 func (h *hostWatch) list(now time.Time) HostList {
 	h.mu.Lock()
