--- a/fleet/shares/keeper.go
+++ b/fleet/shares/keeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -94,6 +95,7 @@
 	}
 	k.shorter.Inc(1)
 	if now.Sub(s.loggedAt[id]) >= logInterval {
+		maps.DeleteFunc(s.loggedAt, func(_ shares.AccountID, at time.Time) bool { return now.Sub(at) >= logInterval })
 		s.loggedAt[id] = now
 		k.log.Info("Account has used more than its share.", "account", account, "service", serviceName, "shares", standing.Used,
 			"factor", standing.Factor, "accounts", standing.Accounts, "wait", wait)
