--- a/core/balance/speed.go
+++ b/core/balance/speed.go
@@ -87,6 +87,12 @@
 	return (slownessPrior + factor*s.took) / (slownessPrior + factor*s.expected)
 }
 
+// known returns how much of the learned part is from answers, from 0 to 1.
+func (s *speed) known(now time.Time) float64 {
+	answers := s.expected * decay(now.Sub(s.updatedAt), slownessTime)
+	return answers / (answers + 1)
+}
+
 // mean returns the slowness without what is stated of the moment.
 func (s *speed) mean(now time.Time) float64 {
 	if s.statedAt.IsZero() {
@@ -131,7 +137,10 @@
 		}
 		p.meanSlowness, p.meanSlownessAt = sum/float64(len(p.ordered)), now
 	}
-	return min(max(significant(u.speed.present(now)*u.speed.momentary(now)/p.meanSlowness), minSlowness), maxSlowness)
+	factor := u.speed.present(now) * u.speed.momentary(now) / p.meanSlowness
+	// An upstream that has hardly answered counts as the mean, not as the prior.
+	known := u.speed.known(now)
+	return min(max(significant(1+known*(factor-1)), minSlowness), maxSlowness)
 }
 
 // insignificantSlowness is how far the slowness of an upstream may be from that of its service, as
