Take a connection each second at a full host; keep counting requests of hosts that live

Cause (review of the merged code): requests on open connections could keep a full host from taking any new connection for as long as they came. Requests of a living host with under two requests a second were dropped from the counts after 5 s, so that memory and places were overbooked. A server that shuts down turned callers away that had connected. Each waiting request looked at all upstreams every 5 ms. The number of places was learned without the requests that only a statement shows.

Change: after a second without a new connection the door takes one; requests are dropped early only if their host was not heard of either; no door in a shutdown; all that wait look a thousand times a second together; the number of places counts what it is compared with.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -48,6 +48,8 @@
 	usualSpeeds bool
 	// expiredAt is when requests without news were last dropped.
 	expiredAt time.Time
+	// heardAt is when other hosts last told which of their requests run.
+	heardAt map[string]time.Time
 	// meanSlowness is the mean over all upstreams as of meanSlownessAt.
 	meanSlowness   float64
 	meanSlownessAt time.Time
@@ -97,7 +99,7 @@
 // plain services.
 func NewPool(domain string, engine routes.Engine, rng *rand.Rand) *Pool {
 	return &Pool{domain: domain, rng: rng, engine: engine, upstreams: make(map[string]*upstreamState),
-		requests: make(map[string]map[AttemptID]string), latencyFactor: 1, eventInterval: stepTime}
+		requests: make(map[string]map[AttemptID]string), heardAt: make(map[string]time.Time), latencyFactor: 1, eventInterval: stepTime}
 }
 
 // Sync replaces the set of upstreams. An upstream that has restarted loses its state.
--- a/core/balance/memory_test.go
+++ b/core/balance/memory_test.go
@@ -78,3 +78,19 @@
 	require.Equal(t, one, held(2*time.Minute))
 	require.Empty(t, p.requests["dead"])
 }
+
+// A host that serves too few requests to share in anything keeps what it runs in the count while it is
+// heard of, and loses it once it is not.
+func TestRequestsOfAQuietHostStayInTheCount(t *testing.T) {
+	p := newTestPool(1)
+	p.SetSharers("self", []string{"self"})
+	p.Begin(AttemptID{Host: "quiet", Run: 1, Seq: 1}, "e0", promptOf(1, 25_000), 0, start)
+	for ms := 500; ms <= 20_000; ms += 500 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		p.DropEnded("quiet", 1, 1, now)
+		p.expire(now)
+		require.Positive(t, p.upstreams["e0"].tokens, "after %d ms", ms)
+	}
+	p.expire(start.Add(26 * time.Second))
+	require.Zero(t, p.upstreams["e0"].tokens)
+}
--- a/core/balance/plain.go
+++ b/core/balance/plain.go
@@ -49,14 +49,14 @@
 
 // reject records that an upstream with n requests has rejected another. It is assumed to take as
 // many as it runs at once.
-func (p *places) reject(n, slots int, now time.Time) {
-	if n < slots {
+func (p *places) reject(n float64, slots int, now time.Time) {
+	if n < float64(slots) {
 		return
 	}
 	if p.taken == 0 {
-		p.taken = float64(n)
+		p.taken = n
 	}
-	p.taken, p.takenAt = p.now(now)+placesWeight*(float64(n)-p.taken), now
+	p.taken, p.takenAt = p.now(now)+placesWeight*(n-p.taken), now
 }
 
 // full reports whether an upstream with n requests would probably reject another.
--- a/core/balance/running.go
+++ b/core/balance/running.go
@@ -97,7 +97,7 @@
 	case r.work == nil && o == Succeeded:
 		p.observePlain(u, r, now)
 	case r.work == nil && o == Refused:
-		u.places.reject(len(u.running)-1, u.up.Slots, now)
+		u.places.reject(u.atUpstream(now)-1, u.up.Slots, now)
 	}
 	if o == Refused {
 		u.brittle.reject(len(u.running)-1, u.up.Slots, now)
@@ -118,6 +118,9 @@
 // DropEnded drops requests of a host that have ended: those of the given run with a sequence
 // number below oldest, and those of other runs.
 func (p *Pool) DropEnded(host string, run, oldest uint64, now time.Time) {
+	if len(p.requests[host]) > 0 {
+		p.heardAt[host] = now
+	}
 	for t, id := range p.requests[host] {
 		if t.Run == run && t.Seq >= oldest {
 			continue
@@ -130,8 +133,9 @@
 const (
 	// expireInterval is the time between two looks for requests without news.
 	expireInterval = time.Second
-	// lostHostAge is the age from which the requests of a host that does not serve any more are
-	// dropped, and maxForeignAge that for all other hosts: the message of the end may be lost.
+	// lostHostAge is the age from which the requests of a host are dropped that serves few requests
+	// and has not been heard of for as long, and maxForeignAge that for all other hosts: the message
+	// of the end may be lost.
 	lostHostAge   = 5 * time.Second
 	maxForeignAge = time.Minute
 )
@@ -148,7 +152,7 @@
 			continue
 		}
 		limit := maxForeignAge
-		if !slices.Contains(p.sharers, host) {
+		if !slices.Contains(p.sharers, host) && now.Sub(p.heardAt[host]) > lostHostAge {
 			limit = lostHostAge
 		}
 		for t, id := range attempts {
@@ -156,6 +160,9 @@
 				p.remove(u, t, u.running[t], now)
 			}
 		}
+		if len(attempts) == 0 {
+			delete(p.heardAt, host)
+		}
 	}
 }
 
--- a/core/hostload/door.go
+++ b/core/hostload/door.go
@@ -25,6 +25,9 @@
 	// maxDebtTime bounds how long a full host takes no new connection because of requests on
 	// those that are open. Callers must not take it for lost.
 	maxDebtTime = 300 * time.Millisecond
+	// maxTurning is how long a full host at most takes no new connection, however many requests come
+	// on those that are open.
+	maxTurning = time.Second
 	// minClosed is the least time for which no connection is taken.
 	minClosed = 20 * time.Millisecond
 )
@@ -83,13 +86,15 @@
 	at      time.Time
 	rate    float64
 	limited bool
+	// takenAt is when a new connection was last taken, or the limit began.
+	takenAt time.Time
 }
 
 // SetRate sets the requests per second to take. If not limited, all callers are taken.
 func (d *Door) SetRate(perSecond float64, limited bool, now time.Time) {
 	d.refill(now)
 	if limited && !d.limited {
-		d.tokens = perSecond * burstTime.Seconds()
+		d.tokens, d.takenAt = perSecond*burstTime.Seconds(), now
 	}
 	d.rate, d.limited = perSecond, limited
 }
@@ -118,20 +123,25 @@
 		return true
 	}
 	d.refill(now)
-	if d.tokens < 0 {
+	if d.tokens < 0 && !d.mustTake(now) {
 		return false
 	}
-	d.tokens--
+	d.tokens = max(d.tokens-1, -d.rate*maxDebtTime.Seconds()-1)
+	d.takenAt = now
 	return true
 }
 
+// mustTake reports whether no new connection was taken for so long that callers would take the host
+// for lost.
+func (d *Door) mustTake(now time.Time) bool { return now.Sub(d.takenAt) >= maxTurning }
+
 // ClosedFor returns the time for which no new connection is taken.
 func (d *Door) ClosedFor(now time.Time) time.Duration {
 	if !d.limited {
 		return 0
 	}
 	d.refill(now)
-	if d.tokens >= 0 {
+	if d.tokens >= 0 || d.mustTake(now) {
 		return 0
 	}
 	return max(minClosed, time.Duration((1-d.tokens)/d.rate*float64(time.Second)))
--- a/core/hostload/hostload_test.go
+++ b/core/hostload/hostload_test.go
@@ -158,3 +158,19 @@
 	}
 	require.False(t, m.Late(at(5500), 300*time.Millisecond))
 }
+
+// Callers on open connections send more than a full host takes. New connections are taken all the same
+// now and then: callers must not take the host for lost.
+func TestFullHostTakesNewConnectionsBesideOpenOnes(t *testing.T) {
+	var d Door
+	d.SetRate(20, true, start)
+	last, longest := start, time.Duration(0)
+	for ms := 0; ms < 10_000; ms += 25 { // 40 requests per second
+		d.Request(at(ms))
+		if d.ClosedFor(at(ms)) == 0 && d.Connect(at(ms)) {
+			last = at(ms)
+		}
+		longest = max(longest, at(ms).Sub(last))
+	}
+	require.LessOrEqual(t, longest, 1100*time.Millisecond)
+}
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -122,6 +123,8 @@
 	members []string
 	emptied []string
 	closed  bool
+	// awaiting is the number of requests in [Balancer.AwaitRoom].
+	awaiting atomic.Int64
 }
 
 // service is the state of one service.
@@ -454,11 +457,14 @@
 // returns when it has waited long enough or would wait in vain, or when ctx ends.
 func (b *Balancer) AwaitRoom(ctx context.Context, service string, q *balance.Query, limit time.Duration) {
 	end := time.Now().Add(limit)
+	b.awaiting.Add(1)
+	defer b.awaiting.Add(-1)
 	for ctx.Err() == nil {
 		delay, full := b.roomDelay(service, q)
 		if !full || !time.Now().Add(delay).Before(end) {
 			return
 		}
-		time.Sleep(max(roomPollInterval, delay))
+		// All that wait look at the upstreams, at most a thousand times a second together.
+		time.Sleep(max(roomPollInterval, delay, time.Duration(b.awaiting.Load())*time.Millisecond))
 	}
 }
--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -102,7 +102,7 @@
 			return nil
 		}
 		c, err := l.Accept()
-		if err == nil && !s.door.Connect() {
+		if err == nil && !s.door.Connect() && !s.isClosed() {
 			_ = c.Close() // unread: the caller may repeat its request at another host
 			continue
 		}
--- a/fleet/callerserver/door.go
+++ b/fleet/callerserver/door.go
@@ -83,8 +83,8 @@
 // or nil if the server has been closed meanwhile or the listener can't be opened again.
 func (s *Server) awaitDoor(l net.Listener) net.Listener {
 	d := min(maxClosed, s.door.ClosedFor())
-	if d <= 0 || s.listen == nil {
-		return l
+	if d <= 0 || s.listen == nil || s.isClosed() {
+		return l // a server that shuts down answers the callers that have connected
 	}
 	_ = l.Close()
 	time.Sleep(d)
