--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -17,7 +17,10 @@
 
 // Options configure a [Meter].
 type Options struct {
-	Limits hostload.Limits
+	// TurnAway is true if the host turns callers away that it can't carry. Otherwise it only
+	// measures its load.
+	TurnAway bool
+	Limits   hostload.Limits
 	// Processor returns the processor time that the process has used, Memory its memory in
 	// bytes. They may be nil: then that is not known.
 	Processor func() time.Duration
@@ -104,10 +107,10 @@
 	m.mu.Lock()
 	s.Connect, s.Probe = m.connects.shortest(now, false), m.connects.shortest(now, true)
 	before := m.monitor.Level()
-	_, wasLimited := m.monitor.Bearable()
+	_, wasLimited := m.taken()
 	changed := m.monitor.Add(s)
 	level, use := m.monitor.Level(), m.monitor.Use()
-	bearable, limited := m.monitor.Bearable()
+	bearable, limited := m.taken()
 	m.door.SetRate(bearable, limited, now)
 	turnedAway := m.turnedAway
 	tell := limited != wasLimited || limited && now.Sub(m.toldAt) >= tellInterval
@@ -125,6 +128,13 @@
 	}
 }
 
+// taken returns the requests per second that the host takes, and false if it takes all. The caller
+// holds mu.
+func (m *Meter) taken() (perSecond float64, limited bool) {
+	perSecond, limited = m.monitor.Bearable()
+	return perSecond, limited && m.opt.TurnAway
+}
+
 // tellInterval is the time between two reports of a full host.
 const tellInterval = 500 * time.Millisecond
 
--- a/fleet/relayhost/config.go
+++ b/fleet/relayhost/config.go
@@ -23,6 +23,9 @@
 	// AccountShares is true if accounts compete for too little room at times, and each is to
 	// get its share then.
 	AccountShares bool
+	// TurnCallersAway is true if hosts that are full turn callers away, who then go to other
+	// hosts.
+	TurnCallersAway bool
 }
 
 // Listen holds the addresses that the process listens on.
--- a/fleet/relayhost/load.go
+++ b/fleet/relayhost/load.go
@@ -15,6 +15,7 @@
 func (h *Host) buildLoad() {
 	l := h.cfg.Limits
 	h.load = hostmeter.New(hostmeter.Options{
+		TurnAway:  h.cfg.TurnCallersAway,
 		Limits:    hostload.Limits{Cores: l.Cores, LinkBits: l.LinkBits, MemoryBytes: l.MemoryBytes},
 		Processor: h.opt.Processor, Memory: h.opt.Memory, Changed: h.loadChanged,
 		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
