--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -144,7 +144,7 @@
 
 // New returns a balancer without upstreams.
 func New(opt Options) *Balancer {
-	b := &Balancer{
+	return &Balancer{
 		opt:      opt,
 		log:      opt.Logger.WithName("balancer"),
 		opened:   metrics.GetOrRegisterCounter("upstream_connections_opened", opt.Metrics),
@@ -154,8 +154,6 @@
 		running:  make(map[uint64]struct{}),
 		detector: quarantine.NewDetector(opt.Logger, opt.Metrics, opt.Reach, opt.Crashed),
 	}
-	b.detector.SetAddresses(b.addresses)
-	return b
 }
 
 // SetTable applies the services of the configuration in force.
--- a/fleet/balancer/crashes.go
+++ b/fleet/balancer/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 
 	corequarantine "github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
@@ -31,15 +30,12 @@
 	})
 }
 
-// listState returns the state of an upstream in the list.
-func (b *Balancer) listState(up quarantine.Upstream) quarantine.State {
+// listState returns the state of the upstream with a hash.
+func (b *Balancer) listState(hash uint64) quarantine.State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c, ok := b.byHash[uint32(up.Hash)]
+	c, ok := b.byHash[uint32(hash)]
 	if !ok {
-		if _, again := b.conns[up.ID]; again {
-			return quarantine.Restarted
-		}
 		return quarantine.Unlisted
 	}
 	if s, ok := b.services[c.up.Service]; ok && s.pool.Leaving(c.up) {
@@ -47,16 +43,3 @@
 	}
 	return quarantine.Listed
 }
-
-// addresses returns the addresses of the upstreams of a service.
-func (b *Balancer) addresses(service string) []netip.AddrPort {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []netip.AddrPort
-	for _, up := range b.upstreams {
-		if up.Service == service && up.Addr.IsValid() {
-			out = append(out, up.Addr)
-		}
-	}
-	return out
-}
--- a/fleet/quarantine/detector.go
+++ b/fleet/quarantine/detector.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -52,15 +49,8 @@
 	// reach is nil if this host's own view has to do.
 	reach Reach
 
-	// addresses returns the addresses of the upstreams of a service. It may be nil.
-	addresses func(service string) []netip.AddrPort
-
 	mu     sync.Mutex
 	broken map[uint64]*brokenRequests
-	// reported has the crashes that were reported, by the upstream's address.
-	reported map[netip.AddrPort]time.Time
-	// manyAt is when many upstreams of a service refused connections at once.
-	manyAt map[string]time.Time
 }
 
 // brokenRequests are requests whose connections an upstream has closed while it began to run
@@ -77,18 +67,10 @@
 func NewDetector(log logr.Logger, registry metrics.Registry, reach Reach, crashed func(Upstream, []quarantine.Suspect)) *Detector {
 	return &Detector{
 		log: log.WithName("quarantine"), crashed: crashed, reach: reach, broken: make(map[uint64]*brokenRequests),
-		reported: make(map[netip.AddrPort]time.Time), manyAt: make(map[string]time.Time),
 		crashes: metrics.GetOrRegisterCounter("upstream_crashes", registry),
 	}
 }
 
-// SetAddresses sets the function that returns the addresses of the upstreams of a service, so
-// that trouble of most of them is told from the crash of one. It must be called before the
-// detector is used.
-func (d *Detector) SetAddresses(addresses func(service string) []netip.AddrPort) {
-	d.addresses = addresses
-}
-
 // BrokenOff records that an upstream has closed the connection while it began to run a request.
 // connect opens a connection to the upstream; an error that wraps [syscall.ECONNREFUSED] shows
 // that it has crashed.
@@ -119,10 +101,6 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		switch d.othersWord(b) {
 		case wordEnded:
-			if d.manyRefuse(b) {
-				d.log.Info("Many upstreams refuse connections at once.", "upstream", b.upstream.ID, "service", b.upstream.Service, "requests", b.requests)
-				return // the list will tell
-			}
 			if d.take(b) {
 				d.report(b, err.Error())
 			}
@@ -159,64 +137,6 @@
 	return wordNone
 }
 
-// Bounds of the trouble that is not put down to one request.
-const (
-	// sampledUpstreams is the number of other upstreams of the service to which connections are
-	// opened.
-	sampledUpstreams = 8
-	// manyRefusing is the least number of them that refuse connections if they were cut off, or
-	// lost power, together. Those whose crash this host has reported don't count, as a request
-	// may crash one after the other.
-	manyRefusing = 3
-	// manyTime is how long after such a moment the list has to tell of each crash.
-	manyTime = 5 * time.Second
-)
-
-// manyRefuse reports whether most upstreams of a service refuse connections, and not only the
-// one that has broken off requests. A request crashes one upstream at a time.
-func (d *Detector) manyRefuse(b *brokenRequests) bool {
-	if d.reach == nil || d.addresses == nil {
-		return false
-	}
-	d.mu.Lock()
-	known := time.Since(d.manyAt[b.upstream.Service]) < manyTime
-	d.mu.Unlock()
-	if known {
-		return true
-	}
-	others := slices.DeleteFunc(d.addresses(b.upstream.Service), func(a netip.AddrPort) bool {
-		return a == b.upstream.Addr || d.hasCrashed(a)
-	})
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), sampledUpstreams)]
-	states := make(chan reach.State, len(others))
-	for _, addr := range others {
-		go func() { states <- d.reach.Own(context.Background(), addr) }()
-	}
-	refuse := 0
-	for range others {
-		if <-states == reach.Refuses {
-			refuse++
-		}
-	}
-	if refuse < manyRefusing || 2*refuse < len(others) {
-		return false
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.manyAt[b.upstream.Service] = time.Now()
-	return true
-}
-
-// hasCrashed reports whether a crash of the upstream at an address was reported a short time ago.
-func (d *Detector) hasCrashed(addr netip.AddrPort) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	maps.DeleteFunc(d.reported, func(_ netip.AddrPort, at time.Time) bool { return time.Since(at) > confirmTime })
-	_, ok := d.reported[addr]
-	return ok
-}
-
 func (d *Detector) logCutOff(b *brokenRequests) {
 	d.log.Info("Upstream is cut off from this host, and accepts connections of others.", "upstream", b.upstream.ID, "requests", b.requests)
 }
@@ -241,31 +161,23 @@
 	// Leaving upstreams have announced that they will stop.
 	Leaving
 	Unlisted
-	// Restarted upstreams are listed with a later start.
-	Restarted
 )
 
 // ApplyList applies a change of the list of upstreams. It reports a crash of each upstream with
-// broken requests that is not listed any more, or was started again, and has not announced that.
-func (d *Detector) ApplyList(state func(Upstream) State) {
+// broken requests that is not listed any more and has not announced that.
+func (d *Detector) ApplyList(state func(hash uint64) State) {
 	d.mu.Lock()
-	var gone, restarted []*brokenRequests
+	var gone []*brokenRequests
 	for hash, b := range d.broken {
-		switch state(b.upstream) {
+		switch state(hash) {
 		case Leaving:
 			delete(d.broken, hash)
 		case Unlisted:
 			gone = append(gone, b)
 			delete(d.broken, hash)
-		case Restarted:
-			restarted = append(restarted, b)
-			delete(d.broken, hash)
 		}
 	}
 	d.mu.Unlock()
-	for _, b := range restarted {
-		d.report(b, "it has started again")
-	}
 	for _, b := range gone {
 		go d.checkUnlisted(b)
 	}
@@ -286,9 +198,6 @@
 
 func (d *Detector) report(b *brokenRequests, evidence string) {
 	d.crashes.Inc(1)
-	d.mu.Lock()
-	d.reported[b.upstream.Addr] = time.Now()
-	d.mu.Unlock()
 	subjects := make([]string, 0, len(b.suspects))
 	for _, s := range b.suspects {
 		subjects = append(subjects, s.Subject.String())
