Log once a second what a loaded host does

Change: line "Work of this host." while the level is busy or full, with the processor's share and counts since the line before; counters of loan calls, choices and their time.

No decision reads the counts.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -99,6 +99,8 @@
 	log    logr.Logger
 	opened metrics.Counter
 	limits metrics.Counter
+	// choices counts the choices of an upstream, choiceTime their time in microseconds.
+	choices, choiceTime metrics.Counter
 	// detector calls this balancer without holding its lock.
 	detector *quarantine.Detector
 
@@ -142,13 +144,23 @@
 	pool *exchange.Pool
 }
 
+// Names of the counters of choices and of the microseconds that they took.
+const (
+	CounterChoices    = "upstream_choices"
+	CounterChoiceTime = "upstream_choice_us"
+)
+
 // New returns a balancer without upstreams.
 func New(opt Options) *Balancer {
 	return &Balancer{
-		opt:      opt,
-		log:      opt.Logger.WithName("balancer"),
-		opened:   metrics.GetOrRegisterCounter("upstream_connections_opened", opt.Metrics),
-		limits:   metrics.GetOrRegisterCounter("upstream_limit_changes", opt.Metrics),
+		opt:    opt,
+		log:    opt.Logger.WithName("balancer"),
+		opened: metrics.GetOrRegisterCounter("upstream_connections_opened", opt.Metrics),
+		limits: metrics.GetOrRegisterCounter("upstream_limit_changes", opt.Metrics),
+
+		choices:    metrics.GetOrRegisterCounter(CounterChoices, opt.Metrics),
+		choiceTime: metrics.GetOrRegisterCounter(CounterChoiceTime, opt.Metrics),
+
 		services: make(map[string]*service),
 		conns:    make(map[string]*upstreamConns),
 		running:  make(map[uint64]struct{}),
@@ -322,6 +334,8 @@
 		return nil, ErrRetryBudget
 	}
 	choice, ok := s.pool.Choose(q, now)
+	b.choices.Inc(1)
+	b.choiceTime.Inc(time.Since(now).Microseconds())
 	if !ok {
 		return nil, s.noUpstream(q, now)
 	}
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -37,6 +37,9 @@
 	Digest []byte
 }
 
+// CounterReceived is the name of the counter of messages received.
+const CounterReceived = "gossip_received"
+
 const (
 	// batchDelay is how long an event waits for others before they are sent in one
 	// datagram. A datagram costs a small host's link as much as an event does. The
@@ -106,7 +109,7 @@
 		opt:       opt,
 		log:       opt.Logger.WithName("gossip"),
 		sent:      metrics.GetOrRegisterCounter("gossip_sent", opt.Metrics),
-		received:  metrics.GetOrRegisterCounter("gossip_received", opt.Metrics),
+		received:  metrics.GetOrRegisterCounter(CounterReceived, opt.Metrics),
 		malformed: metrics.GetOrRegisterCounter("gossip_bad", opt.Metrics),
 		wake:      make(chan struct{}, 1),
 	}
--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -28,8 +28,11 @@
 	// Changed is called when the host begins or ceases to turn callers away, and twice a second
 	// while it does. It may be nil.
 	Changed func(full bool)
-	Logger  logr.Logger
-	Metrics gometrics.Registry
+	// Counters are the names of counters in Metrics whose growth is logged while the host is
+	// loaded.
+	Counters []string
+	Logger   logr.Logger
+	Metrics  gometrics.Registry
 }
 
 // Meter measures the load of this host. It is safe for concurrent use.
@@ -38,6 +41,10 @@
 	log      logr.Logger
 	in, out  atomic.Int64
 	requests atomic.Int64
+	// accepted and dialled count the connections that others have opened to this host, and the
+	// attempts of this host to open one.
+	accepted, dialled atomic.Int64
+	work              workLog
 
 	processor, link, memory, late, level, refused gometrics.Gauge
 
@@ -119,6 +126,7 @@
 	}
 	m.mu.Unlock()
 	m.updateGauges(use, level, turnedAway)
+	m.logWork(now, level, use)
 	if changed || limited != wasLimited {
 		m.log.Info("Load of this host changed.", "level", level.String(), "before", before.String(), "processor", use.Processor, "link_in", use.In,
 			"link_out", use.Out, "memory", use.Memory, "late", use.Late, "requests_per_s", use.Requests, "limited", limited, "taken_per_s", bearable, "closed_unread", turnedAway)
--- a/fleet/hostmeter/network.go
+++ b/fleet/hostmeter/network.go
@@ -24,6 +24,7 @@
 	slowDial := n.Network.Dialer(o)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		began := time.Now()
+		n.meter.dialled.Add(1)
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			n.meter.probe(slowDial, network, address, err)
@@ -63,6 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.meter.accepted.Add(1)
 	return l.meter.count(c), nil
 }
 
--- a/fleet/lending/lending.go
+++ b/fleet/lending/lending.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/roster"
@@ -59,6 +60,7 @@
 	http  *http.Client
 	alive func() []roster.Host
 	log   logr.Logger
+	calls metrics.Counter
 
 	mu       sync.Mutex
 	failures map[record.BudgetID]failure
@@ -70,9 +72,13 @@
 	until  time.Time
 }
 
+// CounterCalls is the name of the counter of calls to other hosts.
+const CounterCalls = "budget_loan_calls"
+
 // NewClient returns a client that borrows from the hosts returned by alive.
-func NewClient(client *http.Client, alive func() []roster.Host, logger logr.Logger) *Client {
-	return &Client{http: client, alive: alive, log: logger.WithName("lending"), failures: make(map[record.BudgetID]failure)}
+func NewClient(client *http.Client, alive func() []roster.Host, logger logr.Logger, registry metrics.Registry) *Client {
+	return &Client{http: client, alive: alive, log: logger.WithName("lending"), calls: metrics.GetOrRegisterCounter(CounterCalls, registry),
+		failures: make(map[record.BudgetID]failure)}
 }
 
 // Borrow asks one host after the other, in the order of [roster.Lenders], until they have
@@ -107,6 +113,7 @@
 // borrowFrom returns the amount lent by one host. If its answer is lost, so is the
 // amount: the lender counts it as spent.
 func (c *Client) borrowFrom(ctx context.Context, h roster.Host, budget record.BudgetID, amount record.Tokens) record.Tokens {
+	c.calls.Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	client := peerpbconnect.NewLendingServiceClient(c.http, "http://"+h.Peer.String())
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -85,7 +85,7 @@
 		Stream:   h.opt.Protocol.BudgetStream,
 		Fleet:    func() allocation.Fleet { return h.hosts.fleet(h.hostsPause()) },
 		Spacing:  h.claimSpacing,
-		Borrower: lending.NewClient(h.peerClient(), h.hosts.others, h.opt.Logger),
+		Borrower: lending.NewClient(h.peerClient(), h.hosts.others, h.opt.Logger, h.opt.Metrics),
 		Late:     h.load.Late,
 		Policy:   escrow.DefaultPolicy(),
 		Logger:   h.opt.Logger,
--- a/fleet/relayhost/load.go
+++ b/fleet/relayhost/load.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/core/hostload"
+	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/gossip"
 	"github.com/hazelworks/hazelworks/fleet/hostmeter"
+	"github.com/hazelworks/hazelworks/fleet/lending"
 )
 
 // buildLoad makes the meter of this host's load, which counts the bytes of all its connections.
@@ -18,7 +20,8 @@
 		TurnAway:  h.cfg.TurnCallersAway,
 		Limits:    hostload.Limits{Cores: l.Cores, LinkBits: l.LinkBits, MemoryBytes: l.MemoryBytes},
 		Processor: h.opt.Processor, Memory: h.opt.Memory, Changed: h.loadChanged,
-		Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+		Counters: []string{balancer.CounterChoices, balancer.CounterChoiceTime, lending.CounterCalls, gossip.CounterReceived},
+		Logger:   h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.opt.Network = h.load.Network(h.opt.Network)
 }
