--- a/core/hostload/hostload.go
+++ b/core/hostload/hostload.go
@@ -33,6 +33,10 @@
 	// host's link: other machines are not slow all at once. The bytes that the process reads
 	// don't show it, since those of connections that it does not take fill the link too.
 	Connect time.Duration
+	// RunQueue is the time that a tenth of what became ready to run since the last sample waited
+	// for the processor, or longer. A timer runs ahead of what waits, so Late doesn't show it. It
+	// is zero if it is not known.
+	RunQueue time.Duration
 	// Probe is that time with the connections that were opened again, with a longer timeout,
 	// after they were not opened in time. A lost packet makes these slow too.
 	Probe time.Duration
--- a/core/hostload/hostload_test.go
+++ b/core/hostload/hostload_test.go
@@ -159,6 +159,23 @@
 	require.False(t, m.Late(at(5500), 300*time.Millisecond))
 }
 
+// A host whose timers run on time, ahead of all that waits for its processor, reads answers late all
+// the same.
+func TestTimeoutsOfAHostWithALongRunQueueProveNothing(t *testing.T) {
+	m := NewMonitor(Limits{})
+	for ms := 100; ms <= 1000; ms += 100 {
+		m.Add(Sample{At: at(ms), Late: 2 * time.Millisecond, RunQueue: 5 * time.Millisecond})
+	}
+	require.False(t, m.Late(at(1000), 300*time.Millisecond))
+	m.Add(Sample{At: at(1100), Late: 2 * time.Millisecond, RunQueue: 90 * time.Millisecond})
+	require.True(t, m.Late(at(1150), 300*time.Millisecond))
+	require.Equal(t, Calm, m.Level(), "it says nothing of the resources in use")
+	for ms := 1200; ms <= 1600; ms += 100 {
+		m.Add(Sample{At: at(ms), Late: 2 * time.Millisecond, RunQueue: 5 * time.Millisecond})
+	}
+	require.False(t, m.Late(at(1600), 300*time.Millisecond))
+}
+
 // Callers on open connections send more than a full host takes. New connections are taken all the same
 // now and then: callers must not take the host for lost.
 func TestFullHostTakesNewConnectionsBesideOpenOnes(t *testing.T) {
--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -62,6 +62,9 @@
 	return near
 }
 
+// EventTargets returns those of the serving hosts that receive the events of a host's requests.
+func EventTargets(self Host, serving []Host) []Host { return GossipTargets(self, serving) }
+
 // LimitGroup returns the hosts that a host tells of its requests to upstreams that have a
 // limit, and of what upstreams state about themselves: all hosts, and in a large fleet those
 // of its failure domain. Unlike [GossipTargets] it includes hosts that serve few requests.
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -193,7 +193,7 @@
 // receivers returns the hosts that receive the events of a host for an audience.
 func receivers(from roster.Host, hosts []roster.Host, to audience) []roster.Host {
 	if to == servingHosts {
-		return roster.GossipTargets(from, activeHosts(hosts))
+		return roster.EventTargets(from, activeHosts(hosts))
 	}
 	group := roster.LimitGroup(from, hosts)
 	if to == limitGroup || len(group) == len(hosts) {
@@ -232,7 +232,7 @@
 // chooseTargets chooses the receivers of the events until the next heartbeat: the gossip
 // targets among the active hosts.
 func (g *Gossip) chooseTargets() {
-	g.eventTargets = roster.GossipTargets(g.opt.Self, activeHosts(g.opt.Peers()))
+	g.eventTargets = roster.EventTargets(g.opt.Self, activeHosts(g.opt.Peers()))
 	g.opt.LimitDomains(roster.LimitDomains(g.opt.Self, g.opt.Peers()))
 	g.relayFor, g.hasRelay = roster.RelayFor(g.opt.Self, g.opt.Alive())
 }
