Send small hosts the events of their failure domain only

Cause: with fewer than 50 serving hosts all of them received the events of each other's requests, whatever their size.

Change: roster.EventTargets: hosts with less than half the cores of the largest one receive events from hosts of their own failure domain. What upstreams state of themselves, and all that large hosts receive, is as before.

--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -62,8 +62,15 @@
 	return near
 }
 
-// EventTargets returns those of the serving hosts that receive the events of a host's requests.
-func EventTargets(self Host, serving []Host) []Host { return GossipTargets(self, serving) }
+// EventTargets returns those of the [GossipTargets] that receive the events of a host's requests. Small
+// hosts receive those of their failure domain only: the events of a whole fleet take a small host more
+// time than the requests of its callers. What others send to an upstream shows in its statements.
+func EventTargets(self Host, serving []Host) []Host {
+	large := isLargeAmong(append([]Host{self}, serving...))
+	return slices.DeleteFunc(slices.Clone(GossipTargets(self, serving)), func(h Host) bool {
+		return !large(h) && h.FailureDomain != self.FailureDomain
+	})
+}
 
 // LimitGroup returns the hosts that a host tells of its requests to upstreams that have a
 // limit, and of what upstreams state about themselves: all hosts, and in a large fleet those
