Count the wait for the processor as lateness of this host

Change: fleet/hostmeter reads the runtime's histogram of scheduling latencies every 100 ms; the time that a tenth of the wake-ups waited is evidence that this host is late (core/hostload). It says nothing of the resources in use, so that the level and who is turned away are as before. It is logged as run_queue.

--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -87,7 +87,7 @@
 		Logger:   logger,
 		Metrics:  metrics.NewRegistry(),
 
-		Processor: hostmeter.ProcessorTime, Memory: hostmeter.MemoryInUse,
+		Processor: hostmeter.ProcessorTime, Memory: hostmeter.MemoryInUse, RunQueue: hostmeter.NewRunQueue().Wait,
 	})
 	if err != nil {
 		return err
--- a/core/hostload/hostload.go
+++ b/core/hostload/hostload.go
@@ -47,6 +47,8 @@
 	Processor, In, Out, Memory float64
 	// Late is how late the host's timers run, or its packets are sent and received.
 	Late time.Duration
+	// RunQueue is how long what is ready to run waits for the processor.
+	RunQueue time.Duration
 	// Requests is the number of callers' requests begun per second.
 	Requests float64
 }
@@ -135,7 +137,7 @@
 		return false
 	}
 	m.update(s, last, elapsed)
-	if max(s.Late, s.Connect, s.Probe) >= UnreliableLate || max(m.use.In, m.use.Out) >= unreliableLink {
+	if max(s.Late, s.RunQueue, s.Connect, s.Probe) >= UnreliableLate || max(m.use.In, m.use.Out) >= unreliableLink {
 		m.strain(last.At, s.At)
 	}
 	level := m.nextLevel(s.At)
@@ -161,6 +163,7 @@
 		Out:       rate(8*(s.Out-last.Out), m.limits.LinkBits),
 		Requests:  rate(s.Requests-last.Requests, 1),
 		Late:      max(s.Late, s.Connect),
+		RunQueue:  s.RunQueue,
 	}
 	m.use.average(now, elapsed, smoothTime)
 	m.long.average(now, elapsed, costTime)
@@ -178,6 +181,7 @@
 	move(&u.Out, now.Out)
 	move(&u.Requests, now.Requests)
 	u.Late += time.Duration(weight * float64(now.Late-u.Late))
+	u.RunQueue += time.Duration(weight * float64(now.RunQueue-u.RunQueue))
 }
 
 // strain records a time in which timeouts prove nothing.
--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -25,6 +25,9 @@
 	// bytes. They may be nil: then that is not known.
 	Processor func() time.Duration
 	Memory    func() int64
+	// RunQueue returns how long what was ready to run waited for the processor lately. It may be
+	// nil: then that is not known.
+	RunQueue func() time.Duration
 	// Changed is called when the host begins or ceases to turn callers away, and twice a second
 	// while it does. It may be nil.
 	Changed func(full bool)
@@ -111,6 +114,9 @@
 	if m.opt.Memory != nil {
 		s.Memory = m.opt.Memory()
 	}
+	if m.opt.RunQueue != nil {
+		s.RunQueue = m.opt.RunQueue()
+	}
 	m.mu.Lock()
 	s.Connect, s.Probe = m.connects.shortest(now, false), m.connects.shortest(now, true)
 	before := m.monitor.Level()
@@ -129,7 +135,7 @@
 	m.logWork(now, level, use)
 	if changed || limited != wasLimited {
 		m.log.Info("Load of this host changed.", "level", level.String(), "before", before.String(), "processor", use.Processor, "link_in", use.In,
-			"link_out", use.Out, "memory", use.Memory, "late", use.Late, "requests_per_s", use.Requests, "limited", limited, "taken_per_s", bearable, "closed_unread", turnedAway)
+			"link_out", use.Out, "memory", use.Memory, "late", use.Late, "run_queue", use.RunQueue, "requests_per_s", use.Requests, "limited", limited, "taken_per_s", bearable, "closed_unread", turnedAway)
 	}
 	if tell && m.opt.Changed != nil {
 		m.opt.Changed(limited)
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -114,6 +114,9 @@
 	// bytes. They may be nil: then that is not known.
 	Processor func() time.Duration
 	Memory    func() int64
+	// RunQueue returns how long what was ready to run waited for the processor since its last call.
+	// It may be nil: then that is not known.
+	RunQueue func() time.Duration
 }
 
 // Host is one host process.
