Borrow at a bounded rate, and not for claims that only this host makes late

Change: a request whose claim is late because this host is waits for the claim; eight requests for loans are under way at once at most.

The package's tests pass.

--- a/fleet/allocation/late.go
+++ b/fleet/allocation/late.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"github.com/hazelworks/hazelworks/fleet/grants"
 )
 
 // maxLateExcuse is the time without an answer of the log after which it counts as lost even if this
@@ -37,6 +39,14 @@
 	m.unansweredSince = time.Time{}
 }
 
+// claimIsLate reports whether a claim of this host is under way and only late, because the host is.
+func (m *Manager) claimIsLate(refused *grants.RefusedError, waited time.Duration) bool {
+	if !refused.Unreachable || refused.Outage || m.Isolated() {
+		return false
+	}
+	return m.late(waited)
+}
+
 // markOverdue records that the log's answer is overdue, unless this host's own timers are late.
 func (m *Manager) markOverdue(ctx context.Context) {
 	if !m.late(logOverdueAfter) {
--- a/fleet/allocation/manager.go
+++ b/fleet/allocation/manager.go
@@ -34,6 +34,9 @@
 	retryDelay = 250 * time.Millisecond
 	// borrowTimeout bounds the time for borrowing from other hosts.
 	borrowTimeout = 250 * time.Millisecond
+	// maxLoans is the number of requests for loans that may be under way at once. Without a bound,
+	// a host that gets no loans does more work the more of its requests need one.
+	maxLoans = 8
 	// logOverdueAfter is the time without an answer after which requests no longer
 	// wait for the log: some dozens of times its usual response time.
 	logOverdueAfter = 200 * time.Millisecond
@@ -114,6 +117,8 @@
 	wake      chan struct{}
 	// roundSem is a semaphore for the round that calls the log, of Run or Close.
 	roundSem chan struct{}
+	// loanSem is a semaphore for the requests for loans.
+	loanSem chan struct{}
 }
 
 var _ grants.Reserver = (*Manager)(nil)
@@ -152,6 +157,7 @@
 		wake:        make(chan struct{}, 1),
 
 		roundSem: make(chan struct{}, 1),
+		loanSem:  make(chan struct{}, maxLoans),
 	}
 }
 
--- a/fleet/allocation/reserve.go
+++ b/fleet/allocation/reserve.go
@@ -29,7 +29,7 @@
 	firstWait := claimWait + m.spacing()
 	err := m.reserve(ctx, budget, amount, min(firstWait, wait))
 	var refused *grants.RefusedError
-	if errors.As(err, &refused) && m.borrow(ctx, budget, amount) {
+	if errors.As(err, &refused) && !m.claimIsLate(refused, firstWait) && m.borrow(ctx, budget, amount) {
 		err = nil
 	}
 	if errors.As(err, &refused) && refused.Unreachable && wait > firstWait {
@@ -96,6 +96,14 @@
 	if m.opt.Borrower == nil {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	select {
+	case m.loanSem <- struct{}{}:
+		defer func() { <-m.loanSem }()
+	case <-ctx.Done():
+		return false
+	}
 	// The free amount is reserved first, so that no other request takes it meanwhile.
 	m.mu.Lock()
 	alloc := m.allocation(budget)
@@ -103,8 +111,6 @@
 	alloc.Reserve(setAside)
 	m.mu.Unlock()
 	missing := amount - setAside
-	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
-	defer cancel()
 	got := record.Tokens(0)
 	if missing > 0 {
 		got = m.opt.Borrower.Borrow(ctx, budget, missing)
