--- a/core/balance/estimate.go
+++ b/core/balance/estimate.go
@@ -35,7 +35,11 @@
 		return c
 	}
 	c.Slowness = p.slowness(u, now)
-	c.UsualWait, c.Wait = u.queue.wait(work.Rank, 1, now), u.queue.wait(work.Rank, c.Slowness, now)
+	c.Wait = u.queue.wait(work.Rank, c.Slowness, now)
+	c.UsualWait = c.Wait
+	if c.Slowness != 1 {
+		c.UsualWait = u.queue.wait(work.Rank, 1, now)
+	}
 	c.Generate = p.generateTime(work)
 	c.Cached = u.cached(keys, work)
 	c.UsualRead = p.readTime(work.Input, c.Cached)
--- a/core/balance/health.go
+++ b/core/balance/health.go
@@ -70,6 +70,9 @@
 
 // failureRate returns the share of recent outcomes that are failures.
 func (h *health) failureRate(now time.Time) float64 {
+	if h.failed == 0 {
+		return 0
+	}
 	h.decay(now)
 	return h.failed / (h.total + priorOutcomes)
 }
--- a/core/balance/queue.go
+++ b/core/balance/queue.go
@@ -1,9 +1,6 @@
 package balance
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // maxRank is the highest rank with a queue of its own; higher ranks are clamped to it.
 const maxRank = 9
@@ -76,18 +73,18 @@
 // priority queue.
 func (q *queue) wait(rank int, slowness float64, now time.Time) time.Duration {
 	rank = clampRank(rank)
-	unread, waiting, urgentLoad := time.Duration(0), 0, 0.0
+	unread, waiting := time.Duration(0), 0
 	for i := range rank + 1 {
-		r := &q.ranks[i]
-		unread += r.unread
-		waiting += r.waiting
-		if i < rank {
-			urgentLoad += r.loadAt(now)
-		}
+		unread += q.ranks[i].unread
+		waiting += q.ranks[i].waiting
 	}
 	if waiting == 0 {
 		return 0
 	}
+	urgentLoad := 0.0
+	for i := range rank {
+		urgentLoad += q.ranks[i].loadAt(now)
+	}
 	// The prompt that is being read is assumed to be as long as the mean of all waiting ones.
 	unread = scale(unread, slowness)
 	progress := min(now.Sub(q.readingSince), unread/time.Duration(waiting))
@@ -96,5 +93,8 @@
 }
 
 func (r *rankQueue) loadAt(now time.Time) float64 {
-	return r.load * math.Exp(-now.Sub(r.loadUpdatedAt).Seconds()/loadWindow.Seconds())
+	if r.load == 0 {
+		return 0
+	}
+	return r.load * decay(now.Sub(r.loadUpdatedAt), loadWindow)
 }
--- a/core/balance/speed.go
+++ b/core/balance/speed.go
@@ -1,9 +1,6 @@
 package balance
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// slownessTime is the time constant with which the answers of an upstream lose weight in its
@@ -83,14 +80,18 @@
 
 // present returns the learned part, which loses weight against the prior without answers.
 func (s *speed) present(now time.Time) float64 {
-	factor := decay(now.Sub(s.updatedAt), slownessTime)
-	return (slownessPrior + factor*s.took) / (slownessPrior + factor*s.expected)
+	factor, _ := s.presentAndKnown(now)
+	return factor
 }
 
-// known returns how much of the learned part is from answers, from 0 to 1.
-func (s *speed) known(now time.Time) float64 {
-	answers := s.expected * decay(now.Sub(s.updatedAt), slownessTime)
-	return answers / (answers + 1)
+// presentAndKnown returns the learned part, and how much of it is from answers, from 0 to 1.
+func (s *speed) presentAndKnown(now time.Time) (present, known float64) {
+	if s.expected == 0 {
+		return 1, 0
+	}
+	factor := decay(now.Sub(s.updatedAt), slownessTime)
+	answers := factor * s.expected
+	return (slownessPrior + factor*s.took) / (slownessPrior + answers), answers / (answers + 1)
 }
 
 // mean returns the slowness without what is stated of the moment.
@@ -101,11 +102,6 @@
 	return s.present(now) * s.statedMean
 }
 
-// decay returns the weight that remains after a time.
-func decay(elapsed, constant time.Duration) float64 {
-	return math.Exp(-max(0, elapsed.Seconds()) / constant.Seconds())
-}
-
 // Slowness is the present factor of an upstream on the estimates of its service.
 type Slowness struct {
 	Upstream string
@@ -137,9 +133,12 @@
 		}
 		p.meanSlowness, p.meanSlownessAt = sum/float64(len(p.ordered)), now
 	}
-	factor := u.speed.present(now) * u.speed.momentary(now) / p.meanSlowness
 	// An upstream that has hardly answered counts as the mean, not as the prior.
-	known := u.speed.known(now)
+	factor, known := u.speed.presentAndKnown(now)
+	if known == 0 {
+		return 1
+	}
+	factor *= u.speed.momentary(now) / p.meanSlowness
 	return min(max(significant(1+known*(factor-1)), minSlowness), maxSlowness)
 }
 
