--- a/core/escrow/escrow_test.go
+++ b/core/escrow/escrow_test.go
@@ -159,6 +159,39 @@
 	require.Greater(t, a.Excess(policy, prepaid, hosts), record.Tokens(1900), "the rest after the request is given back")
 }
 
+// A host to which callers are not directed begins to serve 170 requests a second of 3,400 tokens, each
+// for 0.3 s, and gets a claim every 0.2 s. Claims for just those that wait would make all others
+// wait too until the rate is known.
+func TestClaimsGrowWithTheRequestsInFlight(t *testing.T) {
+	const prepaid, amount, perStep = 26_000_000, 3400, 17
+	policy := DefaultPolicy().OnDemand()
+	var a Allocation
+	var inFlight []int // requests begun in each step of 100 ms
+	waiting, waited := 0, 0
+	for step := range 15 {
+		if len(inFlight) >= 3 {
+			a.Settle(record.Tokens(inFlight[0]*amount), record.Tokens(inFlight[0]*2000))
+			inFlight = inFlight[1:]
+		}
+		begun := 0
+		if step%2 == 0 {
+			a.Add(a.ClaimAmount(policy, prepaid, prepaid/2, record.Tokens(waiting*amount), 18))
+		}
+		for range waiting + perStep {
+			if !a.Reserve(amount) {
+				break
+			}
+			begun++
+		}
+		waiting += perStep - begun
+		if step >= 5 {
+			waited += waiting
+		}
+		inFlight = append(inFlight, begun)
+	}
+	require.LessOrEqual(t, waited, perStep, "of 170 requests of the second after the first half")
+}
+
 // Without the limit on initial claims, 100 hosts with 2,400 budgets would start with
 // 240,000 claims, and each host would read them all after a power loss.
 func TestManyBudgetsAreClaimedOnlyOnceUsed(t *testing.T) {
--- a/fleet/allocation/overload_test.go
+++ b/fleet/allocation/overload_test.go
@@ -98,6 +98,18 @@
 	})
 }
 
+// The log answers all the while, each call in a part of the time after which it is overdue. Loans
+// would be asked for in vain: the claims are under way.
+func TestRequestsWaitForTheirClaimsWhileTheLogAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, loans, stop := startSlowHost(t, 70*time.Millisecond, false)
+		defer stop()
+		require.Zero(t, serve(m, 170, 3*time.Second), "requests refused")
+		require.Zero(t, loans.calls.Load(), "loans asked for")
+		require.False(t, m.Isolated())
+	})
+}
+
 // Each request that asks other hosts by itself makes a host that gets no loans do more work the
 // more requests it has.
 func TestRequestsThatNeedALoanDoNotAskAllAtOnce(t *testing.T) {
