Claim for the next requests too while the rate of a budget is not known

Cause: a host to which callers are not directed claims nothing ahead.

Change: a claim keeps as much free as the requests in flight have reserved, within the same part of the budget as the outage cover.

--- a/core/escrow/allocation.go
+++ b/core/escrow/allocation.go
@@ -234,13 +234,18 @@
 // ClaimAmount returns the amount to claim, at most unclaimed, which is the part of
 // the budget that no host has claimed. It fills up to the target as long as
 // UnclaimedShare of the budget stays unclaimed; need, the amount that waiting requests
-// lack, and the minimum are claimed in any case.
+// lack, and the minimum are claimed in any case. For the requests that come before the rate is
+// known, it keeps as much free as those in flight have reserved.
 func (a *Allocation) ClaimAmount(policy Policy, prepaid, unclaimed, need record.Tokens, hosts int) record.Tokens {
 	spare := float64(unclaimed) - policy.UnclaimedShare*float64(prepaid)
 	target := min(a.Target(policy, prepaid, hosts), a.Free+record.Tokens(max(0, spare)*maxClaimShare))
 	coverShortfall := a.shortfall(target)
 	minShortfall := a.shortfall(policy.minHeld(prepaid, hosts))
+	next := min(a.Reserved, record.Tokens(max(0, spare)*maxClaimShare))
 	want := max(coverShortfall, minShortfall, need-a.Free)
+	if left := a.Free - need; float64(left) <= refillThreshold*float64(next) {
+		want = max(want, next-left)
+	}
 	return max(0, min(want, unclaimed))
 }
 
