Wait for claims as long as the log answers, and judge it by its answers

Cause: two bounds took a slow claim for an outage. A request asked for a loan after 60 ms and the pause between rounds (170 ms at 295 hosts), and the log counted as lost 200 ms after the beginning of a round of up to four calls, though each was answered.

Change: a request waits until the log is found to be unreachable, or its own wait is over. An answer is overdue 200 ms after the answer before it. Where the log is unreachable, loans are asked for as before.

Result: TestRequestsWaitForTheirClaimsWhileTheLogAnswers failed (90 loans, and 46 with claims that grow; none allowed) and passes. fleet/allocation passes.

--- a/fleet/allocation/claims.go
+++ b/fleet/allocation/claims.go
@@ -89,6 +89,7 @@
 	if err != nil {
 		return err
 	}
+	m.answered()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.claims.SetEra(next.Era)
@@ -209,6 +210,7 @@
 		if err != nil {
 			return err
 		}
+		m.answered()
 		m.mu.Lock()
 		for _, r := range records {
 			m.applyClaim(r)
@@ -387,6 +389,7 @@
 	default:
 		return end, err // effect unknown: the write is sent again
 	}
+	m.answered()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq = pending.seq
--- a/fleet/allocation/late.go
+++ b/fleet/allocation/late.go
@@ -5,8 +5,6 @@
 	"errors"
 	"net"
 	"time"
-
-	"github.com/hazelworks/hazelworks/fleet/grants"
 )
 
 // maxLateExcuse is the time without an answer of the log after which it counts as lost even if this
@@ -24,7 +22,7 @@
 	return m.unansweredSince.IsZero() || time.Since(m.unansweredSince) < maxLateExcuse
 }
 
-// beginRound records that calls to the log begin, and endRound that they were answered.
+// beginRound records that calls to the log begin. Rounds that fail without an answer count as one.
 func (m *Manager) beginRound() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -33,25 +31,39 @@
 	}
 }
 
-func (m *Manager) endRound() {
+// answered records that the log has answered one of the calls of a round.
+func (m *Manager) answered() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unansweredSince = time.Time{}
+	if !m.unansweredSince.IsZero() {
+		m.unansweredSince = time.Now()
+	}
 }
 
-// claimIsLate reports whether a claim of this host is under way and only late, because the host is.
-func (m *Manager) claimIsLate(refused *grants.RefusedError, waited time.Duration) bool {
-	if !refused.Unreachable || refused.Outage || m.Isolated() {
-		return false
-	}
-	return m.late(waited)
+// endRound records that the calls of a round were answered.
+func (m *Manager) endRound() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unansweredSince = time.Time{}
 }
 
-// markOverdue records that the log's answer is overdue, unless this host's own timers are late.
-func (m *Manager) markOverdue(ctx context.Context) {
-	if !m.late(logOverdueAfter) {
-		m.markUnreachable(ctx, errOverdue)
+// watchAnswers marks the log as unreachable if an answer becomes overdue before ctx ends, unless
+// this host's own timers are late.
+func (m *Manager) watchAnswers(ctx context.Context) {
+	left := logOverdueAfter
+	for left > 0 {
+		pause(ctx, left)
+		if ctx.Err() != nil {
+			return
+		}
+		m.mu.Lock()
+		left = logOverdueAfter - time.Since(m.unansweredSince)
+		m.mu.Unlock()
+		if left <= 0 && m.late(logOverdueAfter) {
+			left = logOverdueAfter
+		}
 	}
+	m.markUnreachable(ctx, errOverdue)
 }
 
 func isTimeout(err error) bool {
--- a/fleet/allocation/manager.go
+++ b/fleet/allocation/manager.go
@@ -102,7 +102,8 @@
 	logUnreachable bool // the last call to the log failed or is overdue
 	closing        bool
 
-	// unansweredSince is when the first of the rounds began that were not answered since, or zero.
+	// unansweredSince is when the log last answered a call of the present rounds, or when the first
+	// one began. It is zero between rounds.
 	unansweredSince time.Time
 	// epoch and seq number this run's writes. write is the write whose effect is not
 	// known yet, or nil.
@@ -224,9 +225,10 @@
 		pause(ctx, m.spacing()-time.Since(last))
 		last = time.Now()
 		m.beginRound()
-		overdue := time.AfterFunc(logOverdueAfter, func() { m.markOverdue(ctx) })
+		watchCtx, stopWatch := context.WithCancel(ctx)
+		go m.watchAnswers(watchCtx)
 		err := m.round(ctx)
-		overdue.Stop()
+		stopWatch()
 		if err == nil {
 			m.endRound()
 			throttled = 0
--- a/fleet/allocation/reserve.go
+++ b/fleet/allocation/reserve.go
@@ -11,29 +11,24 @@
 	"github.com/hazelworks/hazelworks/fleet/grants"
 )
 
-// Timeouts of a reservation.
-const (
-	// claimWait is the usual time for a claim, which takes three calls to the log.
-	// After it, the other hosts are asked.
-	claimWait = 60 * time.Millisecond
-	// lendWait bounds the time that a borrowing host waits for a claim of this host.
-	lendWait = 100 * time.Millisecond
-)
+// lendWait bounds the time that a borrowing host waits for a claim of this host.
+const lendWait = 100 * time.Millisecond
 
 // Reserve implements grants.Reserver. It uses the host's allocation and claims from the
-// log first, then borrows from other hosts, and waits for the log again if the log was
-// unreachable and the others had too little. The request key is not needed, since each
-// reservation is settled once, by this host. It returns a *grants.RefusedError, or the
-// cause of ctx.
+// log first. It borrows from other hosts if the log is unreachable or the budget is claimed by
+// others, and waits for the log again if it was unreachable and the others had too little. The
+// request key is not needed, since each reservation is settled once, by this host. It returns a
+// *grants.RefusedError, or the cause of ctx.
 func (m *Manager) Reserve(ctx context.Context, budget record.BudgetID, _ record.RequestKey, amount record.Tokens, wait time.Duration) (grants.Reservation, error) {
-	firstWait := claimWait + m.spacing()
-	err := m.reserve(ctx, budget, amount, min(firstWait, wait))
+	began := time.Now()
+	err := m.reserve(ctx, budget, amount, wait)
 	var refused *grants.RefusedError
-	if errors.As(err, &refused) && !m.claimIsLate(refused, firstWait) && m.borrow(ctx, budget, amount) {
+	left := wait - time.Since(began)
+	if left > 0 && errors.As(err, &refused) && m.borrow(ctx, budget, amount) {
 		err = nil
 	}
-	if errors.As(err, &refused) && refused.Unreachable && wait > firstWait {
-		err = m.reserve(ctx, budget, amount, wait-firstWait)
+	if left = wait - time.Since(began); left > 0 && errors.As(err, &refused) && refused.Unreachable {
+		err = m.reserve(ctx, budget, amount, left)
 	}
 	if err != nil {
 		m.meters.refused.Inc(1)
@@ -43,7 +38,7 @@
 }
 
 // reserve reserves an amount from this host's allocation and waits for a claim if too
-// little is free. If the wait times out, the log counts as unreachable.
+// little is free. The wait ends when the log is found to be unreachable.
 func (m *Manager) reserve(ctx context.Context, budget record.BudgetID, amount record.Tokens, wait time.Duration) error {
 	m.mu.Lock()
 	alloc := m.allocation(budget)
