Reject at once what an overloaded host can't carry

Cause: a host begins all that comes. When that is more than its processor can carry, all requests wait for it together, callers leave or repeat, attempts at upstreams time out and are made again over new connections, and nearly all work is in vain; the load that callers offered at first would be enough to keep it so.

Change: core/hostload.Intake: while the processor is full and what is ready to run waits over 40 ms for it, in two samples of 100 ms in a row, a share of the new requests is rejected with 503 and a time to come back, before the body is read and before tokens are reserved, the less urgent ones first. The share follows the wait. Hosts that turn callers away (rules with pressure) do that instead, as before. Metrics relay_overload and host_load_rejected_percent.

--- a/core/admission/shedding.go
+++ b/core/admission/shedding.go
@@ -101,12 +101,19 @@
 	if a.startsInTime() && a.finishesInTime() {
 		return false, 0
 	}
+	return true, RetryAfterShed(a.Remaining, random)
+}
+
+// RetryAfterShed returns the time after which a caller should retry whose request is shed. remaining is
+// the time until the caller leaves, or zero if it is not known. random is a random number in [0, 1)
+// that spreads the retries.
+func RetryAfterShed(remaining time.Duration, random float64) time.Duration {
 	maxRetryAfter := defaultRetryAfter
-	if a.Remaining > 0 {
-		maxRetryAfter = time.Duration(maxRetryAfterShare * float64(a.Remaining))
+	if remaining > 0 {
+		maxRetryAfter = time.Duration(maxRetryAfterShare * float64(remaining))
 	}
 	factor := minRetryAfterFactor + (1-minRetryAfterFactor)*random
-	return true, max(minRetryAfter, time.Duration(factor*float64(maxRetryAfter)))
+	return max(minRetryAfter, time.Duration(factor*float64(maxRetryAfter)))
 }
 
 // startsInTime reports whether the request waits no longer than its objective allows.
--- a/core/hostload/hostload.go
+++ b/core/hostload/hostload.go
@@ -111,8 +111,9 @@
 	last   Sample
 	use    Use
 	// long is the use averaged over costTime.
-	long  Use
-	level Level
+	long   Use
+	intake Intake
+	level  Level
 	// since is when the level began.
 	since time.Time
 	// bearable is the number of requests per second that the host takes, if limitedAt is not
@@ -165,6 +166,7 @@
 		Late:      max(s.Late, s.Connect),
 		RunQueue:  s.RunQueue,
 	}
+	m.intake.Update(now.Processor, s)
 	m.use.average(now, elapsed, smoothTime)
 	m.long.average(now, elapsed, costTime)
 	if m.limits.MemoryBytes > 0 {
@@ -216,6 +218,12 @@
 	return Calm
 }
 
+// Takes reports whether a new request of a rank is begun, see [Intake.Takes].
+func (m *Monitor) Takes(rank int, random float64) bool { return m.intake.Takes(rank, random) }
+
+// Rejected returns the share of requests that is rejected, see [Intake.Rejected].
+func (m *Monitor) Rejected() float64 { return m.intake.Rejected() }
+
 // Late reports whether the host's own timers or packets were late at some time of the span before
 // now. Its timeouts of that time then prove nothing about others. A host that was stopped is late
 // before it has taken another sample.
--- a/core/hostload/intake_test.go
+++ b/core/hostload/intake_test.go
@@ -13,7 +13,6 @@
 // done for them after that is in vain. A rejection takes rejectTime.
 type loadedHost struct {
 	monitor *Monitor
-	intake  Intake
 	rng     *rand.Rand
 	now     time.Time
 	sample  Sample
@@ -50,7 +49,7 @@
 			rank := h.rng.IntN(3)
 			h.asked[rank]++
 			work := queuedWork{left: requestTime, rank: rank, leaves: h.now.Add(patience)}
-			if !h.intake.Takes(rank, h.rng.Float64()) {
+			if !h.monitor.Takes(rank, h.rng.Float64()) {
 				h.rejected[rank]++
 				work = queuedWork{left: rejectTime}
 			}
@@ -62,7 +61,6 @@
 			h.sample.At = h.now
 			h.sample.RunQueue = time.Duration(float64(h.backlog) / testCores)
 			h.monitor.Add(h.sample)
-			h.intake.Update(h.monitor.Use().Processor, h.sample)
 		}
 	}
 }
--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"runtime/metrics"
 	"sync"
 	"sync/atomic"
@@ -49,7 +50,7 @@
 	accepted, dialled atomic.Int64
 	work              workLog
 
-	processor, link, memory, late, level, refused gometrics.Gauge
+	processor, link, memory, late, level, refused, rejected gometrics.Gauge
 
 	mu      sync.Mutex
 	monitor *hostload.Monitor
@@ -68,7 +69,7 @@
 	return &Meter{
 		opt: opt, log: opt.Logger.WithName("load"), monitor: hostload.NewMonitor(opt.Limits), probed: make(map[string]bool),
 		processor: gauge("host_load_processor_percent"), link: gauge("host_load_link_percent"), memory: gauge("host_load_memory_percent"),
-		late: gauge("host_load_late_us"), level: gauge("host_load_level"), refused: gauge("host_load_connections_closed"),
+		rejected: gauge("host_load_rejected_percent"), late: gauge("host_load_late_us"), level: gauge("host_load_level"), refused: gauge("host_load_connections_closed"),
 	}
 }
 
@@ -122,7 +123,7 @@
 	before := m.monitor.Level()
 	_, wasLimited := m.taken()
 	changed := m.monitor.Add(s)
-	level, use := m.monitor.Level(), m.monitor.Use()
+	level, use, rejected := m.monitor.Level(), m.monitor.Use(), m.monitor.Rejected()
 	bearable, limited := m.taken()
 	m.door.SetRate(bearable, limited, now)
 	turnedAway := m.turnedAway
@@ -132,7 +133,8 @@
 	}
 	m.mu.Unlock()
 	m.updateGauges(use, level, turnedAway)
-	m.logWork(now, level, use)
+	m.rejected.Update(int64(percent * rejected))
+	m.logWork(now, level, use, rejected)
 	if changed || limited != wasLimited {
 		m.log.Info("Load of this host changed.", "level", level.String(), "before", before.String(), "processor", use.Processor, "link_in", use.In,
 			"link_out", use.Out, "memory", use.Memory, "late", use.Late, "run_queue", use.RunQueue, "requests_per_s", use.Requests, "limited", limited, "taken_per_s", bearable, "closed_unread", turnedAway)
@@ -186,6 +188,17 @@
 	return m.door.Request(time.Now())
 }
 
+// Takes reports whether a new request of a rank is begun; 0 is the most urgent. A host that turns callers
+// away begins all that it has let in.
+func (m *Meter) Takes(rank int) bool {
+	if m.opt.TurnAway {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.monitor.Takes(rank, rand.Float64())
+}
+
 // ClosedFor returns the time for which no new connection of a caller is taken.
 func (m *Meter) ClosedFor() time.Duration {
 	m.mu.Lock()
--- a/fleet/hostmeter/work.go
+++ b/fleet/hostmeter/work.go
@@ -27,7 +27,7 @@
 }
 
 // logWork logs how much was done since the last line. It is called by Run only.
-func (m *Meter) logWork(now time.Time, level hostload.Level, use hostload.Use) {
+func (m *Meter) logWork(now time.Time, level hostload.Level, use hostload.Use, rejected float64) {
 	if !m.work.due(now, level) {
 		return
 	}
@@ -37,7 +37,7 @@
 	if before == nil || elapsed >= 2*workInterval {
 		return // the host was calm meanwhile
 	}
-	fields := []any{"level", level.String(), "processor", use.Processor, "run_queue", use.RunQueue, "elapsed", elapsed}
+	fields := []any{"level", level.String(), "processor", use.Processor, "run_queue", use.RunQueue, "rejected", rejected, "elapsed", elapsed}
 	for _, name := range append([]string{countRequests, countAccepted, countDialled, countCollections}, m.opt.Counters...) {
 		fields = append(fields, name, counts[name]-before[name])
 	}
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -160,11 +160,14 @@
 
 // rank returns the rank of the request; 0 is the most urgent. The account's priority
 // takes precedence over the route's.
-func (c *call) rank() int {
-	if c.account != nil && c.account.HasPriority {
-		return c.account.Priority
+func (c *call) rank() int { return rankOf(c.account, c.route) }
+
+// rankOf returns the rank of the requests of an account, which may be nil, on a route.
+func rankOf(account *routes.Account, route *routes.Route) int {
+	if account != nil && account.HasPriority {
+		return account.Priority
 	}
-	return c.route.Priority
+	return route.Priority
 }
 
 func errText(err error) string {
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -332,12 +332,14 @@
 
 // timeout returns the limit on the request's duration, the shorter of the route's and the
 // caller's timeout. Zero means no limit.
-func (c *call) timeout() time.Duration {
-	limit := c.route.Timeout
-	if p := c.req.Timeout; p > 0 && (limit == 0 || p < limit) {
-		limit = p
+func (c *call) timeout() time.Duration { return shorter(c.route.Timeout, c.req.Timeout) }
+
+// shorter returns the shorter of two limits, of which zero is none.
+func shorter(a, b time.Duration) time.Duration {
+	if b > 0 && (a == 0 || b < a) {
+		return b
 	}
-	return limit
+	return a
 }
 
 // budgetRetryAfter returns the time after which a caller retries whose tokens could
--- a/fleet/relay/meters.go
+++ b/fleet/relay/meters.go
@@ -28,6 +28,8 @@
 	// notResumed counts the streams that could not go on because no upstream of the version
 	// that has begun them takes requests, or that version is not known.
 	notResumed metrics.Counter
+	// overload counts the requests that were rejected because this host had too many.
+	overload metrics.Counter
 	// forwarded counts the requests that other hosts have sent for this one, helped those that
 	// this host has taken from others.
 	forwarded metrics.Counter
@@ -44,6 +46,7 @@
 		eventGap: histogram("relay.event_gap_us", r),
 
 		quarantined: metrics.GetOrRegisterCounter("relay.quarantined", r),
+		overload:    metrics.GetOrRegisterCounter("relay.overload", r),
 		forwarded:   metrics.GetOrRegisterCounter("relay.forwarded", r),
 		helped:      metrics.GetOrRegisterCounter("relay.helped", r),
 		notResumed:  metrics.GetOrRegisterCounter("relay.not_resumed", r),
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/grants"
@@ -34,6 +35,9 @@
 	Table    func() *routes.Table
 	Balancer *balancer.Balancer
 	Reserver grants.Reserver
+	// Takes reports whether this host begins a new request of a rank; 0 is the most urgent. It may be
+	// nil: then all are begun.
+	Takes func(rank int) bool
 	// Quarantine knows the requests that crash upstreams.
 	Quarantine *quarantine.Keeper
 	// Origins knows which software version has begun each stream.
@@ -116,6 +120,12 @@
 			return
 		}
 	}
+	if r.opt.Takes != nil && !r.opt.Takes(rankOf(account, route)) {
+		r.meters.overload.Inc(1)
+		retryAfter := admission.RetryAfterShed(shorter(route.Timeout, req.Timeout), rand.Float64())
+		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "this host has more requests than it can carry", retryAfter: retryAfter})
+		return
+	}
 	if status := readBody(w, hr, req, table.Limits.BodyBytes); status != 0 {
 		r.refuse(w, req, refusal{status: status, reason: "body"})
 		return
