--- a/fleet/hostmeter/work.go
+++ b/fleet/hostmeter/work.go
@@ -37,7 +37,7 @@
 	if before == nil || elapsed >= 2*workInterval {
 		return // the host was calm meanwhile
 	}
-	fields := []any{"level", level.String(), "processor", use.Processor, "run_queue", use.RunQueue, "rejected", rejected, "elapsed", elapsed}
+	fields := []any{"level", level.String(), "processor", use.Processor, "link_in", use.In, "link_out", use.Out, "run_queue", use.RunQueue, "rejected", rejected, "elapsed", elapsed}
 	for _, name := range append([]string{countRequests, countAccepted, countDialled, countCollections}, m.opt.Counters...) {
 		fields = append(fields, name, counts[name]-before[name])
 	}
