Count input that waits as lateness of this host

The runtime looks for input when nothing else is to be run: under load it waits outside of the run queue.

Change: a byte in a pipe, written with each sample, shows how long input waits for its reader. The wait in the run queue and that of the input are taken together.

--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -72,6 +72,11 @@
 func runOnPlatform(ctx context.Context, path string, cfg *relayhost.Config, logger logr.Logger) error {
 	logger.WithName("main").Info("Starting.", "host", cfg.Host, "failure_domain", cfg.FailureDomain, "memory", cfg.Limits.MemoryBytes, "cores", cfg.Limits.Cores)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.Limits.MemoryBytes)))
+	runQueue, err := hostmeter.NewRunQueue()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = runQueue.Close() }()
 	network := sockets.System{}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         network.Dialer(storeSocketOptions),
@@ -87,7 +92,7 @@
 		Logger:   logger,
 		Metrics:  metrics.NewRegistry(),
 
-		Processor: hostmeter.ProcessorTime, Memory: hostmeter.MemoryInUse, RunQueue: hostmeter.NewRunQueue().Wait,
+		Processor: hostmeter.ProcessorTime, Memory: hostmeter.MemoryInUse, RunQueue: runQueue.Wait,
 	})
 	if err != nil {
 		return err
--- a/fleet/hostmeter/runqueue_test.go
+++ b/fleet/hostmeter/runqueue_test.go
@@ -20,7 +20,9 @@
 
 // More goroutines compute than there are processors: what wakes up waits its turn.
 func TestRunQueueOfABusyProcessShows(t *testing.T) {
-	q := NewRunQueue()
+	q, err := NewRunQueue()
+	require.NoError(t, err)
+	defer func() { require.NoError(t, q.Close()) }()
 	end := time.Now().Add(500 * time.Millisecond)
 	var all sync.WaitGroup
 	for range 20 * runtime.GOMAXPROCS(0) {
@@ -35,3 +37,16 @@
 	all.Wait()
 	require.Greater(t, q.Wait(), 10*time.Millisecond)
 }
+
+// Input that nobody reads waits, also while it does.
+func TestInputThatWaitsShows(t *testing.T) {
+	p, err := newInputProbe()
+	require.NoError(t, err)
+	defer func() { _ = p.close() }()
+	now := time.Now()
+	require.Zero(t, p.next(now), "the first one")
+	require.Eventually(t, func() bool { p.mu.Lock(); defer p.mu.Unlock(); return p.sentAt.IsZero() }, time.Minute, time.Millisecond)
+	require.Positive(t, p.next(now.Add(100*time.Millisecond)))
+	require.NoError(t, p.out.SetReadDeadline(now)) // the reader ends
+	require.Eventually(t, func() bool { _ = p.next(time.Now()); return p.next(time.Now().Add(time.Second)) >= time.Second }, time.Minute, time.Millisecond)
+}
