--- a/core/hostload/intake.go
+++ b/core/hostload/intake.go
@@ -18,10 +18,10 @@
 	// sample below maxRunQueue, and takeMoreStep after calmSamples of them in a row: the load has
 	// ended then.
 	rejectStep    = 0.05
-	maxRejectStep = 0.25
-	takeStep      = 0.02
+	maxRejectStep = 0.15
+	takeStep      = 0.03
 	takeMoreStep  = 0.06
-	calmSamples   = 5
+	calmSamples   = 4
 	// maxRejected is the largest share: some requests show what the host can carry again.
 	maxRejected = 0.99
 )
