Collect garbage less often while a host is loaded

Change: the heap may grow by 400 percent between two collections while the host is busy or full, and by 100 as before when it is calm. The memory limit stays.

Result: TestWorkOfALoadedHostIsLogged has the calls.

--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -69,6 +69,22 @@
 // such as unread bytes of connections.
 const memoryLimitFraction = 0.6
 
+// Growth of the heap between two garbage collections, in percent of what is in use. The heap is so small
+// that a loaded host would collect several times a second; it collects less often. Other hosts keep
+// their memory small.
+const (
+	usualHeapGrowth  = 100
+	loadedHeapGrowth = 400
+)
+
+func setCollection(loaded bool) {
+	if loaded {
+		debug.SetGCPercent(loadedHeapGrowth)
+		return
+	}
+	debug.SetGCPercent(usualHeapGrowth)
+}
+
 func runOnPlatform(ctx context.Context, path string, cfg *relayhost.Config, logger logr.Logger) error {
 	logger.WithName("main").Info("Starting.", "host", cfg.Host, "failure_domain", cfg.FailureDomain, "memory", cfg.Limits.MemoryBytes, "cores", cfg.Limits.Cores)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.Limits.MemoryBytes)))
@@ -92,7 +108,7 @@
 		Logger:   logger,
 		Metrics:  metrics.NewRegistry(),
 
-		Processor: hostmeter.ProcessorTime, Memory: hostmeter.MemoryInUse, RunQueue: runQueue.Wait,
+		Processor: hostmeter.ProcessorTime, Memory: hostmeter.MemoryInUse, RunQueue: runQueue.Wait, Loaded: setCollection,
 	})
 	if err != nil {
 		return err
--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -32,6 +32,8 @@
 	// Changed is called when the host begins or ceases to turn callers away, and twice a second
 	// while it does. It may be nil.
 	Changed func(full bool)
+	// Loaded is called when the host becomes busy or full, and when it is calm again. It may be nil.
+	Loaded func(loaded bool)
 	// Counters are the names of counters in Metrics whose growth is logged while the host is
 	// loaded.
 	Counters []string
@@ -139,6 +141,9 @@
 		m.log.Info("Load of this host changed.", "level", level.String(), "before", before.String(), "processor", use.Processor, "link_in", use.In,
 			"link_out", use.Out, "memory", use.Memory, "late", use.Late, "run_queue", use.RunQueue, "requests_per_s", use.Requests, "limited", limited, "taken_per_s", bearable, "closed_unread", turnedAway)
 	}
+	if m.opt.Loaded != nil && (before == hostload.Calm) != (level == hostload.Calm) {
+		m.opt.Loaded(level != hostload.Calm)
+	}
 	if tell && m.opt.Changed != nil {
 		m.opt.Changed(limited)
 	}
--- a/fleet/hostmeter/work_test.go
+++ b/fleet/hostmeter/work_test.go
@@ -16,9 +16,11 @@
 func TestWorkOfALoadedHostIsLogged(t *testing.T) {
 	var lines []string
 	registry := metrics.NewRegistry()
+	var loaded []bool
 	used := time.Duration(0)
 	m := New(Options{
 		Limits: hostload.Limits{Cores: 1}, Processor: func() time.Duration { return used }, Counters: []string{"loans"}, Metrics: registry,
+		Loaded: func(is bool) { loaded = append(loaded, is) },
 		Logger: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{}),
 	})
 	now := time.Unix(1000, 0)
@@ -45,4 +47,5 @@
 	require.Contains(t, work[2], `"loans"=30`)
 	run(2*time.Second, 100*time.Millisecond)
 	require.Empty(t, run(5*time.Second, 100*time.Millisecond))
+	require.Equal(t, []bool{true, false}, loaded)
 }
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -117,6 +117,8 @@
 	// RunQueue returns how long what was ready to run waited for the processor since its last call.
 	// It may be nil: then that is not known.
 	RunQueue func() time.Duration
+	// Loaded is called when the host becomes busy or full, and when it is calm again. It may be nil.
+	Loaded func(loaded bool)
 }
 
 // Host is one host process.
