Try few connections to upstreams out of reach, whatever their number

Change: the upstreams out of reach share 50 attempts a second; up to 12 of them each is tried every 250 ms as before.

Result: TestAttemptsAtUpstreamsOutOfReachAreFew failed without the change (184.5 a second to 100 upstreams, 60 is the bound) and passes; all are found within five seconds of the end of the cut.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -127,6 +127,8 @@
 	closed  bool
 	// awaiting is the number of requests in [Balancer.AwaitRoom].
 	awaiting atomic.Int64
+	// reconnecting is the number of upstreams out of reach to which connections are tried.
+	reconnecting atomic.Int64
 }
 
 // service is the state of one service.
--- a/fleet/balancer/reach.go
+++ b/fleet/balancer/reach.go
@@ -12,6 +12,17 @@
 // which is out of reach, or to any of a service from which it is cut off.
 const reachProbeInterval = 250 * time.Millisecond
 
+// probeSpacing is the least time between two connections that a host tries to open to all upstreams that
+// are out of reach together. A host that is late itself may find all of a large service out of reach, and
+// attempts at each of them would keep it late.
+const probeSpacing = 20 * time.Millisecond
+
+// reconnectInterval returns the time between two attempts at one upstream while outOfReach of them are
+// tried.
+func reconnectInterval(outOfReach int64) time.Duration {
+	return max(reachProbeInterval, time.Duration(outOfReach)*probeSpacing)
+}
+
 // Reached records that the upstream has answered.
 func (l *Lease) Reached() {
 	b := l.balancer
@@ -74,8 +85,10 @@
 // reconnect tries to open a connection to an upstream until it accepts one or has left the list.
 func (b *Balancer) reconnect(s *service, l *Lease) {
 	began := time.Now()
+	b.reconnecting.Add(1)
+	defer b.reconnecting.Add(-1)
 	for {
-		time.Sleep(reachProbeInterval)
+		time.Sleep(reconnectInterval(b.reconnecting.Load()))
 		b.mu.Lock()
 		c, listed := b.conns[l.Upstream.ID]
 		listed = listed && c.pool == l.Conns
