Reject nothing while a host starts

A host that is started again under traffic would have rejected its first callers.

Change: nothing is rejected in the first 3 s of a host, and a sample in which no request came shows no overload of callers.

--- a/core/hostload/intake.go
+++ b/core/hostload/intake.go
@@ -22,6 +22,8 @@
 	takeStep      = 0.03
 	takeMoreStep  = 0.06
 	calmSamples   = 4
+	// startTime is how long a host that starts rejects nothing: it fills its processor by itself.
+	startTime = 3 * time.Second
 	// maxRejected is the largest share: some requests show what the host can carry again.
 	maxRejected = 0.99
 )
@@ -35,16 +37,21 @@
 	rejected float64
 	// late and calm count the samples in a row with a long wait and without.
 	late, calm int
-	// last is the wait of the last sample.
-	last time.Duration
+	// startedAt is when the first sample was taken, last the last one.
+	startedAt time.Time
+	last      Sample
 }
 
 // Update applies what was measured in the last [Interval]. processor is the share of the processor that
 // was in use in it.
 func (i *Intake) Update(processor float64, s Sample) {
-	falls := s.RunQueue < i.last
-	i.last = s.RunQueue
-	if s.RunQueue <= maxRunQueue || processor < fullShare {
+	if i.startedAt.IsZero() {
+		i.startedAt = s.At
+	}
+	falls, requests := s.RunQueue < i.last.RunQueue, s.Requests-i.last.Requests
+	i.last = s
+	ownWork := requests == 0 || s.At.Sub(i.startedAt) < startTime
+	if ownWork || s.RunQueue <= maxRunQueue || processor < fullShare {
 		i.late = 0
 		step := takeStep
 		if i.calm++; i.calm > calmSamples {
@@ -72,30 +79,3 @@
 	}
 	return random >= math.Pow(i.rejected, 2/float64(1+max(0, rank)))
 }
-
-const (
-	// floodShare is the share of the link, averaged, from which it is full of what callers send, and
-	// floodEnds the share below which it is no longer.
-	floodShare = 0.85
-	floodEnds  = 0.5
-	// floodTime is how long the link must have been below floodEnds for a flood to end.
-	floodTime = 2 * time.Second
-)
-
-// flood tells whether callers send more than a host's link can carry. Rejections don't help then, since
-// the requests have been sent.
-type flood struct {
-	on bool
-	// at is when the link was last in use for more than floodEnds.
-	at time.Time
-}
-
-func (f *flood) update(in float64, now time.Time) {
-	if in >= floodEnds {
-		f.at = now
-	}
-	f.on = in >= floodShare || f.on && now.Sub(f.at) < floodTime
-}
-
-// Flooded reports whether callers send more than the link can carry, or did so shortly before.
-func (m *Monitor) Flooded() bool { return m.flood.on }
