Borrow while the log answers too slowly for a claim

Cause: found on rereading and attacking it with what looks like it: a log that answers each call in 170 ms is not lost, but a claim takes longer than a request waits, which was then refused without asking others.

Change: a request waits for a claim for 300 ms and the pause between rounds, then asks for a loan, unless this host is late.

--- a/fleet/allocation/overload_test.go
+++ b/fleet/allocation/overload_test.go
@@ -18,14 +18,18 @@
 	"github.com/hazelworks/hazelworks/standin/memkeyed"
 )
 
-// countingBorrower counts the loans that are asked for, of which none is given.
+// countingBorrower counts the loans that are asked for. None is given, unless lends is set.
 type countingBorrower struct {
 	calls, now, most atomic.Int64
+	lends            atomic.Bool
 }
 
 // Borrow implements Borrower.
-func (b *countingBorrower) Borrow(ctx context.Context, _ record.BudgetID, _ record.Tokens) record.Tokens {
+func (b *countingBorrower) Borrow(ctx context.Context, _ record.BudgetID, amount record.Tokens) record.Tokens {
 	b.calls.Add(1)
+	if b.lends.Load() {
+		return amount
+	}
 	n := b.now.Add(1)
 	defer b.now.Add(-1)
 	for {
@@ -110,6 +114,16 @@
 	})
 }
 
+// The log answers, but so slowly that a claim takes longer than a request can wait. Others lend.
+func TestRequestsBorrowWhileTheLogIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, loans, stop := startSlowHost(t, 170*time.Millisecond, false)
+		defer stop()
+		loans.lends.Store(true)
+		require.Zero(t, serve(m, 50, 3*time.Second), "requests refused")
+	})
+}
+
 // Each request that asks other hosts by itself makes a host that gets no loans do more work the
 // more requests it has.
 func TestRequestsThatNeedALoanDoNotAskAllAtOnce(t *testing.T) {
--- a/fleet/allocation/reserve.go
+++ b/fleet/allocation/reserve.go
@@ -11,23 +11,30 @@
 	"github.com/hazelworks/hazelworks/fleet/grants"
 )
 
-// lendWait bounds the time that a borrowing host waits for a claim of this host.
-const lendWait = 100 * time.Millisecond
+const (
+	// claimWait is the time, beside the pause between rounds, for which a request waits for a claim
+	// while the log answers: four calls that are not overdue yet take about as long. After it, the
+	// other hosts are asked.
+	claimWait = 300 * time.Millisecond
+	// lendWait bounds the time that a borrowing host waits for a claim of this host.
+	lendWait = 100 * time.Millisecond
+)
 
 // Reserve implements grants.Reserver. It uses the host's allocation and claims from the
-// log first. It borrows from other hosts if the log is unreachable or the budget is claimed by
-// others, and waits for the log again if it was unreachable and the others had too little. The
-// request key is not needed, since each reservation is settled once, by this host. It returns a
-// *grants.RefusedError, or the cause of ctx.
+// log first. It borrows from other hosts if the log is unreachable or slow or the budget is claimed
+// by others, but not if only this host is late, and waits for the log again if the others had too
+// little. The request key is not needed, since each reservation is settled once, by this host. It
+// returns a *grants.RefusedError, or the cause of ctx.
 func (m *Manager) Reserve(ctx context.Context, budget record.BudgetID, _ record.RequestKey, amount record.Tokens, wait time.Duration) (grants.Reservation, error) {
 	began := time.Now()
-	err := m.reserve(ctx, budget, amount, wait)
+	firstWait := min(wait, claimWait+m.spacing())
+	err := m.reserve(ctx, budget, amount, firstWait)
 	var refused *grants.RefusedError
-	left := wait - time.Since(began)
-	if left > 0 && errors.As(err, &refused) && m.borrow(ctx, budget, amount) {
+	onlyLate := time.Since(began) >= firstWait && m.late(firstWait)
+	if errors.As(err, &refused) && !onlyLate && m.borrow(ctx, budget, amount) {
 		err = nil
 	}
-	if left = wait - time.Since(began); left > 0 && errors.As(err, &refused) && refused.Unreachable {
+	if left := wait - time.Since(began); left > 0 && errors.As(err, &refused) && refused.Unreachable {
 		err = m.reserve(ctx, budget, amount, left)
 	}
 	if err != nil {
