Find a cut from all upstreams at a host that is late all the while

With the run queue as evidence of lateness an overloaded host is late for as long as it is overloaded; cut off from all upstreams by silence it went on to send its callers' requests there.

Change: after two seconds without contact with any upstream of a service its timeouts count.

--- a/core/reachability/reachability.go
+++ b/core/reachability/reachability.go
@@ -42,6 +42,9 @@
 	return ago, !m.reachedAt.IsZero() && ago < othersTime
 }
 
+// SilentFor reports whether this host has had no contact for a time or longer.
+func (m *Monitor) SilentFor(d time.Duration, now time.Time) bool { return now.Sub(m.reachedAt) >= d }
+
 // NotReached records that an upstream has not answered this host: the connection failed or broke
 // off before the answer, or the answer is long overdue.
 func (m *Monitor) NotReached(upstream string, now time.Time) {
--- a/fleet/balancer/reach.go
+++ b/fleet/balancer/reach.go
@@ -51,10 +51,14 @@
 	}
 }
 
+// maxLateExcuse is the time without any contact with a service after which timeouts count even if this
+// host is late: several times as long as late answers take.
+const maxLateExcuse = 2 * time.Second
+
 // Overdue records that the upstream has not answered within a time. That proves nothing while this
 // host's own timers are late.
 func (l *Lease) Overdue(waited time.Duration) {
-	if !l.balancer.late(waited) {
+	if !l.excused(waited) {
 		l.NotReached()
 	}
 }
@@ -62,7 +66,20 @@
 // TimeoutProves reports whether a timeout after a time says something about the upstream. Another
 // request may have begun to wait for the connection before.
 func (l *Lease) TimeoutProves(waited time.Duration) bool {
-	return !l.balancer.late(max(waited, connectTimeout))
+	return !l.excused(max(waited, connectTimeout))
+}
+
+// excused reports whether this host itself was late in the time before now, and other upstreams of the
+// service have answered it shortly before.
+func (l *Lease) excused(waited time.Duration) bool {
+	b := l.balancer
+	if !b.late(waited) {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.services[l.service]
+	return ok && !s.reach.SilentFor(maxLateExcuse, time.Now())
 }
 
 // late reports whether this host's own timers were late in the time before now.
