Take back: refuse connections while callers flood a host's link

That a host whose link was full reads its list late stays open.

Result: core/hostload, fleet/hostmeter and the platform's tests of load pass.

--- a/core/hostload/hostload.go
+++ b/core/hostload/hostload.go
@@ -113,7 +113,6 @@
 	// long is the use averaged over costTime.
 	long   Use
 	intake Intake
-	flood  flood
 	level  Level
 	// since is when the level began.
 	since time.Time
@@ -142,7 +141,6 @@
 	if max(s.Late, s.RunQueue, s.Connect, s.Probe) >= UnreliableLate || max(m.use.In, m.use.Out) >= unreliableLink {
 		m.strain(last.At, s.At)
 	}
-	m.flood.update(m.use.In, s.At)
 	level := m.nextLevel(s.At)
 	changed = level != m.level
 	if changed {
--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -18,8 +18,8 @@
 
 // Options configure a [Meter].
 type Options struct {
-	// TurnAway is true if the host turns callers away that it can't carry. Otherwise it does so only
-	// while callers flood its link, and rejects requests that its processor can't carry.
+	// TurnAway is true if the host turns callers away that it can't carry. Otherwise it rejects
+	// requests that its processor can't carry.
 	TurnAway bool
 	Limits   hostload.Limits
 	// Processor returns the processor time that the process has used, Memory its memory in
@@ -153,7 +153,7 @@
 // holds mu.
 func (m *Meter) taken() (perSecond float64, limited bool) {
 	perSecond, limited = m.monitor.Bearable()
-	return perSecond, limited && (m.opt.TurnAway || m.monitor.Flooded())
+	return perSecond, limited && m.opt.TurnAway
 }
 
 // tellInterval is the time between two reports of a full host.
