Log what a host's own reads and connections come to while its link is full

The logs of the incident could not tell whether a host's reads of the log fail before or after their bytes have come, what part of the link they take, how many of the connections that it opens time out, nor how old the settings are by which a request is refused. A host whose connections all timed out said nothing of its work, because it counted as calm.

Counted: connections that timed out, bytes of the connections to the log. No decision is changed.

--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -93,9 +93,9 @@
 		return err
 	}
 	defer func() { _ = runQueue.Close() }()
-	network := sockets.System{}
+	network, logTraffic := sockets.System{}, &hostmeter.Traffic{}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         network.Dialer(storeSocketOptions),
+		DialContext:         logTraffic.Dialer(network.Dialer(storeSocketOptions)),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
 	}}
@@ -108,7 +108,7 @@
 		Logger:   logger,
 		Metrics:  metrics.NewRegistry(),
 
-		Processor: hostmeter.ProcessorTime, Memory: hostmeter.MemoryInUse, RunQueue: runQueue.Wait, Loaded: setCollection,
+		Processor: hostmeter.ProcessorTime, Memory: hostmeter.MemoryInUse, RunQueue: runQueue.Wait, LogTraffic: logTraffic, Loaded: setCollection,
 	})
 	if err != nil {
 		return err
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -54,6 +54,10 @@
 	// loaded is true once records were loaded, in the era of next.
 	loaded bool
 	lostAt time.Time
+	// failures is the number of failed reads since lostAt, and loggedAt when the last one was
+	// logged.
+	failures int
+	loggedAt time.Time
 	// throttled is the number of calls in a row that were throttled by the log's limit.
 	throttled int
 }
@@ -66,8 +70,9 @@
 // Run follows the stream until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		began := time.Now()
 		if err := f.step(ctx); err != nil {
-			f.recordFailure(ctx, err)
+			f.recordFailure(ctx, time.Since(began), err)
 			f.throttled = admission.CountThrottled(f.throttled, err)
 			sleep(ctx, f.opt.Retry.Delay(1+f.throttled, rand.Float64()))
 			continue
@@ -142,12 +147,24 @@
 	f.opt.Snapshot(records)
 }
 
-func (f *Follower) recordFailure(ctx context.Context, err error) {
-	if !f.lostAt.IsZero() || ctx.Err() != nil {
+// failureLogInterval is the least time between two log lines about failed reads.
+const failureLogInterval = time.Second
+
+func (f *Follower) recordFailure(ctx context.Context, took time.Duration, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	f.failures++
+	if !f.lostAt.IsZero() {
+		if now.Sub(f.loggedAt) >= failureLogInterval {
+			f.loggedAt = now
+			f.opt.Logger.Info("Stream still lost.", "stream", f.opt.Stream, "offset", f.next.Offset, "lost", now.Sub(f.lostAt), "failures", f.failures, "took", took, "error", err.Error())
+		}
 		return
 	}
-	f.lostAt = time.Now()
-	f.opt.Logger.Info("Stream lost.", "stream", f.opt.Stream, "era", f.next.Era, "offset", f.next.Offset, "error", err.Error())
+	f.lostAt, f.loggedAt = now, now
+	f.opt.Logger.Info("Stream lost.", "stream", f.opt.Stream, "era", f.next.Era, "offset", f.next.Offset, "took", took, "error", err.Error())
 }
 
 func (f *Follower) recordSuccess() {
@@ -155,8 +172,8 @@
 		return
 	}
 	lost := time.Since(f.lostAt)
-	f.lostAt = time.Time{}
-	f.opt.Logger.Info("Stream regained.", "stream", f.opt.Stream, "era", f.next.Era, "offset", f.next.Offset, "lost", lost)
+	f.opt.Logger.Info("Stream regained.", "stream", f.opt.Stream, "era", f.next.Era, "offset", f.next.Offset, "lost", lost, "failures", f.failures)
+	f.lostAt, f.failures = time.Time{}, 0
 	if f.opt.Regained != nil {
 		f.opt.Regained(lost)
 	}
--- a/fleet/hostmeter/connects.go
+++ b/fleet/hostmeter/connects.go
@@ -93,8 +93,7 @@
 // probe opens a connection again that was not opened in time, with a longer timeout. If that
 // succeeds, it was late and not lost.
 func (m *Meter) probe(dial sockets.DialFunc, network, address string, err error) {
-	var timeout net.Error
-	if !errors.As(err, &timeout) || !timeout.Timeout() {
+	if !isTimeout(err) {
 		return
 	}
 	m.mu.Lock()
@@ -117,3 +116,8 @@
 		delete(m.probed, address)
 	}()
 }
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -34,6 +34,8 @@
 	Changed func(full bool)
 	// Loaded is called when the host becomes busy or full, and when it is calm again. It may be nil.
 	Loaded func(loaded bool)
+	// Log counts the bytes of the connections to the platform's log. It may be nil.
+	Log *Traffic
 	// Counters are the names of counters in Metrics whose growth is logged while the host is
 	// loaded.
 	Counters []string
@@ -48,9 +50,9 @@
 	in, out  atomic.Int64
 	requests atomic.Int64
 	// accepted and dialled count the connections that others have opened to this host, and the
-	// attempts of this host to open one.
-	accepted, dialled atomic.Int64
-	work              workLog
+	// attempts of this host to open one. timedOut counts those of them that timed out.
+	accepted, dialled, timedOut atomic.Int64
+	work                        workLog
 
 	processor, link, memory, late, level, refused, rejected gometrics.Gauge
 
--- a/fleet/hostmeter/network.go
+++ b/fleet/hostmeter/network.go
@@ -27,6 +27,9 @@
 		n.meter.dialled.Add(1)
 		c, err := dial(ctx, network, address)
 		if err != nil {
+			if isTimeout(err) {
+				n.meter.timedOut.Add(1)
+			}
 			n.meter.probe(slowDial, network, address, err)
 			return nil, err
 		}
--- a/fleet/hostmeter/work.go
+++ b/fleet/hostmeter/work.go
@@ -19,16 +19,23 @@
 type workLog struct {
 	at     time.Time
 	before map[string]int64
+	// timedOut is the count of connections that timed out at the last look.
+	timedOut int64
 }
 
-// due reports whether a line is due.
-func (w *workLog) due(now time.Time, level hostload.Level) bool {
-	return level != hostload.Calm && now.Sub(w.at) >= workInterval
+// due reports whether a line is due: the host is loaded, or connections that it opens time out.
+func (w *workLog) due(now time.Time, level hostload.Level, timedOut int64) bool {
+	if now.Sub(w.at) < workInterval {
+		return false
+	}
+	failing := timedOut > w.timedOut
+	w.timedOut = timedOut
+	return level != hostload.Calm || failing
 }
 
 // logWork logs how much was done since the last line. It is called by Run only.
 func (m *Meter) logWork(now time.Time, level hostload.Level, use hostload.Use, rejected float64) {
-	if !m.work.due(now, level) {
+	if !m.work.due(now, level, m.timedOut.Load()) {
 		return
 	}
 	counts := m.counts()
@@ -38,7 +45,7 @@
 		return // the host was calm meanwhile
 	}
 	fields := []any{"level", level.String(), "processor", use.Processor, "link_in", use.In, "link_out", use.Out, "run_queue", use.RunQueue, "rejected", rejected, "elapsed", elapsed}
-	for _, name := range append([]string{countRequests, countAccepted, countDialled, countCollections}, m.opt.Counters...) {
+	for _, name := range append([]string{countRequests, countAccepted, countDialled, countTimedOut, countLogIn, countLogOut, countCollections}, m.opt.Counters...) {
 		fields = append(fields, name, counts[name]-before[name])
 	}
 	m.log.Info("Work of this host.", fields...)
@@ -49,6 +56,9 @@
 	countRequests    = "requests"
 	countAccepted    = "connections_accepted"
 	countDialled     = "connections_dialled"
+	countTimedOut    = "connections_timed_out"
+	countLogIn       = "log_bytes_in"
+	countLogOut      = "log_bytes_out"
 	countCollections = "garbage_collections"
 )
 
@@ -58,6 +68,7 @@
 	metrics.Read(sample)
 	out := map[string]int64{
 		countRequests: m.requests.Load(), countAccepted: m.accepted.Load(), countDialled: m.dialled.Load(),
+		countTimedOut: m.timedOut.Load(), countLogIn: m.opt.Log.In(), countLogOut: m.opt.Log.Out(),
 		countCollections: int64(sample[0].Value.Uint64()),
 	}
 	for _, name := range m.opt.Counters {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -30,11 +30,14 @@
 
 // Options configure a [Relay].
 type Options struct {
-	Decoder  RequestDecoder
-	Dialect  Dialect
-	Table    func() *routes.Table
-	Balancer *balancer.Balancer
-	Reserver grants.Reserver
+	Decoder RequestDecoder
+	Dialect Dialect
+	Table   func() *routes.Table
+	// SettingsAge returns the time since Table was last known to be the newest. It is negative if it
+	// never was.
+	SettingsAge func() time.Duration
+	Balancer    *balancer.Balancer
+	Reserver    grants.Reserver
 	// Takes reports whether this host begins a new request of a rank; 0 is the most urgent. It may be
 	// nil: then all are begun.
 	Takes func(rank int) bool
@@ -109,6 +112,7 @@
 	}
 	route := table.Match(req.Host, req.Path)
 	if route == nil {
+		r.log.Info("Request matches no route.", "request", req.ID, "path", req.Path, "table", table.Version, "confirmed_ago", r.opt.SettingsAge())
 		r.refuse(w, req, refusal{status: http.StatusNotFound, reason: "no route"})
 		return
 	}
@@ -116,6 +120,7 @@
 	if table.NeedsKey(route) {
 		account = table.ByKey(req.Key)
 		if account == nil {
+			r.log.Info("Request has an unknown key.", "request", req.ID, "route", route.Name, "table", table.Version, "confirmed_ago", r.opt.SettingsAge())
 			r.refuse(w, req, refusal{status: http.StatusUnauthorized, reason: "unknown key"})
 			return
 		}
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -106,7 +106,7 @@
 		}, Receive: h.receive, ReceiveReport: h.receiveReport, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
-		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.serviceTable, Balancer: h.balancer, Reserver: h.budgets, Takes: h.load.Takes,
+		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.serviceTable, SettingsAge: h.table.confirmedAgo, Balancer: h.balancer, Reserver: h.budgets, Takes: h.load.Takes,
 		Quarantine: h.quarantines, Origins: h.origins, Shares: h.shares,
 		Forward: relay.ForwardOptions{Self: h.self, Hosts: h.hosts.others, Dial: h.opt.Network.Dialer(peerSockets)}, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -117,6 +117,8 @@
 	// RunQueue returns how long what was ready to run waited for the processor since its last call.
 	// It may be nil: then that is not known.
 	RunQueue func() time.Duration
+	// LogTraffic counts the bytes of the connections to the log. It may be nil.
+	LogTraffic *hostmeter.Traffic
 	// Loaded is called when the host becomes busy or full, and when it is calm again. It may be nil.
 	Loaded func(loaded bool)
 }
@@ -346,7 +348,7 @@
 	}
 	add(h.follower(follow.Options{
 		Log: h.settings, Stream: h.opt.Protocol.OperatorStream, Snapshot: h.operatorSnapshot, Records: h.operatorRecords, Rewound: h.operatorRewound,
-		Pause: func() time.Duration { return tablePause }, Retry: tableRetry,
+		Pause: func() time.Duration { return tablePause }, Retry: tableRetry, Read: h.table.read,
 	}))
 	add(h.follower(follow.Options{
 		Stream: h.opt.Protocol.UpstreamStream, Pause: func() time.Duration { return h.scaledPause(listPause, maxListPause) }, Retry: listRetry,
--- a/fleet/relayhost/load.go
+++ b/fleet/relayhost/load.go
@@ -19,7 +19,7 @@
 	h.load = hostmeter.New(hostmeter.Options{
 		TurnAway:  h.cfg.TurnCallersAway,
 		Limits:    hostload.Limits{Cores: l.Cores, LinkBits: l.LinkBits, MemoryBytes: l.MemoryBytes},
-		Processor: h.opt.Processor, Memory: h.opt.Memory, RunQueue: h.opt.RunQueue, Changed: h.loadChanged, Loaded: h.opt.Loaded,
+		Processor: h.opt.Processor, Memory: h.opt.Memory, RunQueue: h.opt.RunQueue, Changed: h.loadChanged, Loaded: h.opt.Loaded, Log: h.opt.LogTraffic,
 		Counters: []string{balancer.CounterChoices, balancer.CounterChoiceTime, lending.CounterCalls, gossip.CounterReceived},
 		Logger:   h.opt.Logger, Metrics: h.opt.Metrics,
 	})
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -31,6 +31,24 @@
 	changed func(*routes.Table)
 	log     logr.Logger
 	current atomic.Pointer[routes.Table]
+	// confirmedAt is when the stream was last read to its end, or nil.
+	confirmedAt atomic.Pointer[time.Time]
+}
+
+// read records that the stream was read to its end.
+func (t *tableWatch) read() {
+	now := time.Now()
+	t.confirmedAt.Store(&now)
+}
+
+// confirmedAgo returns the time since the settings were last known to be the newest, or a negative
+// time if they never were.
+func (t *tableWatch) confirmedAgo() time.Duration {
+	at := t.confirmedAt.Load()
+	if at == nil {
+		return -1
+	}
+	return time.Since(*at)
 }
 
 func (t *tableWatch) apply(records []platform.KeyedRecord) {
@@ -49,7 +67,8 @@
 		}
 		t.current.Store(table)
 		t.changed(table)
-		t.log.Info("Configuration in force.", "version", table.Version, "routes", len(table.Routes), "accounts", len(table.Accounts))
+		t.log.Info("Configuration in force.", "version", table.Version, "routes", len(table.Routes), "accounts", len(table.Accounts),
+			"offset", r.Offset, "bytes", len(r.Value), "confirmed_ago", t.confirmedAgo())
 	}
 }
 
