--- a/core/hostload/hostload_test.go
+++ b/core/hostload/hostload_test.go
@@ -191,3 +191,21 @@
 	}
 	require.LessOrEqual(t, longest, 1100*time.Millisecond)
 }
+
+// Callers fill a host's link so that nothing that it sends is answered in time. It takes few of them
+// until its link is free, and then as many as it can carry.
+func TestHostWhoseLinkIsChokedTakesFewCallers(t *testing.T) {
+	h := newSmallHost()
+	h.run(time.Second, 80)
+	h.sample.Connect = 300 * time.Millisecond
+	h.run(2*time.Second, 300)
+	taken := h.taken
+	h.run(2*time.Second, 300)
+	require.Less(t, h.taken-taken, 2*300/10, "a tenth of those that come")
+	require.LessOrEqual(t, h.longestClosed, maxTurning+Interval, "callers don't take it for lost")
+	h.sample.Connect = time.Millisecond
+	h.run(4*time.Second, 90)
+	taken = h.taken
+	h.run(2*time.Second, 90)
+	require.Greater(t, h.taken-taken, 2*90*8/10, "the link is free")
+}
