Take a host to which nothing gets through for full, and let it take few callers

Callers saw: no connection and no answer for ten seconds at a host with a link of 10 Mbit/s, long after their excess had ended. Cause: the host took its lateness from connections that it had opened, and with its link full it opened none, so that it counted as calm and took all that came. Even where it counted as full, its limit followed the number of requests, which say nothing while none of them is served: the link stays full of requests that have been given up.

Evidence now: connections to three machines or more timed out within half a second, none was opened quickly, hardly anything was read from other machines, and the log, which answers all the while, has not for 1.5 s. While nothing is answered within 100 ms, the limit falls by a fifth with each sample. What looks like it: machines that are down or cut off (others answer on open connections), a log that is away (the others are reached).

--- a/core/hostload/door.go
+++ b/core/hostload/door.go
@@ -18,6 +18,11 @@
 	// the requests may fall by it, as a share of those that the host can carry.
 	lateFall     = 0.95
 	minLateShare = 0.5
+	// chokedLate is the lateness from which nothing that the host sends is answered in time. Callers'
+	// requests then fail after they have taken up its link, so that their number says nothing of what
+	// it can carry. chokedFall is the factor with each sample while it lasts.
+	chokedLate = 100 * time.Millisecond
+	chokedFall = 0.8
 	// freeAfter is how long the limit must not have been needed to end.
 	freeAfter = 4 * time.Second
 	// burstTime is the time for which a full host may take more than it can carry.
@@ -50,6 +55,8 @@
 		return
 	}
 	switch {
+	case m.use.Late >= chokedLate:
+		m.bearable *= chokedFall
 	case !known || m.long.Requests < m.bearable/2:
 		// So few requests don't show their cost, and are not the cause of the load.
 	case m.use.Late >= FullLate:
--- a/fleet/hostmeter/connects.go
+++ b/fleet/hostmeter/connects.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/hostload"
 	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
@@ -21,10 +22,60 @@
 	minPeers = 2
 )
 
-// connects are the connections that this host has opened lately. Those that failed don't count: the
-// other machine may be down or cut off.
+const (
+	// minStuckPeers is the number of machines to which connections must have timed out, and none must
+	// have been opened quickly, for this host's own link to be full.
+	minStuckPeers = 3
+	// timeoutsPerAnswer is the least number of timeouts for each read from another machine.
+	timeoutsPerAnswer = 4
+	// quickConnect is the time in which a connection is opened while no packets wait.
+	quickConnect = hostload.FullLate
+	// logSilence is the time in which the log answers a host whose link is free. Reads wait for
+	// records for a second at most.
+	logSilence = 1500 * time.Millisecond
+)
+
+// connects are the connections that this host has opened lately.
 type connects []connect
 
+// timeouts are the connections that this host has failed to open in time.
+type timeouts []connect
+
+func (t *timeouts) add(one connect) {
+	for len(*t) > 0 && one.at.Sub((*t)[0].at) >= connectWindow {
+		*t = (*t)[1:]
+	}
+	*t = append(*t, one)
+}
+
+// stuck returns the longest time for which a connection was tried in vain lately, if that shows that
+// packets wait at this host's own link, or zero. Single machines may be down or cut off, while others
+// answer on the connections that are open. answers is the number of reads from these in connectWindow.
+func (t timeouts) stuck(opened connects, answers int64, now time.Time) time.Duration {
+	for _, one := range slices.Backward(opened) {
+		if now.Sub(one.at) > connectWindow {
+			break
+		}
+		if one.took < quickConnect {
+			return 0
+		}
+	}
+	peers := make(map[string]bool, minStuckPeers)
+	var longest time.Duration
+	var failed int64
+	for _, one := range t {
+		if now.Sub(one.at) <= connectWindow {
+			failed++
+			peers[one.peer] = true
+			longest = max(longest, one.took)
+		}
+	}
+	if len(peers) < minStuckPeers || failed < timeoutsPerAnswer*answers {
+		return 0
+	}
+	return longest
+}
+
 type connect struct {
 	peer string
 	at   time.Time
@@ -90,6 +141,35 @@
 	maxProbes = minPeers
 )
 
+// timeout records a connection that was not opened in time.
+func (m *Meter) timeout(peer string, took time.Duration) {
+	m.timedOut.Add(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.timeouts.add(connect{peer: peer, at: time.Now(), took: took})
+}
+
+// LogAnswered records that the log has answered a call.
+func (m *Meter) LogAnswered() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.logAnsweredAt = time.Now()
+}
+
+// stuck returns how long packets wait at this host's link at least, if nothing comes through: no
+// connection is opened, and the log, which answers all the while, has not. It is called with each
+// sample. The caller holds mu.
+func (m *Meter) stuck(now time.Time) time.Duration {
+	total := m.answers.Load()
+	answers := total - m.answersAt[0]
+	copy(m.answersAt[:], m.answersAt[1:])
+	m.answersAt[len(m.answersAt)-1] = total
+	if now.Sub(m.logAnsweredAt) < logSilence {
+		return 0
+	}
+	return m.timeouts.stuck(m.connects, answers, now)
+}
+
 // probe opens a connection again that was not opened in time, with a longer timeout. If that
 // succeeds, it was late and not lost.
 func (m *Meter) probe(dial sockets.DialFunc, network, address string, err error) {
--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -52,7 +52,9 @@
 	// accepted and dialled count the connections that others have opened to this host, and the
 	// attempts of this host to open one. timedOut counts those of them that timed out.
 	accepted, dialled, timedOut atomic.Int64
-	work                        workLog
+	// answers counts the reads from connections that this host has opened.
+	answers atomic.Int64
+	work    workLog
 
 	processor, link, memory, late, level, refused, rejected gometrics.Gauge
 
@@ -63,6 +65,11 @@
 	turnedAway int64
 	toldAt     time.Time
 	connects   connects
+	timeouts   timeouts
+	// answersAt holds the counts of answers at the samples of the last connectWindow, oldest first.
+	answersAt [connectWindow / hostload.Interval]int64
+	// logAnsweredAt is when the log last answered a call.
+	logAnsweredAt time.Time
 	// probed holds the addresses to which probes are under way.
 	probed map[string]bool
 }
@@ -124,6 +131,7 @@
 	}
 	m.mu.Lock()
 	s.Connect, s.Probe = m.connects.shortest(now, false), m.connects.shortest(now, true)
+	s.Connect = max(s.Connect, m.stuck(now))
 	before := m.monitor.Level()
 	_, wasLimited := m.taken()
 	changed := m.monitor.Add(s)
--- a/fleet/hostmeter/network.go
+++ b/fleet/hostmeter/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,13 +29,13 @@
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			if isTimeout(err) {
-				n.meter.timedOut.Add(1)
+				n.meter.timeout(address, time.Since(began))
 			}
 			n.meter.probe(slowDial, network, address, err)
 			return nil, err
 		}
 		n.meter.connected(address, time.Since(began), false)
-		return n.meter.count(c), nil
+		return n.meter.count(c, &n.meter.answers), nil
 	}
 }
 
@@ -68,7 +69,7 @@
 		return nil, err
 	}
 	l.meter.accepted.Add(1)
-	return l.meter.count(c), nil
+	return l.meter.count(c, nil), nil
 }
 
 // SetDeadline sets the time at which Accept fails.
@@ -84,12 +85,17 @@
 type conn struct {
 	net.Conn
 	meter *Meter
+	// answers counts reads, unless it is nil.
+	answers *atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.meter.in.Add(int64(n))
+	if n > 0 && c.answers != nil {
+		c.answers.Add(1)
+	}
 	return n, err
 }
 
@@ -114,9 +120,10 @@
 	syscall.Conn
 }
 
-// count returns a connection whose bytes the meter counts. It has a socket if c has one.
-func (m *Meter) count(c net.Conn) net.Conn {
-	counted := &conn{c, m}
+// count returns a connection whose bytes the meter counts, and its reads in answers, unless that is
+// nil. It has a socket if c has one.
+func (m *Meter) count(c net.Conn, answers *atomic.Int64) net.Conn {
+	counted := &conn{c, m, answers}
 	if sys, ok := c.(syscall.Conn); ok {
 		return sysConn{counted, sys}
 	}
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -164,7 +164,8 @@
 		return nil, err
 	}
 	cfg := opt.Config
-	opt.Log = &meteredLog{log: opt.Log, registry: opt.Metrics}
+	log := &meteredLog{log: opt.Log, registry: opt.Metrics}
+	opt.Log = log
 	h := &Host{opt: opt, cfg: cfg, log: opt.Logger.WithName("host"),
 		stop: make(chan struct{}), announceAgain: make(chan struct{}, 1), startedAt: time.Now()}
 	h.self = roster.Host{
@@ -173,6 +174,7 @@
 		Build: build.Info{Level: build.Current, Revision: opt.Revision},
 	}
 	h.bounds.Store(&cfg.Bounds)
+	log.answered = func() { h.load.LogAnswered() }
 	h.build()
 	return h, nil
 }
--- a/fleet/relayhost/metered.go
+++ b/fleet/relayhost/metered.go
@@ -19,6 +19,8 @@
 type meteredLog struct {
 	log      platform.KeyedLog
 	registry metrics.Registry
+	// answered is called with each answer of the log.
+	answered func()
 }
 
 func (m *meteredLog) Newest(ctx context.Context, stream string) ([]platform.KeyedRecord, platform.Position, error) {
@@ -50,6 +52,8 @@
 	outcome := "ok"
 	if err != nil {
 		outcome = "failed"
+	} else {
+		m.answered()
 	}
 	metrics.GetOrRegisterCounter("log_calls."+call+"."+outcome, m.registry).Inc(1)
 	if waited > 0 {
