Open few connections while none is opened in time

Callers saw: a host with a full link that opened 870 to 1,200 connections a second at 300 requests, 98 in 100 of which timed out. Cause: each request tried up to four upstreams and then up to three other hosts, and each attempt waited for its timeout, since a host that is late takes none of them for out of reach. The attempts keep the link full that they wait for.

While connections to three machines or more time out and hardly anything is read from others, the host tries one in 50 ms; the log's connections are not bounded, so that the host's own reads come first. A request whose attempt is not made is rejected at once with a time to come back; it says nothing of the upstream. Hosts that accepted no connection are not asked to forward for a second, and none after twelve of them.

--- a/fleet/exchange/pool.go
+++ b/fleet/exchange/pool.go
@@ -6,11 +6,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"math"
 	"net"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
 const (
@@ -146,7 +149,9 @@
 	defer cancel()
 	raw, err := p.opt.Dial(ctx, "tcp", p.addr)
 	if err != nil {
-		p.closedByPeer()
+		if !errors.Is(err, sockets.ErrNotTried) {
+			p.closedByPeer()
+		}
 		return nil, err
 	}
 	if p.opt.Opened != nil {
--- a/fleet/hostmeter/connects.go
+++ b/fleet/hostmeter/connects.go
@@ -149,6 +149,22 @@
 	m.timeouts.add(connect{peer: peer, at: time.Now(), took: took})
 }
 
+// stuckDialSpacing is the least time between two attempts to open a connection while none is opened in
+// time. They show when the link is free again; more of them would keep it full.
+const stuckDialSpacing = 50 * time.Millisecond
+
+// mayDial reports whether this host tries to open a connection. Those to the log are not asked about.
+func (m *Meter) mayDial(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	answers := m.answers.Load() - m.answersAt[0]
+	if m.timeouts.stuck(m.connects, answers, now) > 0 && now.Sub(m.dialledAt) < stuckDialSpacing {
+		return false
+	}
+	m.dialledAt = now
+	return true
+}
+
 // LogAnswered records that the log has answered a call.
 func (m *Meter) LogAnswered() {
 	m.mu.Lock()
--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -66,6 +66,8 @@
 	toldAt     time.Time
 	connects   connects
 	timeouts   timeouts
+	// dialledAt is when this host last tried to open a connection.
+	dialledAt time.Time
 	// answersAt holds the counts of answers at the samples of the last connectWindow, oldest first.
 	answersAt [connectWindow / hostload.Interval]int64
 	// logAnsweredAt is when the log last answered a call.
--- a/fleet/hostmeter/network.go
+++ b/fleet/hostmeter/network.go
@@ -25,6 +25,9 @@
 	slowDial := n.Network.Dialer(o)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		began := time.Now()
+		if !n.meter.mayDial(began) {
+			return nil, sockets.ErrNotTried
+		}
 		n.meter.dialled.Add(1)
 		c, err := dial(ctx, network, address)
 		if err != nil {
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
+	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
 // errStalled cancels an attempt whose answer is long overdue.
@@ -122,6 +123,7 @@
 	began := time.Now()
 	resp, err := lease.Conns.Send(ctx, out)
 	c.recordReach(ctx, lease, err, time.Since(began))
+	c.notTried = errors.Is(err, sockets.ErrNotTried)
 	result := c.receive(ctx, resp, err, lease)
 	c.r.logFor(result != resultAnswered).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID, "version", lease.Upstream.Version, "after_event", c.lastEventID,
 		"delay", lease.Delay, "wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "held", lease.Held, "slowness", round2(lease.Slowness), "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
@@ -138,7 +140,7 @@
 	switch {
 	case err == nil:
 		lease.Reached()
-	case ctx.Err() != nil || errors.Is(err, exchange.ErrTooNew):
+	case ctx.Err() != nil || errors.Is(err, exchange.ErrTooNew) || errors.Is(err, sockets.ErrNotTried):
 		// It has not been tried, or not for long enough.
 	case errors.As(err, &timeout) && timeout.Timeout() && !lease.TimeoutProves(took):
 		// This host may have been too slow to see the answer.
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -54,6 +54,8 @@
 	staysHere bool
 	// unreached counts the attempts in which the upstream accepted no connection.
 	unreached int
+	// notTried is true if this host's link was too full for the last attempt.
+	notTried bool
 	// runs counts the attempts in which the request may have run.
 	runs        int
 	reservation grants.Reservation
@@ -174,6 +176,10 @@
 			c.giveUp(ctx, c.unsafe)
 			return
 		}
+		if c.notTried && c.runs == 0 {
+			c.giveUp(ctx, errLinkFull)
+			return
+		}
 		if !c.mayRetry(last) {
 			break
 		}
@@ -203,6 +209,9 @@
 // errNotAccepted reports that no upstream accepted a request.
 var errNotAccepted = errors.New("no upstream accepted the request")
 
+// errLinkFull reports that this host's link is too full to reach an upstream.
+var errLinkFull = errors.New("this host's link is full")
+
 // roomWaitShare is the part of the route's latency objective for which a request waits at this
 // host for room at an upstream.
 const roomWaitShare = 0.5
@@ -386,7 +395,7 @@
 		retryAfter = paused.RetryAfter
 	case errors.As(reason, &quarantined):
 		retryAfter = quarantined.Remaining
-	case errors.Is(reason, balancer.ErrFull), errors.Is(reason, balancer.ErrEmptied):
+	case errors.Is(reason, balancer.ErrFull), errors.Is(reason, balancer.ErrEmptied), errors.Is(reason, errLinkFull):
 		retryAfter = admission.RetryAfterOutage(c.timeout()-time.Since(c.req.Arrived), rand.Float64())
 	case errors.Is(reason, origins.ErrUnknown), errors.Is(reason, balancer.ErrNoVersion):
 		c.r.meters.notResumed.Inc(1)
--- a/fleet/relay/forward.go
+++ b/fleet/relay/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -47,6 +48,9 @@
 	helperIdle = 5 * time.Second
 	// avoidHelper is how long a host is avoided that could not help.
 	avoidHelper = time.Second
+	// maxUnreached is the number of hosts that accepted no connection lately from which no other is
+	// asked: this host's own link is full or cut, and each further attempt would load it.
+	maxUnreached = 12
 )
 
 // ForwardOptions configure how requests are forwarded to other hosts.
@@ -64,10 +68,13 @@
 	mu      sync.Mutex
 	pools   map[record.HostID]*exchange.Pool
 	avoided map[record.HostID]time.Time
+	// unreached holds the times at which hosts accepted no connection. They are not asked for
+	// avoidHelper.
+	unreached map[record.HostID]time.Time
 }
 
 func newHelpers(opt ForwardOptions) *helpers {
-	return &helpers{opt: opt, pools: make(map[record.HostID]*exchange.Pool), avoided: make(map[record.HostID]time.Time)}
+	return &helpers{opt: opt, pools: make(map[record.HostID]*exchange.Pool), avoided: make(map[record.HostID]time.Time), unreached: make(map[record.HostID]time.Time)}
 }
 
 // choose returns the hosts to ask, in order. Hosts of this host's failure domain, which may be
@@ -76,11 +83,18 @@
 	if h.opt.Hosts == nil {
 		return nil
 	}
-	hosts := slices.DeleteFunc(slices.Clone(h.opt.Hosts()), func(o roster.Host) bool { return o.Leaving || o.State.Leaving })
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	maps.DeleteFunc(h.unreached, func(_ record.HostID, at time.Time) bool { return now.Sub(at) >= avoidHelper })
+	if len(h.unreached) >= maxUnreached {
+		return nil
+	}
+	hosts := slices.DeleteFunc(slices.Clone(h.opt.Hosts()), func(o roster.Host) bool {
+		_, unreached := h.unreached[o.ID]
+		return unreached || o.Leaving || o.State.Leaving
+	})
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	rank := func(o roster.Host) int {
 		r := 0
 		if o.FailureDomain == h.opt.Self.FailureDomain {
@@ -95,10 +109,15 @@
 	return hosts[:min(len(hosts), maxHelpers)]
 }
 
-func (h *helpers) avoid(host roster.Host) {
+// avoid records that a host could not help. err is the error of the attempt, if any.
+func (h *helpers) avoid(host roster.Host, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.avoided[host.ID] = time.Now()
+	now := time.Now()
+	h.avoided[host.ID] = now
+	if errors.Is(err, exchange.ErrNotSent) {
+		h.unreached[host.ID] = now
+	}
 }
 
 // pool returns the connections to a host. They don't survive a change of its address.
@@ -171,7 +190,7 @@
 				return true
 			}
 		}
-		c.r.helpers.avoid(h)
+		c.r.helpers.avoid(h, err)
 	}
 	return false
 }
--- a/fleet/sockets/sockets.go
+++ b/fleet/sockets/sockets.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -11,6 +12,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// ErrNotTried reports that no attempt was made to open a connection, because this host itself is
+// overloaded. It says nothing about the other end.
+var ErrNotTried = errors.New("sockets: not tried: this host's link is full")
+
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
