--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -42,8 +42,11 @@
 	Regained func(lost time.Duration)
 	// Read is called after each successful read, once its records were applied. Read may be
 	// nil.
-	Read   func()
-	Logger logr.Logger
+	Read func()
+	// NewestOnly is true if older records of a key don't matter. After a failure, or if records come
+	// faster than they can be read, the newest ones are read in their place.
+	NewestOnly bool
+	Logger     logr.Logger
 }
 
 // Follower reads the newest records of a keyed stream and then follows it.
@@ -85,9 +88,10 @@
 
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
-	if !f.synced {
+	if !f.synced || f.opt.NewestOnly && !f.lostAt.IsZero() {
 		return f.load(ctx)
 	}
+	began := time.Now()
 	records, next, err := f.opt.Log.Follow(ctx, f.opt.Stream, f.next, f.opt.Wait)
 	if errors.Is(err, platform.ErrTrimmed) || errors.Is(err, platform.ErrRewound) {
 		f.synced = false
@@ -103,9 +107,28 @@
 	}
 	f.next = next
 	f.read()
+	if f.opt.NewestOnly && time.Since(began) >= slowRead && hasOlder(records) {
+		f.synced = false
+	}
 	return nil
 }
 
+// slowRead is the time from which a read that returns several records of a key is too slow to follow
+// each of them.
+const slowRead = 500 * time.Millisecond
+
+// hasOlder reports whether there are several records of a key.
+func hasOlder(records []platform.KeyedRecord) bool {
+	seen := make(map[string]bool, len(records))
+	for _, r := range records {
+		if seen[r.Key] {
+			return true
+		}
+		seen[r.Key] = true
+	}
+	return false
+}
+
 func (f *Follower) position(p platform.Position) {
 	if f.opt.Position != nil {
 		f.opt.Position(p)
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -51,8 +51,10 @@
 	return time.Since(*at)
 }
 
+// apply brings the newest configuration into force that can be read. A thousand routes take tens of
+// milliseconds to decode on a small host, so older ones are skipped.
 func (t *tableWatch) apply(records []platform.KeyedRecord) {
-	for _, r := range records {
+	for _, r := range slices.Backward(records) {
 		if r.Key != t.key || r.Value == nil {
 			continue
 		}
@@ -63,12 +65,13 @@
 		}
 		old := t.current.Load()
 		if old != nil && (table.Version <= old.Version || knownfault.KeepOldSettings) {
-			continue
+			return
 		}
 		t.current.Store(table)
 		t.changed(table)
 		t.log.Info("Configuration in force.", "version", table.Version, "routes", len(table.Routes), "accounts", len(table.Accounts),
 			"offset", r.Offset, "bytes", len(r.Value), "confirmed_ago", t.confirmedAgo())
+		return
 	}
 }
 
