Read the settings of small hosts from large ones

Callers saw: settings that were not in force in time at hosts whose links callers fill. Cause: each host read each version from the log as it is, 288 KB, a quarter of a second of a link of 10 Mbit/s. Versions that come every 0.3 s take four fifths of it. That hosts read the settings from each other, compressed and only the newest, was meant for fleets of more hosts than the log can serve; it is a matter of the host's link as well.

A host on whose link 800 KB take more than a quarter of a second asks the readers, which are large hosts. TestLargeSettingsReachAHostWhoseLinkIsHalfFull failed before (404 by settings that are 2 s old).

--- a/fleet/relayhost/pacing.go
+++ b/fleet/relayhost/pacing.go
@@ -34,9 +34,16 @@
 	settingsBytes = 800e3
 )
 
+// settingsLinkShare is the share of a host's link that reading the settings from the log may take for
+// the time of [settingsReadWindow].
+const settingsLinkShare = 0.25
+
 // directHosts returns the number of hosts up to which each reads the settings from the
-// log.
+// log. A host with a small link reads them from other hosts, which send them compressed.
 func directHosts(limits Limits) int {
+	if limits.LinkBits > 0 && 8*settingsBytes/limits.LinkBits > settingsLinkShare*settingsReadWindow.Seconds() {
+		return 0
+	}
 	if limits.LogReadRate <= 0 {
 		return math.MaxInt
 	}
