Get the settings from other hosts while this one can't read the log

Cause: hosts that read from the log asked nobody else, and those that ask readers waited 1.7 s for one that is frozen before they asked the next.

After a failed read a host asks the readers too, at the same time, until the log answers first. The next reader is asked a quarter of a second after the first one's wait is over. A wait lasts half a second at most, an answer says how old its content is, and a host whose link is full gives an answer 2.5 s.

--- a/fleet/fanout/fanout.go
+++ b/fleet/fanout/fanout.go
@@ -45,7 +45,7 @@
 	// DirectHosts returns the number of hosts up to which all read from the log.
 	DirectHosts func() int
 	// Ask reads the stream from another host.
-	Ask    func(ctx context.Context, h roster.Host, from platform.Position, wait time.Duration) (*Page, error)
+	Ask    func(ctx context.Context, h roster.Host, from platform.Position, wait time.Duration) (*Answer, error)
 	Logger logr.Logger
 }
 
@@ -57,6 +57,13 @@
 	Next    platform.Position
 }
 
+// Answer is a page with its age.
+type Answer struct {
+	*Page
+	// Age is the time since the host that answers last read from the log.
+	Age time.Duration
+}
+
 // Stream reads one stream for this host and serves its records to others. It implements
 // platform.KeyedReader for its own stream.
 type Stream struct {
@@ -71,6 +78,10 @@
 	since  platform.Position
 	next   platform.Position
 	readAt time.Time
+	// lostAt is when a read from the log last failed, or zero if one has succeeded since. answerAge
+	// is the time since the last answer of another host was read from the log.
+	lostAt    time.Time
+	answerAge time.Duration
 	// changed is closed at the next change.
 	changed chan struct{}
 	// encoded is the last page that was encoded. Dozens of hosts wait for the same one.
@@ -103,6 +114,9 @@
 	records, next, err := s.opt.Log.Newest(ctx, stream)
 	if err != nil {
 		s.markLost()
+		if page := s.askAny(ctx, platform.Position{}, 0); page != nil {
+			return page.Records, page.Next, nil
+		}
 		return nil, platform.Position{}, err
 	}
 	s.mu.Lock()
@@ -127,17 +141,66 @@
 	}
 }
 
-// Follow implements platform.KeyedReader.
+// Follow implements platform.KeyedReader. A host that can't read from the log asks other hosts
+// meanwhile.
 func (s *Stream) Follow(ctx context.Context, stream string, from platform.Position, wait time.Duration) ([]platform.KeyedRecord, platform.Position, error) {
 	if page := s.askReaders(ctx, from, wait); page != nil {
-		if page.Next.Era > from.Era {
-			return nil, platform.Position{}, platform.ErrRewound
+		return page.from(from)
+	}
+	if !s.lostRecently() {
+		return s.followLog(ctx, stream, from, wait)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := make(chan *Answer, 1)
+	go func() { asked <- s.askAny(ctx, from, wait) }()
+	read := make(chan logRead, 1)
+	go func() {
+		// It ends before the other hosts' wait, so that a log that answers again is noticed.
+		records, next, err := s.followLog(ctx, stream, from, min(wait, maxAskWait/2))
+		read <- logRead{records, next, err}
+	}()
+	select {
+	case page := <-asked:
+		if page != nil {
+			s.markLost()
+			return page.from(from)
 		}
-		return page.Records, page.Next, nil
+		r := <-read
+		return r.records, r.next, r.err
+	case r := <-read:
+		if r.err == nil {
+			return r.records, r.next, nil
+		}
+		if page := <-asked; page != nil {
+			return page.from(from)
+		}
+		return nil, platform.Position{}, r.err
 	}
+}
+
+// logRead is the result of a read from the log.
+type logRead struct {
+	records []platform.KeyedRecord
+	next    platform.Position
+	err     error
+}
+
+// from returns the content of another host's answer that starts at a position.
+func (a *Answer) from(from platform.Position) ([]platform.KeyedRecord, platform.Position, error) {
+	if a.Next.Era > from.Era {
+		return nil, platform.Position{}, platform.ErrRewound
+	}
+	return a.Records, a.Next, nil
+}
+
+// followLog reads from the log.
+func (s *Stream) followLog(ctx context.Context, stream string, from platform.Position, wait time.Duration) ([]platform.KeyedRecord, platform.Position, error) {
 	records, next, err := s.opt.Log.Follow(ctx, stream, from, wait)
 	if err != nil {
-		s.markLost()
+		if ctx.Err() == nil {
+			s.markLost()
+		}
 		return nil, platform.Position{}, err
 	}
 	s.restartAt(from)
@@ -145,12 +208,22 @@
 	return records, next, nil
 }
 
+// lostRetry is how long after a failed read from the log other hosts are asked as well.
+const lostRetry = 5 * time.Second
+
+// lostRecently reports whether a read from the log has failed lately, and none has succeeded since.
+func (s *Stream) lostRecently() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lostAt.IsZero() && time.Since(s.lostAt) < lostRetry
+}
+
 // markLost makes pending and new calls of Page fail until the next read from the log, so that
 // other hosts ask another reader.
 func (s *Stream) markLost() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.readAt = time.Time{}
+	s.readAt, s.lostAt = time.Time{}, time.Now()
 	s.notify()
 }
 
@@ -178,7 +251,7 @@
 	for _, r := range records {
 		s.newest[r.Key] = r
 	}
-	s.readAt = time.Now()
+	s.readAt, s.lostAt, s.answerAge = time.Now(), time.Time{}, 0
 	if next.After(s.next) {
 		s.next = next
 		s.notify()
@@ -187,38 +260,101 @@
 
 // askReaders returns a reader's answer, or nil if this host should read from the log
 // itself.
-func (s *Stream) askReaders(ctx context.Context, from platform.Position, wait time.Duration) *Page {
+func (s *Stream) askReaders(ctx context.Context, from platform.Position, wait time.Duration) *Answer {
 	readers, reads := roster.LogReaders(s.opt.Self, s.opt.Alive(), s.opt.DirectHosts())
 	if reads {
 		return nil
 	}
+	return s.ask(ctx, readers, from, wait)
+}
+
+// askAny returns the answer of a host that reads from the log, whether this host does or not, or nil.
+func (s *Stream) askAny(ctx context.Context, from platform.Position, wait time.Duration) *Answer {
+	readers, _ := roster.LogReaders(s.opt.Self, s.opt.Alive(), 0)
+	return s.ask(ctx, slices.DeleteFunc(readers, func(h roster.Host) bool { return h.ID == s.opt.Self.ID }), from, wait)
+}
+
+const (
+	// maxAskWait is how long another host waits for records at most. Its answer says that there are
+	// none, so that this bounds how old that is.
+	maxAskWait = 500 * time.Millisecond
+	// askNextAfter is the time beyond the wait after which the next reader is asked too. A reader
+	// that is frozen or cut off does not answer.
+	askNextAfter = 250 * time.Millisecond
+)
+
+// ask asks hosts in turn until one answers. The next one is asked when one fails or is late.
+func (s *Stream) ask(ctx context.Context, readers []roster.Host, from platform.Position, wait time.Duration) *Answer {
+	readers = readers[:min(maxReadersAsked, len(readers))]
+	if len(readers) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	s.mu.Lock()
 	first := s.firstReader
 	s.mu.Unlock()
-	for i := range min(maxReadersAsked, len(readers)) {
-		h := readers[(first+i)%len(readers)]
-		page, err := s.opt.Ask(ctx, h, from, wait)
-		if err == nil {
-			return page
-		}
-		if ctx.Err() != nil {
+	end := time.Now().Add(min(wait, maxAskWait))
+	answers := make(chan *Answer, len(readers))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	asked, pending := 0, 0
+	for asked < len(readers) || pending > 0 {
+		select {
+		case <-next.C:
+			if asked < len(readers) {
+				h := readers[(first+asked)%len(readers)]
+				asked++
+				pending++
+				remaining := max(0, time.Until(end))
+				go func() { answers <- s.askOne(ctx, h, from, remaining) }()
+				next.Reset(remaining + askNextAfter)
+			}
+		case page := <-answers:
+			pending--
+			if page != nil {
+				return page
+			}
+			next.Reset(0)
+		case <-ctx.Done():
 			return nil
 		}
-		s.log.Info("Reader did not answer; another is asked.", "stream", s.opt.Stream, "host", h.ID, "error", err.Error())
-		s.mu.Lock()
-		s.firstReader++
-		s.mu.Unlock()
 	}
 	return nil
 }
 
+// askOne returns the answer of one host, or nil.
+func (s *Stream) askOne(ctx context.Context, h roster.Host, from platform.Position, wait time.Duration) *Answer {
+	page, err := s.opt.Ask(ctx, h, from, wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.answerAge = page.Age
+		return page
+	}
+	if ctx.Err() != nil {
+		return nil // another one has answered before
+	}
+	s.log.Info("Reader did not answer; another is asked.", "stream", s.opt.Stream, "host", h.ID, "error", err.Error())
+	s.firstReader++
+	return nil
+}
+
+// AnswerAge returns how old the content of the log was that the last call returned: the time since it
+// was read from the log.
+func (s *Stream) AnswerAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answerAge
+}
+
 // errNotReading reports that a host has not read the requested records from the log, or
 // not recently.
 var errNotReading = errors.New("fanout: not reading the stream from the log")
 
 // Page returns the records from an offset on for another host. If there are none, it
 // waits for up to wait.
-func (s *Stream) Page(ctx context.Context, from platform.Position, wait time.Duration) (*Page, error) {
+func (s *Stream) Page(ctx context.Context, from platform.Position, wait time.Duration) (*Answer, error) {
 	end := time.Now().Add(wait)
 	for {
 		page, retry, err := s.page(from)
@@ -244,7 +380,7 @@
 	staleIn time.Duration
 }
 
-func (s *Stream) page(from platform.Position) (*Page, pageWait, error) {
+func (s *Stream) page(from platform.Position) (*Answer, pageWait, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	staleIn := maxReadAge - time.Since(s.readAt)
@@ -256,7 +392,7 @@
 	case from.Era < s.next.Era:
 		from = platform.Position{Era: s.next.Era}
 	}
-	page := &Page{Next: s.next}
+	page := &Answer{Page: &Page{Next: s.next}, Age: time.Since(s.readAt)}
 	if from.After(s.next) {
 		page.Next = from
 	}
--- a/fleet/fanout/fanout_test.go
+++ b/fleet/fanout/fanout_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-func (f *testFleet) asker(from *testHost) func(context.Context, roster.Host, platform.Position, time.Duration) (*Page, error) {
-	return func(ctx context.Context, h roster.Host, offset platform.Position, wait time.Duration) (*Page, error) {
+func (f *testFleet) asker(from *testHost) func(context.Context, roster.Host, platform.Position, time.Duration) (*Answer, error) {
+	return func(ctx context.Context, h roster.Host, offset platform.Position, wait time.Duration) (*Answer, error) {
 		for _, other := range f.hosts {
 			if other.self.ID != h.ID {
 				continue
@@ -234,7 +234,7 @@
 	})
 	server := httptest.NewServer(s)
 	defer server.Close()
-	ask := NewAsker(server.Client())
+	ask := NewAsker(server.Client(), func(time.Duration) bool { return false })
 	host := roster.Host{Peer: netip.MustParseAddrPort(server.Listener.Addr().String())}
 	_, err := ask(t.Context(), host, platform.Position{}, 0)
 	require.ErrorIs(t, err, errNotReading)
@@ -264,7 +264,7 @@
 	})
 	server := httptest.NewServer(s)
 	defer server.Close()
-	ask := NewAsker(server.Client())
+	ask := NewAsker(server.Client(), func(time.Duration) bool { return false })
 	host := roster.Host{Peer: netip.MustParseAddrPort(server.Listener.Addr().String())}
 	_, next, err := s.Newest(t.Context(), testStream)
 	require.NoError(t, err)
--- a/fleet/fanout/http.go
+++ b/fleet/fanout/http.go
@@ -22,9 +22,13 @@
 const (
 	// Path is the HTTP path of the stream on each host.
 	Path = "/fanout/v1/records"
+	// headerAge is the time since the page was read from the log, in milliseconds.
+	headerAge = "Hazelworks-Read-Age-Ms"
 	// askTimeout bounds the time of an answer beyond the wait for records. A reader may
 	// send several megabytes to dozens of hosts at once.
 	askTimeout = 700 * time.Millisecond
+	// lateAskTimeout is that time while packets wait at this host's link, for about a second each way.
+	lateAskTimeout = 2500 * time.Millisecond
 	// maxPageBytes bounds the decompressed size of an answer.
 	maxPageBytes = 64 << 20
 	// maxWait bounds the wait that another host may request.
@@ -46,12 +50,13 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	data, err := s.encoded.get(from, page)
+	data, err := s.encoded.get(from, page.Page)
 	if err != nil {
 		s.log.Error(err, "Page could not be encoded.")
 		http.Error(w, "encoding failed", http.StatusInternalServerError)
 		return
 	}
+	w.Header().Set(headerAge, strconv.FormatInt(page.Age.Milliseconds(), 10))
 	// The error is ignored: a host that has disconnected needs no answer.
 	_, _ = w.Write(data)
 }
@@ -106,10 +111,15 @@
 	return &page, nil
 }
 
-// NewAsker returns a function for Options.Ask that reads the stream over HTTP.
-func NewAsker(client *http.Client) func(context.Context, roster.Host, platform.Position, time.Duration) (*Page, error) {
-	return func(ctx context.Context, h roster.Host, from platform.Position, wait time.Duration) (*Page, error) {
-		ctx, cancel := context.WithTimeout(ctx, wait+askTimeout)
+// NewAsker returns a function for Options.Ask that reads the stream over HTTP. late reports whether this
+// host was late in the time before now.
+func NewAsker(client *http.Client, late func(time.Duration) bool) func(context.Context, roster.Host, platform.Position, time.Duration) (*Answer, error) {
+	return func(ctx context.Context, h roster.Host, from platform.Position, wait time.Duration) (*Answer, error) {
+		timeout := askTimeout
+		if late(wait + askTimeout) {
+			timeout = lateAskTimeout
+		}
+		ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 		defer cancel()
 		query := url.Values{"from": {strconv.FormatUint(uint64(from.Offset), 10)}, "era": {strconv.FormatUint(uint64(from.Era), 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Peer.String()+Path+"?"+query.Encode(), nil)
@@ -124,6 +134,14 @@
 		if resp.StatusCode != http.StatusOK {
 			return nil, fmt.Errorf("%w: status %d", errNotReading, resp.StatusCode)
 		}
-		return decode(resp.Body)
+		page, err := decode(resp.Body)
+		if err != nil {
+			return nil, err
+		}
+		answer := &Answer{Page: page, Age: maxReadAge} // builds that don't state it answer no later
+		if ms, err := strconv.ParseInt(resp.Header.Get(headerAge), 10, 64); err == nil {
+			answer.Age = time.Duration(ms) * time.Millisecond
+		}
+		return answer, nil
 	}
 }
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -95,7 +95,7 @@
 		Log: h.opt.Log, Stream: p.OperatorStream, Self: h.self, Alive: h.hosts.others,
 		HostsKnown:  func() bool { _, known := h.hosts.count(); return known },
 		DirectHosts: func() int { return directHosts(h.cfg.Limits) },
-		Ask:         fanout.NewAsker(h.peerClient()), Logger: h.opt.Logger,
+		Ask:         fanout.NewAsker(h.peerClient(), h.load.Late), Logger: h.opt.Logger,
 	})
 	h.gossip = gossip.New(gossip.Options{
 		Self: h.self, Peers: h.hosts.peers, Heartbeats: h.hosts.heartbeats, Alive: h.hosts.others, State: h.state, Oldest: h.balancer.OldestRunning,
