Choose the highest of several versions in a read

Of several configurations in one read the last one was applied, also if one before it has a higher version.

--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -76,7 +76,7 @@
 		LowestBuild:  h.hosts.lowestLevel,
 		Log:          h.opt.Log, Stream: p.VersionStream, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
-	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, changed: h.setTable, log: h.opt.Logger.WithName("table")}
+	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, version: p.ConfigVersion, changed: h.setTable, log: h.opt.Logger.WithName("table")}
 	h.emptied = newEmptiedWatch(p, h.balancer.SetEmptied, h.opt.Logger.WithName("emptied"), h.opt.Metrics)
 	h.upstreams = newUpstreamWatch(func() time.Duration { return h.bounds.Load().UpstreamHeartbeat }, p.DecodeUpstream, h.setUpstreams, h.opt.Logger.WithName("upstreams"))
 	h.budgets = allocation.New(allocation.Options{
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -92,7 +92,10 @@
 	// VersionStream is the stream of the software versions that services have.
 	VersionStream string
 
-	DecodeConfig   func([]byte) (*routes.Table, error)
+	DecodeConfig func([]byte) (*routes.Table, error)
+	// ConfigVersion returns the version of a configuration without decoding the rest, or zero if it
+	// states none.
+	ConfigVersion  func([]byte) int64
 	DecodeUpstream func(id string, value []byte) (catalog.Upstream, error)
 	// Ready returns the handler of the platform's readiness checks, Directory that of
 	// callers' queries for hosts.
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -1,6 +1,7 @@
 package relayhost
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -26,8 +27,10 @@
 // tableWatch holds the routing configuration in force. It never applies a version
 // older than the one in force.
 type tableWatch struct {
-	key     string
-	decode  func([]byte) (*routes.Table, error)
+	key    string
+	decode func([]byte) (*routes.Table, error)
+	// version returns the version of a configuration, or zero if it states none.
+	version func([]byte) int64
 	changed func(*routes.Table)
 	log     logr.Logger
 	current atomic.Pointer[routes.Table]
@@ -54,10 +57,7 @@
 // apply brings the newest configuration into force that can be read. A thousand routes take tens of
 // milliseconds to decode on a small host, so older ones are skipped.
 func (t *tableWatch) apply(records []platform.KeyedRecord) {
-	for _, r := range slices.Backward(records) {
-		if r.Key != t.key || r.Value == nil {
-			continue
-		}
+	for _, r := range t.newestFirst(records) {
 		table, err := t.decode(r.Value)
 		if err != nil {
 			t.log.Error(err, "Configuration could not be read; the old one stays in force.", "offset", r.Offset)
@@ -75,6 +75,25 @@
 	}
 }
 
+// newestFirst returns the records of configurations, those of higher versions first.
+func (t *tableWatch) newestFirst(records []platform.KeyedRecord) []platform.KeyedRecord {
+	var found []platform.KeyedRecord
+	for _, r := range records {
+		if r.Key == t.key && r.Value != nil {
+			found = append(found, r)
+		}
+	}
+	if len(found) < 2 {
+		return found
+	}
+	versions := make(map[record.Offset]int64, len(found))
+	for _, r := range found {
+		versions[r.Offset] = t.version(r.Value)
+	}
+	slices.SortStableFunc(found, func(a, b platform.KeyedRecord) int { return cmp.Compare(versions[b.Offset], versions[a.Offset]) })
+	return found
+}
+
 // renewalGrace is how long an entry that expired while the log was unreachable stays in
 // use after the log is reachable again. The upstream needs that long to renew it.
 const renewalGrace = 2 * time.Second
