Deny nothing by settings that may be out of date

Callers saw: 404 for routes that had been added 3.4 to 4.7 s before, at hosts that had not read the log for eleven seconds. Cause: a host acts on the settings that it has as if they were the newest; nothing knew when they last were.

Each read that reaches the end of the stream confirms the settings (an answer of another host as of its own read). Where a version that the host has not seen may have to be in force (the time of a change less 250 ms), an unknown route or key is answered 503 with a time to come back, in place of 404 and 401. Requests that the settings allow are served as before, also while the log is away for all.

--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -36,8 +36,11 @@
 	// SettingsAge returns the time since Table was last known to be the newest. It is negative if it
 	// never was.
 	SettingsAge func() time.Duration
-	Balancer    *balancer.Balancer
-	Reserver    grants.Reserver
+	// SettingsConfirmed reports whether every version of Table that must be in force by now is. Otherwise
+	// nothing is denied: a newer one may allow it.
+	SettingsConfirmed func() bool
+	Balancer          *balancer.Balancer
+	Reserver          grants.Reserver
 	// Takes reports whether this host begins a new request of a rank; 0 is the most urgent. It may be
 	// nil: then all are begun.
 	Takes func(rank int) bool
@@ -113,7 +116,7 @@
 	route := table.Match(req.Host, req.Path)
 	if route == nil {
 		r.log.Info("Request matches no route.", "request", req.ID, "path", req.Path, "table", table.Version, "confirmed_ago", r.opt.SettingsAge())
-		r.refuse(w, req, refusal{status: http.StatusNotFound, reason: "no route"})
+		r.refuse(w, req, r.denial(http.StatusNotFound, "no route", req))
 		return
 	}
 	var account *routes.Account
@@ -121,7 +124,7 @@
 		account = table.ByKey(req.Key)
 		if account == nil {
 			r.log.Info("Request has an unknown key.", "request", req.ID, "route", route.Name, "table", table.Version, "confirmed_ago", r.opt.SettingsAge())
-			r.refuse(w, req, refusal{status: http.StatusUnauthorized, reason: "unknown key"})
+			r.refuse(w, req, r.denial(http.StatusUnauthorized, "unknown key", req))
 			return
 		}
 	}
@@ -145,6 +148,18 @@
 	c.run(hr.Context())
 }
 
+// denial returns the refusal of a request that the settings don't allow. A host that can't tell whether
+// these are the newest has the caller come back.
+func (r *Relay) denial(status int, reason string, req *Request) refusal {
+	if r.opt.SettingsConfirmed() {
+		return refusal{status: status, reason: reason}
+	}
+	return refusal{
+		status: http.StatusServiceUnavailable, reason: reason + " in settings that may be out of date",
+		retryAfter: admission.RetryAfterOutage(req.Timeout, rand.Float64()),
+	}
+}
+
 // startRetryAfter is the time after which callers retry at a host that is starting.
 // It needs a few calls to the log to load its configuration.
 const startRetryAfter = 200 * time.Millisecond
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -76,7 +76,7 @@
 		LowestBuild:  h.hosts.lowestLevel,
 		Log:          h.opt.Log, Stream: p.VersionStream, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
-	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, version: p.ConfigVersion, changed: h.setTable, log: h.opt.Logger.WithName("table")}
+	h.table = &tableWatch{key: p.ConfigKey, decode: p.DecodeConfig, version: p.ConfigVersion, changed: h.setTable, applyTime: func() time.Duration { return h.bounds.Load().SettingsApply }, log: h.opt.Logger.WithName("table")}
 	h.emptied = newEmptiedWatch(p, h.balancer.SetEmptied, h.opt.Logger.WithName("emptied"), h.opt.Metrics)
 	h.upstreams = newUpstreamWatch(func() time.Duration { return h.bounds.Load().UpstreamHeartbeat }, p.DecodeUpstream, h.setUpstreams, h.opt.Logger.WithName("upstreams"))
 	h.budgets = allocation.New(allocation.Options{
@@ -106,7 +106,7 @@
 		}, Receive: h.receive, ReceiveReport: h.receiveReport, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.relay = relay.New(relay.Options{
-		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.serviceTable, SettingsAge: h.table.confirmedAgo, Balancer: h.balancer, Reserver: h.budgets, Takes: h.load.Takes,
+		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.serviceTable, SettingsAge: h.table.confirmedAgo, SettingsConfirmed: h.table.confirmed, Balancer: h.balancer, Reserver: h.budgets, Takes: h.load.Takes,
 		Quarantine: h.quarantines, Origins: h.origins, Shares: h.shares,
 		Forward: relay.ForwardOptions{Self: h.self, Hosts: h.hosts.others, Dial: h.opt.Network.Dialer(peerSockets)}, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
--- a/fleet/relayhost/config.go
+++ b/fleet/relayhost/config.go
@@ -62,6 +62,8 @@
 type Bounds struct {
 	// Drain is how long a leaving upstream may still get new requests.
 	Drain time.Duration
+	// SettingsApply is the time within which a version of the settings must be in force at all hosts.
+	SettingsApply time.Duration
 	// Grace is the time between the signal to stop and the forced kill.
 	Grace time.Duration
 	// DirectoryTTL is the maximum TTL of a directory answer.
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -353,7 +353,7 @@
 	}
 	add(h.follower(follow.Options{
 		Log: h.settings, Stream: h.opt.Protocol.OperatorStream, Snapshot: h.operatorSnapshot, Records: h.operatorRecords, Rewound: h.operatorRewound,
-		Pause: func() time.Duration { return tablePause }, Retry: tableRetry, NewestOnly: true, Read: h.table.read,
+		Pause: func() time.Duration { return tablePause }, Retry: tableRetry, NewestOnly: true, Read: func() { h.table.read(h.settings.AnswerAge()) }, Position: h.table.setPosition,
 	}))
 	add(h.follower(follow.Options{
 		Stream: h.opt.Protocol.UpstreamStream, Pause: func() time.Duration { return h.scaledPause(listPause, maxListPause) }, Retry: listRetry,
