Serve nothing by settings that are older than those of other hosts

Callers saw: a request on a route that had been removed 3.7 s before was run. Cause: a host that can't get a version goes on by the one before, however long other hosts have had the newer one.

The readers of the log tell all hosts by datagram, which needs no connection, up to which position they have read; a host that has not read as far when the change must be in force (its time less half a second) is not ready, is not a directory, and rejects requests with 503 until it has. Each position counts by itself, so that a host that follows a series of changes in time is not behind. While the log is away for all, no host knows of a newer position and all go on to serve.

--- a/core/settingsage/settingsage.go
+++ b/core/settingsage/settingsage.go
@@ -52,10 +52,13 @@
 	return !a.confirmedAt.IsZero() && now.Sub(a.confirmedAt) <= apply-margin
 }
 
-// SetPosition records the position up to which this host has read.
-func (a *Age) SetPosition(p platform.Position) {
+// SetPosition records the position up to which this host has read. It reports whether that is further
+// than before.
+func (a *Age) SetPosition(p platform.Position) (further bool) {
+	further = p.After(a.position)
 	a.position = p
 	a.heard = slices.DeleteFunc(a.heard, func(h heard) bool { return !h.position.After(p) })
+	return further
 }
 
 // Hear records the position that another host has read.
--- a/fleet/gossip/report.go
+++ b/fleet/gossip/report.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/roster"
@@ -26,6 +27,14 @@
 	// Load is the load of the sender, which full hosts send.
 	Load *HostLoad    `cbor:"6,keyasint,omitempty"`
 	Use  []ServiceUse `cbor:"7,keyasint,omitempty"`
+	// Settings is the position up to which the sender has read the settings.
+	Settings *SettingsPosition `cbor:"8,keyasint,omitempty"`
+}
+
+// SettingsPosition is a position in the stream of the settings.
+type SettingsPosition struct {
+	Era    platform.Era  `cbor:"1,keyasint"`
+	Offset record.Offset `cbor:"2,keyasint"`
 }
 
 // ServiceUse is what the accounts have used of a service by the requests of one host, in millionths
@@ -167,14 +176,14 @@
 	}
 }
 
-// reportTargets returns the hosts that need a report. All need to know quarantines, and those that
+// reportTargets returns the hosts that need a report. All need to know quarantines and newer settings, and those that
 // serve requests the use by accounts. In a large fleet crashes are collected by a few hosts.
 func (g *Gossip) reportTargets(from roster.Host, r Report) []roster.Host {
 	if len(r.Use) > 0 {
 		others := slices.DeleteFunc(slices.Clone(g.opt.Peers()), func(h roster.Host) bool { return h.ID == from.ID })
 		return receivers(from, others, servingHosts)
 	}
-	if len(r.Quarantines) > 0 || len(r.Lifted) > 0 {
+	if len(r.Quarantines) > 0 || len(r.Lifted) > 0 || r.Settings != nil {
 		return g.opt.Peers()
 	}
 	if r.Load != nil {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -110,7 +110,11 @@
 	}
 	table := r.opt.Table()
 	if table == nil {
-		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: startRetryAfter})
+		reason := "no configuration yet"
+		if r.opt.SettingsAge() >= 0 {
+			reason = "settings older than those of other hosts"
+		}
+		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: startRetryAfter})
 		return
 	}
 	route := table.Match(req.Host, req.Path)
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -269,6 +269,9 @@
 func (h *Host) receiveReport(r *gossip.Report) {
 	h.hosts.receiveLoad(r)
 	h.shares.Receive(r)
+	if r.Settings != nil {
+		h.table.hear(platform.Position{Era: r.Settings.Era, Offset: r.Settings.Offset})
+	}
 	h.quarantines.Receive(r)
 }
 
@@ -313,9 +316,10 @@
 // not read the quarantines. The log may be out of reach for long.
 const quarantineWait = time.Second
 
-// serviceTable returns the configuration in force, or nil if the host can't serve yet.
+// serviceTable returns the configuration in force, or nil if the host can't serve yet, or must not
+// because it knows that a newer one has to be in force.
 func (h *Host) serviceTable() *routes.Table {
-	if !h.quarantines.Loaded() && time.Since(h.startedAt) < quarantineWait {
+	if !h.quarantines.Loaded() && time.Since(h.startedAt) < quarantineWait || h.table.behind() {
 		return nil
 	}
 	return h.table.current.Load()
@@ -353,7 +357,7 @@
 	}
 	add(h.follower(follow.Options{
 		Log: h.settings, Stream: h.opt.Protocol.OperatorStream, Snapshot: h.operatorSnapshot, Records: h.operatorRecords, Rewound: h.operatorRewound,
-		Pause: func() time.Duration { return tablePause }, Retry: tableRetry, NewestOnly: true, Read: func() { h.table.read(h.settings.AnswerAge()) }, Position: h.table.setPosition,
+		Pause: func() time.Duration { return tablePause }, Retry: tableRetry, NewestOnly: true, Read: func() { h.table.read(h.settings.AnswerAge()) }, Position: h.settingsRead,
 	}))
 	add(h.follower(follow.Options{
 		Stream: h.opt.Protocol.UpstreamStream, Pause: func() time.Duration { return h.scaledPause(listPause, maxListPause) }, Retry: listRetry,
--- a/fleet/relayhost/table.go
+++ b/fleet/relayhost/table.go
@@ -12,8 +12,10 @@
 	"github.com/hazelworks/hazelworks/core/knownfault"
 	"github.com/hazelworks/hazelworks/core/platform"
 	"github.com/hazelworks/hazelworks/core/record"
+	"github.com/hazelworks/hazelworks/core/roster"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/core/settingsage"
+	"github.com/hazelworks/hazelworks/fleet/gossip"
 )
 
 // tableWatch holds the routing configuration in force. It never applies a version
@@ -31,6 +33,27 @@
 
 	mu  sync.Mutex
 	age settingsage.Age
+	// wasBehind is the last result of behind.
+	wasBehind bool
+}
+
+// positionRepeat is the time after which the position is told again, to hosts that have missed it.
+const positionRepeat = time.Second
+
+// settingsRead records the position up to which the settings were read. The readers of the log tell it
+// to all hosts.
+func (h *Host) settingsRead(p platform.Position) {
+	if !h.table.setPosition(p) {
+		return
+	}
+	if _, reads := roster.LogReaders(h.self, h.hosts.others(), 0); !reads {
+		return
+	}
+	tell := func() {
+		h.gossip.BroadcastReport(gossip.Report{Host: h.self.ID, Settings: &gossip.SettingsPosition{Era: p.Era, Offset: p.Offset}})
+	}
+	tell()
+	time.AfterFunc(positionRepeat, tell)
 }
 
 // read records that the stream was read to its end, as it was a time ago.
@@ -40,11 +63,35 @@
 	t.age.Confirm(time.Now().Add(-ago))
 }
 
-// setPosition records the position up to which the stream was read.
-func (t *tableWatch) setPosition(p platform.Position) {
+// setPosition records the position up to which the stream was read. It reports whether that is further
+// than before.
+func (t *tableWatch) setPosition(p platform.Position) (further bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.age.SetPosition(p)
+}
+
+// hear records the position up to which another host has read the stream.
+func (t *tableWatch) hear(p platform.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.age.SetPosition(p)
+	t.age.Hear(p, time.Now())
+}
+
+// behind reports whether a version that another host has must be in force by now, and is not.
+func (t *tableWatch) behind() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	behind := t.age.Behind(time.Now(), t.applyTime())
+	if behind != t.wasBehind {
+		t.wasBehind = behind
+		text := "Settings are up to date again."
+		if behind {
+			text = "Settings are older than those of other hosts; requests are rejected."
+		}
+		t.log.Info(text, "confirmed_ago", t.age.ConfirmedAgo(time.Now()))
+	}
+	return behind
 }
 
 // confirmedAgo returns the time since the settings were last known to be the newest, or a negative
