Forward requests only to hosts whose settings are not older

Cause: a host that reaches no upstream forwards a request to another one, which finds the route by its own settings, which may be older; to the caller its host seems to take a version back.

A forwarded request names the version of the settings that admitted it; a host with an older one answers that it can't help, and the next one is asked. Builds that don't name it are served as before.

--- a/fleet/relay/forward.go
+++ b/fleet/relay/forward.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -33,6 +34,8 @@
 	headerForwardHost   = "Hazelworks-Forward-Host"
 	// headerForwardBody is "1" if the request has a body, which may be empty.
 	headerForwardBody = "Hazelworks-Forward-Body"
+	// headerForwardSettings is the version of the settings by which the request was admitted.
+	headerForwardSettings = "Hazelworks-Forward-Settings"
 	// headerUnreached is "1" in an answer if the host reaches no upstream either. The request
 	// has not run.
 	headerUnreached = "Hazelworks-Unreached"
@@ -208,6 +211,7 @@
 	header.Set(headerForwardMethod, c.req.Method)
 	header.Set(headerForwardTarget, c.req.Target)
 	header.Set(headerForwardHost, c.hr.Host)
+	header.Set(headerForwardSettings, strconv.FormatInt(c.table.Version, 10))
 	if c.req.HasBody {
 		header.Set(headerForwardBody, "1")
 	}
@@ -295,10 +299,22 @@
 			own.Header.Del(name)
 		}
 	}
+	// The caller's host must not appear to take a version back. Builds that don't state it send no version.
+	if version, err := strconv.ParseInt(hr.Header.Get(headerForwardSettings), 10, 64); err == nil && r.hasOlderSettings(version) {
+		w.Header().Set(headerUnreached, "1")
+		r.refuse(w, nil, refusal{status: http.StatusServiceUnavailable, reason: "older settings than the host that has forwarded the request", retryAfter: startRetryAfter})
+		return
+	}
 	r.meters.helped.Inc(1)
 	r.serve(w, own, true)
 }
 
+// hasOlderSettings reports whether the settings in force are older than a version.
+func (r *Relay) hasOlderSettings(version int64) bool {
+	table := r.opt.Table()
+	return table == nil || table.Version < version
+}
+
 // refuseUnreached answers a forwarded request that this host can't send either.
 func (c *call) refuseUnreached() {
 	c.w.Header().Set(headerUnreached, "1")
--- a/fleet/relay/forward_test.go
+++ b/fleet/relay/forward_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelworks/hazelworks/core/roster"
+	"github.com/hazelworks/hazelworks/core/routes"
 )
 
 // headerDecoder passes no header on.
@@ -26,7 +27,7 @@
 	defer server.Close()
 	earlier := roster.Host{ID: "h2", Peer: netip.MustParseAddrPort(server.Listener.Addr().String())}
 	r := &Relay{opt: Options{Decoder: headerDecoder{}}, helpers: newHelpers(ForwardOptions{Dial: (&net.Dialer{}).DialContext})}
-	c := &call{r: r, req: &Request{ID: "r1", Method: http.MethodGet, Target: "/look/1"}, hr: httptest.NewRequest(http.MethodGet, "/look/1", nil)}
+	c := &call{r: r, table: &routes.Table{}, req: &Request{ID: "r1", Method: http.MethodGet, Target: "/look/1"}, hr: httptest.NewRequest(http.MethodGet, "/look/1", nil)}
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	for range 2 {
