End a request whose body does not arrive within its route's time

Callers saw (by a test): no answer half a second after the time that the route gives a request, if its body came slowly, as it does at a host with a full link. Cause: the route's time bounded everything but the reading of the body.

The body is read under a deadline, and a request whose body is not there by then is answered 408, which says that it has not run. TestRequestWhoseBodyStallsEndsWithItsTime failed before (no answer).

--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -138,7 +139,7 @@
 		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "this host has more requests than it can carry", retryAfter: retryAfter})
 		return
 	}
-	if status := readBody(w, hr, req, table.Limits.BodyBytes); status != 0 {
+	if status := readBody(w, hr, req, table.Limits.BodyBytes, shorter(route.Timeout, req.Timeout)); status != 0 {
 		r.refuse(w, req, refusal{status: status, reason: "body"})
 		return
 	}
@@ -168,8 +169,9 @@
 // It needs a few calls to the log to load its configuration.
 const startRetryAfter = 200 * time.Millisecond
 
-// readBody reads the whole body. It returns the HTTP status of a refusal, or zero.
-func readBody(w http.ResponseWriter, hr *http.Request, req *Request, limit int64) int {
+// readBody reads the whole body, which must arrive within a time unless that is zero. It returns the HTTP
+// status of a refusal, or zero.
+func readBody(w http.ResponseWriter, hr *http.Request, req *Request, limit int64, within time.Duration) int {
 	if hr.Body == nil || hr.Body == http.NoBody {
 		req.HasBody = hr.Header.Get("Content-Length") == "0"
 		return 0
@@ -181,11 +183,20 @@
 		}
 		hr.Body = http.MaxBytesReader(w, hr.Body, limit)
 	}
+	control := http.NewResponseController(w)
+	// A writer without a connection has no deadline, and none is needed there.
+	bounded := within > 0 && control.SetReadDeadline(req.Arrived.Add(within)) == nil
 	body, err := io.ReadAll(hr.Body)
+	if bounded && err == nil {
+		// After an error it stays: the server would wait for the rest of the body.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
 	case err != nil:
 		return http.StatusBadRequest
 	}
