Find a full link while streams that run still bring answers

Timeouts of three upstreams and three other hosts within 1.5 s, and no connection that was opened quickly since, now show a full link whatever is read. TestTimeoutsOfAllKindsOfMachinesShowAFullLink is new with it.

--- a/fleet/hostmeter/connects.go
+++ b/fleet/hostmeter/connects.go
@@ -26,6 +26,9 @@
 	// minStuckPeers is the number of machines to which connections must have timed out, and none must
 	// have been opened quickly, for this host's own link to be full.
 	minStuckPeers = 3
+	// minStuckKinds is the number of kinds of machines, such as upstreams and other hosts, of which
+	// minStuckPeers each must have timed out if others still answer on open connections.
+	minStuckKinds = 2
 	// timeoutsPerAnswer is the least number of timeouts for each read from another machine.
 	timeoutsPerAnswer = 4
 	// quickConnect is the time in which a connection is opened while no packets wait.
@@ -38,11 +41,21 @@
 // connects are the connections that this host has opened lately.
 type connects []connect
 
+type connect struct {
+	peer string
+	// kind is what kind of machine the peer is.
+	kind string
+	at   time.Time
+	took time.Duration
+	// probed is true if it was opened again with a longer timeout.
+	probed bool
+}
+
 // timeouts are the connections that this host has failed to open in time.
 type timeouts []connect
 
 func (t *timeouts) add(one connect) {
-	for len(*t) > 0 && one.at.Sub((*t)[0].at) >= connectWindow {
+	for len(*t) > 0 && one.at.Sub((*t)[0].at) >= maxConnectAge {
 		*t = (*t)[1:]
 	}
 	*t = append(*t, one)
@@ -50,38 +63,49 @@
 
 // stuck returns the longest time for which a connection was tried in vain lately, if that shows that
 // packets wait at this host's own link, or zero. Single machines may be down or cut off, while others
-// answer on the connections that are open. answers is the number of reads from these in connectWindow.
+// answer on the connections that are open; but not machines of all kinds at once. answers is the number of
+// reads from open connections in connectWindow.
 func (t timeouts) stuck(opened connects, answers int64, now time.Time) time.Duration {
-	for _, one := range slices.Backward(opened) {
-		if now.Sub(one.at) > connectWindow {
-			break
-		}
-		if one.took < quickConnect {
-			return 0
-		}
-	}
-	peers := make(map[string]bool, minStuckPeers)
+	quickAt := opened.lastQuick()
+	peers, recent := make(map[string]bool), make(map[string]bool)
+	kinds := make(map[string]int)
 	var longest time.Duration
 	var failed int64
 	for _, one := range t {
-		if now.Sub(one.at) <= connectWindow {
+		age := now.Sub(one.at)
+		if age > maxConnectAge || !one.at.After(quickAt) {
+			continue
+		}
+		longest = max(longest, one.took)
+		if age <= connectWindow {
 			failed++
+			recent[one.peer] = true
+		}
+		if !peers[one.peer] {
 			peers[one.peer] = true
-			longest = max(longest, one.took)
+			kinds[one.kind]++
+		}
+	}
+	all := 0
+	for _, n := range kinds {
+		if n >= minStuckPeers {
+			all++
 		}
 	}
-	if len(peers) < minStuckPeers || failed < timeoutsPerAnswer*answers {
+	if failed == 0 || now.Sub(quickAt) <= connectWindow || all < minStuckKinds && (len(recent) < minStuckPeers || failed < timeoutsPerAnswer*answers) {
 		return 0
 	}
 	return longest
 }
 
-type connect struct {
-	peer string
-	at   time.Time
-	took time.Duration
-	// probed is true if it was opened again with a longer timeout.
-	probed bool
+// lastQuick returns when a connection was last opened quickly.
+func (c connects) lastQuick() time.Time {
+	for _, one := range slices.Backward(c) {
+		if one.took < quickConnect {
+			return one.at
+		}
+	}
+	return time.Time{}
 }
 
 func (c *connects) add(one connect) {
@@ -142,11 +166,11 @@
 )
 
 // timeout records a connection that was not opened in time.
-func (m *Meter) timeout(peer string, took time.Duration) {
+func (m *Meter) timeout(kind, peer string, took time.Duration) {
 	m.timedOut.Add(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.timeouts.add(connect{peer: peer, at: time.Now(), took: took})
+	m.timeouts.add(connect{peer: peer, kind: kind, at: time.Now(), took: took})
 }
 
 // stuckDialSpacing is the least time between two attempts to open a connection while none is opened in
--- a/fleet/hostmeter/connects_test.go
+++ b/fleet/hostmeter/connects_test.go
@@ -31,6 +31,22 @@
 	require.Zero(t, timeoutsOf(2).stuck(nil, 0, connectsStart), "two machines prove nothing about the others")
 }
 
+// Streams that run already still answer, while neither upstreams nor other hosts accept a connection.
+func TestTimeoutsOfAllKindsOfMachinesShowAFullLink(t *testing.T) {
+	failed := timeoutsOf(4)
+	now := connectsStart.Add(200 * time.Millisecond)
+	const answers = 200
+	require.Zero(t, failed.stuck(nil, answers, now), "these are of one kind")
+	for _, one := range timeoutsOf(4) {
+		one.peer, one.kind = "h"+one.peer, "hosts"
+		failed.add(one)
+	}
+	require.Equal(t, 300*time.Millisecond, failed.stuck(nil, answers, now))
+	var opened connects
+	opened.add(connect{peer: "10.0.1.1:1", kind: "hosts", at: now.Add(-10 * time.Millisecond), took: time.Millisecond})
+	require.Zero(t, failed.stuck(opened, answers, now), "a host was reached")
+}
+
 // timeoutsOf returns the timeouts of connections to n machines, 50 ms apart.
 func timeoutsOf(n int) timeouts {
 	var out timeouts
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -27,6 +27,7 @@
 // upstreamSockets are the timeouts of connections to upstreams, which are a millisecond
 // away.
 var upstreamSockets = sockets.Options{
+	To:             "upstreams",
 	ConnectTimeout: 300 * time.Millisecond,
 	UserTimeout:    2 * time.Second,
 	KeepAlive:      3 * time.Second,
@@ -129,6 +130,7 @@
 // peerSockets are the timeouts of connections to other hosts, which are a millisecond
 // away.
 var peerSockets = sockets.Options{
+	To:             "hosts",
 	ConnectTimeout: 50 * time.Millisecond,
 	UserTimeout:    time.Second,
 	KeepAlive:      2 * time.Second,
--- a/fleet/sockets/sockets.go
+++ b/fleet/sockets/sockets.go
@@ -50,6 +50,8 @@
 
 // Options bounds how long a connection may be silent. Zero values set no bound.
 type Options struct {
+	// To names what the connections lead to.
+	To string
 	// ConnectTimeout bounds the time to open a connection.
 	ConnectTimeout time.Duration
 	// UserTimeout is how long sent data may stay unacknowledged before the
