Count headers, acknowledgements and the log toward a host's link

A link of 10 Mbit/s was full while the host said .65: events of streams are some 100 bytes, and the headers of their packets, the acknowledgements of what is sent and four packets for each connection weren't counted, nor was what is read from the log. The limit on callers is drawn from these shares, so it let in a third more than the link bears.

--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -121,7 +121,7 @@
 }
 
 func (m *Meter) sample(now time.Time, late time.Duration) {
-	s := hostload.Sample{At: now, In: m.in.Load(), Out: m.out.Load(), Requests: m.requests.Load(), Late: max(0, late)}
+	s := hostload.Sample{At: now, In: m.in.Load() + m.opt.Log.In(), Out: m.out.Load() + m.opt.Log.Out(), Requests: m.requests.Load(), Late: max(0, late)}
 	if m.opt.Processor != nil {
 		s.Processor = m.opt.Processor()
 	}
--- a/fleet/hostmeter/network.go
+++ b/fleet/hostmeter/network.go
@@ -32,12 +32,13 @@
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			if isTimeout(err) {
-				n.meter.timeout(address, time.Since(began))
+				n.meter.timeout(o.To, address, time.Since(began))
 			}
 			n.meter.probe(slowDial, network, address, err)
 			return nil, err
 		}
 		n.meter.connected(address, time.Since(began), false)
+		n.meter.addConnection()
 		return n.meter.count(c, &n.meter.answers), nil
 	}
 }
@@ -72,6 +73,7 @@
 		return nil, err
 	}
 	l.meter.accepted.Add(1)
+	l.meter.addConnection()
 	return l.meter.count(c, nil), nil
 }
 
@@ -95,7 +97,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.meter.in.Add(int64(n))
+	c.meter.addReceived(n)
 	if n > 0 && c.answers != nil {
 		c.answers.Add(1)
 	}
@@ -105,7 +107,7 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.meter.out.Add(int64(n))
+	c.meter.addSent(n)
 	return n, err
 }
 
@@ -141,13 +143,13 @@
 // ReadFrom implements net.PacketConn.
 func (c packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
 	n, addr, err := c.PacketConn.ReadFrom(p)
-	c.meter.in.Add(int64(n))
+	c.meter.in.Add(int64(n + headerBytes))
 	return n, addr, err
 }
 
 // WriteTo implements net.PacketConn.
 func (c packetConn) WriteTo(p []byte, addr net.Addr) (int, error) {
 	n, err := c.PacketConn.WriteTo(p, addr)
-	c.meter.out.Add(int64(n))
+	c.meter.out.Add(int64(n + headerBytes))
 	return n, err
 }
