--- a/core/hostload/door.go
+++ b/core/hostload/door.go
@@ -23,6 +23,9 @@
 	// it can carry. chokedFall is the factor with each sample while it lasts.
 	chokedLate = 100 * time.Millisecond
 	chokedFall = 0.8
+	// minChokedShare is how far the requests may fall by it, as a share of those that the host carried
+	// before: it drains its link with the rest, and the callers who keep to it are still served.
+	minChokedShare = 0.3
 	// freeAfter is how long the limit must not have been needed to end.
 	freeAfter = 4 * time.Second
 	// burstTime is the time for which a full host may take more than it can carry.
@@ -54,9 +57,12 @@
 		m.limitedAt = time.Time{}
 		return
 	}
+	if known && m.use.Late < FullLate {
+		m.sound = carries
+	}
 	switch {
 	case m.use.Late >= chokedLate:
-		m.bearable *= chokedFall
+		m.bearable = max(m.bearable*chokedFall, minChokedShare*m.sound)
 	case !known || m.long.Requests < m.bearable/2:
 		// So few requests don't show their cost, and are not the cause of the load.
 	case m.use.Late >= FullLate:
--- a/core/hostload/hostload.go
+++ b/core/hostload/hostload.go
@@ -118,7 +118,9 @@
 	since time.Time
 	// bearable is the number of requests per second that the host takes, if limitedAt is not
 	// zero. limitedAt is when the limit was last needed.
-	bearable  float64
+	bearable float64
+	// sound is the number of requests per second that the host could carry when it was last not late.
+	sound     float64
 	limitedAt time.Time
 	// strained are the times in which timeouts prove nothing, newest last.
 	strained []span
