Test: frozen readers delay settings little

Two of four readers accept a question and never answer; all other hosts have a new version within the time for a change.

--- a/fleet/fanout/fanout_test.go
+++ b/fleet/fanout/fanout_test.go
@@ -36,8 +36,10 @@
 	link   *memkeyed.Link
 	stream *Stream
 	// cut is true if the host is disconnected from the other hosts.
-	cut  atomic.Bool
-	seen atomic.Uint64 // offset after the newest applied record
+	cut atomic.Bool
+	// frozen is true if the host answers no other host.
+	frozen atomic.Bool
+	seen   atomic.Uint64 // offset after the newest applied record
 }
 
 func newTestFleet(t *testing.T, n, direct int) *testFleet {
@@ -47,13 +49,8 @@
 		h := &testHost{self: roster.Host{ID: record.HostID(fmt.Sprintf("h%d", i)), Cores: 0.4}, link: f.log.Link(uint64(i))}
 		f.hosts = append(f.hosts, h)
 	}
-	for i, h := range f.hosts {
-		var others []roster.Host
-		for k, o := range f.hosts {
-			if k != i {
-				others = append(others, o.self)
-			}
-		}
+	for _, h := range f.hosts {
+		others := f.others(h)
 		h.stream = New(Options{
 			Log: h.link, Stream: testStream, Self: h.self, HostsKnown: func() bool { return true },
 			Alive:       func() []roster.Host { return others },
@@ -72,6 +69,17 @@
 	return f
 }
 
+// others returns the other hosts.
+func (f *testFleet) others(h *testHost) []roster.Host {
+	var others []roster.Host
+	for _, o := range f.hosts {
+		if o != h {
+			others = append(others, o.self)
+		}
+	}
+	return others
+}
+
 func (h *testHost) apply(records []platform.KeyedRecord) {
 	for _, r := range records {
 		h.seen.Store(uint64(r.Offset) + 1)
@@ -88,6 +96,10 @@
 				time.Sleep(50 * time.Millisecond)
 				return nil, errors.New("no route to host")
 			}
+			if other.frozen.Load() {
+				<-ctx.Done()
+				return nil, context.Cause(ctx)
+			}
 			return other.stream.Page(ctx, offset, wait)
 		}
 		return nil, errors.New("unknown host")
@@ -279,3 +291,24 @@
 		require.Nil(t, last.Value)
 	}
 }
+
+// Two of four readers are frozen: they accept what they are asked and don't answer. New settings reach
+// all other hosts in time.
+func TestFrozenReadersDelaySettingsLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 120, 100)
+		time.Sleep(5 * time.Second)
+		frozen := 0
+		for _, h := range f.hosts {
+			if _, reads := roster.LogReaders(h.self, f.others(h), 100); reads && frozen < 2 {
+				frozen++
+				h.frozen.Store(true)
+				h.link.Set(memkeyed.Faults{Silent: true})
+			}
+		}
+		require.Equal(t, 2, frozen)
+		for range 6 {
+			require.GreaterOrEqual(t, f.put(2*time.Second), len(f.hosts)-frozen)
+		}
+	})
+}
