Bound connections only while the log doesn't answer at once either

Found by reading: a host with few requests, none of whose open connections is read, and three upstreams that are dark would have rejected the second of two requests at once as if its own link were full. The bound now asks for what the level asks for, and an answer of the log counts only if it came within 100 ms, or that long after its wait: at a round trip of 0.8 s the log still answers.

--- a/fleet/hostmeter/connects.go
+++ b/fleet/hostmeter/connects.go
@@ -182,14 +182,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	answers := m.answers.Load() - m.answersAt[0]
-	if m.timeouts.stuck(m.connects, answers, now) > 0 && now.Sub(m.dialledAt) < stuckDialSpacing {
+	if now.Sub(m.logAnsweredAt) >= logSilence && m.timeouts.stuck(m.connects, answers, now) > 0 && now.Sub(m.dialledAt) < stuckDialSpacing {
 		return false
 	}
 	m.dialledAt = now
 	return true
 }
 
-// LogAnswered records that the log has answered a call.
+// LogAnswered records that the log has answered a call at once.
 func (m *Meter) LogAnswered() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/fleet/hostmeter/hostmeter.go
+++ b/fleet/hostmeter/hostmeter.go
@@ -70,7 +70,7 @@
 	dialledAt time.Time
 	// answersAt holds the counts of answers at the samples of the last connectWindow, oldest first.
 	answersAt [connectWindow / hostload.Interval]int64
-	// logAnsweredAt is when the log last answered a call.
+	// logAnsweredAt is when the log last answered a call at once.
 	logAnsweredAt time.Time
 	// probed holds the addresses to which probes are under way.
 	probed map[string]bool
--- a/fleet/relayhost/metered.go
+++ b/fleet/relayhost/metered.go
@@ -19,10 +19,19 @@
 type meteredLog struct {
 	log      platform.KeyedLog
 	registry metrics.Registry
-	// answered is called with each answer of the log.
+	// answered is called with each answer of the log that came at once.
 	answered func()
 }
 
+// quickAnswer is the time in which the log answers while no packets wait on the way. It usually takes 4 ms.
+const quickAnswer = 100 * time.Millisecond
+
+// cameAtOnce reports whether an answer came within [quickAnswer], or that long after the end of a wait for
+// records. One that came before that may have been late.
+func cameAtOnce(took, waited time.Duration) bool {
+	return took < quickAnswer || took >= waited && took-waited < quickAnswer
+}
+
 func (m *meteredLog) Newest(ctx context.Context, stream string) ([]platform.KeyedRecord, platform.Position, error) {
 	began := time.Now()
 	records, next, err := m.log.Newest(ctx, stream)
@@ -52,7 +61,7 @@
 	outcome := "ok"
 	if err != nil {
 		outcome = "failed"
-	} else {
+	} else if cameAtOnce(time.Since(began), waited) {
 		m.answered()
 	}
 	metrics.GetOrRegisterCounter("log_calls."+call+"."+outcome, m.registry).Inc(1)
