--- a/fleet/fanout/fanout.go
+++ b/fleet/fanout/fanout.go
@@ -285,42 +285,53 @@
 
 // ask asks hosts in turn until one answers. The next one is asked when one fails or is late.
 func (s *Stream) ask(ctx context.Context, readers []roster.Host, from platform.Position, wait time.Duration) *Answer {
-	readers = readers[:min(maxReadersAsked, len(readers))]
 	if len(readers) == 0 {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.mu.Lock()
-	first := s.firstReader
+	first := s.firstReader % len(readers)
 	s.mu.Unlock()
-	end := time.Now().Add(min(wait, maxAskWait))
-	answers := make(chan *Answer, len(readers))
-	next := time.NewTimer(0)
-	defer next.Stop()
-	asked, pending := 0, 0
-	for asked < len(readers) || pending > 0 {
-		select {
-		case <-next.C:
-			if asked < len(readers) {
-				h := readers[(first+asked)%len(readers)]
-				asked++
-				pending++
-				remaining := max(0, time.Until(end))
-				go func() { answers <- s.askOne(ctx, h, from, remaining) }()
-				next.Reset(remaining + askNextAfter)
-			}
-		case page := <-answers:
-			pending--
-			if page != nil {
-				return page
-			}
-			next.Reset(0)
-		case <-ctx.Done():
-			return nil
+	readers = slices.Concat(readers[first:], readers[:first])
+	q := &question{stream: s, readers: readers[:min(maxReadersAsked, len(readers))], from: from, end: time.Now().Add(min(wait, maxAskWait)), answered: cancel}
+	return q.ask(ctx, 0)
+}
+
+// question is what several hosts are asked until one answers.
+type question struct {
+	stream  *Stream
+	readers []roster.Host
+	from    platform.Position
+	// end is until when they wait for records.
+	end time.Time
+	// answered ends the calls to the others.
+	answered context.CancelFunc
+}
+
+// ask returns the answer of the n-th host or of one after it, or nil. Only a host that is late is asked
+// beside another one.
+func (q *question) ask(ctx context.Context, n int) *Answer {
+	if n >= len(q.readers) || ctx.Err() != nil {
+		return nil
+	}
+	wait := max(0, time.Until(q.end))
+	later := make(chan *Answer, 1)
+	late := time.AfterFunc(wait+askNextAfter, func() {
+		answer := q.ask(ctx, n+1)
+		if answer != nil {
+			q.answered()
 		}
+		later <- answer
+	})
+	if answer := q.stream.askOne(ctx, q.readers[n], q.from, wait); answer != nil {
+		late.Stop()
+		return answer
 	}
-	return nil
+	if late.Stop() {
+		return q.ask(ctx, n+1)
+	}
+	return <-later
 }
 
 // askOne returns the answer of one host, or nil.
