--- /dev/null
+++ b/review/casebed/bed.go
@@ -0,0 +1,200 @@
+// Command casebed plays the scripted cases of the review: a stand-in platform, stand-in workers
+// and clients around host processes of the project, on loopback addresses and the real clock.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/platform/standin"
+	"github.com/hazelworks/hazelworks/standin/memkeyed"
+)
+
+// Names and ports of the bed. Each role has loopback addresses of its own.
+const (
+	domain       = "h.example"
+	programPath  = "target/hazelworks"
+	bootVariable = "HAZELWORKS_BOOT"
+	storePort    = 8223
+	workerPort   = 8080
+	metricsPort  = "9100"
+	heartbeat    = 1200 * time.Millisecond
+	graceTime    = 8 * time.Second
+)
+
+// bed is a stand-in platform with host processes.
+type bed struct {
+	octet   int
+	dir     string
+	began   time.Time
+	log     *memkeyed.Log
+	store   *standin.Store
+	hosts   []*hostProcess
+	workers []*worker
+	record  *recordFile
+	stop    chan struct{}
+}
+
+// recordFile is record.txt of a case.
+type recordFile struct {
+	mu    sync.Mutex
+	file  *os.File
+	began time.Time
+}
+
+func (r *recordFile) line(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// newBed starts a store with a configuration.
+func newBed(config standin.Config, record *recordFile) (*bed, error) {
+	dir, err := os.MkdirTemp("", "casebed")
+	if err != nil {
+		return nil, err
+	}
+	b := &bed{octet: 20 + os.Getpid()%200, dir: dir, began: time.Now(), log: memkeyed.New(), record: record, stop: make(chan struct{})}
+	if err := standin.Configure(b.log, config); err != nil {
+		return nil, err
+	}
+	b.store = standin.NewStore(b.log)
+	l, err := net.Listen("tcp", b.address(0, 0, storePort))
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(l, b.store) }()
+	return b, nil
+}
+
+// address returns a loopback address of a role: 0 is the store, 1 a host, 2 a worker.
+func (b *bed) address(role, index, port int) string {
+	return fmt.Sprintf("%s:%d", b.ip(role, index), port)
+}
+
+func (b *bed) ip(role, index int) string { return fmt.Sprintf("127.%d.%d.%d", b.octet, role, index+1) }
+
+// hostProcess is a host of the project as a process.
+type hostProcess struct {
+	name, ip string
+	cmd      *exec.Cmd
+	settings string
+	logs     *os.File
+	done     chan struct{}
+}
+
+// addHost starts a host process with settings like those of a small deployment.
+func (b *bed) addHost() error {
+	i := len(b.hosts)
+	h := &hostProcess{name: fmt.Sprintf("front-%d", i+1), ip: b.ip(1, i)}
+	h.settings = filepath.Join(b.dir, h.name+".conf")
+	text := standin.HostSettings(standin.HostOptions{
+		Name: h.name, FailureDomain: "midrand", IP: h.ip, Store: b.address(0, 0, storePort), Grace: graceTime,
+		Rules: "base,drain,config,cost,retry,recover,engine,stream,tenants,platform",
+	})
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	b.hosts = append(b.hosts, h)
+	return b.start(h)
+}
+
+// start starts the process of a host as the deploy file does.
+func (b *bed) start(h *hostProcess) error {
+	logs, err := os.OpenFile(filepath.Join(b.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	h.cmd = exec.Command(programPath, "platform", "--metrics-port", metricsPort)
+	h.cmd.Env = append(os.Environ(), bootVariable+"="+h.settings)
+	h.cmd.Stdout, h.cmd.Stderr, h.logs = logs, logs, logs
+	if err := h.cmd.Start(); err != nil {
+		return err
+	}
+	done, cmd := make(chan struct{}), h.cmd
+	h.done = done
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	b.record.line("host %s starts", h.name)
+	return nil
+}
+
+// signal sends a signal to the process of a host.
+func (b *bed) signal(h *hostProcess, s syscall.Signal) {
+	b.record.line("host %s gets %v", h.name, s)
+	_ = h.cmd.Process.Signal(s)
+}
+
+func (h *hostProcess) caller() string { return fmt.Sprintf("%s:%d", h.ip, standin.CallerPort) }
+
+// awaitReady waits until all hosts are ready.
+func (b *bed) awaitReady(limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	client := &http.Client{Timeout: time.Second}
+	for _, h := range b.hosts {
+		for {
+			resp, err := client.Get(fmt.Sprintf("http://%s:%d/-/readyz", h.ip, standin.ReadyPort))
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("host %s is not ready", h.name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// writeEntry writes a worker's entry to the store.
+func (b *bed) writeEntry(w *worker) {
+	w.mu.Lock()
+	w.beats++
+	entry := map[string]any{"service": w.service, "address": w.address, "zone": "midrand", "version": "v1", "slots": w.slots,
+		"state": w.state, "cold_left_ms": 0, "call_seq": w.beats}
+	w.mu.Unlock()
+	value, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	b.log.Append(standin.UpstreamStream, platform.KeyedRecord{Key: w.id, Value: value})
+}
+
+// close ends all processes that the bed has started.
+func (b *bed) close() {
+	close(b.stop)
+	for _, h := range b.hosts {
+		_ = h.cmd.Process.Signal(syscall.SIGCONT)
+		_ = h.cmd.Process.Kill()
+		<-h.done
+		_ = h.logs.Close()
+	}
+	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
+		for _, h := range b.hosts {
+			data, _ := os.ReadFile(filepath.Join(b.dir, h.name+".log"))
+			_ = os.WriteFile(filepath.Join(keep, h.name+".log"), data, 0o600)
+		}
+	}
+	_ = os.RemoveAll(b.dir)
+}
+
+// logged returns the number of lines of a host's log that have a text.
+func (b *bed) logged(h *hostProcess, text string) int {
+	data, _ := os.ReadFile(filepath.Join(b.dir, h.name+".log"))
+	return bytes.Count(data, []byte(text))
+}
