--- a/review/casebed/cases.go
+++ b/review/casebed/cases.go
@@ -136,3 +136,52 @@
 	}
 	return held, nil
 }
+
+// own503 has one worker of a plain service fail some of its requests after it has run them, with a 503
+// that does not state that the request was not run.
+func own503(record *recordFile, trouble bool) (bool, error) {
+	const workers, requests = 8, 80
+	b, err := newBed(standin.BaseConfig(1), record)
+	if err != nil {
+		return false, err
+	}
+	defer b.close()
+	for i := range workers {
+		w := &worker{service: "desk", slots: 6, work: 15 * time.Millisecond}
+		if trouble && i == 0 {
+			w.fails = func(n int) bool { return n%9 < 4 } // four of nine: 0.44
+		}
+		if err := b.addWorker(w); err != nil {
+			return false, err
+		}
+	}
+	for range 2 {
+		if err := b.addHost(); err != nil {
+			return false, err
+		}
+	}
+	if err := b.awaitReady(readyLimit); err != nil {
+		return false, err
+	}
+	time.Sleep(settleTime)
+	held, served := true, 0
+	for i := range requests {
+		id := fmt.Sprintf("book-%d", i)
+		a := b.ask(b.hosts[i%len(b.hosts)].caller(), request{id: id, method: "POST", path: "/book/1", key: "key-a", deadline: 600 * time.Millisecond, body: "slab " + id})
+		runs := 0
+		for _, w := range b.workers {
+			runs += w.runsOf(id)
+		}
+		switch {
+		case a.status == 200:
+			served++
+		case (a.status == 503 || a.status == 429 || a.status == 408 || a.status == 421) && runs > 0:
+			record.line("REFUSED: %s was answered %d and has run", id, a.status)
+			held = false
+		}
+	}
+	if served == 0 {
+		return false, errors.New("no request was served")
+	}
+	return held, nil
+}
--- a/review/casebed/main.go
+++ b/review/casebed/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(r *recordFile, trouble bool) (held bool, err error){
 	"no-limit": noLimit,
 	"crlf":     crlf,
+	"own-503":  own503,
 }
 
 func main() {
--- a/review/casebed/worker.go
+++ b/review/casebed/worker.go
@@ -28,11 +28,14 @@
 	work time.Duration
 	// breakOff tells after how many events of a request the worker crashes; 0 is never.
 	breakOff func(id string) int
-	record   *recordFile
+	// fails tells whether the worker fails the n-th request that it runs, with a 503 of its own.
+	fails  func(n int) bool
+	record *recordFile
 
 	mu       sync.Mutex
 	state    string
 	beats    int
+	started  int
 	runs     map[string]int
 	listener net.Listener
 	conns    map[net.Conn]bool
@@ -152,10 +155,17 @@
 	}
 	w.mu.Lock()
 	w.runs[id]++
+	w.started++
+	started := w.started
 	w.mu.Unlock()
 	w.record.line("worker %s runs request %s of tenant %s, Token-Usage %s, Last-Event-Id %q", w.id, id, r.Header.Get("Tenant"), r.Header.Get("Token-Usage"), r.Header.Get("Last-Event-Id"))
 	if w.eventTokens == 0 {
 		time.Sleep(w.work)
+		if w.fails != nil && w.fails(started) {
+			body := "failed: " + id
+			w.record.line("worker %s has run request %s and answers 503, without Not-Executed", w.id, id)
+			return send(head(503, "Response-Seal: seal."+id, "Content-Length: "+strconv.Itoa(len(body))) + body)
+		}
 		body := "answer to " + id
 		return send(head(200, "Response-Seal: seal."+id, "Content-Length: "+strconv.Itoa(len(body))) + body)
 	}
