--- a/review/casebed/cases.go
+++ b/review/casebed/cases.go
@@ -185,3 +185,48 @@
 	}
 	return held, nil
 }
+
+// promptOnly has a tenant send prompts with at most no output tokens, which fill the workers' caches, until
+// well past its prepaid amount. Without trouble it asks for three output tokens each.
+func promptOnly(record *recordFile, trouble bool) (bool, error) {
+	const prepaid, input, requests = 60000, 900, 120
+	config := standin.BaseConfig(1)
+	config.SetPrepaid(prepaid)
+	b, err := newBed(config, record)
+	if err != nil {
+		return false, err
+	}
+	defer b.close()
+	for range 3 {
+		if err := b.addWorker(&worker{service: "llm", slots: 64, eventTokens: eventTokens, memory: memory, lineEnd: "\n", burst: 1, gap: 10 * time.Millisecond}); err != nil {
+			return false, err
+		}
+	}
+	for range 3 {
+		if err := b.addHost(); err != nil {
+			return false, err
+		}
+	}
+	if err := b.awaitReady(readyLimit); err != nil {
+		return false, err
+	}
+	time.Sleep(settleTime)
+	output := eventTokens
+	if trouble {
+		output = 0
+	}
+	consumed, served := 0, 0
+	for i := range requests {
+		a := b.ask(b.hosts[i%len(b.hosts)].caller(), request{id: fmt.Sprintf("prompt-%d", i), method: "POST", path: "/chat/1", key: "key-a",
+			usage: fmt.Sprintf("%d,%d", input, output), prefix: fmt.Sprintf("%x:%d", 1000+i, input), deadline: 6 * time.Second, body: "prompt"})
+		if a.status == 200 && a.whole {
+			served++
+			consumed += input + eventTokens*len(a.events)
+		}
+	}
+	record.line("the tenant has prepaid %d tokens; %d of %d requests were served; it has consumed %d tokens", prepaid, served, requests, consumed)
+	if served == 0 {
+		return false, errors.New("no request was served")
+	}
+	return consumed <= prepaid, nil
+}
