--- a/review/casebed/bed.go
+++ b/review/casebed/bed.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,8 +26,6 @@
 	domain       = "h.example"
 	programPath  = "target/hazelworks"
 	bootVariable = "HAZELWORKS_BOOT"
-	storePort    = 8223
-	workerPort   = 8080
 	metricsPort  = "9100"
 	heartbeat    = 1200 * time.Millisecond
 	graceTime    = 8 * time.Second
@@ -34,15 +33,17 @@
 
 // bed is a stand-in platform with host processes.
 type bed struct {
-	octet   int
-	dir     string
-	began   time.Time
-	log     *memkeyed.Log
-	store   *standin.Store
-	hosts   []*hostProcess
-	workers []*worker
-	record  *recordFile
-	stop    chan struct{}
+	octet int
+	dir   string
+	began time.Time
+	log   *memkeyed.Log
+	store *standin.Store
+	// storeAddress is where the store listens.
+	storeAddress string
+	hosts        []*hostProcess
+	workers      []*worker
+	record       *recordFile
+	stop         chan struct{}
 }
 
 // recordFile is record.txt of a case.
@@ -69,28 +70,27 @@
 		return nil, err
 	}
 	b.store = standin.NewStore(b.log)
-	l, err := net.Listen("tcp", b.address(0, 0, storePort))
+	l, err := net.Listen("tcp", b.ip(0, 0)+":0")
 	if err != nil {
 		return nil, err
 	}
+	b.storeAddress = l.Addr().String()
 	go func() { _ = http.Serve(l, b.store) }()
 	return b, nil
 }
 
-// address returns a loopback address of a role: 0 is the store, 1 a host, 2 a worker.
-func (b *bed) address(role, index, port int) string {
-	return fmt.Sprintf("%s:%d", b.ip(role, index), port)
-}
-
+// ip returns a loopback address of a role: 0 is the store, 1 a host, 2 a worker.
 func (b *bed) ip(role, index int) string { return fmt.Sprintf("127.%d.%d.%d", b.octet, role, index+1) }
 
 // hostProcess is a host of the project as a process.
 type hostProcess struct {
 	name, ip string
-	cmd      *exec.Cmd
-	settings string
-	logs     *os.File
-	done     chan struct{}
+	// frontPort and readyPort are the ports for clients and for readiness checks.
+	frontPort, readyPort int
+	cmd                  *exec.Cmd
+	settings             string
+	logs                 *os.File
+	done                 chan struct{}
 }
 
 // addHost starts a host process with settings like those of a small deployment.
@@ -99,9 +99,20 @@
 	h := &hostProcess{name: fmt.Sprintf("front-%d", i+1), ip: b.ip(1, i)}
 	h.settings = filepath.Join(b.dir, h.name+".conf")
 	text := standin.HostSettings(standin.HostOptions{
-		Name: h.name, FailureDomain: "midrand", IP: h.ip, Store: b.address(0, 0, storePort), Grace: graceTime,
+		Name: h.name, FailureDomain: "midrand", IP: h.ip, Store: b.storeAddress, Grace: graceTime,
 		Rules: "base,drain,config,cost,retry,recover,engine,stream,tenants,platform",
 	})
+	ports, err := freePorts(h.ip, 4)
+	if err != nil {
+		return err
+	}
+	h.frontPort, h.readyPort = ports[0], ports[1]
+	text = strings.NewReplacer(
+		fmt.Sprintf(":%d", standin.CallerPort), fmt.Sprintf(":%d", h.frontPort),
+		fmt.Sprintf(":%d", standin.ReadyPort), fmt.Sprintf(":%d", h.readyPort),
+		fmt.Sprintf(":%d", standin.DirectoryPort), fmt.Sprintf(":%d", ports[2]),
+		"port_range=7340,7355", fmt.Sprintf("port_range=%d,%d", ports[3], ports[3]),
+	).Replace(text)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -109,6 +120,20 @@
 	return b.start(h)
 }
 
+// freePorts returns ports of an address at which nothing listens.
+func freePorts(ip string, n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
 // start starts the process of a host as the deploy file does.
 func (b *bed) start(h *hostProcess) error {
 	logs, err := os.OpenFile(filepath.Join(b.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -137,7 +162,7 @@
 	_ = h.cmd.Process.Signal(s)
 }
 
-func (h *hostProcess) caller() string { return fmt.Sprintf("%s:%d", h.ip, standin.CallerPort) }
+func (h *hostProcess) caller() string { return fmt.Sprintf("%s:%d", h.ip, h.frontPort) }
 
 // awaitReady waits until all hosts are ready.
 func (b *bed) awaitReady(limit time.Duration) error {
@@ -145,7 +170,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for _, h := range b.hosts {
 		for {
-			resp, err := client.Get(fmt.Sprintf("http://%s:%d/-/readyz", h.ip, standin.ReadyPort))
+			resp, err := client.Get(fmt.Sprintf("http://%s:%d/-/readyz", h.ip, h.readyPort))
 			if err == nil {
 				_ = resp.Body.Close()
 				if resp.StatusCode == http.StatusOK {
--- a/review/casebed/worker.go
+++ b/review/casebed/worker.go
@@ -45,13 +45,13 @@
 // addWorker starts a worker and writes its entry now and then.
 func (b *bed) addWorker(w *worker) error {
 	i := len(b.workers)
-	w.id, w.address, w.state, w.record = fmt.Sprintf("i-%04x", 0x7f3a+i), b.address(2, i, workerPort), "ready", b.record
+	w.id, w.state, w.record = fmt.Sprintf("i-%04x", 0x7f3a+i), "ready", b.record
 	w.runs, w.conns = make(map[string]int), make(map[net.Conn]bool)
-	l, err := net.Listen("tcp", w.address)
+	l, err := net.Listen("tcp", b.ip(2, i)+":0")
 	if err != nil {
 		return err
 	}
-	w.listener = l
+	w.listener, w.address = l, l.Addr().String()
 	go w.serve(l)
 	b.workers = append(b.workers, w)
 	b.writeEntry(w)
