--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -116,7 +116,7 @@
 
 		OpenedBy: openedBy,
 		Header: c.r.opt.Dialect.Header(c.req, Attempt{
-			Account: account, Upstream: lease.Upstream, Remaining: remaining, ResumeAfter: c.lastEventID,
+			Account: account, Upstream: lease.Upstream, Remaining: remaining, ResumeAfter: c.resume.ID,
 			FetchFrom: lease.FetchFrom, Urgency: c.urgency(),
 		}),
 	}
@@ -125,7 +125,7 @@
 	c.recordReach(ctx, lease, err, time.Since(began))
 	c.notTried = errors.Is(err, sockets.ErrNotTried)
 	result := c.receive(ctx, resp, err, lease)
-	c.r.logFor(result != resultAnswered).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID, "version", lease.Upstream.Version, "after_event", c.lastEventID,
+	c.r.logFor(result != resultAnswered).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID, "version", lease.Upstream.Version, "after_event", c.resume.ID,
 		"delay", lease.Delay, "wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "held", lease.Held, "slowness", round2(lease.Slowness), "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
 	return result
 }
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -11,6 +11,7 @@
 	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/eventstream"
 	"github.com/hazelworks/hazelworks/core/knownfault"
 	"github.com/hazelworks/hazelworks/core/origin"
 	"github.com/hazelworks/hazelworks/core/quarantine"
@@ -74,7 +75,8 @@
 	attemptStartedAt time.Time
 	// answerStarted is true once the caller has a part of a streamed answer.
 	answerStarted bool
-	lastEventID   string
+	// resume is the point of the stream up to which the caller has it, by this answer.
+	resume eventstream.Resume
 	// version is the software version that has begun the stream. Until a part of it has been
 	// passed on, or if that is not certain, it is [origin.Unknown].
 	version origin.Version
@@ -86,6 +88,9 @@
 	unsafe      error
 	lastEventAt time.Time
 	events      int64
+	// betweenEvents is the number of bytes, of comments and the like, that were passed on since the
+	// last event.
+	betweenEvents int
 }
 
 // maxSends bounds the attempts of one request, including those that did not run.
@@ -163,7 +168,7 @@
 		if sends > 0 {
 			c.r.meters.retries.Inc(1)
 		}
-		if c.lastEventID != "" {
+		if c.resume.ID != "" {
 			c.r.meters.resumes.Inc(1)
 		}
 		// A late copy of an earlier rejection has the request's ID too.
@@ -183,7 +188,7 @@
 		if !c.mayRetry(last) {
 			break
 		}
-		if err := c.confirmVersion(); err != nil {
+		if err := errors.Join(c.confirmResume(), c.confirmVersion()); err != nil {
 			c.giveUp(ctx, err)
 			return
 		}
--- a/fleet/relay/forward.go
+++ b/fleet/relay/forward.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/eventstream"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/roster"
 	"github.com/hazelworks/hazelworks/core/routes"
@@ -250,6 +251,7 @@
 	c.r.writeHead(c.w, resp.StatusCode)
 	stream := c.route.Kind == routes.KindStream && isSuccess(resp.StatusCode)
 	buf := make([]byte, 0, eventBufferBytes)
+	events := eventstream.NewScanner(eventstream.Resume{Certain: true})
 	control := http.NewResponseController(c.w)
 	for {
 		if len(buf) == cap(buf) {
@@ -259,7 +261,7 @@
 		buf = buf[:len(buf)+n]
 		ready := len(buf)
 		if stream && !errors.Is(err, io.EOF) {
-			ready = eventsEnd(buf) // whole events only
+			ready = events.Scan(buf) // whole events only
 		}
 		if ready > 0 {
 			if c.firstEventAfter == 0 {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hazelworks/hazelworks/core/admission"
+	"github.com/hazelworks/hazelworks/core/eventstream"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/grants"
@@ -146,7 +147,7 @@
 	if req.ResumeAfter != "" {
 		r.log.Info("Caller takes up a stream.", "request", req.ID, "resumes", req.Resumes, "after_event", req.ResumeAfter)
 	}
-	c := &call{r: r, w: w, hr: hr, req: req, route: route, account: account, table: table, forwarded: forwarded}
+	c := &call{r: r, w: w, hr: hr, req: req, route: route, account: account, table: table, forwarded: forwarded, resume: eventstream.Resume{Certain: true}}
 	c.service = route.PickService(rand.Float64())
 	// The time that a forwarded request states is what remains of another one.
 	c.retried = !forwarded && r.retries.isRetry(route.Name, req.Timeout)
--- a/fleet/relay/request.go
+++ b/fleet/relay/request.go
@@ -75,6 +75,4 @@
 	FromUpstream(resp *http.Response) bool
 	// Notice returns what an answer states about its upstream.
 	Notice(resp *http.Response) balance.Notice
-	// EventID returns the ID of an event of a stream.
-	EventID(event []byte) string
 }
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -1,12 +1,13 @@
 package relay
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/hazelworks/hazelworks/core/eventstream"
 	"github.com/hazelworks/hazelworks/fleet/balancer"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 )
@@ -23,22 +24,39 @@
 	surplusEvents = 16
 )
 
+// errNoResumePoint reports that a stream has broken off after an event that no ID names, so that
+// a run that goes on elsewhere would repeat it.
+var errNoResumePoint = errors.New("the stream can't go on after an event without an ID")
+
 // forwardStream forwards a stream of events. It forwards each event as soon as it is
 // complete, and no partial event.
 func (c *call) forwardStream(ctx context.Context, resp *exchange.Response, lease *balancer.Lease) sendResult {
 	buf := make([]byte, 0, eventBufferBytes)
+	// An answer that goes on after another one must not have a byte order mark in its middle.
+	cutMark := c.answerStarted
+	run := eventstream.NewScanner(c.resume)
 	for {
 		if len(buf) == cap(buf) {
 			buf = append(buf, 0)[:len(buf)]
 		}
 		n, err := resp.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if end := eventsEnd(buf); end > 0 {
-			c.recordFirstEvent(lease)
+		before := run.Events()
+		if end := run.Scan(buf); end > 0 {
+			if run.Events() > 0 {
+				c.recordFirstEvent(lease)
+			}
 			if c.unsafe = c.recordOrigin(ctx, resp, lease); c.unsafe != nil {
 				return resultWithheld
 			}
-			if writeErr := c.forwardEvents(resp, buf[:end]); writeErr != nil {
+			complete := buf[:end]
+			if cutMark {
+				mark, _ := eventstream.LeadingMark(complete)
+				complete, cutMark = complete[mark:], false
+			}
+			// Counted before they are written: after a failed write, any part may have arrived.
+			c.recordEvents(run.Events()-before, len(complete), run.Resume())
+			if writeErr := c.forwardEvents(resp, complete); writeErr != nil {
 				return resultLost
 			}
 			buf = buf[:copy(buf, buf[end:])]
@@ -46,7 +64,7 @@
 		if err == io.EOF && len(buf) == 0 && (c.events > 0 || !endsWithConnection(resp)) {
 			return c.endStream(resp)
 		}
-		if err == nil && (len(buf) > maxEventBytes || c.tooManyEvents()) {
+		if err == nil && (len(buf) > maxEventBytes || c.betweenEvents > maxEventBytes || c.tooManyEvents()) {
 			c.r.log.Info("Answer without an end given up.", "request", c.req.ID, "upstream", lease.Upstream.ID, "events", c.events, "unfinished", len(buf))
 			return resultLost
 		}
@@ -71,25 +89,12 @@
 	return c.events > surplusFactor*c.req.Work.MaxOutput/max(1, c.eventTokens())+surplusEvents
 }
 
-// eventsEnd returns the length of the complete events at the start of data.
-func eventsEnd(data []byte) int {
-	end := 0
-	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
-	}
-	return end
-}
-
 // forwardEvents sends complete events to the caller.
 func (c *call) forwardEvents(resp *exchange.Response, events []byte) error {
 	c.writeStreamHead(resp)
 	if _, err := c.w.Write(events); err != nil {
 		return err
 	}
-	c.recordEvents(events)
 	return http.NewResponseController(c.w).Flush()
 }
 
@@ -102,23 +107,30 @@
 	c.r.writeHead(c.w, resp.StatusCode)
 }
 
-// recordEvents counts events and records the ID of the last one.
-func (c *call) recordEvents(events []byte) {
+// recordEvents records that n events, which end at a point of the stream, and size bytes are
+// passed on.
+func (c *call) recordEvents(n int64, size int, end eventstream.Resume) {
+	c.resume = end
+	if n == 0 {
+		c.betweenEvents += size
+		return
+	}
 	now := time.Now()
 	if !c.lastEventAt.IsZero() {
 		c.r.meters.eventGap.Update(now.Sub(c.lastEventAt).Microseconds())
 	}
-	c.lastEventAt = now
-	for event := range bytes.SplitSeq(events, []byte("\n\n")) {
-		if len(bytes.TrimSpace(event)) == 0 {
-			continue
-		}
-		c.events++
-		c.r.meters.events.Inc(1)
-		if id := c.r.opt.Dialect.EventID(event); id != "" {
-			c.lastEventID = id
-		}
+	c.lastEventAt, c.betweenEvents = now, 0
+	c.events += n
+	c.r.meters.events.Inc(n)
+}
+
+// confirmResume checks, before another attempt, that it can go on after the events that the
+// caller has. The error is errNoResumePoint.
+func (c *call) confirmResume() error {
+	if !c.resume.Certain {
+		return errNoResumePoint
 	}
+	return nil
 }
 
 func (c *call) endStream(resp *exchange.Response) sendResult {
--- a/fleet/stream/reader.go
+++ b/fleet/stream/reader.go
@@ -4,10 +4,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"strconv"
+
+	"github.com/hazelworks/hazelworks/core/eventstream"
 )
 
 // Done is the data of the event that ends a chat-completions stream.
@@ -39,6 +40,9 @@
 	src      *bufio.Reader
 	data     []byte
 	longLine []byte
+	// begun is false before the first line, which may follow a byte order mark. openCR is true
+	// after a line that ended with CR: an LF that follows belongs to it.
+	begun, openCR bool
 	// OnActivity, if set, is called for every event and comment that arrives, and
 	// for each part of a line that is longer than the read buffer.
 	OnActivity func()
@@ -72,7 +76,7 @@
 			m = Event{}
 			continue
 		}
-		name, value := splitField(line)
+		name, value := eventstream.CutField(line)
 		switch string(name) {
 		case "data":
 			if hasData {
@@ -103,23 +107,65 @@
 // readLine returns the next line without its line end. The slice is valid until the
 // next call.
 func (r *Reader) readLine() ([]byte, error) {
-	part, err := r.src.ReadSlice('\n')
-	if err == nil {
-		return trimLineEnd(part), nil
+	r.longLine = r.longLine[:0]
+	if err := r.skipLeading(); err != nil {
+		return nil, err
 	}
-	r.longLine = append(r.longLine[:0], part...)
-	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(r.longLine) > MaxEventBytes {
-			return nil, ErrEventTooLarge
+	for {
+		buffered, _ := r.src.Peek(r.src.Buffered())
+		line, total, openCR, ok := eventstream.CutLine(buffered)
+		if ok {
+			r.openCR = openCR
+			_, _ = r.src.Discard(total) // these bytes are buffered
+			if len(r.longLine) == 0 {
+				return buffered[:line], nil
+			}
+			r.longLine = append(r.longLine, buffered[:line]...)
+			return r.longLine, nil
+		}
+		if len(buffered) == r.src.Size() {
+			if len(r.longLine) > MaxEventBytes {
+				return nil, ErrEventTooLarge
+			}
+			r.notifyActivity()
+			r.longLine = append(r.longLine, buffered...)
+			_, _ = r.src.Discard(len(buffered))
+		}
+		if _, err := r.src.Peek(r.src.Buffered() + 1); err != nil {
+			return append(r.longLine, buffered...), err
 		}
-		r.notifyActivity()
-		part, err = r.src.ReadSlice('\n')
-		r.longLine = append(r.longLine, part...)
 	}
+}
+
+// skipLeading reads past what may stand before a line: a byte order mark at the start of the
+// stream, or the LF of a line end whose CR has been read.
+func (r *Reader) skipLeading() error {
+	if !r.begun {
+		for n := 1; ; n++ {
+			head, err := r.src.Peek(n)
+			mark, ok := eventstream.LeadingMark(head)
+			if ok {
+				_, _ = r.src.Discard(mark)
+				break
+			}
+			if err != nil {
+				break // the line that has been cut off is reported by the caller
+			}
+		}
+		r.begun = true
+	}
+	if !r.openCR {
+		return nil
+	}
+	next, err := r.src.Peek(1)
 	if err != nil {
-		return r.longLine, err
+		return err
+	}
+	if next[0] == '\n' {
+		_, _ = r.src.Discard(1)
 	}
-	return trimLineEnd(r.longLine), nil
+	r.openCR = false
+	return nil
 }
 
 func (r *Reader) notifyActivity() {
@@ -127,15 +173,3 @@
 		r.OnActivity()
 	}
 }
-
-func trimLineEnd(line []byte) []byte {
-	line = bytes.TrimSuffix(line, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r"))
-}
-
-// splitField returns the field name and value of a line; the name of a comment is
-// empty.
-func splitField(line []byte) (name, value []byte) {
-	name, value, _ = bytes.Cut(line, []byte(":"))
-	return name, bytes.TrimPrefix(value, []byte(" "))
-}
--- a/fleet/stream/stream_test.go
+++ b/fleet/stream/stream_test.go
@@ -22,6 +22,12 @@
 	}{
 		{"numbered", "id: 0\ndata: a\n\nid: 1\ndata: b\n\n", []string{"0=a", "1=b"}, io.EOF},
 		{"carriage returns and comments", ": ping\r\n\r\ndata: a\r\n\r\n", []string{"-=a"}, io.EOF},
+		{"carriage returns alone", "id: 0\rdata: a\r\rid: 1\rdata: b\r\r", []string{"0=a", "1=b"}, io.EOF},
+		{"mixed line ends", "data: a\r\n\rdata: b\n\r\ndata: c\r\r\n", []string{"-=a", "-=b", "-=c"}, io.EOF},
+		{"byte order mark", "\xEF\xBB\xBFdata: a\n\n", []string{"-=a"}, io.EOF},
+		{"a carriage return at the end", "data: a\r\n\r", []string{"-=a"}, io.EOF},
+		{"cut after a carriage return", "data: a\r", nil, io.ErrUnexpectedEOF},
+		{"lines longer than the buffer", "data: " + strings.Repeat("x", 3*readerBytes) + "\rdata: y\r\r", []string{"-=" + strings.Repeat("x", 3*readerBytes) + "\ny"}, io.EOF},
 		{"several lines", "data: a\ndata: b\n\n", []string{"-=a\nb"}, io.EOF},
 		{"no space", "data:a\n\n", []string{"-=a"}, io.EOF},
 		{"bad number", "id: x\ndata: a\n\n", []string{"-=a"}, io.EOF},
@@ -223,3 +229,14 @@
 	require.Greater(t, whole, 60<<10)
 	require.Less(t, b.Bytes(), 10<<10)
 }
+
+// TestReaderReturnsAnEventBeforeItsLineFeed guards against an event that waits for the byte after a
+// carriage return, which may be the first of the next event.
+func TestReaderReturnsAnEventBeforeItsLineFeed(t *testing.T) {
+	read, write := io.Pipe()
+	defer func() { _ = write.Close() }()
+	go func() { _, _ = write.Write([]byte("data: a\r\n\r")) }()
+	e, err := NewReader(read).Next() // without the event the test ends at its time limit
+	require.NoError(t, err)
+	require.Equal(t, "a", string(e.Data))
+}
