--- a/core/balance/work.go
+++ b/core/balance/work.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"slices"
+
 	"github.com/hazelworks/hazelworks/core/quarantine"
 	"github.com/hazelworks/hazelworks/core/rendezvous"
 )
@@ -19,6 +21,33 @@
 	Rank int
 }
 
+// maxWorkTokens bounds the tokens of a prompt or an answer that estimates reckon with. It is more
+// than any engine holds; the times of ten thousand such requests fit into a time.Duration.
+const maxWorkTokens = 1 << 24
+
+// Bounded returns the work with each number between zero and what estimates can reckon with. A hint
+// beyond that says nothing and is left out, and the parts are no longer than the prompt. w may be
+// nil.
+func (w *Work) Bounded() *Work {
+	if w == nil {
+		return nil
+	}
+	out := *w
+	out.Input, out.MaxOutput = boundedTokens(w.Input), boundedTokens(w.MaxOutput)
+	if w.Hint < 0 || w.Hint > maxWorkTokens {
+		out.Hint = 0
+	}
+	left := out.Input
+	out.Parts = slices.Clone(w.Parts)
+	for i := range out.Parts {
+		out.Parts[i].Tokens = min(max(0, out.Parts[i].Tokens), left)
+		left -= out.Parts[i].Tokens
+	}
+	return &out
+}
+
+func boundedTokens(n int64) int64 { return min(max(0, n), maxWorkTokens) }
+
 // Subjects returns the parts of the prompt that other requests may have too: all but the last
 // one, which belongs to the request or its session. w may be nil.
 func (w *Work) Subjects() []quarantine.Subject {
--- a/core/escrow/allocation.go
+++ b/core/escrow/allocation.go
@@ -108,8 +108,12 @@
 // Initialized reports whether the first claim has been sized.
 func (a *Allocation) Initialized() bool { return a.initialized }
 
-// Reserve sets an amount aside. It returns false if less than that is free.
+// Reserve sets an amount aside. It returns false if less than that is free, and for an amount that
+// is never valid: below zero or above [record.MaxTokens].
 func (a *Allocation) Reserve(amount record.Tokens) bool {
+	if amount < 0 || amount > record.MaxTokens {
+		return false
+	}
 	if amount > a.Free && !knownfault.SpendUnclaimed {
 		return false
 	}
@@ -119,23 +123,25 @@
 }
 
 // Settle spends cost out of a reserved amount and frees the rest. A cost above the
-// reservation is cut to it.
+// reservation is cut to it, and one below zero is none.
 func (a *Allocation) Settle(reserved, cost record.Tokens) {
-	cost = min(cost, reserved)
+	cost = min(max(0, cost), reserved)
 	a.Reserved -= reserved
 	a.Free += reserved - cost
 	a.spentSinceMeasured += cost
 	a.removed += cost
 }
 
-// Add adds a claimed or borrowed amount.
+// Add adds a claimed or borrowed amount. One below zero has no effect.
 func (a *Allocation) Add(amount record.Tokens) {
+	amount = max(0, amount)
 	a.Free += amount
 	a.added += amount
 }
 
-// Remove removes a free amount that is lent or given back.
+// Remove removes a free amount that is lent or given back. One below zero has no effect.
 func (a *Allocation) Remove(amount record.Tokens) {
+	amount = max(0, amount)
 	a.Free -= amount
 	a.removed += amount
 }
--- a/core/escrow/claims.go
+++ b/core/escrow/claims.go
@@ -75,7 +75,8 @@
 }
 
 // Decode parses the key and value of a record. It returns the claim or, if the key names
-// no budget, the host record. A key without a host and a value of another form are errors.
+// no budget, the host record. A key without a host and a value of another form are errors. A total
+// that no run can have reached counts as more than any budget.
 func Decode(key string, value []byte) (*Claim, *HostRecord, error) {
 	at := strings.LastIndexByte(key, '/')
 	if at < 0 {
@@ -88,7 +89,7 @@
 	case isFormer && budget == "":
 		return nil, &HostRecord{Host: host, Epoch: former.Epoch, Closed: true}, nil
 	case isFormer:
-		return &Claim{Budget: budget, Host: host, Epoch: former.Epoch, Total: former.Total}, nil, nil
+		return &Claim{Budget: budget, Host: host, Epoch: former.Epoch, Total: validTotal(former.Total)}, nil, nil
 	case budget == "":
 		var v hostValue
 		if err := cbor.Unmarshal(value, &v); err != nil {
@@ -100,7 +101,16 @@
 	if err := cbor.Unmarshal(value, &v); err != nil {
 		return nil, nil, fmt.Errorf("escrow: decode claim %q: %w", key, err)
 	}
-	return &Claim{Budget: budget, Host: host, Epoch: v.Epoch, Seq: v.Seq, Total: v.Total}, nil, nil
+	return &Claim{Budget: budget, Host: host, Epoch: v.Epoch, Seq: v.Seq, Total: validTotal(v.Total)}, nil, nil
+}
+
+// validTotal returns a total, or the largest amount in place of one that is out of range: how much
+// of it was spent is unknown.
+func validTotal(total record.Tokens) record.Tokens {
+	if total != total.Limited() {
+		return record.MaxTokens
+	}
+	return total
 }
 
 // ClaimTable has the newest claim of each host on each budget, their sums, and the newest
--- a/core/escrow/eras.go
+++ b/core/escrow/eras.go
@@ -75,7 +75,7 @@
 func (t *ClaimTable) Unconfirmed(prepaid record.Tokens) record.Tokens {
 	sum := record.Tokens(0)
 	for _, h := range t.hosts {
-		sum += record.Tokens(h.missed(t.era)*runsPerCopyAge) * growthLimit(prepaid)
+		sum = sum.Plus(growthLimit(prepaid).Times(h.missed(t.era)).Times(runsPerCopyAge))
 	}
 	return sum
 }
--- a/fleet/allocation/claims.go
+++ b/fleet/allocation/claims.go
@@ -332,7 +332,7 @@
 func (a *allocation) need() record.Tokens {
 	sum := record.Tokens(0)
 	for _, each := range a.waiting {
-		sum += each.amount
+		sum = sum.Plus(each.amount)
 	}
 	return sum
 }
--- a/fleet/allocation/reserve.go
+++ b/fleet/allocation/reserve.go
@@ -47,6 +47,9 @@
 // reserve reserves an amount from this host's allocation and waits for a claim if too
 // little is free. The wait ends when the log is found to be unreachable.
 func (m *Manager) reserve(ctx context.Context, budget record.BudgetID, amount record.Tokens, wait time.Duration) error {
+	if amount < 0 || amount > record.MaxTokens {
+		return &grants.RefusedError{Budget: budget, Wanted: amount}
+	}
 	m.mu.Lock()
 	alloc := m.allocation(budget)
 	if len(alloc.waiting) == 0 && alloc.Reserve(amount) {
@@ -115,7 +118,7 @@
 	missing := amount - setAside
 	got := record.Tokens(0)
 	if missing > 0 {
-		got = m.opt.Borrower.Borrow(ctx, budget, missing)
+		got = min(max(0, m.opt.Borrower.Borrow(ctx, budget, missing)), missing)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -139,6 +142,9 @@
 // nothing: parts too small for a request would go round among the hosts in an outage, and
 // serve none. The amount counts as spent here, so the caller must hand it over.
 func (m *Manager) Lend(ctx context.Context, budget record.BudgetID, amount record.Tokens) record.Tokens {
+	m.mu.Lock()
+	amount = min(amount, m.allocation(budget).prepaid)
+	m.mu.Unlock()
 	if amount <= 0 {
 		return 0
 	}
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -429,7 +429,7 @@
 	id := up.ID
 	switch {
 	case e.Kind == gossip.Begun && e.Begun != nil:
-		s.pool.Begin(attempt, id, e.Begun.Work, time.Duration(e.Begun.ReadMillis)*time.Millisecond, now)
+		s.pool.Begin(attempt, id, e.Begun.Work.Bounded(), time.Duration(e.Begun.ReadMillis)*time.Millisecond, now)
 	case e.Kind == gossip.TokenTaken:
 		s.pool.TakeToken(id, now)
 	case e.Kind == gossip.FirstEvent:
--- a/fleet/exchange/conn.go
+++ b/fleet/exchange/conn.go
@@ -81,6 +81,9 @@
 	return err == nil && empty
 }
 
+// maxKeepAliveSeconds bounds a stated timeout to what a duration can hold.
+const maxKeepAliveSeconds = 24 * 60 * 60
+
 // keepAliveTimeout returns the timeout in a Keep-Alive header, which is in whole
 // seconds, or zero if there is none.
 func keepAliveTimeout(header string) time.Duration {
@@ -93,7 +96,7 @@
 		if err != nil || seconds < 0 {
 			return 0
 		}
-		return time.Duration(seconds) * time.Second
+		return time.Duration(min(seconds, maxKeepAliveSeconds)) * time.Second
 	}
 	return 0
 }
--- a/fleet/gateway/model.go
+++ b/fleet/gateway/model.go
@@ -90,8 +90,14 @@
 
 func (m *modelWork) maxTokens() int64 { return m.outputCap * m.chat.Choices }
 
-// price returns the cost of tokens in budget tokens, rounded up.
+// maxPricedTokens bounds the tokens of one request that are priced, whatever its upstream reports. It
+// is more than any answer has, and its product with a price fits into 64 bits.
+const maxPricedTokens = 1 << 30
+
+// price returns the cost of tokens in budget tokens, rounded up. Numbers below zero, which only an
+// upstream can report, are zero.
 func price(p settings.Price, input, output int64) record.Tokens {
+	input, output = min(max(0, input), maxPricedTokens), min(max(0, output), maxPricedTokens)
 	return record.Tokens((input*p.InputMilli + output*p.OutputMilli + milli - 1) / milli)
 }
 
--- a/fleet/lending/lending.go
+++ b/fleet/lending/lending.go
@@ -122,5 +122,10 @@
 		c.log.Info("Host did not lend.", "host", h.ID, "budget", budget, "error", err.Error())
 		return 0
 	}
-	return record.Tokens(resp.Msg.Amount)
+	lent := record.Tokens(resp.Msg.Amount)
+	if lent < 0 || lent > amount {
+		c.log.Info("Loan out of range ignored.", "host", h.ID, "budget", budget, "asked", amount, "lent", lent)
+		return 0
+	}
+	return lent
 }
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -127,6 +127,10 @@
 			return
 		}
 	}
+	if err := c.checkSize(); err != nil {
+		c.refuseBudget(ctx, err)
+		return
+	}
 	if err := c.reserve(ctx); err != nil {
 		c.refuseBudget(ctx, err)
 		return
@@ -262,19 +266,42 @@
 	return &balancer.ShedError{Delay: choice.Delay, Wait: choice.Wait, Read: choice.Read, Generate: choice.Generate, Remaining: remaining, RetryAfter: retryAfter}
 }
 
+// errTooLong reports that a prompt fits into the memory of no upstream, also later.
+var errTooLong = errors.New("the prompt is longer than the memory of any upstream")
+
+// checkSize finds requests that can't be served at any time, so that nothing is reserved, claimed or
+// borrowed for them. The error is a [*grants.RefusedError] or errTooLong.
+func (c *call) checkSize() error {
+	if c.metered() && c.maxCost() > c.account.Prepaid {
+		// By settings that may be out of date, nothing is refused for good.
+		unconfirmed := !c.r.opt.SettingsConfirmed()
+		return &grants.RefusedError{Budget: record.BudgetID(c.account.Name), Wanted: c.maxCost(), Available: c.account.Prepaid, Unreachable: unconfirmed, Outage: unconfirmed}
+	}
+	svc := c.table.Service(c.service)
+	if svc != nil && svc.Engine != nil && svc.Engine.CacheTokens > 0 && c.req.Input > record.Tokens(svc.Engine.CacheTokens) {
+		return errTooLong
+	}
+	return nil
+}
+
+// metered reports whether the request is paid for from a budget.
+func (c *call) metered() bool { return c.account != nil && c.account.Metered && c.req.Work != nil }
+
+// maxCost returns the most that the request can cost.
+func (c *call) maxCost() record.Tokens { return c.req.Input.Plus(c.req.MaxOutput) }
+
 // reserveWait bounds the wait for a reservation. It allows for a few calls to the log.
 const reserveWait = 500 * time.Millisecond
 
 // reserve reserves the maximum cost of the request: its input and the longest answer
 // that it may get.
 func (c *call) reserve(ctx context.Context) error {
-	if c.account == nil || !c.account.Metered || c.req.Work == nil {
+	if !c.metered() {
 		return nil
 	}
-	amount := record.Tokens(c.req.Work.Input + c.req.Work.MaxOutput)
 	began := time.Now()
 	defer func() { c.r.meters.reserve.Update(time.Since(began).Microseconds()) }()
-	res, err := c.r.opt.Reserver.Reserve(ctx, record.BudgetID(c.account.Name), 0, amount, reserveWait)
+	res, err := c.r.opt.Reserver.Reserve(ctx, record.BudgetID(c.account.Name), 0, c.maxCost(), reserveWait)
 	if err != nil {
 		return err
 	}
@@ -305,8 +332,8 @@
 	case c.events == 0:
 		return 0
 	}
-	output := min(c.req.Work.MaxOutput, c.events*c.eventTokens())
-	return record.Tokens(c.req.Work.Input + output)
+	output := min(c.req.MaxOutput, record.Tokens(c.eventTokens()).Times(uint64(c.events)))
+	return c.req.Input.Plus(output)
 }
 
 func (c *call) eventTokens() int64 {
@@ -406,6 +433,8 @@
 		retryAfter = quarantined.Remaining
 	case errors.Is(reason, balancer.ErrFull), errors.Is(reason, balancer.ErrEmptied), errors.Is(reason, errLinkFull):
 		retryAfter = admission.RetryAfterOutage(c.timeout()-time.Since(c.req.Arrived), rand.Float64())
+	case errors.Is(reason, errTooLong):
+		retryAfter = 0 // it won't fit later either
 	case errors.Is(reason, origins.ErrUnknown), errors.Is(reason, balancer.ErrNoVersion):
 		c.r.meters.notResumed.Inc(1)
 		retryAfter = 0 // it won't be possible later either
--- a/fleet/relay/request.go
+++ b/fleet/relay/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/fleet/exchange"
 )
 
@@ -33,9 +34,14 @@
 	// stream, or empty if the caller does not state it.
 	ResumeAfter string
 	Resumes     string
-	// Work is nil for requests that use no inference engine.
-	Work    *balance.Work
-	Arrived time.Time
+	// Work is nil for requests that use no inference engine. Its numbers are limited to what
+	// estimates can reckon with.
+	Work *balance.Work
+	// Input and MaxOutput are the tokens of the prompt and the most tokens of the answer, as far
+	// as [record.MaxTokens]. They are zero if Work is nil.
+	Input     record.Tokens
+	MaxOutput record.Tokens
+	Arrived   time.Time
 	// Ignored names the part of the head that was invalid and is ignored, or is empty.
 	Ignored string
 }
