Bill the prompt of a stream that ends well without an event

Cause: a stream without an event was taken for nothing delivered, also where the upstream ended it in order.

A stream that broke off before its first event still costs nothing.

--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -68,6 +68,8 @@
 	// answered is true once the caller has a complete, successful answer that is not a
 	// stream.
 	answered bool
+	// streamed is true once the caller has a complete stream.
+	streamed bool
 	// status is the status of the complete answer that the caller got, or zero.
 	status          int
 	firstEventAfter time.Duration
@@ -324,11 +326,14 @@
 
 // cost returns the cost of the request in tokens: the input, counted once for all
 // attempts, and the output that was delivered. If nothing was delivered the cost is
-// zero, whatever the upstreams did for the request.
+// zero, whatever the upstreams did for the request. A complete stream without an event
+// was delivered.
 func (c *call) cost() record.Tokens {
 	switch {
 	case c.answered && c.events == 0:
 		return c.reservation.Amount() // not a stream, so its length in tokens is not known
+	case c.streamed && c.events == 0:
+		return c.req.Input
 	case c.events == 0:
 		return 0
 	}
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -135,6 +135,6 @@
 
 func (c *call) endStream(resp *exchange.Response) sendResult {
 	c.writeStreamHead(resp)
-	c.status = resp.StatusCode
+	c.status, c.streamed = resp.StatusCode, true
 	return resultAnswered
 }
