Give the budget of an account with a long name an ID that fits a key

Cause: the key of its claim is longer than the 255 bytes that the store takes. The whole write is refused by the store's client and stays pending, so that the host claims nothing for any account.

Change: escrow.BudgetOf names the budget of an account. From 231 bytes on it is the start of the name and its hash; shorter names keep their IDs, since a claim under another key would be forgotten.

What remains: with host names of more than 24 bytes a name just below the limit still doesn't fit.

--- a/fleet/allocation/manager.go
+++ b/fleet/allocation/manager.go
@@ -173,7 +173,7 @@
 		if !a.Metered {
 			continue
 		}
-		alloc := m.allocation(record.BudgetID(a.Name))
+		alloc := m.allocation(escrow.BudgetOf(a.Name))
 		if a.Prepaid < alloc.prepaid {
 			m.log.Info("Budget cut.", "budget", a.Name, "from", alloc.prepaid, "to", a.Prepaid, "returned", alloc.Free)
 			alloc.overclaimed = true
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -11,6 +11,7 @@
 	"github.com/hazelworks/hazelworks/core/admission"
 	"github.com/hazelworks/hazelworks/core/balance"
 	"github.com/hazelworks/hazelworks/core/catalog"
+	"github.com/hazelworks/hazelworks/core/escrow"
 	"github.com/hazelworks/hazelworks/core/eventstream"
 	"github.com/hazelworks/hazelworks/core/knownfault"
 	"github.com/hazelworks/hazelworks/core/notrun"
@@ -277,7 +278,7 @@
 	if c.metered() && c.maxCost() > c.account.Prepaid {
 		// By settings that may be out of date, nothing is refused for good.
 		unconfirmed := !c.r.opt.SettingsConfirmed()
-		return &grants.RefusedError{Budget: record.BudgetID(c.account.Name), Wanted: c.maxCost(), Available: c.account.Prepaid, Unreachable: unconfirmed, Outage: unconfirmed}
+		return &grants.RefusedError{Budget: escrow.BudgetOf(c.account.Name), Wanted: c.maxCost(), Available: c.account.Prepaid, Unreachable: unconfirmed, Outage: unconfirmed}
 	}
 	svc := c.table.Service(c.service)
 	if svc != nil && svc.Engine != nil && svc.Engine.CacheTokens > 0 && c.req.Input > record.Tokens(svc.Engine.CacheTokens) {
@@ -303,7 +304,7 @@
 	}
 	began := time.Now()
 	defer func() { c.r.meters.reserve.Update(time.Since(began).Microseconds()) }()
-	res, err := c.r.opt.Reserver.Reserve(ctx, record.BudgetID(c.account.Name), 0, c.maxCost(), reserveWait)
+	res, err := c.r.opt.Reserver.Reserve(ctx, escrow.BudgetOf(c.account.Name), 0, c.maxCost(), reserveWait)
 	if err != nil {
 		return err
 	}
