Soak: workers and callers that speak the whole of the formats

Cause: the stand-ins sent what our own code expects, LF and one event at a time, no refusal of their own, small numbers.

New faults have a random source of their own, so that the seeds of the known ones keep their order.

--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -63,6 +63,8 @@
 	// caller had before. They are zero for requests that take up no stream.
 	first  string
 	events int
+	// unlimited is true if the request states no limit on its answer.
+	unlimited bool
 	// build is the program that the host ran.
 	build string
 }
@@ -107,9 +109,9 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	h := c.tb.randomHost(rng)
-	for ctx.Err() == nil {
+	for n := 1; ctx.Err() == nil; n++ {
 		disconnects := rng.Float64() < disconnectShare
-		o := c.attempt(client, h, outcome{kind: &requestKinds[rng.IntN(len(requestKinds))], key: validKey}, disconnects)
+		o := c.attempt(client, h, outcome{kind: &requestKinds[rng.IntN(len(requestKinds))], key: validKey, unlimited: n%unlimitedEvery == 0}, disconnects)
 		if o.err != nil || o.status != http.StatusOK {
 			h = c.resolve(rng, h)
 		}
@@ -168,7 +170,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	o.status, o.seal, o.body, o.err = send(ctx, client, &o)
+	o.status, o.seal, o.body, o.err = send(ctx, client, &o, c.tb.outputLimit(o.unlimited))
+	if o.kind.stream {
+		o.body = events(o.body)
+	}
 	o.duration = time.Since(o.sentAt)
 	c.mu.Lock()
 	c.outcomes = append(c.outcomes, o)
@@ -176,7 +181,8 @@
 	return o
 }
 
-func send(ctx context.Context, client *http.Client, o *outcome) (status int, seal, body string, err error) {
+// send sends a request, which states the most output tokens if its answer is a stream.
+func send(ctx context.Context, client *http.Client, o *outcome, maxOutput int64) (status int, seal, body string, err error) {
 	var content io.Reader
 	if o.kind.method == http.MethodPost {
 		content = strings.NewReader("content of " + o.id)
@@ -190,7 +196,7 @@
 	req.GetBody = nil // the client must not retry the request by itself
 	standin.SetCallerHeaders(req, o.id, o.key, requestTimeout)
 	if o.kind.stream {
-		standin.SetTokenHeaders(req, inputTokens, maxOutputTokens, "aa:400,bb:200")
+		standin.SetTokenHeaders(req, inputTokens, maxOutput, "aa:400,bb:200")
 	}
 	if o.first != "" {
 		standin.SetResumeHeaders(req, o.first, o.events)
--- a/cmd/internal/soak/checks.go
+++ b/cmd/internal/soak/checks.go
@@ -53,8 +53,8 @@
 }
 
 // checkRuns checks the runs of upstreams: each has the request's account, service and
-// body, an at-most-once request ran at most once, and one that was answered with 429 or
-// 503 did not run.
+// body, an at-most-once request ran at most once, and one that was answered as not run did not
+// run.
 func checkRuns(tb *testbed, byID map[string]*outcome, report func(string, ...any)) {
 	runs := make(map[string]int)
 	for _, r := range tb.recorder.Runs("") {
@@ -82,8 +82,7 @@
 		if o.kind.atMostOnce && n > 1 {
 			report("%s (%s): ran %d times", id, o.kind.name, n)
 		}
-		notRun := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
-		if notRun && o.kind.atMostOnce {
+		if slices.Contains(notRunStatuses, o.status) && o.kind.atMostOnce {
 			report("%s (%s): answered %d and ran", id, o.kind.name, o.status)
 		}
 	}
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -116,6 +116,7 @@
 func injectFaults(ctx context.Context, tb *testbed, opt Options) int {
 	rng := rand.New(rand.NewPCG(opt.Seed, 1000))
 	all := faults()
+	refusals := rand.New(rand.NewPCG(opt.Seed, 2000))
 	deadline := time.Now().Add(opt.Length)
 	count := 0
 	for time.Now().Before(deadline) && ctx.Err() == nil {
@@ -131,6 +132,9 @@
 				end()
 			})
 		}
+		if tb.lacking == "" && count%refusalEvery == 0 {
+			tb.refuseAfterRun(refusals)
+		}
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)))
 	}
 	tb.activeFaults.Wait()
--- a/cmd/internal/soak/testbed.go
+++ b/cmd/internal/soak/testbed.go
@@ -125,6 +125,8 @@
 		service, behaviour := "llm", standin.Behaviour{Events: streamEvents, EventGap: eventInterval, CrashPart: crashPart}
 		if i >= modelUpstreamCount {
 			service, behaviour = "desk", standin.Behaviour{Delay: 5 * time.Millisecond, CrashBody: crashBody}
+		} else {
+			tb.setEventForm(&behaviour, i)
 		}
 		if i == limitedUpstream {
 			behaviour.Limit = strconv.FormatFloat(statedLimit, 'g', -1, 64)
