--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -117,18 +117,19 @@
 	defer cancel()
 	var group run.Group
 	group.Add(func() error { return host.Run(ctx) }, func(error) { cancel() })
-	group.Add(func() error { return stopHostOnSignal(ctx, host) }, func(error) { cancel() })
+	group.Add(func() error { return stopHostOnSignal(ctx, host, logger.WithName("main")) }, func(error) { cancel() })
 	group.Add(func() error { return watchSettings(ctx, path, host, logger.WithName("settings")) }, func(error) { cancel() })
 	return group.Run()
 }
 
 // stopHostOnSignal starts a graceful stop on the first SIGTERM or interrupt.
-func stopHostOnSignal(ctx context.Context, host *relayhost.Host) error {
+func stopHostOnSignal(ctx context.Context, host *relayhost.Host, logger logr.Logger) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(signals)
 	select {
-	case <-signals:
+	case s := <-signals:
+		logger.Info("Signal received.", "signal", s.String())
 		host.Stop()
 		<-ctx.Done()
 	case <-ctx.Done():
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -122,6 +122,7 @@
 		}),
 	}
 	began := time.Now()
+	c.progress.reach(stageSent)
 	resp, err := lease.Conns.Send(ctx, out)
 	c.recordReach(ctx, lease, err, time.Since(began))
 	c.notTried = errors.Is(err, sockets.ErrNotTried)
@@ -220,6 +221,7 @@
 // recordFirstEvent records the start of the answer.
 func (c *call) recordFirstEvent(lease *balancer.Lease) {
 	lease.FirstEvent()
+	c.progress.reach(stageAnswered)
 	c.flight.Leave() // the answer has begun without a crash
 	if c.attemptStartedAt.IsZero() {
 		c.attemptStartedAt = time.Now()
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -40,6 +40,7 @@
 	service string
 	// forwarded is true if another host has forwarded the request.
 	forwarded bool
+	progress  *progress
 	// retried is true if the caller retries after its request was shed.
 	retried bool
 	// subjects are what the request may have in common with others that crash upstreams. own
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -73,6 +73,7 @@
 	helpers   *helpers
 	draining  atomic.Bool
 	inflight  sync.WaitGroup
+	progress  inProgress
 }
 
 // New returns a relay.
@@ -108,6 +109,8 @@
 		return
 	}
 	req.Arrived = time.Now()
+	p := r.progress.begin(req.ID, req.Arrived, forwarded)
+	defer r.progress.end(p)
 	if req.Ignored != "" {
 		r.log.Info("Header ignored.", "request", req.ID, "reason", req.Ignored)
 	}
@@ -145,10 +148,11 @@
 		r.refuse(w, req, refusal{status: status, reason: "body"})
 		return
 	}
+	p.reach(stageWaiting)
 	if req.ResumeAfter != "" {
 		r.log.Info("Caller takes up a stream.", "request", req.ID, "resumes", req.Resumes, "after_event", req.ResumeAfter)
 	}
-	c := &call{r: r, w: w, hr: hr, req: req, route: route, account: account, table: table, forwarded: forwarded, resume: eventstream.Resume{Certain: true}}
+	c := &call{r: r, w: w, hr: hr, req: req, route: route, account: account, table: table, forwarded: forwarded, progress: p, resume: eventstream.Resume{Certain: true}}
 	c.service = route.PickService(rand.Float64())
 	// The time that a forwarded request states is what remains of another one.
 	c.retried = !forwarded && r.retries.isRetry(route.Name, req.Timeout)
--- a/fleet/relayhost/leave.go
+++ b/fleet/relayhost/leave.go
@@ -41,7 +41,7 @@
 	case <-h.stop:
 	}
 	began := time.Now()
-	h.log.Info("Leaving.")
+	h.log.Info("Leaving.", "grace", h.bounds.Load().Grace, "in_progress", h.relay.LogInProgress(false))
 	if knownfault.CutOnStop {
 		return errStopped
 	}
@@ -54,6 +54,7 @@
 	if err := h.putSelf(ctx); err != nil {
 		h.log.Info("Leaving could not be announced.", "error", err.Error())
 	}
+	h.log.Info("Leave announced.", "took", time.Since(began))
 	h.relay.SetDraining()
 	linger := time.NewTimer(min(lingerTTLs*directoryTTL, time.Duration(maxLingerShare*float64(limit))))
 	defer linger.Stop()
@@ -61,6 +62,7 @@
 	case <-linger.C:
 	case <-ctx.Done():
 	}
+	h.log.Info("Closing callers' connections.", "after", time.Since(began))
 	h.budgets.Drain()
 	answered := make(chan struct{})
 	go func() {
@@ -82,6 +84,6 @@
 		h.log.Info("Budgets were not released.", "error", err.Error())
 	}
 	<-answered
-	h.log.Info("Left.", "took", time.Since(began))
+	h.log.Info("Left.", "took", time.Since(began), "cut_off", h.relay.LogInProgress(true))
 	return errStopped
 }
