--- /dev/null
+++ b/fleet/callerserver/stop_test.go
@@ -0,0 +1,139 @@
+package callerserver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// handledRequests counts, by ID, the requests whose handler has run.
+type handledRequests struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func (h *handledRequests) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	h.ids[r.Header.Get("Request-Id")] = true
+	h.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	_, _ = io.WriteString(w, "answer")
+}
+
+func (h *handledRequests) has(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ids[id]
+}
+
+// A stop closes idle connections while callers send their next requests on them. A request that
+// reaches the handler is answered.
+func TestStopAnswersEveryRequestThatIsHandled(t *testing.T) {
+	const (
+		stops    = 60
+		callers  = 60
+		maxPause = 1200 * time.Microsecond
+		runTime  = 15 * time.Millisecond
+	)
+	for stop := range stops {
+		handled := &handledRequests{ids: make(map[string]bool)}
+		s, l := startServer(t, handled)
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		var lost []string
+		for caller := range callers {
+			group.Go(func() {
+				rng := rand.New(rand.NewPCG(uint64(stop), uint64(caller)))
+				conn, err := net.Dial("tcp", l.Addr().String())
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					id := fmt.Sprintf("%d-%d", caller, n)
+					if err := askWithID(conn, reader, id); err != nil {
+						if handled.has(id) {
+							mu.Lock()
+							lost = append(lost, fmt.Sprintf("stop %d, request %s: %v", stop, id, err))
+							mu.Unlock()
+						}
+						return
+					}
+					time.Sleep(time.Duration(rng.Int64N(int64(maxPause))))
+				}
+			})
+		}
+		time.Sleep(runTime)
+		require.NoError(t, s.Shutdown(context.Background()))
+		group.Wait()
+		require.Empty(t, lost)
+	}
+}
+
+// askWithID sends a request with an ID on a connection and reads its answer.
+func askWithID(conn net.Conn, reader *bufio.Reader, id string) error {
+	if _, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n\r\n", id); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// racingConn is a connection whose next request arrives while it is closed.
+type racingConn struct {
+	net.Conn
+	caller net.Conn
+	once   sync.Once
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *racingConn) Close() error {
+	c.once.Do(func() {
+		_ = c.caller.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = io.WriteString(c.caller, "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: second\r\n\r\n")
+		c.closed.Store(true)
+	})
+	return c.Conn.Close()
+}
+
+// A request that is read while its connection is closed as idle is not handled: its caller can't get
+// an answer.
+func TestRequestReadWhileItsConnectionIsClosedIsNotHandled(t *testing.T) {
+	caller, host := net.Pipe()
+	conn, handled := &racingConn{Conn: host, caller: caller}, make(chan struct{})
+	s := New(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Request-Id") == "second" {
+			close(handled)
+		}
+	}), Limits{HeaderBytes: 1 << 14, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}, func(err error) { t.Error(err) })
+	l := newConnQueue()
+	go func() { _ = s.Serve(l) }()
+	require.True(t, l.push(conn))
+	require.NoError(t, askWithID(caller, bufio.NewReader(caller), "first"))
+	t.Cleanup(func() { _ = s.Close() })
+	require.Eventually(t, func() bool {
+		s.CloseIdle()
+		return conn.closed.Load()
+	}, time.Second, time.Millisecond)
+	select {
+	case <-handled:
+		t.Fatal("a request was handled whose connection is closed")
+	case <-time.After(200 * time.Millisecond):
+	}
+}
