--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -206,9 +206,8 @@
 	defer s.mu.Unlock()
 	busy := 0
 	for c := range s.conns {
-		if c.isIdle(now) {
+		if c.closeIdle(now) {
 			delete(s.conns, c)
-			_ = c.Close()
 			continue
 		}
 		busy++
--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -24,18 +24,24 @@
 	arrived bool
 	// served is true once a request was served.
 	served bool
+	// closing is true once the connection is closed as idle. No request of it is handled then.
+	closing bool
 }
 
 func newTrackedConn(c net.Conn) *trackedConn { return &trackedConn{Conn: c, openedAt: time.Now()} }
 
-// Read implements net.Conn.
+// Read implements net.Conn. What arrives while the connection is closed as idle is dropped.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		c.arrived = true
-		c.mu.Unlock()
+	if n == 0 {
+		return n, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return 0, net.ErrClosed
+	}
+	c.arrived = true
 	return n, err
 }
 
@@ -48,13 +54,14 @@
 	return nil
 }
 
-// isFirst reports whether a request is the first one of the connection.
-func (c *trackedConn) isFirst() bool {
+// begin reports whether a request may be handled, and whether it is the first one of the connection.
+// A request that was read together with the one before it may find the connection closed.
+func (c *trackedConn) begin() (first, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first := !c.served
-	c.served = true
-	return first
+	first = !c.served
+	c.served, c.arrived = true, true
+	return first, !c.closing
 }
 
 func (c *trackedConn) setState(state http.ConnState) {
@@ -66,10 +73,21 @@
 	}
 }
 
-// isIdle reports whether no request is in progress and none has arrived.
-func (c *trackedConn) isIdle(now time.Time) bool {
+// closeIdle closes the connection if no request is in progress and none has arrived, and reports
+// whether it did. From the decision on, no request of the connection is handled.
+func (c *trackedConn) closeIdle(now time.Time) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.closing = c.closing || c.isIdle(now)
+	closing := c.closing
+	c.mu.Unlock()
+	if closing {
+		_ = c.Close()
+	}
+	return closing
+}
+
+// isIdle reports whether no request is in progress and none has arrived. The caller holds mu.
+func (c *trackedConn) isIdle(now time.Time) bool {
 	switch {
 	case c.arrived || hasUnread(c.Conn):
 		return false
--- a/fleet/callerserver/door.go
+++ b/fleet/callerserver/door.go
@@ -51,10 +51,15 @@
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
-	c, ok := r.Context().Value(connKey{}).(*trackedConn)
-	if ok && c.isFirst() {
-		s.handler.ServeHTTP(w, r)
-		return
+	if c, ok := r.Context().Value(connKey{}).(*trackedConn); ok {
+		first, open := c.begin()
+		if !open {
+			panic(http.ErrAbortHandler)
+		}
+		if first {
+			s.handler.ServeHTTP(w, r)
+			return
+		}
 	}
 	if !s.door.Request() {
 		w = closingWriter{w}
--- a/fleet/callerserver/stop_test.go
+++ b/fleet/callerserver/stop_test.go
@@ -137,3 +137,38 @@
 	case <-time.After(200 * time.Millisecond):
 	}
 }
+
+// A caller sends two requests at once. The second one is in the server's buffer, where closing idle
+// connections must not overlook it once it is handled.
+func TestRequestsSentTogetherAreAnsweredIfHandled(t *testing.T) {
+	handled := &handledRequests{ids: make(map[string]bool)}
+	s, l := startServer(t, handled)
+	ctx, stop := context.WithCancel(t.Context())
+	var closer sync.WaitGroup
+	closer.Go(func() {
+		for ctx.Err() == nil {
+			s.CloseIdle()
+		}
+	})
+	for n := range 300 {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		reader := bufio.NewReader(conn)
+		ids := []string{fmt.Sprintf("%d-first", n), fmt.Sprintf("%d-second", n)}
+		_, err = fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n\r\n", ids[0], ids[1])
+		require.NoError(t, err)
+		for _, id := range ids {
+			resp, err := http.ReadResponse(reader, nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			if err != nil {
+				require.False(t, handled.has(id), "request %s: %v", id, err)
+				break
+			}
+		}
+		_ = conn.Close()
+	}
+	stop()
+	closer.Wait()
+}
