--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -72,8 +72,10 @@
 	buffers   bufferBudget
 	helpers   *helpers
 	draining  atomic.Bool
-	inflight  sync.WaitGroup
-	progress  inProgress
+	// endsAt is the time at which a host that leaves ends, or nil while it takes all requests.
+	endsAt   atomic.Pointer[time.Time]
+	inflight sync.WaitGroup
+	progress inProgress
 }
 
 // New returns a relay.
@@ -94,6 +96,16 @@
 // SetDraining closes each caller's connection after its next answer.
 func (r *Relay) SetDraining() { r.draining.Store(true) }
 
+// SetEnd sets the time at which the host ends. From now on, requests that may last longer are rejected.
+func (r *Relay) SetEnd(t time.Time) { r.endsAt.Store(&t) }
+
+// endsBefore reports whether the host may end before a request that begins now and may last for a
+// time, which is zero if there is no limit.
+func (r *Relay) endsBefore(limit time.Duration) bool {
+	end := r.endsAt.Load()
+	return end != nil && (limit == 0 || time.Until(*end) < limit)
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) { r.serve(w, hr, false) }
 
@@ -144,6 +156,13 @@
 		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "this host has more requests than it can carry", retryAfter: retryAfter})
 		return
 	}
+	if r.endsBefore(shorter(route.Timeout, req.Timeout)) {
+		if forwarded {
+			w.Header().Set(headerUnreached, "1")
+		}
+		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "this host ends before the request's time", retryAfter: startRetryAfter})
+		return
+	}
 	if status := readBody(w, hr, req, table.Limits.BodyBytes, shorter(route.Timeout, req.Timeout)); status != 0 {
 		r.refuse(w, req, refusal{status: status, reason: "body"})
 		return
--- a/fleet/relayhost/leave.go
+++ b/fleet/relayhost/leave.go
@@ -32,6 +32,16 @@
 	releaseTime = 500 * time.Millisecond
 )
 
+// announceLeave writes to the log that this host leaves. Callers' time to leave doesn't wait for it:
+// other hosts learn it from this one too.
+func (h *Host) announceLeave(ctx context.Context, began time.Time) {
+	if err := h.putSelf(ctx); err != nil {
+		h.log.Info("Leaving could not be announced.", "error", err.Error(), "took", time.Since(began))
+		return
+	}
+	h.log.Info("Leave announced.", "took", time.Since(began))
+}
+
 // leave waits for a call of Stop, then until callers no longer use this host and all
 // answers are complete.
 func (h *Host) leave(ctx context.Context) error {
@@ -51,17 +61,15 @@
 	h.hosts.mu.Lock()
 	h.hosts.table.SetLeaving()
 	h.hosts.mu.Unlock()
-	if err := h.putSelf(ctx); err != nil {
-		h.log.Info("Leaving could not be announced.", "error", err.Error())
-	}
-	h.log.Info("Leave announced.", "took", time.Since(began))
 	h.relay.SetDraining()
+	go h.announceLeave(ctx, began)
 	linger := time.NewTimer(min(lingerTTLs*directoryTTL, time.Duration(maxLingerShare*float64(limit))))
 	defer linger.Stop()
 	select {
 	case <-linger.C:
 	case <-ctx.Done():
 	}
+	h.relay.SetEnd(began.Add(limit))
 	h.log.Info("Closing callers' connections.", "after", time.Since(began))
 	h.budgets.Drain()
 	answered := make(chan struct{})
