--- a/fleet/relay/progress.go
+++ b/fleet/relay/progress.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,26 +24,25 @@
 
 // progress is the state of a request that has not ended.
 type progress struct {
-	id        string
 	arrived   time.Time
 	forwarded bool
-	stage     atomic.Int32
+	// id is nil until the head is decoded.
+	id    atomic.Pointer[string]
+	stage atomic.Int32
 }
 
-func (p *progress) reach(s stage) {
-	if p != nil {
-		p.stage.Store(int32(s))
-	}
-}
+func (p *progress) reach(s stage) { p.stage.Store(int32(s)) }
 
-// inProgress holds the requests that have not ended.
+// inProgress holds the requests that have not ended. Further ones may begin while it is waited on.
 type inProgress struct {
 	mu       sync.Mutex
 	requests map[*progress]struct{}
+	// none is closed once there are no requests. It is nil if nobody waits.
+	none chan struct{}
 }
 
-func (t *inProgress) begin(id string, arrived time.Time, forwarded bool) *progress {
-	p := &progress{id: id, arrived: arrived, forwarded: forwarded}
+func (t *inProgress) begin(forwarded bool) *progress {
+	p := &progress{arrived: time.Now(), forwarded: forwarded}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.requests == nil {
@@ -56,6 +56,30 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.requests, p)
+	if len(t.requests) == 0 && t.none != nil {
+		close(t.none)
+		t.none = nil
+	}
+}
+
+// wait waits until no request is in progress. It returns the cause of ctx if ctx ends first.
+func (t *inProgress) wait(ctx context.Context) error {
+	t.mu.Lock()
+	if len(t.requests) == 0 {
+		t.mu.Unlock()
+		return nil
+	}
+	if t.none == nil {
+		t.none = make(chan struct{})
+	}
+	none := t.none
+	t.mu.Unlock()
+	select {
+	case <-none:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
 }
 
 func (t *inProgress) all() []*progress {
@@ -77,7 +101,11 @@
 	}
 	requests := r.progress.all()
 	for _, p := range requests {
-		log.Info(message, "request", p.id, "stage", stage(p.stage.Load()).String(), "age", time.Since(p.arrived), "forwarded", p.forwarded)
+		id := ""
+		if known := p.id.Load(); known != nil {
+			id = *known
+		}
+		log.Info(message, "request", id, "stage", stage(p.stage.Load()).String(), "age", time.Since(p.arrived), "forwarded", p.forwarded)
 	}
 	return len(requests)
 }
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,7 +73,6 @@
 	draining  atomic.Bool
 	// endsAt is the time at which a host that leaves ends, or nil while it takes all requests.
 	endsAt   atomic.Pointer[time.Time]
-	inflight sync.WaitGroup
 	progress inProgress
 }
 
@@ -111,8 +109,8 @@
 
 // serve handles a request of a caller, which another host may have forwarded.
 func (r *Relay) serve(w http.ResponseWriter, hr *http.Request, forwarded bool) {
-	r.inflight.Add(1)
-	defer r.inflight.Done()
+	p := r.progress.begin(forwarded)
+	defer r.progress.end(p)
 	// Suppress net/http's Date header: the upstream's headers are passed on as they are.
 	w.Header()["Date"] = nil
 	req, err := r.opt.Decoder.Decode(hr)
@@ -121,8 +119,7 @@
 		return
 	}
 	req.Arrived = time.Now()
-	p := r.progress.begin(req.ID, req.Arrived, forwarded)
-	defer r.progress.end(p)
+	p.id.Store(&req.ID)
 	if req.Ignored != "" {
 		r.log.Info("Header ignored.", "request", req.ID, "reason", req.Ignored)
 	}
@@ -262,18 +259,5 @@
 	w.WriteHeader(status)
 }
 
-// Wait waits until no request is in flight. It returns the cause of ctx if ctx ends
-// first.
-func (r *Relay) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		r.inflight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
+// Wait waits until no request is in progress. It returns the cause of ctx if ctx ends first.
+func (r *Relay) Wait(ctx context.Context) error { return r.progress.wait(ctx) }
--- a/fleet/relayhost/leave.go
+++ b/fleet/relayhost/leave.go
@@ -78,6 +78,7 @@
 		if err := h.callers.Shutdown(ctx); err != nil {
 			h.log.Info("Answers were cut off.", "error", err.Error())
 		}
+		h.relay.SetEnd(time.Now()) // other hosts forward nothing more
 		if err := h.relay.Wait(ctx); err != nil {
 			h.log.Info("Answers to callers of other hosts were cut off.", "error", err.Error())
 		}
