--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -130,6 +130,9 @@
 // meanwhile.
 func (s *Server) serveConn(c net.Conn) {
 	tracked := newTrackedConn(c)
+	s.mu.Lock()
+	s.conns[tracked] = struct{}{}
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		g := s.current
@@ -139,6 +142,9 @@
 		}
 		s.mu.Lock()
 		ended := s.current == g
+		if ended {
+			delete(s.conns, tracked)
+		}
 		s.mu.Unlock()
 		if ended {
 			_ = c.Close()
@@ -222,14 +228,12 @@
 		return
 	}
 	c.setState(state)
+	if state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		s.conns[c] = struct{}{}
-	case http.StateClosed, http.StateHijacked:
-		delete(s.conns, c)
-	}
+	delete(s.conns, c)
 }
 
 // Close stops accepting and closes all connections at once. It returns nil.
--- a/fleet/callerserver/stop_test.go
+++ b/fleet/callerserver/stop_test.go
@@ -172,3 +172,23 @@
 	stop()
 	closer.Wait()
 }
+
+// A connection was accepted, but the HTTP server has not noticed it when the stop looks for open ones.
+// The stop waits for its request.
+func TestStopWaitsForConnectionsThatWereJustAccepted(t *testing.T) {
+	s, _ := startServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.mu.Lock()
+	unnoticed := newConnQueue()
+	s.current = &generation{conns: unnoticed}
+	s.mu.Unlock()
+	_, host := net.Pipe()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		s.serveConn(host)
+	}()
+	require.Eventually(t, func() bool { return s.closeIdle(time.Now()) == 1 }, time.Second, time.Millisecond)
+	require.NoError(t, unnoticed.Close())
+	<-served
+	require.Zero(t, s.closeIdle(time.Now()), "a connection that no server takes is closed")
+}
