--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -32,6 +31,9 @@
 		Short: "Run a host on the users' platform; " + boot.EnvPath + " names its settings file",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			stop, reload := notifyStop(), notifyReload()
+			defer signal.Stop(stop)
+			defer signal.Stop(reload)
 			path := os.Getenv(boot.EnvPath)
 			cfg, err := boot.Load(path)
 			if err != nil {
@@ -45,7 +47,7 @@
 				return cli.Exit(cli.ExitUsage, err)
 			}
 			defer logger.Close()
-			return runOnPlatform(cmd.Context(), path, cfg, logger.Logger)
+			return runOnPlatform(cmd.Context(), path, cfg, stop, reload, logger.Logger)
 		},
 	}
 	cmd.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "port on the host's own address that serves /metrics; 0 means none")
@@ -85,7 +87,7 @@
 	debug.SetGCPercent(usualHeapGrowth)
 }
 
-func runOnPlatform(ctx context.Context, path string, cfg *relayhost.Config, logger logr.Logger) error {
+func runOnPlatform(ctx context.Context, path string, cfg *relayhost.Config, stop, reload <-chan os.Signal, logger logr.Logger) error {
 	logger.WithName("main").Info("Starting.", "host", cfg.Host, "failure_domain", cfg.FailureDomain, "memory", cfg.Limits.MemoryBytes, "cores", cfg.Limits.Cores)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.Limits.MemoryBytes)))
 	runQueue, err := hostmeter.NewRunQueue()
@@ -117,18 +119,15 @@
 	defer cancel()
 	var group run.Group
 	group.Add(func() error { return host.Run(ctx) }, func(error) { cancel() })
-	group.Add(func() error { return stopHostOnSignal(ctx, host, logger.WithName("main")) }, func(error) { cancel() })
-	group.Add(func() error { return watchSettings(ctx, path, host, logger.WithName("settings")) }, func(error) { cancel() })
+	group.Add(func() error { return stopHostOnSignal(ctx, stop, host, logger.WithName("main")) }, func(error) { cancel() })
+	group.Add(func() error { return watchSettings(ctx, reload, path, host, logger.WithName("settings")) }, func(error) { cancel() })
 	return group.Run()
 }
 
 // stopHostOnSignal starts a graceful stop on the first SIGTERM or interrupt.
-func stopHostOnSignal(ctx context.Context, host *relayhost.Host, logger logr.Logger) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
+func stopHostOnSignal(ctx context.Context, stop <-chan os.Signal, host *relayhost.Host, logger logr.Logger) error {
 	select {
-	case s := <-signals:
+	case s := <-stop:
 		logger.Info("Signal received.", "signal", s.String())
 		host.Stop()
 		<-ctx.Done()
@@ -143,10 +142,7 @@
 
 // watchSettings applies changes of the settings file, on SIGHUP and by polling.
 // If the file can't be read or is invalid, the current settings stay in force.
-func watchSettings(ctx context.Context, path string, host *relayhost.Host, logger logr.Logger) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, reload <-chan os.Signal, path string, host *relayhost.Host, logger logr.Logger) error {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	for {
@@ -154,7 +150,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hangups:
+		case <-reload:
 			reason = "signal"
 		case <-tick.C:
 		}
--- a/cmd/hazelworks/serve.go
+++ b/cmd/hazelworks/serve.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -28,11 +27,13 @@
 		Short: "Run a host; the first SIGTERM or Ctrl-C stops it gracefully, the second immediately",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			stop := notifyStop()
+			defer signal.Stop(stop)
 			cfg, err := config.Load(path)
 			if err != nil {
 				return cli.Exit(cli.ExitUsage, err)
 			}
-			return serve(cmd.Context(), cfg)
+			return serve(cmd.Context(), cfg, stop)
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "host.jsonc", "process settings file, JSON with comments")
@@ -43,7 +44,7 @@
 // requests may still be in flight.
 var errSecondSignal = errors.New("stopped at once by a second signal")
 
-func serve(ctx context.Context, cfg *config.Config) error {
+func serve(ctx context.Context, cfg *config.Config, stop <-chan os.Signal) error {
 	logger, err := logging.New(os.Stderr, cfg.Log.Format, cfg.Log.Level)
 	if err != nil {
 		return cli.Exit(cli.ExitUsage, err)
@@ -60,16 +61,13 @@
 	defer cancel()
 	var group run.Group
 	group.Add(func() error { return h.Run(ctx) }, func(error) { cancel() })
-	group.Add(func() error { return stopOnSignals(ctx, h, cfg.Timeouts.Drain) }, func(error) { cancel() })
+	group.Add(func() error { return stopOnSignals(ctx, stop, h, cfg.Timeouts.Drain) }, func(error) { cancel() })
 	return group.Run()
 }
 
 // stopOnSignals shuts the host down gracefully on the first SIGTERM or interrupt, for
 // at most drain. On the second signal it returns errSecondSignal immediately.
-func stopOnSignals(ctx context.Context, h *host.Host, drain time.Duration) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
+func stopOnSignals(ctx context.Context, signals <-chan os.Signal, h *host.Host, drain time.Duration) error {
 	select {
 	case <-signals:
 	case <-ctx.Done():
--- a/cmd/internal/e2e/platform_test.go
+++ b/cmd/internal/e2e/platform_test.go
@@ -114,3 +114,31 @@
 		t.Fatal("the host did not exit after SIGTERM")
 	}
 }
+
+// A SIGTERM right after the start must not end the process by the signal's default action, which cuts
+// off whatever the host has accepted.
+func TestSignalDuringTheStartStopsGracefully(t *testing.T) {
+	t.Parallel()
+	for range 20 {
+		cmd := exec.Command(filepath.Join(binaries, "hazelworks"), "platform")
+		settingsPath := filepath.Join(t.TempDir(), "boot.conf")
+		require.NoError(t, os.WriteFile(settingsPath, []byte(startingHostSettings()), 0o600))
+		cmd.Env = append(os.Environ(), boot.EnvPath+"="+settingsPath)
+		out, err := cmd.StdoutPipe()
+		require.NoError(t, err)
+		require.NoError(t, cmd.Start())
+		lines := bufio.NewScanner(out)
+		require.True(t, lines.Scan())
+		require.Contains(t, lines.Text(), "Starting.")
+		require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+		for lines.Scan() {
+		}
+		require.NoError(t, cmd.Wait())
+	}
+}
+
+// startingHostSettings returns the settings of a host with an address of its own and little time to stop.
+func startingHostSettings() string {
+	ip := fmt.Sprintf("127.10.%d.%d", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
+	return standin.HostSettings(standin.HostOptions{Name: "front-2", FailureDomain: "z1", IP: ip, Store: ip + ":8223", Grace: 800 * time.Millisecond})
+}
