--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"slices"
@@ -138,8 +139,12 @@
 	}
 }
 
+// receiveRetry is the pause after a failed read. Some errors concern one packet only, such as that
+// of a receiver that is down, which the network reports later.
+const receiveRetry = 20 * time.Millisecond
+
 // Run sends and receives over conn until ctx ends, which closes conn. It returns an
-// error if receiving fails before.
+// error if conn is closed before.
 func (g *Gossip) Run(ctx context.Context, conn net.PacketConn) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -150,9 +155,13 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
 		if err != nil {
 			g.log.Error(err, "Gossip could not be received.")
-			return err
+			time.Sleep(receiveRetry)
+			continue
 		}
 		g.receive(conn, buf[:n])
 	}
--- a/fleet/gossip/gossip_test.go
+++ b/fleet/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -117,3 +118,44 @@
 		require.Eventually(t, func() bool { return len(h.eventsFrom("h0")) > 0 }, 5*time.Second, time.Millisecond, "%s", h.self.ID)
 	}
 }
+
+// failingConn fails its first reads, as a socket does to which the network reports that a receiver is
+// down.
+type failingConn struct {
+	net.PacketConn
+	failures int
+}
+
+// ReadFrom implements net.PacketConn.
+func (c *failingConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	if c.failures > 0 {
+		c.failures--
+		return 0, nil, syscall.ECONNREFUSED
+	}
+	return c.PacketConn.ReadFrom(p)
+}
+
+// A failed read of one packet must not end the process, which cuts off all answers.
+func TestFailedReadsDoNotEndTheHost(t *testing.T) {
+	hosts := startHosts(t, 1, 1)
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	received := make(chan struct{}, 100)
+	self := roster.Host{ID: "h2", Run: 1, Cores: 1, Peer: netip.MustParseAddrPort(conn.LocalAddr().String())}
+	g := New(Options{
+		Self: self, Peers: func() []roster.Host { return []roster.Host{hosts[0].self} }, Alive: func() []roster.Host { return nil },
+		Heartbeats: func() []roster.Heartbeat { return nil }, State: func() roster.State { return roster.State{} }, Oldest: func() uint64 { return 1 },
+		LimitDomains: func([]string) {}, Receive: func(*Message) { received <- struct{}{} }, Logger: logr.Discard(), Metrics: metrics.NewRegistry(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx, &failingConn{PacketConn: conn, failures: 3}) }()
+	data, err := encodeMessage(&Message{Host: "h0", Run: 1})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		_, err := hosts[0].conn.WriteTo(data, conn.LocalAddr())
+		return err == nil && len(received) > 0
+	}, 5*time.Second, 10*time.Millisecond)
+	cancel()
+	require.NoError(t, <-ended)
+}
