--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -27,6 +27,9 @@
 	// Cores is the number of processor cores that the host may use; it may be a
 	// fraction.
 	Cores float64 `json:"cores"`
+	// Repetition is how often this run has written its description again because that of another run,
+	// which had ended, was written after it.
+	Repetition int `json:"repetition,omitempty"`
 	// Leaving hosts accept no new callers.
 	Leaving bool `json:"leaving,omitempty"`
 	// Build is zero if the host's build states none.
@@ -60,9 +63,11 @@
 type Table struct {
 	self  Host
 	hosts map[record.HostID]*entry
-	// ended holds the runs that newer ones have replaced. An older description of a
-	// host may arrive again.
-	ended map[uint64]bool
+	// ended holds the runs that newer ones have replaced, with the last repetition of their
+	// descriptions. An older description of a host may arrive again.
+	ended map[uint64]int
+	// answered holds, by other runs of this host, how often it has answered them.
+	answered map[uint64]int
 	// byRun has the same entries by [runHash].
 	byRun map[uint32]*entry
 	// selfFull is true while this host is full.
@@ -89,7 +94,7 @@
 
 // NewTable returns a table that knows only the host itself.
 func NewTable(self Host) *Table {
-	return &Table{self: self, hosts: make(map[record.HostID]*entry), ended: make(map[uint64]bool), byRun: make(map[uint32]*entry)}
+	return &Table{self: self, hosts: make(map[record.HostID]*entry), ended: make(map[uint64]int), answered: make(map[uint64]int), byRun: make(map[uint32]*entry)}
 }
 
 // Self returns the description of this host.
@@ -101,21 +106,38 @@
 // SetLeaving marks this host as leaving.
 func (t *Table) SetLeaving() { t.self.Leaving = true }
 
+// maxRepetitions bounds how often this host answers one other run of itself. If both were alive, each
+// would answer the other one.
+const maxRepetitions = 3
+
+// ReplacedBy applies a description of this host by another run, which the log has after this run's own.
+// It reports whether this host's description has to be written again, as [Table.Self] returns it then.
+// A run that leaves doesn't answer.
+func (t *Table) ReplacedBy(h Host) bool {
+	if h.ID != t.self.ID || h.Run == t.self.Run || t.self.Leaving || t.answered[h.Run] >= maxRepetitions {
+		return false
+	}
+	t.answered[h.Run]++
+	t.self.Repetition++
+	return true
+}
+
 // Upsert adds or updates a host by its description from the log. A new run counts
 // as alive until a heartbeat of it is overdue. The description of a run that another one
-// has replaced has no effect. The description of a known run changes neither its state nor
+// has replaced has no effect, unless it was written again since. The description of a known run changes neither its state nor
 // a leaving mark from a heartbeat. It reports whether the run is new.
 func (t *Table) Upsert(h Host, now time.Time) (newRun bool) {
 	if h.ID == t.self.ID {
 		return false
 	}
 	e, ok := t.hosts[h.ID]
-	if t.ended[h.Run] {
+	if last, ended := t.ended[h.Run]; ended && h.Repetition <= last {
 		return false
 	}
+	delete(t.ended, h.Run)
 	if !ok || e.host.Run != h.Run {
 		if ok {
-			t.ended[e.host.Run] = true
+			t.ended[e.host.Run] = e.host.Repetition
 		}
 		t.Remove(h.ID)
 		e = &entry{host: h, heardAt: now, score: rendezvous.KeyOf(string(h.ID))}
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -36,7 +36,7 @@
 func (h *Host) build() {
 	p := h.opt.Protocol
 	h.buildLoad()
-	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self), started: h.tellNotices,
+	h.hosts = &hostWatch{log: h.opt.Logger.WithName("hosts"), table: roster.NewTable(h.self), started: h.tellNotices, replaced: h.entryReplaced,
 		lowestBuild: metrics.GetOrRegisterGauge("hosts.lowest_build", h.opt.Metrics)}
 	metrics.GetOrRegisterGauge("hosts.own_build", h.opt.Metrics).Update(int64(h.self.Build.Level))
 	h.reach = reach.New(reach.Options{
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -21,6 +21,7 @@
 	"github.com/hazelworks/hazelworks/core/build"
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/roster"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/admin"
@@ -442,6 +443,16 @@
 // that are not in it are written again by the hosts themselves, as is this host's own.
 func (h *Host) hostsRewound(records []platform.KeyedRecord) {
 	h.hosts.apply(records)
+	h.writeEntryAgain()
+}
+
+// entryReplaced writes this host's entry again after a late write of an earlier run took its place.
+func (h *Host) entryReplaced(run uint64, offset record.Offset) {
+	h.log.Info("Entry of this host was replaced by that of another run.", "run", run, "offset", offset)
+	h.writeEntryAgain()
+}
+
+func (h *Host) writeEntryAgain() {
 	select {
 	case h.announceAgain <- struct{}{}:
 	default:
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -260,6 +260,9 @@
 	log logr.Logger
 	// started is called with each new run of another host.
 	started func(roster.Host)
+	// replaced is called when another run's entry has taken the place of this host's own. It must not
+	// block.
+	replaced func(run uint64, offset record.Offset)
 	// lowestBuild is the fleet's lowest build level.
 	lowestBuild metrics.Gauge
 
@@ -341,6 +344,9 @@
 			h.log.Error(err, "Host entry could not be read.", "host", r.Key, "offset", r.Offset)
 			continue
 		}
+		if h.table.ReplacedBy(host) {
+			h.replaced(host.Run, r.Offset)
+		}
 		before := h.table.Len()
 		if h.table.Upsert(host, time.Now()) && h.known {
 			h.started(host)
