--- a/fleet/balancer/lease.go
+++ b/fleet/balancer/lease.go
@@ -20,10 +20,12 @@
 	// startsAt is when the upstream's limit allows the request to be sent.
 	startsAt time.Time
 
-	mu         sync.Mutex
-	started    bool
-	startedAt  time.Time
-	ended      bool
+	mu        sync.Mutex
+	started   bool
+	startedAt time.Time
+	ended     bool
+	// givenUp is true once the attempt is cancelled because its answer has not started.
+	givenUp    bool
 	stallTimer *time.Timer
 }
 
@@ -60,9 +62,10 @@
 	l.balancer.opt.Broadcast(e)
 }
 
-// OnStall calls stalled if the answer has not started after a time. The stall counts as a
-// fault of the upstream, whatever the later outcome of the request.
-func (l *Lease) OnStall(after time.Duration, stalled func()) {
+// OnStall calls stalled if the answer has not started after a time, and then giveUp, unless that is nil
+// or the answer has started meanwhile. The stall counts as a fault of the upstream, whatever the later
+// outcome of the request.
+func (l *Lease) OnStall(after time.Duration, stalled, giveUp func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stallTimer = time.AfterFunc(after, func() {
@@ -74,12 +77,27 @@
 		}
 		l.recordEvent(gossip.Stalled, balance.Failed)
 		stalled()
+		if giveUp != nil && l.markGivenUp() {
+			giveUp()
+		}
 	})
 }
 
-// FirstEvent records the start of the answer.
-func (l *Lease) FirstEvent() {
+// markGivenUp reports whether the attempt may be cancelled. Its answer can't start any more then.
+func (l *Lease) markGivenUp() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.givenUp = !l.started && !l.ended
+	return l.givenUp
+}
+
+// FirstEvent records the start of the answer. It returns false if the attempt was given up before.
+func (l *Lease) FirstEvent() bool {
 	l.mu.Lock()
+	if l.givenUp {
+		l.mu.Unlock()
+		return false
+	}
 	started := l.started
 	if !started {
 		l.started, l.startedAt = true, time.Now()
@@ -88,11 +106,11 @@
 		l.stallTimer.Stop()
 	}
 	l.mu.Unlock()
-	if started {
-		return
+	if !started {
+		l.recordEvent(gossip.FirstEvent, balance.Neutral)
+		l.balancer.observeLatency(l)
 	}
-	l.recordEvent(gossip.FirstEvent, balance.Neutral)
-	l.balancer.observeLatency(l)
+	return true
 }
 
 // minIntervalEvents is the minimum number of events whose mean interval indicates the
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -44,15 +44,16 @@
 	defer cancel(nil)
 	// Only a request that may run again is cancelled, for a retry elsewhere.
 	mayRepeat := c.route.Repeatable() && c.runs+1 < c.route.Attempts
+	var giveUp func()
+	if mayRepeat {
+		giveUp = func() { cancel(errStalled) }
+	}
 	stallAfter := c.stallAfter(lease)
 	lease.OnStall(stallAfter, func() {
 		lease.Overdue(stallAfter)
 		// The path has probably lost the state of the other idle connections too.
 		lease.Conns.CloseIdle()
-		if mayRepeat {
-			cancel(errStalled)
-		}
-	})
+	}, giveUp)
 	before, goesOn := c.events, c.goesOn()
 	c.closedByPeer, c.attemptStartedAt = false, time.Time{}
 	result := c.sendOnce(ctx, lease)
@@ -218,9 +219,12 @@
 // request has not run, which the upstream does not state.
 var errPromisesTooMuch = errors.New("its status promises that the request has not run, the upstream does not")
 
-// recordFirstEvent records the start of the answer.
-func (c *call) recordFirstEvent(lease *balancer.Lease) {
-	lease.FirstEvent()
+// recordFirstEvent records the start of the answer. It returns false if the attempt was given up just
+// before: then nothing of the answer may be passed on, since the rest of it won't come.
+func (c *call) recordFirstEvent(lease *balancer.Lease) bool {
+	if !lease.FirstEvent() {
+		return false
+	}
 	c.progress.reach(stageAnswered)
 	c.flight.Leave() // the answer has begun without a crash
 	if c.attemptStartedAt.IsZero() {
@@ -230,6 +234,7 @@
 		c.firstEventAfter = time.Since(c.req.Arrived)
 		c.r.meters.observeFirstEvent(c.service, c.firstEventAfter)
 	}
+	return true
 }
 
 // maxNotRunBytes bounds how much of an upstream's refusal is read so that its
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -43,8 +43,8 @@
 		buf = buf[:len(buf)+n]
 		before := run.Events()
 		if end := run.Scan(buf); end > 0 {
-			if run.Events() > 0 {
-				c.recordFirstEvent(lease)
+			if run.Events() > 0 && !c.recordFirstEvent(lease) {
+				return resultLost
 			}
 			if c.unsafe = c.recordOrigin(ctx, resp, lease); c.unsafe != nil {
 				return resultWithheld
