--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -71,8 +71,8 @@
 	buffers   bufferBudget
 	helpers   *helpers
 	draining  atomic.Bool
-	// endsAt is the time at which a host that leaves ends, or nil while it takes all requests.
-	endsAt   atomic.Pointer[time.Time]
+	// ending is nil while the host takes all requests.
+	ending   atomic.Pointer[ending]
 	progress inProgress
 }
 
@@ -94,14 +94,18 @@
 // SetDraining closes each caller's connection after its next answer.
 func (r *Relay) SetDraining() { r.draining.Store(true) }
 
-// SetEnd sets the time at which the host ends. From now on, requests that may last longer are rejected.
-func (r *Relay) SetEnd(t time.Time) { r.endsAt.Store(&t) }
+// ending is when a host that leaves ends.
+type ending struct{ from, end time.Time }
+
+// SetEnd sets the time at which the host ends. Requests that begin from then on and may last longer are
+// rejected.
+func (r *Relay) SetEnd(from, end time.Time) { r.ending.Store(&ending{from, end}) }
 
 // endsBefore reports whether the host may end before a request that begins now and may last for a
 // time, which is zero if there is no limit.
 func (r *Relay) endsBefore(limit time.Duration) bool {
-	end := r.endsAt.Load()
-	return end != nil && (limit == 0 || time.Until(*end) < limit)
+	e, now := r.ending.Load(), time.Now()
+	return e != nil && !now.Before(e.from) && (limit == 0 || e.end.Sub(now) < limit)
 }
 
 // ServeHTTP implements http.Handler.
--- a/fleet/relayhost/leave.go
+++ b/fleet/relayhost/leave.go
@@ -27,6 +27,9 @@
 	maxLingerShare = 0.5
 	// graceMargin is reserved for the exit of the process itself.
 	graceMargin = 700 * time.Millisecond
+	// signalDelay is the time that the signal may take to reach a host whose processor is at its
+	// limit. It is subtracted from the time for which callers may take the host for a sound one.
+	signalDelay = 250 * time.Millisecond
 	// releaseTime is reserved for the last writes of the budgets, beside answers that take
 	// as long as there is time.
 	releaseTime = 500 * time.Millisecond
@@ -63,13 +66,15 @@
 	h.hosts.mu.Unlock()
 	h.relay.SetDraining()
 	go h.announceLeave(ctx, began)
-	linger := time.NewTimer(min(lingerTTLs*directoryTTL, time.Duration(maxLingerShare*float64(limit))))
+	stay := min(lingerTTLs*directoryTTL, time.Duration(maxLingerShare*float64(limit)))
+	// Set now, since timers of a host at its limit are late too.
+	h.relay.SetEnd(began.Add(stay-signalDelay), began.Add(limit))
+	linger := time.NewTimer(stay)
 	defer linger.Stop()
 	select {
 	case <-linger.C:
 	case <-ctx.Done():
 	}
-	h.relay.SetEnd(began.Add(limit))
 	h.log.Info("Closing callers' connections.", "after", time.Since(began))
 	h.budgets.Drain()
 	answered := make(chan struct{})
@@ -78,7 +83,8 @@
 		if err := h.callers.Shutdown(ctx); err != nil {
 			h.log.Info("Answers were cut off.", "error", err.Error())
 		}
-		h.relay.SetEnd(time.Now()) // other hosts forward nothing more
+		now := time.Now()
+		h.relay.SetEnd(now, now) // other hosts forward nothing more
 		if err := h.relay.Wait(ctx); err != nil {
 			h.log.Info("Answers to callers of other hosts were cut off.", "error", err.Error())
 		}
