--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -1,6 +1,7 @@
 package callerserver
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -30,7 +31,8 @@
 
 func newTrackedConn(c net.Conn) *trackedConn { return &trackedConn{Conn: c, openedAt: time.Now()} }
 
-// Read implements net.Conn. What arrives while the connection is closed as idle is dropped.
+// Read implements net.Conn. What arrives while the connection is closed as idle is dropped; the HTTP
+// server answers other errors than the end of the input with status 400.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
@@ -39,7 +41,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		return 0, net.ErrClosed
+		return 0, io.EOF
 	}
 	c.arrived = true
 	return n, err
