--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -43,8 +43,8 @@
 		buf = buf[:len(buf)+n]
 		before := run.Events()
 		if end := run.Scan(buf); end > 0 {
-			if run.Events() > 0 && !c.recordFirstEvent(lease) {
-				return resultLost
+			if run.Events() > 0 && !c.recordFirstEvent(lease) || !c.answerStarted && ctx.Err() != nil {
+				return resultLost // the rest of it won't come
 			}
 			if c.unsafe = c.recordOrigin(ctx, resp, lease); c.unsafe != nil {
 				return resultWithheld
