--- a/fleet/relay/answer.go
+++ b/fleet/relay/answer.go
@@ -70,10 +70,11 @@
 		c.closedByPeer = exchange.IsClosedByPeer(err)
 		return resultLost
 	}
-	if isSuccess(resp.StatusCode) {
-		c.recordFirstEvent(lease)
-	}
+	started := (!whole || isSuccess(resp.StatusCode)) && c.recordFirstEvent(lease)
 	if !whole {
+		if !started {
+			return resultLost // the rest of it won't come
+		}
 		return c.forwardLarge(resp, body)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.runs < c.route.Attempts {
