--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -442,6 +442,7 @@
 // hostsRewound applies the hosts' entries of a log that came back from an older copy. Those
 // that are not in it are written again by the hosts themselves, as is this host's own.
 func (h *Host) hostsRewound(records []platform.KeyedRecord) {
+	h.hosts.forgetEntries()
 	h.hosts.apply(records)
 	h.writeEntryAgain()
 }
@@ -467,7 +468,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = h.opt.Log.Put(ctx, h.opt.Protocol.HostStream, platform.Writer{}, []platform.KeyedRecord{{Key: string(h.cfg.Host), Value: value}})
+	end, err := h.opt.Log.Put(ctx, h.opt.Protocol.HostStream, platform.Writer{}, []platform.KeyedRecord{{Key: string(h.cfg.Host), Value: value}})
+	if err == nil {
+		h.hosts.entryWritten(end.Offset)
+	}
 	return err
 }
 
--- a/fleet/relayhost/watch.go
+++ b/fleet/relayhost/watch.go
@@ -268,6 +268,10 @@
 
 	mu    sync.Mutex
 	table *roster.Table
+	// written is the offset after this host's own entry, or zero before the log has it. other is the
+	// offset of the last entry of another run of this host, otherRun that run.
+	written, other record.Offset
+	otherRun       roster.Host
 	// known is true once the entries of the other hosts were read from the log.
 	known bool
 	// knownAt is when they were first read, grownAt when a host was last added to the list.
@@ -344,8 +348,9 @@
 			h.log.Error(err, "Host entry could not be read.", "host", r.Key, "offset", r.Offset)
 			continue
 		}
-		if h.table.ReplacedBy(host) {
-			h.replaced(host.Run, r.Offset)
+		if host.ID == h.table.Self().ID && host.Run != h.table.Self().Run {
+			h.otherRun, h.other = host, r.Offset
+			h.checkReplaced()
 		}
 		before := h.table.Len()
 		if h.table.Upsert(host, time.Now()) && h.known {
@@ -361,6 +366,29 @@
 	}
 }
 
+// entryWritten records that the log has this host's own entry before an offset.
+func (h *hostWatch) entryWritten(end record.Offset) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.written = end
+	h.checkReplaced()
+}
+
+// forgetEntries forgets where entries of this host are: offsets of an older copy of the log are given out
+// again.
+func (h *hostWatch) forgetEntries() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.written, h.other, h.otherRun = 0, 0, roster.Host{}
+}
+
+// checkReplaced finds an entry of another run that the log has after this host's own. The caller holds mu.
+func (h *hostWatch) checkReplaced() {
+	if h.written > 0 && h.otherRun.Run != 0 && h.other >= h.written && h.table.ReplacedBy(h.otherRun) {
+		h.replaced(h.otherRun.Run, h.other)
+	}
+}
+
 // heartbeats returns the heartbeats that are due.
 func (h *hostWatch) heartbeats() []roster.Heartbeat {
 	h.mu.Lock()
