--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -115,6 +115,7 @@
 	c.subjects = append(c.req.Work.Subjects(), c.own)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	c.progress.cancel.Store(&cancel)
 	c.flight = c.r.opt.Quarantine.Enter(c.subjects, c.accountHash, cancel)
 	defer c.flight.Leave()
 	// Checked after Enter, so that a quarantine that begins meanwhile is not missed.
@@ -450,7 +451,7 @@
 	case c.answerStarted:
 		c.r.log.Info("Answer cut.", "request", c.req.ID, "events", c.events, "reason", reason.Error())
 		panic(http.ErrAbortHandler)
-	case cause != nil && !errors.Is(cause, errTimeout) && !errors.Is(cause, fleetquarantine.ErrQuarantined):
+	case cause != nil && !errors.Is(cause, errTimeout) && !errors.Is(cause, errHostEnds) && !errors.Is(cause, fleetquarantine.ErrQuarantined):
 		c.r.log.Info("Caller gone.", "request", c.req.ID)
 		panic(http.ErrAbortHandler)
 	case errors.Is(reason, fleetquarantine.ErrQuarantined):
--- a/fleet/relay/progress.go
+++ b/fleet/relay/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 	// id is nil until the head is decoded.
 	id    atomic.Pointer[string]
 	stage atomic.Int32
+	// cancel ends the request. It is nil until the body has been read.
+	cancel atomic.Pointer[context.CancelCauseFunc]
 }
 
 func (p *progress) reach(s stage) { p.stage.Store(int32(s)) }
@@ -92,6 +95,19 @@
 	return out
 }
 
+// errHostEnds reports that the host ends before the answer.
+var errHostEnds = errors.New("the host ends")
+
+// End ends the requests that have not ended: those of which no part of the answer was passed on are
+// refused, the others are cut off.
+func (r *Relay) End() {
+	for _, p := range r.progress.all() {
+		if cancel := p.cancel.Load(); cancel != nil {
+			(*cancel)(errHostEnds)
+		}
+	}
+}
+
 // LogInProgress writes a line for each request that has not ended, and returns their number.
 // cutOff is true if they won't be answered.
 func (r *Relay) LogInProgress(cutOff bool) int {
--- a/fleet/relayhost/leave.go
+++ b/fleet/relayhost/leave.go
@@ -30,6 +30,8 @@
 	// signalDelay is the time that the signal may take to reach a host whose processor is at its
 	// limit. It is subtracted from the time for which callers may take the host for a sound one.
 	signalDelay = 250 * time.Millisecond
+	// refusalTime is the part of it for the refusals of requests that outlast the host.
+	refusalTime = 200 * time.Millisecond
 	// releaseTime is reserved for the last writes of the budgets, beside answers that take
 	// as long as there is time.
 	releaseTime = 500 * time.Millisecond
@@ -99,6 +101,21 @@
 		h.log.Info("Budgets were not released.", "error", err.Error())
 	}
 	<-answered
-	h.log.Info("Left.", "took", time.Since(began), "cut_off", h.relay.LogInProgress(true))
+	cutOff := h.relay.LogInProgress(true)
+	if cutOff > 0 {
+		h.endRequests()
+	}
+	h.log.Info("Left.", "took", time.Since(began), "cut_off", cutOff)
 	return errStopped
 }
+
+// endRequests ends the requests that outlast the host, and gives those the time for an answer that can be
+// refused.
+func (h *Host) endRequests() {
+	h.relay.End()
+	ctx, cancel := context.WithTimeout(context.Background(), refusalTime)
+	defer cancel()
+	if err := h.callers.Shutdown(ctx); err != nil {
+		h.log.Info("Refusals were cut off.", "error", err.Error())
+	}
+}
