--- /dev/null
+++ b/core/intake/limits.go
@@ -0,0 +1,43 @@
+package intake
+
+const (
+	// memoryShare is the share of the machine's memory that the bodies of requests may take.
+	memoryShare = 1.0 / 8
+	// defaultMemory is the machine's memory, in bytes, where it is not known.
+	defaultMemory = 256 << 20
+	// SmallBytes is the size up to which a body is small.
+	SmallBytes = 64 << 10
+	// smallShare is the share of the budget that large bodies leave to small ones.
+	smallShare = 1.0 / 4
+	// accountShare is the share of the large bodies' part that one account may take.
+	accountShare = 3.0 / 4
+	// accountBodies is the number of bodies at the limit that one account may always have, as far
+	// as the large bodies' part holds them.
+	accountBodies = 2
+)
+
+// Limits bound the memory of bodies, in bytes.
+type Limits struct {
+	// Total bounds all bodies together, Large all large ones, and Account the large ones of one
+	// account.
+	Total   int64
+	Large   int64
+	Account int64
+}
+
+// LimitsFor returns the limits on a machine with memory bytes, or zero if that is not known, where one
+// body has at most maxBody bytes, or zero if that is not bounded. A single body of that size fits beside
+// the part of the small ones.
+//
+// The load that it answers: strangers who send as much as they are allowed to, on as many connections as
+// they like, to a process whose machine has a hundred megabytes.
+func LimitsFor(memory, maxBody int64) Limits {
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	const largeShare = 1 - smallShare
+	total := max(int64(memoryShare*float64(memory)), int64(float64(maxBody)/largeShare)+1)
+	large := int64(largeShare * float64(total))
+	account := min(large, max(int64(accountShare*float64(large)), accountBodies*maxBody))
+	return Limits{Total: total, Large: large, Account: account}
+}
