--- a/core/quarantine/request.go
+++ b/core/quarantine/request.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"io"
 )
 
 // AccountHash returns the hash of a client account in suspects and quarantines, which is not
@@ -13,13 +14,23 @@
 }
 
 // RequestSubject returns the subject of one request of a client account. Its ID is a
-// cryptographic hash, so that no caller can find a request with the ID of another one.
-func RequestSubject(account, method, host, target string, body []byte) Subject {
+// cryptographic hash, so that no caller can find a request with the ID of another one. The body is in
+// any number of parts.
+func RequestSubject(account, method, host, target string, body ...[]byte) Subject {
 	h := sha256.New()
-	for _, field := range [][]byte{[]byte(account), []byte(method), []byte(host), []byte(target), body} {
-		// Writing to a hash does not fail.
-		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field))))
-		_, _ = h.Write(field)
+	// Writing to a hash does not fail.
+	begin := func(size int) { _, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(size))) }
+	for _, field := range []string{account, method, host, target} {
+		begin(len(field))
+		_, _ = io.WriteString(h, field)
+	}
+	size := 0
+	for _, part := range body {
+		size += len(part)
+	}
+	begin(size)
+	for _, part := range body {
+		_, _ = h.Write(part)
 	}
 	return Subject{Kind: Request, ID: binary.BigEndian.Uint64(h.Sum(nil))}
 }
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -28,7 +29,10 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body, in any number of parts. It is not changed, and not read any more once Written,
+	// which may be nil, is called.
+	Body    [][]byte
+	Written func()
 	// NewConn is true if the request needs a new connection: the path may have lost the
 	// state of the idle ones, or the request was sent on one of them before.
 	NewConn bool
@@ -94,9 +98,11 @@
 func (p *Pool) Send(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.connect(ctx, r.NewConn, r.OpenedBy)
 	if err != nil {
+		r.written()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	if ctx.Err() != nil {
+		r.written()
 		p.put(c, 0)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
 	}
@@ -118,18 +124,39 @@
 
 // write sends the request. A request with a long body is sent in the background.
 func (r *Response) write(req *Request) {
-	head := encodeHead(req)
-	if len(req.Body) < asyncBodyBytes {
-		_, err := r.conn.Write(append(head, req.Body...))
+	head, size := encodeHead(req), req.size()
+	if size < asyncBodyBytes {
+		for _, part := range req.Body {
+			head = append(head, part...)
+		}
+		_, err := r.conn.Write(head)
+		req.written()
 		r.wrote <- err
 		return
 	}
 	go func() {
-		_, err := r.conn.Write(append(head, req.Body...))
+		parts := append(net.Buffers{head}, req.Body...)
+		_, err := parts.WriteTo(r.conn.Conn)
+		req.written()
 		r.wrote <- err
 	}()
 }
 
+// size returns the size of the body in bytes.
+func (r *Request) size() int {
+	size := 0
+	for _, part := range r.Body {
+		size += len(part)
+	}
+	return size
+}
+
+func (r *Request) written() {
+	if r.Written != nil {
+		r.Written()
+	}
+}
+
 func encodeHead(req *Request) []byte {
 	var b bytes.Buffer
 	b.Grow(1024)
@@ -142,7 +169,7 @@
 	// Writing to a buffer does not fail.
 	_ = req.Header.Write(&b)
 	if req.HasBody {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+		b.WriteString("Content-Length: " + strconv.Itoa(req.size()) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/fleet/relay/answer.go
+++ b/fleet/relay/answer.go
@@ -79,6 +79,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.runs < c.route.Attempts {
 		return resultFailed
 	}
+	c.dropBody()
 	copyHeader(c.w.Header(), resp.Header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.r.writeHead(c.w, resp.StatusCode)
@@ -100,6 +101,7 @@
 		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	c.answerStarted = true
+	c.dropBody()
 	c.r.writeHead(c.w, resp.StatusCode)
 	if _, err := c.w.Write(first); err != nil {
 		return resultLost
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -111,7 +111,8 @@
 		Method:  c.req.Method,
 		Target:  c.req.Target,
 		Host:    c.req.Host,
-		Body:    c.req.Body,
+		Body:    c.req.body.parts(),
+		Written: c.req.body.release,
 		HasBody: c.req.HasBody,
 		NewConn: c.newConn,
 
@@ -123,6 +124,7 @@
 	}
 	began := time.Now()
 	c.progress.reach(stageSent)
+	c.req.body.use()
 	resp, err := lease.Conns.Send(ctx, out)
 	c.recordReach(ctx, lease, err, time.Since(began))
 	c.notTried = errors.Is(err, sockets.ErrNotTried)
@@ -223,6 +225,9 @@
 	lease.FirstEvent()
 	c.progress.reach(stageAnswered)
 	c.flight.Leave() // the answer has begun without a crash
+	if !c.maySendAgain() {
+		c.dropBody()
+	}
 	if c.attemptStartedAt.IsZero() {
 		c.attemptStartedAt = time.Now()
 	}
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -63,6 +63,8 @@
 	// runs counts the attempts in which the request may have run.
 	runs        int
 	reservation grants.Reservation
+	// dropped is true once the request is not sent again.
+	dropped bool
 	// stalled is true once an attempt was ended because its answer was long overdue.
 	stalled bool
 	// newConn is true if the next attempt needs a new connection.
@@ -403,6 +405,20 @@
 	return admission.RetryAfterOutage(c.timeout()-time.Since(c.req.Arrived), rand.Float64())
 }
 
+// maySendAgain reports whether the request may be sent again although the caller has a part of the answer
+// to the attempt in progress.
+func (c *call) maySendAgain() bool {
+	return knownfault.RepeatUnsafe || c.route.Kind == routes.KindStream && c.route.Repeatable() && c.runs < c.route.Attempts
+}
+
+// dropBody gives up the request's body once it is not sent again.
+func (c *call) dropBody() {
+	if !c.dropped {
+		c.dropped = true
+		c.req.body.release()
+	}
+}
+
 func (c *call) mayRetry(result sendResult) bool {
 	switch result {
 	case resultNotSent, resultNotRun:
--- a/fleet/relay/forward.go
+++ b/fleet/relay/forward.go
@@ -222,8 +222,10 @@
 	if c.req.HasBody {
 		header.Set(headerForwardBody, "1")
 	}
+	c.req.body.use()
 	resp, err := c.r.helpers.pool(h).Send(ctx, &exchange.Request{
-		ID: c.req.ID, Method: http.MethodPost, Target: ForwardPath, Host: h.Peer.String(), Header: header, Body: c.req.Body, HasBody: true,
+		ID: c.req.ID, Method: http.MethodPost, Target: ForwardPath, Host: h.Peer.String(), Header: header,
+		Body: c.req.body.parts(), Written: c.req.body.release, HasBody: true,
 	})
 	if errors.Is(err, exchange.ErrNotSent) {
 		return forwardNotRun, err
@@ -259,6 +261,7 @@
 		c.w.Header().Set("Content-Length", resp.Header.Get("Content-Length"))
 	}
 	c.answerStarted = true
+	c.dropBody()
 	c.r.writeHead(c.w, resp.StatusCode)
 	stream := c.route.Kind == routes.KindStream && isSuccess(resp.StatusCode)
 	buf := make([]byte, 0, eventBufferBytes)
--- a/fleet/relay/meters.go
+++ b/fleet/relay/meters.go
@@ -34,6 +34,10 @@
 	// this host has taken from others.
 	forwarded metrics.Counter
 	helped    metrics.Counter
+	// bodyBytes is the memory that the bodies of requests hold. bodiesYielded counts those that were
+	// refused because it was needed for others.
+	bodyBytes     metrics.Gauge
+	bodiesYielded metrics.Counter
 }
 
 func newMeters(r metrics.Registry) *meters {
@@ -50,6 +54,9 @@
 		forwarded:   metrics.GetOrRegisterCounter("relay.forwarded", r),
 		helped:      metrics.GetOrRegisterCounter("relay.helped", r),
 		notResumed:  metrics.GetOrRegisterCounter("relay.not_resumed", r),
+
+		bodyBytes:     metrics.GetOrRegisterGauge("relay.body_bytes", r),
+		bodiesYielded: metrics.GetOrRegisterCounter("relay.bodies_yielded", r),
 	}
 }
 
--- a/fleet/relay/origin.go
+++ b/fleet/relay/origin.go
@@ -109,9 +109,12 @@
 	return c.r.opt.Origins.KnownUntil(lease.Upstream)
 }
 
-func (c *call) accountName() string {
-	if c.account == nil {
+func (c *call) accountName() string { return accountName(c.account) }
+
+// accountName returns the name of an account, or nothing for nil.
+func accountName(a *routes.Account) string {
+	if a == nil {
 		return ""
 	}
-	return c.account.Name
+	return a.Name
 }
--- a/fleet/relay/quarantine.go
+++ b/fleet/relay/quarantine.go
@@ -35,7 +35,7 @@
 	if c.account != nil {
 		account = c.account.Name
 	}
-	return quarantine.RequestSubject(account, c.req.Method, c.req.Host, c.req.Target, c.req.Body), quarantine.AccountHash(account)
+	return quarantine.RequestSubject(account, c.req.Method, c.req.Host, c.req.Target, c.req.body.parts()...), quarantine.AccountHash(account)
 }
 
 func (c *call) suspects() []quarantine.Suspect {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -56,8 +55,10 @@
 	// Forward tells to which other hosts requests are forwarded that this host can't send to
 	// upstreams.
 	Forward ForwardOptions
-	Logger  logr.Logger
-	Metrics metrics.Registry
+	// MemoryBytes is the memory of the host's machine, or zero if it is not known.
+	MemoryBytes int64
+	Logger      logr.Logger
+	Metrics     metrics.Registry
 }
 
 // Relay is the HTTP handler for callers' requests.
@@ -69,6 +70,7 @@
 	meters    *meters
 	retries   retryDetector
 	buffers   bufferBudget
+	bodies    *bodies
 	helpers   *helpers
 	draining  atomic.Bool
 	// endsAt is the time at which a host that leaves ends, or nil while it takes all requests.
@@ -79,8 +81,9 @@
 // New returns a relay.
 func New(opt Options) *Relay {
 	log := opt.Logger.WithName("relay")
-	return &Relay{opt: opt, log: log, failedLog: logging.Failed(log), meters: newMeters(opt.Metrics), retries: newRetryDetector(),
-		helpers: newHelpers(opt.Forward)}
+	meters := newMeters(opt.Metrics)
+	return &Relay{opt: opt, log: log, failedLog: logging.Failed(log), meters: meters, retries: newRetryDetector(),
+		helpers: newHelpers(opt.Forward), bodies: newBodies(opt.MemoryBytes, meters)}
 }
 
 // logFor returns the logger for a line about a request, by whether it failed.
@@ -160,8 +163,11 @@
 		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "this host ends before the request's time", retryAfter: startRetryAfter})
 		return
 	}
-	if status := readBody(w, hr, req, table.Limits.BodyBytes, shorter(route.Timeout, req.Timeout)); status != 0 {
-		r.refuse(w, req, refusal{status: status, reason: "body"})
+	if f := r.readBody(w, hr, req, table.Limits.BodyBytes, shorter(route.Timeout, req.Timeout), accountName(account)); f.status != 0 {
+		if forwarded && f.status == http.StatusServiceUnavailable {
+			w.Header().Set(headerUnreached, "1")
+		}
+		r.refuse(w, req, f)
 		return
 	}
 	p.reach(stageWaiting)
@@ -169,6 +175,7 @@
 		r.log.Info("Caller takes up a stream.", "request", req.ID, "resumes", req.Resumes, "after_event", req.ResumeAfter)
 	}
 	c := &call{r: r, w: w, hr: hr, req: req, route: route, account: account, table: table, forwarded: forwarded, progress: p, resume: eventstream.Resume{Certain: true}}
+	defer c.dropBody()
 	c.service = route.PickService(rand.Float64())
 	// The time that a forwarded request states is what remains of another one.
 	c.retried = !forwarded && r.retries.isRetry(route.Name, req.Timeout)
@@ -191,39 +198,49 @@
 // It needs a few calls to the log to load its configuration.
 const startRetryAfter = 200 * time.Millisecond
 
-// readBody reads the whole body, which must arrive within a time unless that is zero. It returns the HTTP
-// status of a refusal, or zero.
-func readBody(w http.ResponseWriter, hr *http.Request, req *Request, limit int64, within time.Duration) int {
+// lingerTime is how long the rest of a refused body is awaited, so that the caller gets the answer before
+// its connection is closed.
+const lingerTime = 500 * time.Millisecond
+
+// readBody reads the whole body, which must arrive within a time unless that is zero. The status of the
+// refusal is zero if it has arrived.
+func (r *Relay) readBody(w http.ResponseWriter, hr *http.Request, req *Request, limit int64, within time.Duration, account string) refusal {
 	if hr.Body == nil || hr.Body == http.NoBody {
 		req.HasBody = hr.Header.Get("Content-Length") == "0"
-		return 0
+		return refusal{}
 	}
 	req.HasBody = true
-	if limit > 0 {
-		if hr.ContentLength > limit {
-			return http.StatusRequestEntityTooLarge
-		}
-		hr.Body = http.MaxBytesReader(w, hr.Body, limit)
-	}
 	control := http.NewResponseController(w)
+	if limit > 0 && hr.ContentLength > limit {
+		_ = control.SetReadDeadline(time.Now().Add(lingerTime))
+		return refusal{status: http.StatusRequestEntityTooLarge, reason: errBodyTooLarge.Error()}
+	}
 	// A writer without a connection has no deadline, and none is needed there.
 	bounded := within > 0 && control.SetReadDeadline(req.Arrived.Add(within)) == nil
-	body, err := io.ReadAll(hr.Body)
-	if bounded && err == nil {
-		// After an error it stays: the server would wait for the rest of the body.
-		_ = control.SetReadDeadline(time.Time{})
-	}
-	var large *http.MaxBytesError
+	var err error
+	req.body, err = r.bodies.read(bodySource{
+		Reader: hr.Body, length: hr.ContentLength, limit: limit, account: account,
+		interrupt: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) },
+	})
 	switch {
-	case errors.As(err, &large):
-		return http.StatusRequestEntityTooLarge
+	case err == nil:
+		if bounded {
+			_ = control.SetReadDeadline(time.Time{})
+		}
+		return refusal{}
+	case errors.Is(err, errBodyTooLarge), errors.Is(err, errBodyYields):
+		// The server reads some of the rest, then it closes the connection.
+		w.Header().Set("Connection", "close")
+		_ = control.SetReadDeadline(time.Now().Add(lingerTime))
+		if errors.Is(err, errBodyTooLarge) {
+			return refusal{status: http.StatusRequestEntityTooLarge, reason: err.Error()}
+		}
+		return refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: admission.RetryAfterShed(within, rand.Float64())}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return http.StatusRequestTimeout
-	case err != nil:
-		return http.StatusBadRequest
+		// The deadline stays: the server would wait for the rest of the body.
+		return refusal{status: http.StatusRequestTimeout, reason: "body"}
 	}
-	req.Body = body
-	return 0
+	return refusal{status: http.StatusBadRequest, reason: "body"}
 }
 
 // refusal is an error answer from this host, not from an upstream. The reason is only
--- a/fleet/relay/request.go
+++ b/fleet/relay/request.go
@@ -12,7 +12,7 @@
 )
 
 // Request is a caller's request, as the [RequestDecoder] returns it. The body is
-// opaque.
+// opaque, and read later.
 type Request struct {
 	ID string
 	// Target is the path and query as sent, Path the path alone.
@@ -22,8 +22,9 @@
 	Host   string
 	// Header holds the headers that are forwarded to an upstream.
 	Header  http.Header
-	Body    []byte
 	HasBody bool
+	// body is the body, or nil if it is empty.
+	body *body
 	// Key is the caller's API key.
 	Key string
 	// Timeout is how long the caller waits for the answer, or zero if the request does
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -109,7 +109,7 @@
 	h.relay = relay.New(relay.Options{
 		Decoder: p.Decoder, Dialect: p.Dialect, Table: h.serviceTable, SettingsAge: h.table.confirmedAgo, SettingsConfirmed: h.table.confirmed, Balancer: h.balancer, Reserver: h.budgets, Takes: h.load.Takes,
 		Quarantine: h.quarantines, Origins: h.origins, Shares: h.shares,
-		Forward: relay.ForwardOptions{Self: h.self, Hosts: h.hosts.others, Dial: h.opt.Network.Dialer(peerSockets)}, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
+		Forward: relay.ForwardOptions{Self: h.self, Hosts: h.hosts.others, Dial: h.opt.Network.Dialer(peerSockets)}, MemoryBytes: h.cfg.Limits.MemoryBytes, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
 		func(err error) { h.log.Error(err, "Serving callers failed.") }, callerserver.WithDoor(h.load), callerserver.WithListen(h.listenCallers))
