--- a/fleet/relay/forward.go
+++ b/fleet/relay/forward.go
@@ -314,7 +314,7 @@
 	// The caller's host must not appear to take a version back. Builds that don't state it send no version.
 	if version, err := strconv.ParseInt(hr.Header.Get(headerForwardSettings), 10, 64); err == nil && r.hasOlderSettings(version) {
 		w.Header().Set(headerUnreached, "1")
-		r.refuse(w, nil, refusal{status: http.StatusServiceUnavailable, reason: "older settings than the host that has forwarded the request", retryAfter: startRetryAfter})
+		r.refuseUnread(w, hr, nil, refusal{status: http.StatusServiceUnavailable, reason: "older settings than the host that has forwarded the request", retryAfter: startRetryAfter})
 		return
 	}
 	r.meters.helped.Inc(1)
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -118,7 +118,7 @@
 	w.Header()["Date"] = nil
 	req, err := r.opt.Decoder.Decode(hr)
 	if err != nil {
-		r.refuse(w, nil, refusal{status: http.StatusBadRequest, reason: err.Error()})
+		r.refuseUnread(w, hr, nil, refusal{status: http.StatusBadRequest, reason: err.Error()})
 		return
 	}
 	req.Arrived = time.Now()
@@ -132,13 +132,13 @@
 		if r.opt.SettingsAge() >= 0 {
 			reason = "settings older than those of other hosts"
 		}
-		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: startRetryAfter})
+		r.refuseUnread(w, hr, req, refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: startRetryAfter})
 		return
 	}
 	route := table.Match(req.Host, req.Path)
 	if route == nil {
 		r.log.Info("Request matches no route.", "request", req.ID, "path", req.Path, "table", table.Version, "confirmed_ago", r.opt.SettingsAge())
-		r.refuse(w, req, r.denial(http.StatusNotFound, "no route", req))
+		r.refuseUnread(w, hr, req, r.denial(http.StatusNotFound, "no route", req))
 		return
 	}
 	var account *routes.Account
@@ -146,21 +146,21 @@
 		account = table.ByKey(req.Key)
 		if account == nil {
 			r.log.Info("Request has an unknown key.", "request", req.ID, "route", route.Name, "table", table.Version, "confirmed_ago", r.opt.SettingsAge())
-			r.refuse(w, req, r.denial(http.StatusUnauthorized, "unknown key", req))
+			r.refuseUnread(w, hr, req, r.denial(http.StatusUnauthorized, "unknown key", req))
 			return
 		}
 	}
 	if r.opt.Takes != nil && !r.opt.Takes(rankOf(account, route)) {
 		r.meters.overload.Inc(1)
 		retryAfter := admission.RetryAfterShed(shorter(route.Timeout, req.Timeout), rand.Float64())
-		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "this host has more requests than it can carry", retryAfter: retryAfter})
+		r.refuseUnread(w, hr, req, refusal{status: http.StatusServiceUnavailable, reason: "this host has more requests than it can carry", retryAfter: retryAfter})
 		return
 	}
 	if r.endsBefore(shorter(route.Timeout, req.Timeout)) {
 		if forwarded {
 			w.Header().Set(headerUnreached, "1")
 		}
-		r.refuse(w, req, refusal{status: http.StatusServiceUnavailable, reason: "this host ends before the request's time", retryAfter: startRetryAfter})
+		r.refuseUnread(w, hr, req, refusal{status: http.StatusServiceUnavailable, reason: "this host ends before the request's time", retryAfter: startRetryAfter})
 		return
 	}
 	if f := r.readBody(w, hr, req, table.Limits.BodyBytes, shorter(route.Timeout, req.Timeout), accountName(account)); f.status != 0 {
@@ -202,6 +202,13 @@
 // its connection is closed.
 const lingerTime = 500 * time.Millisecond
 
+// boundRest bounds the wait for the rest of a body that is not read.
+func boundRest(w http.ResponseWriter, hr *http.Request) {
+	if hr.Body != nil && hr.Body != http.NoBody {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
+	}
+}
+
 // readBody reads the whole body, which must arrive within a time unless that is zero. The status of the
 // refusal is zero if it has arrived.
 func (r *Relay) readBody(w http.ResponseWriter, hr *http.Request, req *Request, limit int64, within time.Duration, account string) refusal {
@@ -212,7 +219,7 @@
 	req.HasBody = true
 	control := http.NewResponseController(w)
 	if limit > 0 && hr.ContentLength > limit {
-		_ = control.SetReadDeadline(time.Now().Add(lingerTime))
+		boundRest(w, hr)
 		return refusal{status: http.StatusRequestEntityTooLarge, reason: errBodyTooLarge.Error()}
 	}
 	// A writer without a connection has no deadline, and none is needed there.
@@ -231,7 +238,7 @@
 	case errors.Is(err, errBodyTooLarge), errors.Is(err, errBodyYields):
 		// The server reads some of the rest, then it closes the connection.
 		w.Header().Set("Connection", "close")
-		_ = control.SetReadDeadline(time.Now().Add(lingerTime))
+		boundRest(w, hr)
 		if errors.Is(err, errBodyTooLarge) {
 			return refusal{status: http.StatusRequestEntityTooLarge, reason: err.Error()}
 		}
@@ -251,6 +258,12 @@
 	retryAfter time.Duration
 }
 
+// refuseUnread refuses a request whose body was not read.
+func (r *Relay) refuseUnread(w http.ResponseWriter, hr *http.Request, req *Request, f refusal) {
+	boundRest(w, hr)
+	r.refuse(w, req, f)
+}
+
 func (r *Relay) refuse(w http.ResponseWriter, req *Request, f refusal) {
 	id := ""
 	if req != nil {
