--- a/fleet/relay/answer.go
+++ b/fleet/relay/answer.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,23 +16,35 @@
 const (
 	// maxAnswerBytes bounds an answer that is buffered until it is complete.
 	maxAnswerBytes = 4 << 20
+	// firstAnswerBytes is the size of the first buffer, which doubles.
+	firstAnswerBytes = 512
 	// freeAnswerBytes is the size up to which any answer is buffered.
-	freeAnswerBytes = 64 << 10
-	// maxBufferedBytes bounds the buffers of all longer answers together.
+	freeAnswerBytes = 4 << 10
+	// maxBufferedBytes bounds the buffers of all longer answers together, and bufferedShare is the
+	// share of the machine's memory that they may take.
 	maxBufferedBytes = 16 << 20
+	bufferedShare    = 1.0 / 8
 )
 
-// bufferBudget is the memory that long answers may use together.
+// bufferBudget is the memory that answers may use together, beyond freeAnswerBytes of each.
 type bufferBudget struct {
+	// limit is in bytes; zero means maxBufferedBytes.
+	limit int
+
 	mu   sync.Mutex
 	used int
 }
 
+// newBufferBudget returns the budget on a machine with memory bytes, or zero if that is not known.
+func newBufferBudget(memory int64) *bufferBudget {
+	return &bufferBudget{limit: min(maxBufferedBytes, int(bufferedShare*float64(memory)))}
+}
+
 // take reserves n bytes. It returns false, without effect, if too few are left.
 func (b *bufferBudget) take(n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.used+n > maxBufferedBytes {
+	if b.used+n > cmp.Or(b.limit, maxBufferedBytes) {
 		return false
 	}
 	b.used += n
@@ -46,18 +60,25 @@
 // readAnswer reads an answer as far as it may be buffered. It returns true if that is all of
 // it. The caller gives back what was taken of the budget.
 func (b *bufferBudget) readAnswer(r io.Reader) (body []byte, taken int, whole bool, err error) {
-	limit := freeAnswerBytes
-	for {
-		part, err := io.ReadAll(io.LimitReader(r, int64(limit-len(body))))
-		body = append(body, part...)
-		if err != nil || len(body) < limit {
-			return body, taken, err == nil, err
+	for size := firstAnswerBytes; ; size *= 2 {
+		body = append(make([]byte, 0, size), body...)
+		for len(body) < size {
+			n, err := r.Read(body[len(body):size])
+			body = body[:len(body)+n]
+			if errors.Is(err, io.EOF) {
+				return body, taken, true, nil
+			}
+			if err != nil {
+				return body, taken, false, err
+			}
 		}
-		if limit == maxAnswerBytes || !b.take(limit) {
+		switch {
+		case size < freeAnswerBytes:
+			continue
+		case size == maxAnswerBytes || !b.take(size):
 			return body, taken, false, nil
 		}
-		taken += limit
-		limit *= 2
+		taken += size
 	}
 }
 
--- a/fleet/relay/answer_test.go
+++ b/fleet/relay/answer_test.go
@@ -48,3 +48,21 @@
 type iotestErr struct{}
 
 func (iotestErr) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Callers don't read short answers either. A thousand of them at once stay within the share of the
+// smallest machine's memory.
+func TestBuffersOfShortAnswersAreBoundedTogether(t *testing.T) {
+	const memory = 112 << 20
+	b, buffered, whole := newBufferBudget(memory), 0, 0
+	for range 1000 {
+		body, _, all, err := b.readAnswer(bytes.NewReader(make([]byte, 60<<10)))
+		require.NoError(t, err)
+		buffered += len(body)
+		if all {
+			whole++
+		}
+	}
+	require.LessOrEqual(t, buffered, memory/8+1000*freeAnswerBytes)
+	require.LessOrEqual(t, buffered, memory/4)
+	require.Greater(t, whole, 150)
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -69,7 +69,7 @@
 	failedLog logr.Logger
 	meters    *meters
 	retries   retryDetector
-	buffers   bufferBudget
+	buffers   *bufferBudget
 	bodies    *bodies
 	helpers   *helpers
 	draining  atomic.Bool
@@ -83,7 +83,7 @@
 	log := opt.Logger.WithName("relay")
 	meters := newMeters(opt.Metrics)
 	return &Relay{opt: opt, log: log, failedLog: logging.Failed(log), meters: meters, retries: newRetryDetector(),
-		helpers: newHelpers(opt.Forward), bodies: newBodies(opt.MemoryBytes, meters)}
+		helpers: newHelpers(opt.Forward), bodies: newBodies(opt.MemoryBytes, meters), buffers: newBufferBudget(opt.MemoryBytes)}
 }
 
 // logFor returns the logger for a line about a request, by whether it failed.
