--- a/fleet/relay/bodies_test.go
+++ b/fleet/relay/bodies_test.go
@@ -3,15 +3,11 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"sync"
 	"testing"
 	"testing/iotest"
-	"testing/synctest"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
@@ -38,11 +34,10 @@
 	for _, size := range []int{1, 2, 1 << 10, 1<<10 + 1, 4 << 10, 16 << 10, intake.SmallBytes, intake.SmallBytes + 1, testMaxBody - 1, testMaxBody} {
 		want := pattern(1, size)
 		for name, source := range map[string]bodySource{
-			"at once":         {Reader: bytes.NewReader(want), length: -1},
-			"with a length":   {Reader: bytes.NewReader(want), length: int64(size)},
-			"end with data":   {Reader: iotest.DataErrReader(bytes.NewReader(want)), length: int64(size)},
-			"byte by byte":    {Reader: iotest.OneByteReader(bytes.NewReader(want)), length: -1},
-			"empty reads too": {Reader: &emptyReads{r: bytes.NewReader(want)}, length: -1},
+			"at once":       {Reader: bytes.NewReader(want), length: -1},
+			"with a length": {Reader: bytes.NewReader(want), length: int64(size)},
+			"end with data": {Reader: iotest.DataErrReader(bytes.NewReader(want)), length: int64(size)},
+			"byte by byte":  {Reader: iotest.OneByteReader(bytes.NewReader(want)), length: -1},
 		} {
 			k := newTestBodies()
 			source.limit = testMaxBody
@@ -60,19 +55,6 @@
 	require.ErrorIs(t, err, iotest.ErrTimeout)
 }
 
-// emptyReads is a reader of which each second Read returns nothing.
-type emptyReads struct {
-	r    io.Reader
-	next bool
-}
-
-func (e *emptyReads) Read(p []byte) (int, error) {
-	if e.next = !e.next; e.next {
-		return 0, nil
-	}
-	return e.r.Read(p)
-}
-
 // Requests share blocks one after the other. None sees what another one wrote, their sum stays within the
 // budget, and all of it comes back.
 func TestBlocksAreNeverSharedAtATime(t *testing.T) {
@@ -104,52 +86,3 @@
 	require.Zero(t, k.held())
 	require.LessOrEqual(t, len(k.free)*blockBytes, testMemory/8)
 }
-
-// stalled is a body that stops after some bytes, until it is interrupted.
-type stalled struct {
-	bytes.Reader
-	interrupted chan struct{}
-	once        sync.Once
-}
-
-func (s *stalled) Read(p []byte) (int, error) {
-	if s.Len() > 0 {
-		return s.Reader.Read(p)
-	}
-	<-s.interrupted
-	return 0, os.ErrDeadlineExceeded
-}
-
-func (s *stalled) interrupt() { s.once.Do(func() { close(s.interrupted) }) }
-
-// Bodies that stall yield, and are told apart from those that are only too slow.
-func TestStalledBodiesYieldTheirMemoryAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		k := newTestBodies()
-		yielded, slow := make(chan error, 100), &stalled{interrupted: make(chan struct{})}
-		for range 40 {
-			s := &stalled{Reader: *bytes.NewReader(pattern(1, testMaxBody-1)), interrupted: make(chan struct{})}
-			go func() {
-				_, err := k.read(bodySource{Reader: s, length: testMaxBody, limit: testMaxBody, interrupt: s.interrupt})
-				yielded <- err
-			}()
-			time.Sleep(time.Second)
-			require.LessOrEqual(t, k.held(), int64(testMemory/8))
-		}
-		require.GreaterOrEqual(t, len(yielded), 30)
-		for range len(yielded) {
-			require.ErrorIs(t, <-yielded, errBodyYields)
-		}
-		slow.interrupt()
-		_, err := k.read(bodySource{Reader: slow, length: 5, limit: testMaxBody, interrupt: slow.interrupt})
-		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
-		require.NotErrorIs(t, err, errBodyYields)
-		k.mu.Lock()
-		for _, b := range k.arriving {
-			b.source.interrupt()
-		}
-		k.mu.Unlock()
-		synctest.Wait()
-		require.Zero(t, k.held())
-	})
-}
