--- /dev/null
+++ b/core/connlimit/connlimit_test.go
@@ -0,0 +1,65 @@
+package connlimit
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var now = time.Unix(1000, 0)
+
+var one, many = netip.MustParseAddr("127.0.0.1"), netip.MustParseAddr("127.0.0.2")
+
+func conn(p Phase, age time.Duration, address netip.Addr) Conn {
+	return Conn{Phase: p, Since: now.Add(-age), Address: address}
+}
+
+func TestSilentThenIdleThenYoungConnectionsYield(t *testing.T) {
+	conns := []Conn{
+		conn(Busy, time.Hour, one),
+		conn(Unfinished, 10*time.Millisecond, one),
+		conn(Idle, 2*time.Second, one),
+		conn(Idle, 9*time.Second, one),
+		conn(Unfinished, 2*time.Second, one),
+		conn(Unfinished, 900*time.Millisecond, one),
+		conn(Ended, 100*time.Millisecond, one),
+	}
+	require.Equal(t, []int{4, 6, 3, 2, 5, 1}, Yielding(conns, 10, now, false))
+	require.Equal(t, []int{4, 6}, Yielding(conns, 2, now, false))
+	require.Equal(t, []int{4, 6, 3, 2, 5, 1, 0}, Yielding(conns, 10, now, true))
+}
+
+func TestBusyConnectionsDoNotYield(t *testing.T) {
+	require.Empty(t, Yielding([]Conn{conn(Busy, time.Hour, one), conn(Busy, 0, one)}, 2, now, false))
+}
+
+// A flood from one address doesn't push out a caller that connects meanwhile.
+func TestAddressWithMostConnectionsYieldsFirst(t *testing.T) {
+	conns := []Conn{conn(Unfinished, 30*time.Millisecond, one)}
+	for range 20 {
+		conns = append(conns, conn(Unfinished, 10*time.Millisecond, many))
+	}
+	require.NotContains(t, Yielding(conns, 20, now, false), 0)
+}
+
+func TestAgeCountsBeforeAddress(t *testing.T) {
+	conns := []Conn{conn(Idle, time.Second, many), conn(Idle, time.Second, many), conn(Idle, 5*time.Second, one)}
+	require.Equal(t, []int{2}, Yielding(conns, 1, now, false))
+}
+
+func TestSharesFitMemoryAndDescriptors(t *testing.T) {
+	for _, c := range []struct {
+		r    Resources
+		want Limits
+	}{
+		{Resources{Descriptors: 4100, MemoryBytes: 112 << 20}, Limits{Callers: 448, Hosts: 224, Checks: 28}},
+		{Resources{Descriptors: 4100, MemoryBytes: 284 << 20}, Limits{Callers: 1136, Hosts: 568, Checks: 71}},
+		{Resources{Descriptors: 1024, MemoryBytes: 284 << 20}, Limits{Callers: 412, Hosts: 206, Checks: 25}},
+		{Resources{Descriptors: 240}, Limits{Callers: 20, Hosts: 10, Checks: 8}},
+		{Resources{}, Limits{}},
+	} {
+		require.Equal(t, c.want, Shares(c.r), "%+v", c.r)
+	}
+}
--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -37,6 +37,8 @@
 	door     Door
 	// listen opens the listener again. It may be nil.
 	listen func() (net.Listener, error)
+	// room bounds the open connections. It may be nil.
+	room *room
 }
 
 // generation is an HTTP server with one set of limits.
@@ -106,6 +108,10 @@
 			_ = c.Close() // unread: the caller may repeat its request at another host
 			continue
 		}
+		if err == nil && !s.makeRoom(time.Now()) {
+			_ = c.Close()
+			continue
+		}
 		if err == nil {
 			s.serveConn(c)
 			continue
@@ -132,6 +138,7 @@
 	tracked := newTrackedConn(c)
 	s.mu.Lock()
 	s.conns[tracked] = struct{}{}
+	s.countOpen()
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
@@ -143,7 +150,7 @@
 		s.mu.Lock()
 		ended := s.current == g
 		if ended {
-			delete(s.conns, tracked)
+			s.forget(tracked)
 		}
 		s.mu.Unlock()
 		if ended {
@@ -213,7 +220,7 @@
 	busy := 0
 	for c := range s.conns {
 		if c.closeIdle(now) {
-			delete(s.conns, c)
+			s.forget(c)
 			continue
 		}
 		busy++
@@ -233,7 +240,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, c)
+	s.forget(c)
 }
 
 // Close stops accepting and closes all connections at once. It returns nil.
--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -3,9 +3,12 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/hazelworks/hazelworks/core/connlimit"
 )
 
 // newConnWait is the time for which a connection without any byte counts as one whose first
@@ -17,20 +20,33 @@
 type trackedConn struct {
 	net.Conn
 	openedAt time.Time
+	address  netip.Addr
 
 	mu    sync.Mutex
 	state http.ConnState
+	// since is when the state began; in an idle one, when the first bytes of a request arrived.
+	since time.Time
+	// ended is true once the writing side is closed.
+	ended bool
 	// arrived is true if bytes were read since the connection was last idle.
 	arrived bool
 	// served is true once a request was served.
 	served bool
-	// closing is true once the connection is closed as idle. No request of it is handled then.
+	// closing is true once the server has decided to close the connection. No request of it is
+	// handled then.
 	closing bool
 }
 
-func newTrackedConn(c net.Conn) *trackedConn { return &trackedConn{Conn: c, openedAt: time.Now()} }
+func newTrackedConn(c net.Conn) *trackedConn {
+	now := time.Now()
+	tracked := &trackedConn{Conn: c, openedAt: now, since: now}
+	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		tracked.address = tcp.AddrPort().Addr()
+	}
+	return tracked
+}
 
-// Read implements net.Conn. What arrives while the connection is closed as idle is dropped.
+// Read implements net.Conn. What arrives once the server has decided to close the connection is dropped.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
@@ -41,6 +57,9 @@
 	if c.closing {
 		return 0, net.ErrClosed
 	}
+	if c.state == http.StateIdle && !c.arrived {
+		c.since = time.Now()
+	}
 	c.arrived = true
 	return n, err
 }
@@ -48,6 +67,9 @@
 // CloseWrite closes the writing side, so that a caller reads the end of its answer before
 // the connection is reset.
 func (c *trackedConn) CloseWrite() error {
+	c.mu.Lock()
+	c.ended, c.since = true, time.Now()
+	c.mu.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -68,6 +90,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = state
+	if state != http.StateNew {
+		c.since = time.Now()
+	}
 	if state == http.StateIdle {
 		c.arrived = false
 	}
@@ -116,3 +141,37 @@
 	})
 	return err == nil && unread
 }
+
+// describe returns what decides whether the connection yields to others.
+func (c *trackedConn) describe() connlimit.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return connlimit.Conn{Phase: c.phase(), Since: c.since, Address: c.address}
+}
+
+// phase returns what the connection is used for. The caller holds mu.
+func (c *trackedConn) phase() connlimit.Phase {
+	switch {
+	case c.ended:
+		return connlimit.Ended
+	case c.state == http.StateActive:
+		return connlimit.Busy
+	case c.state == http.StateIdle && !c.arrived:
+		return connlimit.Idle
+	}
+	return connlimit.Unfinished
+}
+
+// yield closes the connection if it is still in a phase and nothing has arrived that was not read, and
+// reports whether it did. As with closeIdle, no request of the connection is handled then.
+func (c *trackedConn) yield(phase connlimit.Phase) bool {
+	c.mu.Lock()
+	waits := phase == connlimit.Idle || phase == connlimit.Unfinished
+	c.closing = c.closing || c.phase() == phase && !(waits && hasUnread(c.Conn))
+	closing := c.closing
+	c.mu.Unlock()
+	if closing {
+		_ = c.Close()
+	}
+	return closing
+}
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -112,7 +112,8 @@
 		Forward: relay.ForwardOptions{Self: h.self, Hosts: h.hosts.others, Dial: h.opt.Network.Dialer(peerSockets)}, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
 	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
-		func(err error) { h.log.Error(err, "Serving callers failed.") }, callerserver.WithDoor(h.load), callerserver.WithListen(h.listenCallers))
+		func(err error) { h.log.Error(err, "Serving callers failed.") }, callerserver.WithDoor(h.load), callerserver.WithListen(h.listenCallers),
+		callerserver.WithConnLimit(h.connLimit("callers", h.connShares().Callers)))
 }
 
 // peerHandler returns the handler of other hosts' calls.
