--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -162,12 +162,13 @@
 	return connlimit.Unfinished
 }
 
-// yield closes the connection if it is still in a phase and nothing has arrived that was not read, and
-// reports whether it did. As with closeIdle, no request of the connection is handled then.
-func (c *trackedConn) yield(phase connlimit.Phase) bool {
+// yield closes the connection if it is still in a phase and nothing has arrived that was not read, or in
+// any case with interrupt set, and reports whether it did. As with closeIdle, no request of the
+// connection is handled then.
+func (c *trackedConn) yield(phase connlimit.Phase, interrupt bool) bool {
 	c.mu.Lock()
 	waits := phase == connlimit.Idle || phase == connlimit.Unfinished
-	c.closing = c.closing || c.phase() == phase && !(waits && hasUnread(c.Conn))
+	c.closing = c.closing || interrupt || c.phase() == phase && !(waits && hasUnread(c.Conn))
 	closing := c.closing
 	c.mu.Unlock()
 	if closing {
--- a/fleet/callerserver/room.go
+++ b/fleet/callerserver/room.go
@@ -97,7 +97,7 @@
 		if yielded == batch {
 			break
 		}
-		if open[i].yield(described[i].Phase) {
+		if open[i].yield(described[i].Phase, s.room.limit.Interrupt) {
 			s.forget(open[i])
 			yielded++
 		}
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -114,17 +114,19 @@
 	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
 		func(err error) { h.log.Error(err, "Serving callers failed.") }, callerserver.WithDoor(h.load), callerserver.WithListen(h.listenCallers),
 		callerserver.WithConnLimit(h.connLimit("callers", h.connShares().Callers)))
+	h.peers = callerserver.New(h.peerHandler(), peerLimits(0), func(err error) { h.log.Error(err, "Serving other hosts failed.") },
+		callerserver.WithConnLimit(h.connLimit("peers", h.connShares().Hosts)))
 }
 
 // peerHandler returns the handler of other hosts' calls.
 func (h *Host) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/", lending.Handler(h.budgets))
-	mux.Handle("GET "+fanout.Path, h.settings)
-	mux.Handle("GET "+origins.Path, h.origins)
+	mux.Handle("/", shortBodies(lending.Handler(h.budgets)))
+	mux.Handle("GET "+fanout.Path, withoutBody(h.settings))
+	mux.Handle("GET "+origins.Path, withoutBody(h.origins))
 	mux.HandleFunc("POST "+relay.ForwardPath, h.relay.ServeForwarded)
-	mux.Handle("GET "+reach.Path, h.reach)
-	mux.Handle("GET "+reach.ServicePath, h.reach)
+	mux.Handle("GET "+reach.Path, withoutBody(h.reach))
+	mux.Handle("GET "+reach.ServicePath, withoutBody(h.reach))
 	return mux
 }
 
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -153,9 +153,11 @@
 	budgets   *allocation.Manager
 	relay     *relay.Relay
 	callers   *callerserver.Server
-	load      *hostmeter.Meter
-	leaving   atomic.Bool
-	stop      chan struct{}
+	// peers serves the calls of other hosts.
+	peers   *callerserver.Server
+	load    *hostmeter.Meter
+	leaving atomic.Bool
+	stop    chan struct{}
 	// announceAgain asks for another write of this host's entry.
 	announceAgain chan struct{}
 }
@@ -230,6 +232,7 @@
 	h.callers.SetLimits(callerserver.Limits{
 		HeaderBytes: t.Limits.HeaderBytes, HeaderTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout,
 	})
+	h.peers.SetLimits(peerLimits(t.Limits.HeaderBytes))
 }
 
 // activeRate is the rate, in requests per second, from which a host counts as serving
@@ -383,18 +386,19 @@
 	}
 	add(h.budgets.Run)
 	add(h.load.Run)
-	add(h.serve(h.cfg.Listen.Peer, h.peerHandler()))
+	add(h.serve("peers", h.cfg.Listen.Peer, h.peers))
 	add(h.runGossip)
 	add(h.announce)
 	add(h.serveCallers)
-	add(h.serve(h.cfg.Listen.Ready, h.opt.Protocol.Ready(h.Ready)))
-	add(h.serve(h.cfg.Listen.Directory, h.opt.Protocol.Directory(h.resolve)))
+	add(h.serveQueries("ready", h.cfg.Listen.Ready, h.opt.Protocol.Ready(h.Ready)))
+	add(h.serveQueries("directory", h.cfg.Listen.Directory, h.opt.Protocol.Directory(h.resolve)))
 	if h.cfg.Listen.Metrics.IsValid() {
-		add(h.serve(h.cfg.Listen.Metrics, h.operatorHandler()))
+		add(h.serveQueries("metrics", h.cfg.Listen.Metrics, h.operatorHandler()))
 	}
 	add(h.leave)
 	err := group.Run()
 	_ = h.callers.Close()
+	_ = h.peers.Close()
 	h.balancer.Close()
 	if errors.Is(err, errStopped) {
 		return nil
@@ -478,19 +482,3 @@
 	}
 	return err
 }
-
-func (h *Host) serve(addr netip.AddrPort, handler http.Handler) func(context.Context) error {
-	return func(ctx context.Context) error {
-		l, err := h.opt.Network.Listen(ctx, addr.String(), callerSockets)
-		if err != nil {
-			return fmt.Errorf("relayhost: listen: %w", err)
-		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	}
-}
