--- a/fleet/callerserver/room_test.go
+++ b/fleet/callerserver/room_test.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// The connections that strangers keep after a short request yield before one that is in use.
+// The connections that strangers keep after a short request yield before one that was used since.
 func TestConnectionInUseOutlastsIdleOnes(t *testing.T) {
 	const limit = 32
 	s := startLimitedServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnLimit{Conns: limit})
@@ -87,8 +87,8 @@
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	for range 4 {
-		flood(t, s.address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", limit)
+	for range 8 {
+		flood(t, s.address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", limit/2)
 		status, err := ask(conn, reader)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, status)
