--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -37,6 +37,8 @@
 	door     Door
 	// listen opens the listener again. It may be nil.
 	listen func() (net.Listener, error)
+	// writeStall is how long a write to a caller may make no progress. Zero means no bound.
+	writeStall time.Duration
 	// room bounds the open connections. It may be nil.
 	room *room
 }
@@ -136,6 +138,7 @@
 // meanwhile.
 func (s *Server) serveConn(c net.Conn) {
 	tracked := newTrackedConn(c)
+	tracked.writeStall = s.writeStall
 	s.mu.Lock()
 	s.conns[tracked] = struct{}{}
 	s.countOpen()
--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -21,11 +21,15 @@
 	net.Conn
 	openedAt time.Time
 	address  netip.Addr
+	// writeStall bounds how long a write may make no progress. Zero means no bound.
+	writeStall time.Duration
 
 	mu    sync.Mutex
 	state http.ConnState
 	// since is when the state began; in an idle one, when the first bytes of a request arrived.
 	since time.Time
+	// writeDeadline is the deadline that the server or a handler has set. It may be zero.
+	writeDeadline time.Time
 	// ended is true once the writing side is closed.
 	ended bool
 	// arrived is true if bytes were read since the connection was last idle.
--- a/fleet/host/servers.go
+++ b/fleet/host/servers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/oklog/run"
 
@@ -25,6 +26,9 @@
 	Close() error
 }
 
+// writeStall bounds how long a caller may take nothing of its answer.
+const writeStall = 15 * time.Second
+
 // openServers opens all listeners. If one fails, it closes the others.
 func (h *Host) openServers() ([]server, error) {
 	cfg := h.opts.Config
