--- a/fleet/host/build.go
+++ b/fleet/host/build.go
@@ -127,7 +127,7 @@
 	limits := callerserver.Limits{HeaderBytes: cfg.Limits.HeaderBytes, HeaderTimeout: cfg.Timeouts.HeaderRead, IdleTimeout: cfg.Timeouts.Idle}
 	h.callers = callerserver.New(h.gateway.Handler(), limits, func(err error) {
 		h.logger.WithName("host").Error(err, "serving callers failed")
-	}, callerserver.WithWriteStall(writeStall))
+	}, callerserver.WithWriteStall(writeStall), callerserver.WithConnLimit(h.connLimit("callers", callerConns(cfg.Limits.Connections, descriptors()))))
 }
 
 // buildPlacement builds the placer if there is a weight store.
--- a/fleet/host/servers.go
+++ b/fleet/host/servers.go
@@ -10,6 +10,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/hazelworks/hazelworks/fleet/callerserver"
 	"github.com/hazelworks/hazelworks/fleet/peer"
 )
 
@@ -32,11 +33,10 @@
 // openServers opens all listeners. If one fails, it closes the others.
 func (h *Host) openServers() ([]server, error) {
 	cfg := h.opts.Config
-	operators := &http.Server{
-		Handler:           h.admin.Handler(),
-		ReadHeaderTimeout: cfg.Timeouts.HeaderRead,
-		IdleTimeout:       cfg.Timeouts.Idle,
-	}
+	operators := callerserver.New(callerserver.LimitBodies(h.admin.Handler(), adminBodyBytes, cfg.Timeouts.BodyRead),
+		callerserver.Limits{HeaderBytes: cfg.Limits.HeaderBytes, HeaderTimeout: cfg.Timeouts.HeaderRead, IdleTimeout: cfg.Timeouts.Idle},
+		func(err error) { h.logger.WithName("host").Error(err, "serving operators failed") },
+		callerserver.WithWriteStall(writeStall), callerserver.WithConnLimit(h.connLimit("admin", adminConns)))
 	specs := []struct {
 		name string
 		addr netip.AddrPort
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -121,7 +121,7 @@
 // peerHandler returns the handler of other hosts' calls.
 func (h *Host) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/", shortBodies(lending.Handler(h.budgets)))
+	mux.Handle("/", callerserver.LimitBodies(lending.Handler(h.budgets), peerBodyBytes, peerBodyTimeout))
 	mux.Handle("GET "+fanout.Path, withoutBody(h.settings))
 	mux.Handle("GET "+origins.Path, withoutBody(h.origins))
 	mux.HandleFunc("POST "+relay.ForwardPath, h.relay.ServeForwarded)
--- a/fleet/relayhost/ports.go
+++ b/fleet/relayhost/ports.go
@@ -75,15 +75,3 @@
 		panic(http.ErrAbortHandler) // otherwise the server would wait for the body
 	})
 }
-
-// shortBodies bounds the size of bodies and the time in which they are read.
-func shortBodies(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			r.Body = http.MaxBytesReader(w, r.Body, peerBodyBytes)
-			// Connections of tests needn't support deadlines.
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(peerBodyTimeout))
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/fleet/relayhost/ports_test.go
+++ b/fleet/relayhost/ports_test.go
@@ -98,10 +98,10 @@
 func TestBodiesOfOtherHostsAreBounded(t *testing.T) {
 	read := make(chan int64, 1)
 	address := serveOnLoopback(t, func(h *Host, addr netip.AddrPort) func(context.Context) error {
-		return h.serve("peers", addr, callerserver.New(shortBodies(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		return h.serve("peers", addr, callerserver.New(callerserver.LimitBodies(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			n, _ := io.Copy(io.Discard, r.Body)
 			read <- n
-		})), peerLimits(0), func(error) {}))
+		}), peerBodyBytes, peerBodyTimeout), peerLimits(0), func(error) {}))
 	})
 	for name, size := range map[string]int{"endless": 4 << 20, "stops": 100} {
 		t.Run(name, func(t *testing.T) {
