--- a/fleet/gateway/body.go
+++ b/fleet/gateway/body.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -22,40 +21,28 @@
 }
 
 // bufferBody reads a body of at most limit bytes.
-func (g *Gateway) bufferBody(w http.ResponseWriter, r *http.Request, limit int64) (bufferedBody, *problem.Problem) {
-	size := limit
-	if r.ContentLength >= 0 {
-		size = r.ContentLength
-	}
-	if size > limit {
+func (g *Gateway) bufferBody(w http.ResponseWriter, r *http.Request, account string, limit int64) (bufferedBody, *problem.Problem) {
+	if r.ContentLength > limit {
 		return bufferedBody{}, tooLarge(limit)
 	}
-	if !g.bodies.TryAcquire(size) {
-		p := problem.New(http.StatusServiceUnavailable, problem.CodeOverloaded, "too many request bodies are in flight")
-		return bufferedBody{}, p.WithRetryAfter(bodiesRetryAfter)
-	}
-	data, err := readWithin(w, r, limit, g.limits.BodyTimeout)
+	body, err := g.readWithin(w, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, account)
 	if err != nil {
-		g.bodies.Release(size)
 		return bufferedBody{}, bodyProblem(err, limit, g.limits.BodyTimeout)
 	}
-	return bufferedBody{data: data, free: func() { g.bodies.Release(size) }}, nil
+	return body, nil
 }
 
-func readWithin(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
+// readWithin reads a body up to its end within Limits.BodyTimeout.
+func (g *Gateway) readWithin(w http.ResponseWriter, source io.Reader, length int64, account string) (bufferedBody, error) {
 	ctrl := http.NewResponseController(w)
 	// Response recorders of tests do not support deadlines.
-	_ = ctrl.SetReadDeadline(time.Now().Add(timeout))
-	var buf bytes.Buffer
-	if r.ContentLength > 0 {
-		buf.Grow(int(r.ContentLength) + bytes.MinRead)
-	}
-	_, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	_ = ctrl.SetReadDeadline(time.Now().Add(g.limits.BodyTimeout))
+	body, err := g.bodies.read(source, length, account, func() { _ = ctrl.SetReadDeadline(time.Now()) })
 	if err != nil {
-		return nil, err
+		return bufferedBody{}, err
 	}
 	_ = ctrl.SetReadDeadline(time.Time{})
-	return buf.Bytes(), nil
+	return body, nil
 }
 
 func tooLarge(limit int64) *problem.Problem {
@@ -65,6 +52,9 @@
 func bodyProblem(err error, limit int64, timeout time.Duration) *problem.Problem {
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodyYields):
+		p := problem.New(http.StatusServiceUnavailable, problem.CodeOverloaded, "too many request bodies are in flight")
+		return p.WithRetryAfter(bodiesRetryAfter)
 	case errors.As(err, &large):
 		return tooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/fleet/gateway/gateway.go
+++ b/fleet/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/hazelworks/hazelworks/core/settings"
 	"github.com/hazelworks/hazelworks/fleet/problem"
@@ -27,7 +26,7 @@
 	metrics  *meters
 	table    *request.Table
 	tickets  *request.Tickets
-	bodies   *semaphore.Weighted
+	bodies   *bodies
 	crashes  *quarantine.Detector
 	draining atomic.Bool
 	inflight inflight
@@ -50,9 +49,9 @@
 			KeptBytes:    limits.KeptBytes,
 		}),
 		tickets: request.NewTickets(opts.Self.Host, limits.Tickets, limits.TicketLife),
-		bodies:  semaphore.NewWeighted(limits.BodiesBytes),
 		mux:     http.NewServeMux(),
 	}
+	g.bodies = newBodies(limits.BodiesBytes, limits.BodyBytes, g.metrics.bodyBytes, g.metrics.bodiesYielded)
 	g.crashes = quarantine.NewDetector(opts.Logger, opts.Metrics, opts.Reach, opts.Quarantine.Crashed)
 	g.routes()
 	return g
--- a/fleet/gateway/handlers.go
+++ b/fleet/gateway/handlers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -88,7 +87,7 @@
 		g.serveResume(w, r, c, last)
 		return
 	}
-	body, p := g.bufferBody(w, r, g.limits.BodyBytes)
+	body, p := g.bufferBody(w, r, c.account.ID, g.limits.BodyBytes)
 	if p != nil {
 		g.refuse(w, r, p)
 		return
@@ -276,7 +275,7 @@
 		g.refuse(w, r, p)
 		return
 	}
-	body, free, p := g.readPlainBody(w, r, svc)
+	body, free, p := g.readPlainBody(w, r, c.account.ID, svc)
 	if p != nil {
 		g.refuse(w, r, p)
 		return
@@ -356,33 +355,23 @@
 }
 
 // readPlainBody buffers the first part of a plain call's body.
-func (g *Gateway) readPlainBody(w http.ResponseWriter, r *http.Request, svc *settings.Service) (*plainBody, func(), *problem.Problem) {
+func (g *Gateway) readPlainBody(w http.ResponseWriter, r *http.Request, account string, svc *settings.Service) (*plainBody, func(), *problem.Problem) {
 	limit := orDefault(svc.MaxBodyBytes, defaultServiceBody)
 	if r.ContentLength > limit {
 		return nil, nil, tooLarge(limit)
 	}
 	ctrl := http.NewResponseController(w)
-	body := &plainBody{length: r.ContentLength, ctrl: ctrl, timeout: g.limits.BodyTimeout}
-	if !g.bodies.TryAcquire(g.limits.ReplayBytes) {
-		p := problem.New(http.StatusServiceUnavailable, problem.CodeOverloaded, "too many request bodies are in flight")
-		return nil, nil, p.WithRetryAfter(bodiesRetryAfter)
-	}
-	free := func() { g.bodies.Release(g.limits.ReplayBytes) }
 	source := http.MaxBytesReader(w, r.Body, limit)
-	_ = ctrl.SetReadDeadline(time.Now().Add(g.limits.BodyTimeout))
-	var buffered bytes.Buffer
-	n, err := io.CopyN(&buffered, source, g.limits.ReplayBytes)
-	body.buffered = buffered.Bytes()
-	switch {
-	case err == io.EOF:
-		body.length = n
-		_ = ctrl.SetReadDeadline(time.Time{})
-	case err != nil:
-		free()
+	first, err := g.readWithin(w, io.LimitReader(source, g.limits.ReplayBytes), r.ContentLength, account)
+	if err != nil {
 		return nil, nil, bodyProblem(err, limit, g.limits.BodyTimeout)
-	default:
+	}
+	body := &plainBody{buffered: first.data, length: r.ContentLength, ctrl: ctrl, timeout: g.limits.BodyTimeout}
+	if n := int64(len(first.data)); n < g.limits.ReplayBytes {
+		body.length = n
+	} else {
 		_ = ctrl.EnableFullDuplex()
 		body.rest = source
 	}
-	return body, free, nil
+	return body, first.free, nil
 }
--- a/fleet/gateway/input_test.go
+++ b/fleet/gateway/input_test.go
@@ -82,7 +82,7 @@
 				require.Zero(t, f.bank.openReservations())
 				require.Empty(t, f.picker.queries)
 				require.Zero(t, f.gateway.Running())
-				require.True(t, f.gateway.bodies.TryAcquire(f.gateway.limits.BodiesBytes), "body bytes are released")
+				require.Zero(t, f.gateway.bodies.budget.Held(), "body bytes are released")
 			})
 		})
 	}
@@ -153,7 +153,7 @@
 				require.Contains(t, reply, "408")
 				require.Contains(t, reply, `"outcome":"not-run"`)
 				require.Less(t, took, 5*time.Second)
-				require.True(t, f.gateway.bodies.TryAcquire(f.gateway.limits.BodiesBytes))
+				require.Zero(t, f.gateway.bodies.budget.Held())
 			})
 		})
 	}
--- a/fleet/gateway/metrics.go
+++ b/fleet/gateway/metrics.go
@@ -30,6 +30,9 @@
 	readers       metrics.Counter
 	// unbilledEnds counts the answers that ended before their bill was in the log.
 	unbilledEnds metrics.Counter
+	// bodyBytes is the memory of requests' bodies, bodiesYielded counts those refused for it.
+	bodyBytes     metrics.Gauge
+	bodiesYielded metrics.Counter
 	// The histograms are in microseconds.
 	firstEvent metrics.Histogram
 	duration   metrics.Histogram
@@ -47,6 +50,8 @@
 	}
 	return &meters{
 		requests:      counter("requests"),
+		bodyBytes:     metrics.GetOrRegisterGauge("gateway.bodies.bytes", r),
+		bodiesYielded: counter("bodies.yielded"),
 		refused:       counter("refused"),
 		answered:      counter("outcome.answered"),
 		notRun:        counter("outcome.not_run"),
