--- a/fleet/relayhost/leave.go
+++ b/fleet/relayhost/leave.go
@@ -87,7 +87,8 @@
 		}
 		now := time.Now()
 		h.relay.SetEnd(now, now) // other hosts forward nothing more
-		if err := h.relay.Wait(ctx); err != nil {
+		// The last part of an answer is written after its request has ended.
+		if err := errors.Join(h.relay.Wait(ctx), h.peers.Shutdown(ctx)); err != nil {
 			h.log.Info("Answers to callers of other hosts were cut off.", "error", err.Error())
 		}
 	}()
@@ -115,7 +116,7 @@
 	h.relay.End()
 	ctx, cancel := context.WithTimeout(context.Background(), refusalTime)
 	defer cancel()
-	if err := h.callers.Shutdown(ctx); err != nil {
+	if err := errors.Join(h.callers.Shutdown(ctx), h.peers.Shutdown(ctx)); err != nil {
 		h.log.Info("Refusals were cut off.", "error", err.Error())
 	}
 }
