--- a/fleet/relayhost/ports.go
+++ b/fleet/relayhost/ports.go
@@ -57,7 +57,11 @@
 		}
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		return server.Serve(l)
+		err = server.Serve(l)
+		if err == nil {
+			<-ctx.Done() // the server may stop before the host does
+		}
+		return err
 	}
 }
 
