--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -65,6 +65,8 @@
 	events int
 	// unlimited is true if the request states no limit on its answer.
 	unlimited bool
+	// padding is the number of bytes by which the body is longer than others.
+	padding int
 	// build is the program that the host ran.
 	build string
 }
@@ -97,22 +99,22 @@
 func (c *callers) run(ctx context.Context) {
 	var group sync.WaitGroup
 	for i := range callerCount {
-		group.Go(func() { c.runCaller(ctx, rand.New(rand.NewPCG(c.seed, uint64(i)))) })
+		group.Go(func() { c.runCaller(ctx, rand.New(rand.NewPCG(c.seed, uint64(i))), i%loyalEvery == 0) })
 	}
 	group.Wait()
 }
 
 // runCaller sends requests to one host over one connection, which it reuses until it is
 // closed. After an attempt that fails or is not answered with 200 it resolves the next
-// host.
-func (c *callers) runCaller(ctx context.Context, rng *rand.Rand) {
+// host, a loyal one only after an attempt that fails.
+func (c *callers) runCaller(ctx context.Context, rng *rand.Rand, loyal bool) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	h := c.tb.randomHost(rng)
 	for n := 1; ctx.Err() == nil; n++ {
 		disconnects := rng.Float64() < disconnectShare
 		o := c.attempt(client, h, outcome{kind: &requestKinds[rng.IntN(len(requestKinds))], key: validKey, unlimited: n%unlimitedEvery == 0}, disconnects)
-		if o.err != nil || o.status != http.StatusOK {
+		if o.err != nil || o.status != http.StatusOK && !loyal {
 			h = c.resolve(rng, h)
 		}
 		for range maxTakeUps {
@@ -163,6 +165,9 @@
 	c.mu.Lock()
 	c.lastID++
 	o.id, o.host, o.build, o.sentAt = fmt.Sprintf("r%d", c.lastID), h, h.build(), time.Now()
+	if o.kind.method == http.MethodPost && c.lastID%longBodyEvery == 0 {
+		o.padding = c.lastID * pieceBytes / 5 % maxBodyBytes
+	}
 	c.mu.Unlock()
 	limit := requestTimeout
 	if disconnect {
@@ -185,7 +190,10 @@
 func send(ctx context.Context, client *http.Client, o *outcome, maxOutput int64) (status int, seal, body string, err error) {
 	var content io.Reader
 	if o.kind.method == http.MethodPost {
-		content = strings.NewReader("content of " + o.id)
+		content = strings.NewReader(o.content())
+	}
+	if o.padding > 0 {
+		content = pieces{content}
 	}
 	url := fmt.Sprintf("http://%s:%d%s", o.host.ip, standin.CallerPort, o.kind.path)
 	req, err := http.NewRequestWithContext(ctx, o.kind.method, url, content)
@@ -193,6 +201,9 @@
 		return 0, "", "", err
 	}
 	req.Host = "h.example"
+	if o.padding%2 == 0 && content != nil {
+		req.ContentLength = int64(len(o.content())) // others are sent in chunks
+	}
 	req.GetBody = nil // the client must not retry the request by itself
 	standin.SetCallerHeaders(req, o.id, o.key, requestTimeout)
 	if o.kind.stream {
--- a/cmd/internal/soak/checks.go
+++ b/cmd/internal/soak/checks.go
@@ -2,13 +2,10 @@
 
 import (
 	"cmp"
-	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/hazelworks/hazelworks/platform/standin"
@@ -73,7 +70,7 @@
 			report("%s: ran for account %q, key passed on: %v", o.id, account, keyPassedOn)
 		case r.Service != want:
 			report("%s (%s): ran at service %s", o.id, o.kind.name, r.Service)
-		case o.kind.method == http.MethodPost && r.Body != "content of "+o.id:
+		case o.kind.method == http.MethodPost && r.Body != o.content():
 			report("%s: ran with another body", o.id)
 		}
 	}
@@ -175,21 +172,6 @@
 	return nil
 }
 
-// checkPlannedStop checks that a host that stopped in calm times cut off no request that it
-// had accepted. A refused connection is no request.
-func checkPlannedStop(outcomes []outcome, stopping *host, from, stopped time.Time) []string {
-	var findings []string
-	for i := range outcomes {
-		o := &outcomes[i]
-		left := errors.Is(o.err, context.DeadlineExceeded) // the caller itself has left
-		if o.host != stopping || o.err == nil || left || o.sentAt.Before(from) || o.sentAt.After(stopped) || errors.Is(o.err, syscall.ECONNREFUSED) {
-			continue
-		}
-		findings = append(findings, fmt.Sprintf("%s (%s): cut off in a planned stop of %s after %v: %v", o.id, o.kind.name, stopping.name, o.duration, o.err))
-	}
-	return findings
-}
-
 // maxFalls is the number of times that the brittle upstream may fall over in calm times.
 const maxFalls = 2
 
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -12,7 +12,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/hazelworks/hazelworks/platform/standin"
@@ -53,7 +52,7 @@
 	// host's start, the end of an outage and a heartbeat of the upstreams.
 	recoveryWait = 5 * time.Second
 	// calmTime follows the check of the recovery. Limits must be kept in it, an emptied failure
-	// domain must get nothing, and a planned stop, calmWarmUp after its begin, must cut off
+	// domain must get nothing, and planned stops, calmWarmUp after its begin, must cut off
 	// nothing.
 	calmTime   = 6 * time.Second
 	calmWarmUp = time.Second
@@ -117,6 +116,7 @@
 	rng := rand.New(rand.NewPCG(opt.Seed, 1000))
 	all := faults()
 	refusals := rand.New(rand.NewPCG(opt.Seed, 2000))
+	stops := rand.New(rand.NewPCG(opt.Seed, 3000))
 	deadline := time.Now().Add(opt.Length)
 	count := 0
 	for time.Now().Before(deadline) && ctx.Err() == nil {
@@ -135,60 +135,26 @@
 		if tb.lacking == "" && count%refusalEvery == 0 {
 			tb.refuseAfterRun(refusals)
 		}
+		if count%stopRowEvery == 0 {
+			tb.stopRow(stops)
+		}
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)))
 	}
 	tb.activeFaults.Wait()
 	return count
 }
 
-// checkCalm lets the callers go on without faults, stops a host as planned meanwhile, and
+// checkCalm lets the callers go on without faults, stops hosts as planned meanwhile, and
 // checks what must hold in calm times.
 func checkCalm(ctx context.Context, tb *testbed, c *callers) []string {
 	stopCalls := c.start(ctx)
 	calm := time.Now()
 	tb.evacuate()
 	time.Sleep(calmWarmUp)
-	stopping, stopped := tb.stopInCalm(c.recorded())
+	stops := tb.stopInCalm(c.recorded())
 	time.Sleep(time.Until(calm.Add(calmTime)))
 	stopCalls()
-	return slices.Concat(checkLimits(tb, calm), tb.checkEvacuation(calm), tb.checkFalls(calm.Add(calmWarmUp)), checkPlannedStop(c.recorded(), stopping, calm, stopped))
-}
-
-// calmDelay is the time that plain upstreams take in calm times, so that a planned stop meets
-// requests in flight.
-const calmDelay = 150 * time.Millisecond
-
-// stopInCalm stops the host with the most callers as planned and waits until its process has
-// ended. It returns the host and the time of its end.
-func (tb *testbed) stopInCalm(outcomes []outcome) (*host, time.Time) {
-	for i, upstream := range tb.upstreams {
-		if i < modelUpstreamCount || i == limitedUpstream {
-			continue // as the fastest, the limited one would get most of the requests
-		}
-		b := upstream.defaultBehaviour
-		b.Delay = calmDelay
-		upstream.SetBehaviour(b)
-	}
-	time.Sleep(calmDelay)
-	h := busiestHost(outcomes)
-	h.signal(syscall.SIGTERM)
-	h.waitOrKill(grace + time.Second)
-	return h, time.Now()
-}
-
-// recentOutcomes is the number of the latest outcomes that tell where the callers are.
-const recentOutcomes = 50
-
-// busiestHost returns the host of most of the latest outcomes.
-func busiestHost(outcomes []outcome) *host {
-	counts := make(map[*host]int)
-	busiest := outcomes[len(outcomes)-1].host
-	for _, o := range outcomes[max(0, len(outcomes)-recentOutcomes):] {
-		if counts[o.host]++; counts[o.host] > counts[busiest] {
-			busiest = o.host
-		}
-	}
-	return busiest
+	return slices.Concat(checkLimits(tb, calm), tb.checkEvacuation(calm), tb.checkFalls(calm.Add(calmWarmUp)), tb.checkPlannedStops(c.recorded(), calm, stops))
 }
 
 // saveLogs writes the hosts' logs to files in dir.
