--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -21,7 +21,10 @@
 	Idle
 	// Ended means that the last answer was sent and the connection is about to be closed.
 	Ended
-	// Busy means that a request is handled, or its body is being read.
+	// Receiving means that the body of a request is being read. It counts as begun when the caller
+	// fell behind, see [Lateness].
+	Receiving
+	// Busy means that a request is handled whose body has arrived.
 	Busy
 )
 
@@ -39,15 +42,15 @@
 const youngAge = time.Second
 
 // Yielding returns the indices of at most n connections to close so that others can be opened, in
-// this order: unfinished ones that are no longer young, ended ones, idle ones, young unfinished ones.
-// Of each kind those in the phase for longest go first; among those that differ by less than a second, those
+// this order: unfinished ones that are no longer young, ended ones, idle ones, those
+// whose body is late by a second, young unfinished ones. Of each kind those in the phase for longest go first; among those that differ by less than a second, those
 // of the address with most connections. Busy connections yield only with busy set, last of all.
 func Yielding(conns []Conn, n int, now time.Time, busy bool) []int {
 	held := make(map[netip.Addr]int)
 	var order []int
 	for i, c := range conns {
 		held[c.Address]++
-		if c.Phase != Busy || busy {
+		if rank(c, now) < working || busy {
 			order = append(order, i)
 		}
 	}
@@ -69,18 +72,32 @@
 // rank returns the place of a connection's kind in the order of yielding.
 func rank(c Conn, now time.Time) int {
 	switch {
-	case c.Phase == Busy:
-		return 4
+	case c.Phase == Busy, c.Phase == Receiving && age(c, now) < youngAge:
+		return working
+	case c.Phase == Receiving:
+		return 3
 	case c.Phase == Idle:
 		return 2
 	case c.Phase == Ended:
 		return 1
 	case age(c, now) < youngAge:
-		return 3
+		return 4
 	}
 	return 0
 }
 
+// working is the rank of connections that are at work.
+const working = 5
+
+// leastRate is the rate, in bytes per second, below which a body is late.
+const leastRate = 64 << 10
+
+// Lateness returns how late a body is of which some bytes have arrived, if the host has waited for it for
+// a time.
+func Lateness(waited time.Duration, received int64) time.Duration {
+	return max(0, waited-time.Duration(float64(received)/leastRate*float64(time.Second)))
+}
+
 // Batch returns how many connections to close at once when all of a limit are open, so that the
 // connections needn't be compared for each new one.
 func Batch(limit int) int { return max(1, limit/16) }
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -44,6 +44,17 @@
 	require.NotContains(t, Yielding(conns, 20, now, false), 0)
 }
 
+// A body that stops, or drips, yields after idle connections; one that arrives as it should does not.
+func TestLateBodiesYield(t *testing.T) {
+	conns := []Conn{
+		conn(Receiving, Lateness(20*time.Second, 4<<20), one),
+		conn(Receiving, Lateness(5*time.Second, 10), one),
+		conn(Idle, time.Millisecond, one),
+		conn(Unfinished, time.Millisecond, one),
+	}
+	require.Equal(t, []int{2, 1, 3}, Yielding(conns, 4, now, false))
+}
+
 func TestAgeCountsBeforeAddress(t *testing.T) {
 	conns := []Conn{conn(Idle, time.Second, many), conn(Idle, time.Second, many), conn(Idle, 5*time.Second, one)}
 	require.Equal(t, []int{2}, Yielding(conns, 1, now, false))
--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -30,6 +30,8 @@
 	since time.Time
 	// writeDeadline is the deadline that the server or a handler has set. It may be zero.
 	writeDeadline time.Time
+	// body is the body of the request that is handled, until it has arrived. It may be nil.
+	body *trackedBody
 	// ended is true once the writing side is closed.
 	ended bool
 	// arrived is true if bytes were read since the connection was last idle.
@@ -98,7 +100,7 @@
 		c.since = time.Now()
 	}
 	if state == http.StateIdle {
-		c.arrived = false
+		c.arrived, c.body = false, nil
 	}
 }
 
@@ -147,10 +149,14 @@
 }
 
 // describe returns what decides whether the connection yields to others.
-func (c *trackedConn) describe() connlimit.Conn {
+func (c *trackedConn) describe(now time.Time) connlimit.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return connlimit.Conn{Phase: c.phase(), Since: c.since, Address: c.address}
+	d := connlimit.Conn{Phase: c.phase(), Since: c.since, Address: c.address}
+	if d.Phase == connlimit.Receiving {
+		d.Since = now.Add(-connlimit.Lateness(c.body.waitedAt(now), c.body.received))
+	}
+	return d
 }
 
 // phase returns what the connection is used for. The caller holds mu.
@@ -158,6 +164,8 @@
 	switch {
 	case c.ended:
 		return connlimit.Ended
+	case c.body != nil:
+		return connlimit.Receiving
 	case c.state == http.StateActive:
 		return connlimit.Busy
 	case c.state == http.StateIdle && !c.arrived:
--- a/fleet/callerserver/door.go
+++ b/fleet/callerserver/door.go
@@ -56,6 +56,10 @@
 		if !open {
 			panic(http.ErrAbortHandler)
 		}
+		if r.ContentLength != 0 {
+			r = c.receive(r)
+			defer c.endReceive()
+		}
 		if first {
 			s.handler.ServeHTTP(w, r)
 			return
--- a/fleet/callerserver/room.go
+++ b/fleet/callerserver/room.go
@@ -90,7 +90,7 @@
 	open := make([]*trackedConn, 0, len(s.conns))
 	described := make([]connlimit.Conn, 0, len(s.conns))
 	for c := range s.conns {
-		open, described = append(open, c), append(described, c.describe())
+		open, described = append(open, c), append(described, c.describe(now))
 	}
 	yielded, batch := 0, connlimit.Batch(s.room.limit.Conns)
 	for _, i := range connlimit.Yielding(described, len(described), now, s.room.limit.Interrupt) {
