--- a/fleet/callerserver/body.go
+++ b/fleet/callerserver/body.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// discardTimeout bounds how long a server waits for the rest of a body that the handler has not read.
+const discardTimeout = time.Second
+
 // trackedBody is a request's body that knows how long the host has waited for it.
 type trackedBody struct {
 	io.ReadCloser
@@ -65,4 +68,15 @@
 	}
 	now := time.Now()
 	c.body.waited, c.body.waitingSince = c.body.waitedAt(now), now
+	if c.readDeadline.IsZero() {
+		_ = c.Conn.SetReadDeadline(now.Add(discardTimeout))
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	return c.Conn.SetReadDeadline(t)
 }
--- a/fleet/callerserver/body_test.go
+++ b/fleet/callerserver/body_test.go
@@ -1,7 +1,9 @@
 package callerserver
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -20,3 +22,22 @@
 		return err == nil && status == http.StatusOK
 	}, 10*time.Second, 50*time.Millisecond)
 }
+
+// A handler refuses a request without reading its body, which then stops. The caller gets its answer.
+func TestRefusalIsSentThoughTheBodyStops(t *testing.T) {
+	s, l := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) }))
+	conn, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nshort")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusUnauthorized, resp.StatusCode)
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.conns) == 0
+	}, 10*time.Second, 10*time.Millisecond)
+}
--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -30,6 +30,8 @@
 	since time.Time
 	// writeDeadline is the deadline that the server or a handler has set. It may be zero.
 	writeDeadline time.Time
+	// readDeadline is the deadline that the server or a handler has set. It may be zero.
+	readDeadline time.Time
 	// body is the body of the request that is handled, until it has arrived. It may be nil.
 	body *trackedBody
 	// ended is true once the writing side is closed.
