--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -1,6 +1,7 @@
 package callerserver
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -54,7 +55,8 @@
 	return tracked
 }
 
-// Read implements net.Conn. What arrives once the server has decided to close the connection is dropped.
+// Read implements net.Conn. What arrives once the server has decided to close the connection is dropped;
+// the HTTP server answers other errors than the end of the input with status 400.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
@@ -63,7 +65,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		return 0, net.ErrClosed
+		return 0, io.EOF
 	}
 	if c.state == http.StateIdle && !c.arrived {
 		c.since = time.Now()
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -21,6 +21,7 @@
 	"github.com/hazelworks/hazelworks/core/build"
 	"github.com/hazelworks/hazelworks/core/catalog"
 	"github.com/hazelworks/hazelworks/core/platform"
+	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/roster"
 	"github.com/hazelworks/hazelworks/core/routes"
 	"github.com/hazelworks/hazelworks/fleet/admin"
@@ -445,7 +446,18 @@
 // hostsRewound applies the hosts' entries of a log that came back from an older copy. Those
 // that are not in it are written again by the hosts themselves, as is this host's own.
 func (h *Host) hostsRewound(records []platform.KeyedRecord) {
+	h.hosts.forgetEntries()
 	h.hosts.apply(records)
+	h.writeEntryAgain()
+}
+
+// entryReplaced writes this host's entry again after a late write of an earlier run took its place.
+func (h *Host) entryReplaced(run uint64, offset record.Offset) {
+	h.log.Info("Entry of this host was replaced by that of another run.", "run", run, "offset", offset)
+	h.writeEntryAgain()
+}
+
+func (h *Host) writeEntryAgain() {
 	select {
 	case h.announceAgain <- struct{}{}:
 	default:
@@ -460,7 +472,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = h.opt.Log.Put(ctx, h.opt.Protocol.HostStream, platform.Writer{}, []platform.KeyedRecord{{Key: string(h.cfg.Host), Value: value}})
+	end, err := h.opt.Log.Put(ctx, h.opt.Protocol.HostStream, platform.Writer{}, []platform.KeyedRecord{{Key: string(h.cfg.Host), Value: value}})
+	if err == nil {
+		h.hosts.entryWritten(end.Offset)
+	}
 	return err
 }
 
