--- a/fleet/callerserver/room_test.go
+++ b/fleet/callerserver/room_test.go
@@ -161,6 +161,7 @@
 	const limit, callers, rounds = 16, 48, 60
 	handled := &handledRequests{ids: make(map[string]bool)}
 	s := startLimitedServer(t, handled, ConnLimit{Conns: limit})
+	flood(t, s.address, "", 4*limit)
 	var group sync.WaitGroup
 	for caller := range callers {
 		group.Go(func() {
@@ -184,7 +185,7 @@
 						break
 					}
 				}
-				_ = conn.Close()
+				defer func() { _ = conn.Close() }() // idle until then
 			}
 		})
 	}
