--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -111,7 +111,7 @@
 		Quarantine: h.quarantines, Origins: h.origins, Shares: h.shares,
 		Forward: relay.ForwardOptions{Self: h.self, Hosts: h.hosts.others, Dial: h.opt.Network.Dialer(peerSockets)}, MemoryBytes: h.cfg.Limits.MemoryBytes, Logger: h.opt.Logger, Metrics: h.opt.Metrics,
 	})
-	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
+	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderBytes: startHeaderBytes, HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
 		func(err error) { h.log.Error(err, "Serving callers failed.") }, callerserver.WithDoor(h.load), callerserver.WithListen(h.listenCallers),
 		callerserver.WithConnLimit(h.connLimit("callers", h.connShares().Callers)))
 	h.peers = callerserver.New(h.peerHandler(), peerLimits(0), func(err error) { h.log.Error(err, "Serving other hosts failed.") },
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -217,6 +217,7 @@
 
 // Limits of callers' connections until the first configuration is read.
 const (
+	startHeaderBytes   = 64 << 10
 	startHeaderTimeout = 3 * time.Second
 	startIdleTimeout   = 15 * time.Second
 )
