--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -20,7 +20,7 @@
 }
 
 // Server serves callers. A connection keeps the limits that were in force when it was
-// opened.
+// opened. If others allow more, it is closed as soon as no request of it is in progress.
 type Server struct {
 	handler http.Handler
 	onError func(error)
@@ -66,6 +66,9 @@
 	if s.closed || s.current != nil && l == s.limits {
 		return
 	}
+	if s.current != nil && l.allowMore(s.limits) {
+		s.retireConns()
+	}
 	s.limits = l
 	g := &generation{
 		server: &http.Server{
@@ -91,6 +94,21 @@
 	}()
 }
 
+// allowMore reports whether a request that keeps the limits may break others.
+func (l Limits) allowMore(than Limits) bool {
+	return l.HeaderBytes > than.HeaderBytes || l.HeaderTimeout > than.HeaderTimeout
+}
+
+// retireConns has all connections closed that are open. The caller holds mu.
+func (s *Server) retireConns() {
+	now := time.Now()
+	for c := range s.conns {
+		if c.retire(now) {
+			s.forget(c)
+		}
+	}
+}
+
 // Serve accepts connections until the listener is closed or the server shuts down. It then
 // returns nil.
 func (s *Server) Serve(l net.Listener) error {
@@ -238,7 +256,8 @@
 		return
 	}
 	c.setState(state)
-	if state != http.StateClosed && state != http.StateHijacked {
+	closed := state == http.StateClosed || state == http.StateHijacked
+	if !closed && (state != http.StateIdle || !c.isRetired() || !c.closeIdle(time.Now())) {
 		return
 	}
 	s.mu.Lock()
--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -41,6 +41,9 @@
 	arrived bool
 	// served is true once a request was served.
 	served bool
+	// retired is true once limits are in force that allow more than those of the connection. It is closed
+	// after its next answer.
+	retired bool
 	// closing is true once the server has decided to close the connection. No request of it is
 	// handled then.
 	closing bool
@@ -108,6 +111,21 @@
 	}
 }
 
+// retire has the connection closed after its next answer, or at once if it is idle, and reports whether it
+// was closed.
+func (c *trackedConn) retire(now time.Time) bool {
+	c.mu.Lock()
+	c.retired = true
+	c.mu.Unlock()
+	return c.closeIdle(now)
+}
+
+func (c *trackedConn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
 // closeIdle closes the connection if no request is in progress and none has arrived, and reports
 // whether it did. From the decision on, no request of the connection is handled.
 func (c *trackedConn) closeIdle(now time.Time) bool {
--- a/fleet/callerserver/door.go
+++ b/fleet/callerserver/door.go
@@ -60,6 +60,9 @@
 			r = c.receive(r)
 			defer c.endReceive()
 		}
+		if c.isRetired() {
+			w = closingWriter{w}
+		}
 		if first {
 			s.handler.ServeHTTP(w, r)
 			return
