--- a/fleet/relay/progress.go
+++ b/fleet/relay/progress.go
@@ -12,7 +12,7 @@
 type stage int32
 
 const (
-	stageArrived stage = iota
+	_ stage = iota // arrived
 	// stageWaiting is from the end of the body until the request is sent to an upstream.
 	stageWaiting
 	stageSent
