--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -39,9 +39,11 @@
 type Body struct {
 	account *account
 	began   time.Time
-	number  uint64
-	held    int64
-	state   state
+	// asked is when it last asked for bytes.
+	asked  time.Time
+	number uint64
+	held   int64
+	state  state
 }
 
 // Held returns the bytes that the body holds.
@@ -98,7 +100,7 @@
 // If bytes don't fit, a body that has not arrived whole yields: it has not been sent to any upstream, so
 // that its refusal is true. Bodies that are whole never yield; their number is bounded by the time of
 // their answers. Small bodies may take all that is free, large ones leave a part to them. No account takes
-// the whole part of the large bodies. The loads that this answers:
+// the whole part of the large bodies, or all of the budget. The loads that this answers:
 //
 //   - Many bodies that stop short of their end, or drip, beside ordinary requests: those yield that are
 //     late for their size.
@@ -217,6 +219,10 @@
 }
 
 func (b *Budget) fitsAccount(x *Body, n int64, own bodies) bool {
+	return b.fitsAccountLarge(x, n, own) && x.account.held.all-own.yielding.all+n <= b.limits.AccountTotal
+}
+
+func (b *Budget) fitsAccountLarge(x *Body, n int64, own bodies) bool {
 	growth := largePart(x.held+n) - largePart(x.held)
 	return growth == 0 || x.account.held.large-own.yielding.large+growth <= b.limits.Account
 }
@@ -235,8 +241,10 @@
 func (b *Budget) choose(x *Body, n int64, now time.Time) *Body {
 	candidate := func(*Body) bool { return true }
 	switch {
-	case !b.fitsAccount(x, n, x.account.bodies):
+	case !b.fitsAccountLarge(x, n, x.account.bodies):
 		candidate = func(y *Body) bool { return y.account == x.account && largePart(y.held) > 0 }
+	case !b.fitsAccount(x, n, x.account.bodies):
+		candidate = func(y *Body) bool { return y.account == x.account }
 	case !b.fitsLarge(x, n, b.all):
 		candidate = func(y *Body) bool { return largePart(y.held) > 0 }
 	}
--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -11,6 +11,8 @@
 	smallShare = 1.0 / 4
 	// accountShare is the share of the large bodies' part that one account may take.
 	accountShare = 3.0 / 4
+	// otherShare is the share of the budget that one account leaves to others.
+	otherShare = 1.0 / 16
 	// accountBodies is the number of bodies at the limit that one account may always have, as far
 	// as the large bodies' part holds them.
 	accountBodies = 2
@@ -18,11 +20,12 @@
 
 // Limits bound the memory of bodies, in bytes.
 type Limits struct {
-	// Total bounds all bodies together, Large all large ones, and Account the large ones of one
-	// account.
-	Total   int64
-	Large   int64
-	Account int64
+	// Total bounds all bodies together, Large all large ones, Account the large ones of one
+	// account, and AccountTotal all of one account.
+	Total        int64
+	Large        int64
+	Account      int64
+	AccountTotal int64
 }
 
 // LimitsFor returns the limits on a machine with memory bytes, or zero if that is not known, where one
@@ -39,5 +42,5 @@
 	total := max(int64(memoryShare*float64(memory)), int64(float64(maxBody)/largeShare)+1)
 	large := int64(largeShare * float64(total))
 	account := min(large, max(int64(accountShare*float64(large)), accountBodies*maxBody))
-	return Limits{Total: total, Large: large, Account: account}
+	return Limits{Total: total, Large: large, Account: account, AccountTotal: max(account, int64((1-otherShare)*float64(total)))}
 }
