--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -102,8 +102,8 @@
 // their answers. Small bodies may take all that is free, large ones leave a part to them. No account takes
 // the whole part of the large bodies, or all of the budget. The loads that this answers:
 //
-//   - Many bodies that stop short of their end, or drip, beside ordinary requests: those yield that are
-//     late for their size.
+//   - Many bodies that stop short of their end, or drip, beside ordinary requests and callers on slow
+//     links: those yield that are late for their size and don't go on.
 //   - One account, or strangers without a key, who send more than all others together: theirs yield.
 //   - Many large bodies at full speed: the newest yields, so that those before it are completed.
 type Budget struct {
@@ -135,7 +135,7 @@
 	}
 	a.count++
 	b.last++
-	x := &Body{account: a, began: now, number: b.last}
+	x := &Body{account: a, began: now, asked: now, number: b.last}
 	b.arriving[x] = struct{}{}
 	return x
 }
@@ -143,6 +143,7 @@
 // Take asks for n more bytes, of which the first has arrived. It returns the bodies that have to yield
 // from now on; each is returned once.
 func (b *Budget) Take(x *Body, n int64, now time.Time) (Verdict, []*Body) {
+	x.asked = now
 	if x.state == yielding {
 		return Yield, nil
 	}
@@ -271,8 +272,10 @@
 	return x.number > y.number
 }
 
-// cost returns the bytes that a body holds times the seconds by which it is late for its size.
+// cost returns the bytes that a body holds times the seconds by which it is late for its size. A body that
+// goes on to arrive is not late, however slow its link is.
 func (x *Body) cost(now time.Time) float64 {
 	usual := usualDelay + time.Duration(float64(x.held)/usualRate*float64(time.Second))
-	return float64(x.held) * max(0, (now.Sub(x.began)-usual).Seconds())
+	late := min(now.Sub(x.began)-usual, now.Sub(x.asked)-usualDelay)
+	return float64(x.held) * max(0, late.Seconds())
 }
