--- a/core/connlimit/share.go
+++ b/core/connlimit/share.go
@@ -20,6 +20,9 @@
 	connBytes = 64 << 10
 	// memoryShare is the part of the memory, as a divisor, that connections of callers may take.
 	memoryShare = 4
+	// checksShare is the part of that number, as a divisor, for each port of checks. Their heads are small,
+	// and those who ask may keep their connections.
+	checksShare = 4
 	// minChecks leaves room for the checks of a small host.
 	minChecks = 8
 )
@@ -40,5 +43,5 @@
 	if callers == 0 {
 		return Limits{}
 	}
-	return Limits{Callers: callers, Hosts: max(minChecks, callers/2), Checks: max(minChecks, callers/16)}
+	return Limits{Callers: callers, Hosts: max(minChecks, callers), Checks: max(minChecks, callers/checksShare)}
 }
