--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -1,12 +1,12 @@
 package exchange
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -65,6 +65,8 @@
 	// asyncBodyBytes is the size from which a body is written while the answer is read.
 	// An upstream may answer before it has read the whole body.
 	asyncBodyBytes = 2 << 10
+	// writeBytes is the most that is written with one call. Parts of a body are joined up to that size.
+	writeBytes = 64 << 10
 	// maxHeadBytes bounds the head of an answer.
 	maxHeadBytes = 64 << 10
 	// maxForeignAnswers bounds the number of answers to other requests that are skipped.
@@ -135,13 +137,22 @@
 		return
 	}
 	go func() {
-		parts := append(net.Buffers{head}, req.Body...)
-		_, err := parts.WriteTo(r.conn.Conn)
+		err := writeParts(r.conn, head, req)
 		req.written()
 		r.wrote <- err
 	}()
 }
 
+// writeParts writes a head and a body with few calls. An error of one write fails those after it.
+func writeParts(w io.Writer, head []byte, req *Request) error {
+	buffered := bufio.NewWriterSize(w, min(writeBytes, len(head)+req.size()))
+	_, _ = buffered.Write(head)
+	for _, part := range req.Body {
+		_, _ = buffered.Write(part)
+	}
+	return buffered.Flush()
+}
+
 // size returns the size of the body in bytes.
 func (r *Request) size() int {
 	size := 0
