--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -40,7 +40,15 @@
 	}
 	const largeShare = 1 - smallShare
 	total := max(int64(memoryShare*float64(memory)), int64(float64(maxBody)/largeShare)+1)
-	large := int64(largeShare * float64(total))
+	return limitsOf(total, int64(largeShare*float64(total)), maxBody)
+}
+
+// LimitsWithin returns the limits for bodies of at most maxBody bytes that may take total bytes together.
+func LimitsWithin(total, maxBody int64) Limits {
+	return limitsOf(total, min(total, max(int64((1-smallShare)*float64(total)), maxBody)), maxBody)
+}
+
+func limitsOf(total, large, maxBody int64) Limits {
 	account := min(large, max(int64(accountShare*float64(large)), accountBodies*maxBody))
 	return Limits{Total: total, Large: large, Account: account, AccountTotal: max(account, int64((1-otherShare)*float64(total)))}
 }
--- a/fleet/gateway/bodies.go
+++ b/fleet/gateway/bodies.go
@@ -29,10 +29,9 @@
 
 // newBodies returns the memory of all bodies, of which one has at most maxBody bytes.
 func newBodies(total, maxBody int64, held metrics.Gauge, yielded metrics.Counter) *bodies {
-	large := max(total*3/4, min(total, maxBody))
 	b := &bodies{
 		held: held, yielded: yielded, interrupts: make(map[*intake.Body]func()),
-		budget: intake.New(intake.Limits{Total: total, Large: large, Account: min(large, max(large*3/4, 2*maxBody))}),
+		budget: intake.New(intake.LimitsWithin(total, maxBody)),
 	}
 	b.changed.L = &b.mu
 	return b
