--- a/fleet/callerserver/room.go
+++ b/fleet/callerserver/room.go
@@ -97,7 +97,8 @@
 		if yielded == batch {
 			break
 		}
-		if open[i].yield(described[i].Phase, s.room.limit.Interrupt) {
+		busy := described[i].Phase == connlimit.Busy || described[i].Phase == connlimit.Receiving
+		if open[i].yield(described[i].Phase, busy && s.room.limit.Interrupt) {
 			s.forget(open[i])
 			yielded++
 		}
