--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -42,9 +42,10 @@
 const youngAge = time.Second
 
 // Yielding returns the indices of at most n connections to close so that others can be opened, in
-// this order: unfinished ones that are no longer young, ended ones, idle ones, those
-// whose body is late by a second, young unfinished ones. Of each kind those in the phase for longest go first; among those that differ by less than a second, those
-// of the address with most connections. Busy connections yield only with busy set, last of all.
+// this order: unfinished ones that are no longer young, ended ones, idle ones, those whose body is late by a
+// second, young unfinished ones. Of each kind those in the phase for longest go first; among those that
+// differ by less than a second, those of the address with most connections. Busy connections yield only
+// with busy set, last of all.
 func Yielding(conns []Conn, n int, now time.Time, busy bool) []int {
 	held := make(map[netip.Addr]int)
 	var order []int
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -124,8 +124,8 @@
 
 // Upsert adds or updates a host by its description from the log. A new run counts
 // as alive until a heartbeat of it is overdue. The description of a run that another one
-// has replaced has no effect, unless it was written again since. The description of a known run changes neither its state nor
-// a leaving mark from a heartbeat. It reports whether the run is new.
+// has replaced has no effect, unless it was written again since. The description of a known run changes
+// neither its state nor a leaving mark from a heartbeat. It reports whether the run is new.
 func (t *Table) Upsert(h Host, now time.Time) (newRun bool) {
 	if h.ID == t.self.ID {
 		return false
