--- a/fleet/callerserver/room_test.go
+++ b/fleet/callerserver/room_test.go
@@ -14,6 +14,8 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/core/connlimit"
 )
 
 // limitedServer is a server with a limit of connections.
@@ -79,6 +81,20 @@
 	}
 }
 
+// awaitIdle waits until the server counts all of its open connections as idle.
+func (s *limitedServer) awaitIdle(t *testing.T) {
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			if c.describe(time.Now()).Phase != connlimit.Idle {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, time.Millisecond)
+}
+
 // The connections that strangers keep after a short request yield before one that was used since.
 func TestConnectionInUseOutlastsIdleOnes(t *testing.T) {
 	const limit = 32
@@ -87,12 +103,23 @@
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
+	_, err = ask(conn, reader)
+	require.NoError(t, err)
 	for range 8 {
-		flood(t, s.address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", limit/2)
+		for range limit / 2 {
+			stranger, err := net.Dial("tcp", s.address)
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = stranger.Close() })
+			_, err = ask(stranger, bufio.NewReader(stranger))
+			require.NoError(t, err)
+		}
+		s.awaitIdle(t)
 		status, err := ask(conn, reader)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, status)
+		s.awaitIdle(t)
 	}
+	require.Positive(t, metrics.GetOrRegisterCounter("connections.yielded.test", s.metrics).Count())
 }
 
 // A request that is handled keeps its connection, also one that was sent together with the one before
