--- a/cmd/internal/soak/testbed.go
+++ b/cmd/internal/soak/testbed.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -51,8 +52,7 @@
 	// replaced by, or "". lacking is the build that lacks otherLacks.
 	binary, other, lacking string
 	otherLacks             []string
-	// netOctet is the second octet of all loopback addresses. It depends on the process
-	// ID, so that the addresses of concurrent soaks rarely collide.
+	// netOctet is the second octet of all loopback addresses. No other soak that runs has it.
 	netOctet  int
 	log       *memkeyed.Log
 	recorder  standin.RunRecorder
@@ -107,7 +107,7 @@
 
 func newTestbed(dir string, opt Options, prepaid int64, hosts int) (*testbed, error) {
 	tb := &testbed{
-		dir: dir, binary: opt.Binary, netOctet: 16 + os.Getpid()%200, log: memkeyed.New(),
+		dir: dir, binary: opt.Binary, log: memkeyed.New(),
 		prepaid: prepaid, version: 1, stopped: make(chan struct{}), crashes: make(map[string][]time.Time),
 	}
 	tb.chooseBuilds(opt)
@@ -152,8 +152,29 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", tb.netOctet, role, index+1, port)
 }
 
+// Second octets of the loopback addresses of soaks.
+const (
+	firstNetOctet = 16
+	netOctets     = 200
+)
+
+// listenStore opens the store's address and chooses the second octet of all addresses. The open address
+// keeps the octet from other soaks.
+func (tb *testbed) listenStore() (net.Listener, error) {
+	var l net.Listener
+	var err error
+	for i := range netOctets {
+		tb.netOctet = firstNetOctet + (os.Getpid()+i)%netOctets
+		l, err = net.Listen("tcp", tb.address(0, 0, storePort))
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+	}
+	return l, err
+}
+
 func (tb *testbed) startStore() error {
-	l, err := net.Listen("tcp", tb.address(0, 0, storePort))
+	l, err := tb.listenStore()
 	if err != nil {
 		return err
 	}
