--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -1,10 +1,12 @@
 package callerserver
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +22,8 @@
 // server learns of a request only after it has read the head.
 type trackedConn struct {
 	net.Conn
+	// raw is the socket of the connection, or nil if it is none.
+	raw      syscall.RawConn
 	openedAt time.Time
 	address  netip.Addr
 	// writeStall bounds how long a write may make no progress. Zero means no bound.
@@ -52,15 +56,69 @@
 func newTrackedConn(c net.Conn) *trackedConn {
 	now := time.Now()
 	tracked := &trackedConn{Conn: c, openedAt: now, since: now}
+	if sys, ok := c.(syscall.Conn); ok {
+		tracked.raw, _ = sys.SyscallConn() // a connection that is closed is read in the usual way
+	}
 	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		tracked.address = tcp.AddrPort().Addr()
 	}
 	return tracked
 }
 
-// Read implements net.Conn. What arrives once the server has decided to close the connection is dropped;
-// the HTTP server answers other errors than the end of the input with status 400.
+// Read implements net.Conn. What arrives once the server has decided to close the connection is not read,
+// so that closing resets the connection and its caller knows that its request wasn't read. The HTTP server
+// answers other errors than the end of the input with status 400.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	if c.raw == nil {
+		return c.readInMemory(p)
+	}
+	var n int
+	var readErr error
+	err := c.raw.Read(func(fd uintptr) (done bool) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closing {
+			readErr = io.EOF
+			return true
+		}
+		n, readErr = readOnce(int(fd), p)
+		if n > 0 {
+			c.noteArrival()
+		}
+		return !errors.Is(readErr, syscall.EAGAIN)
+	})
+	var opErr *net.OpError
+	switch {
+	case errors.As(err, &opErr):
+		return 0, c.readError(opErr.Err)
+	case err != nil:
+		return 0, c.readError(err)
+	case readErr == nil && n == 0 && len(p) > 0, readErr == io.EOF:
+		return 0, io.EOF
+	case readErr != nil:
+		return 0, c.readError(os.NewSyscallError("read", readErr))
+	}
+	return n, nil
+}
+
+// readError returns an error as [net.TCPConn] returns it. The HTTP server looks at the name of the operation.
+func (c *trackedConn) readError(err error) error {
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
+// readOnce reads what a socket has, without waiting for more.
+func readOnce(fd int, p []byte) (int, error) {
+	for {
+		n, err := syscall.Read(fd, p)
+		if !errors.Is(err, syscall.EINTR) {
+			return max(0, n), err
+		}
+	}
+}
+
+// readInMemory reads from a connection that is no socket, where what arrives at the moment of the close is
+// dropped.
+func (c *trackedConn) readInMemory(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -70,11 +128,16 @@
 	if c.closing {
 		return 0, io.EOF
 	}
+	c.noteArrival()
+	return n, err
+}
+
+// noteArrival notes that bytes of a request were read. The caller holds mu.
+func (c *trackedConn) noteArrival() {
 	if c.state == http.StateIdle && !c.arrived {
 		c.since = time.Now()
 	}
 	c.arrived = true
-	return n, err
 }
 
 // CloseWrite closes the writing side, so that a caller reads the end of its answer before
@@ -142,7 +205,7 @@
 // isIdle reports whether no request is in progress and none has arrived. The caller holds mu.
 func (c *trackedConn) isIdle(now time.Time) bool {
 	switch {
-	case c.arrived || hasUnread(c.Conn):
+	case c.arrived || c.hasUnread():
 		return false
 	case c.state == http.StateNew:
 		return now.Sub(c.openedAt) >= newConnWait
@@ -150,19 +213,14 @@
 	return c.state == http.StateIdle
 }
 
-// hasUnread reports whether a connection has data that was not read yet. It may be called
-// while another goroutine reads. It returns false if the connection is no socket.
-func hasUnread(c net.Conn) bool {
-	sys, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
+// hasUnread reports whether the connection has data that was not read yet. It returns false if the
+// connection is no socket. The caller holds mu, so that nothing is read meanwhile.
+func (c *trackedConn) hasUnread() bool {
+	if c.raw == nil {
 		return false
 	}
 	unread := false
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		var one [1]byte
 		n, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		unread = peekErr == nil && n > 0
@@ -202,7 +260,7 @@
 func (c *trackedConn) yield(phase connlimit.Phase, interrupt bool) bool {
 	c.mu.Lock()
 	waits := phase == connlimit.Idle || phase == connlimit.Unfinished
-	c.closing = c.closing || interrupt || c.phase() == phase && !(waits && hasUnread(c.Conn))
+	c.closing = c.closing || interrupt || c.phase() == phase && !(waits && c.hasUnread())
 	closing := c.closing
 	c.mu.Unlock()
 	if closing {
