--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -256,8 +256,7 @@
 		return
 	}
 	c.setState(state)
-	closed := state == http.StateClosed || state == http.StateHijacked
-	if !closed && (state != http.StateIdle || !c.isRetired() || !c.closeIdle(time.Now())) {
+	if state != http.StateClosed && state != http.StateHijacked {
 		return
 	}
 	s.mu.Lock()
--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -43,6 +43,11 @@
 	ended bool
 	// arrived is true if bytes were read since the connection was last idle.
 	arrived bool
+	// waiting is true while the HTTP server waits for bytes of the next request. Until then its buffer may
+	// hold some that came with the request before.
+	waiting bool
+	// bufferSize is the size of the HTTP server's buffer in bytes, or zero before the first read.
+	bufferSize int
 	// served is true once a request was served.
 	served bool
 	// retired is true once limits are in force that allow more than those of the connection. It is closed
@@ -81,11 +86,17 @@
 			readErr = io.EOF
 			return true
 		}
+		c.noteBuffered(len(p))
 		n, readErr = readOnce(int(fd), p)
+		c.waiting = errors.Is(readErr, syscall.EAGAIN)
 		if n > 0 {
 			c.noteArrival()
 		}
-		return !errors.Is(readErr, syscall.EAGAIN)
+		if c.endsRetired() {
+			readErr = io.EOF
+			return true
+		}
+		return !c.waiting
 	})
 	var opErr *net.OpError
 	switch {
@@ -119,12 +130,21 @@
 // readInMemory reads from a connection that is no socket, where what arrives at the moment of the close is
 // dropped.
 func (c *trackedConn) readInMemory(p []byte) (int, error) {
+	c.mu.Lock()
+	c.noteBuffered(len(p))
+	c.waiting = true
+	ends := c.endsRetired()
+	c.mu.Unlock()
+	if ends {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
 	if n == 0 {
 		return n, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.closing {
 		return 0, io.EOF
 	}
@@ -132,6 +152,17 @@
 	return n, err
 }
 
+// noteBuffered notes that a request has begun to arrive if the HTTP server reads less than its buffer
+// holds, as it does with bytes of that request in the buffer. The caller holds mu.
+func (c *trackedConn) noteBuffered(read int) {
+	if c.state == http.StateNew && c.bufferSize == 0 {
+		c.bufferSize = read
+	}
+	if c.state == http.StateIdle && read < c.bufferSize {
+		c.noteArrival()
+	}
+}
+
 // noteArrival notes that bytes of a request were read. The caller holds mu.
 func (c *trackedConn) noteArrival() {
 	if c.state == http.StateIdle && !c.arrived {
@@ -170,12 +201,12 @@
 		c.since = time.Now()
 	}
 	if state == http.StateIdle {
-		c.arrived, c.body = false, nil
+		c.arrived, c.waiting, c.body = false, false, nil
 	}
 }
 
-// retire has the connection closed after its next answer, or at once if it is idle, and reports whether it
-// was closed.
+// retire has the connection closed after its next answer or once it is idle, and reports whether it was
+// closed at once.
 func (c *trackedConn) retire(now time.Time) bool {
 	c.mu.Lock()
 	c.retired = true
@@ -183,6 +214,13 @@
 	return c.closeIdle(now)
 }
 
+// endsRetired reports whether the connection is closed now because it is retired and has become idle. The
+// caller holds mu.
+func (c *trackedConn) endsRetired() bool {
+	c.closing = c.closing || c.retired && c.waiting && c.state == http.StateIdle && !c.arrived
+	return c.closing
+}
+
 func (c *trackedConn) isRetired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -210,7 +248,7 @@
 	case c.state == http.StateNew:
 		return now.Sub(c.openedAt) >= newConnWait
 	}
-	return c.state == http.StateIdle
+	return c.state == http.StateIdle && c.waiting
 }
 
 // hasUnread reports whether the connection has data that was not read yet. It returns false if the
@@ -246,7 +284,7 @@
 		return connlimit.Ended
 	case c.body != nil:
 		return connlimit.Receiving
-	case c.state == http.StateActive:
+	case c.state == http.StateActive, c.state == http.StateIdle && !c.arrived && !c.waiting:
 		return connlimit.Busy
 	case c.state == http.StateIdle && !c.arrived:
 		return connlimit.Idle
--- a/fleet/callerserver/stop_test.go
+++ b/fleet/callerserver/stop_test.go
@@ -173,6 +173,43 @@
 	closer.Wait()
 }
 
+// A caller sends its next request, or the begin of it, together with the one before. Both are in the
+// server's buffer, which looks empty from outside, as idle connections are closed. Both are answered.
+func TestRequestInTheServersBufferIsAnswered(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, early := range map[string]int{"whole": len(request), "half": len(request) / 2, "two bytes": 2} {
+		t.Run(name, func(t *testing.T) {
+			s, l := startServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			ctx, stop := context.WithCancel(t.Context())
+			var closer sync.WaitGroup
+			closer.Go(func() {
+				for ctx.Err() == nil {
+					s.CloseIdle()
+					time.Sleep(10 * time.Microsecond) // lets a host with one processor read
+				}
+			})
+			defer closer.Wait()
+			defer stop()
+			for range 300 {
+				conn, err := net.Dial("tcp", l.Addr().String())
+				require.NoError(t, err)
+				reader := bufio.NewReader(conn)
+				_, err = io.WriteString(conn, request+request[:early])
+				require.NoError(t, err)
+				resp, err := http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.NoError(t, err)
+				_, err = io.WriteString(conn, request[early:])
+				require.NoError(t, err)
+				_, err = http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+				_ = conn.Close()
+			}
+		})
+	}
+}
+
 // A connection was accepted, but the HTTP server has not noticed it when the stop looks for open ones.
 // The stop waits for its request.
 func TestStopWaitsForConnectionsThatWereJustAccepted(t *testing.T) {
