--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -118,6 +118,12 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.progress.cancel.Store(&cancel)
+	// Checked after Store, so that an end that comes meanwhile is not missed.
+	if c.r.ended.Load() {
+		cancel(errHostEnds)
+		c.giveUp(ctx, errHostEnds)
+		return
+	}
 	c.flight = c.r.opt.Quarantine.Enter(c.subjects, c.accountHash, cancel)
 	defer c.flight.Leave()
 	// Checked after Enter, so that a quarantine that begins meanwhile is not missed.
--- a/fleet/relay/progress.go
+++ b/fleet/relay/progress.go
@@ -99,8 +99,9 @@
 var errHostEnds = errors.New("the host ends")
 
 // End ends the requests that have not ended: those of which no part of the answer was passed on are
-// refused, the others are cut off.
+// refused, the others are cut off. Those that begin later are refused.
 func (r *Relay) End() {
+	r.ended.Store(true)
 	for _, p := range r.progress.all() {
 		if cancel := p.cancel.Load(); cancel != nil {
 			(*cancel)(errHostEnds)
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -74,7 +74,9 @@
 	helpers   *helpers
 	draining  atomic.Bool
 	// ending is nil while the host takes all requests.
-	ending   atomic.Pointer[ending]
+	ending atomic.Pointer[ending]
+	// ended is true once the requests that had not ended were ended.
+	ended    atomic.Bool
 	progress inProgress
 }
 
@@ -100,15 +102,23 @@
 // ending is when a host that leaves ends.
 type ending struct{ from, end time.Time }
 
-// SetEnd sets the time at which the host ends. Requests that begin from then on and may last longer are
-// rejected.
+// SetEnd sets the time at which the host ends. Requests that have not arrived whole by a time and may last
+// longer are rejected.
 func (r *Relay) SetEnd(from, end time.Time) { r.ending.Store(&ending{from, end}) }
 
-// endsBefore reports whether the host may end before a request that begins now and may last for a
-// time, which is zero if there is no limit.
-func (r *Relay) endsBefore(limit time.Duration) bool {
+// endsBefore reports whether the host may end before a request of which a part arrives now, and which may
+// last until a time. That is zero if there is no limit.
+func (r *Relay) endsBefore(deadline time.Time) bool {
 	e, now := r.ending.Load(), time.Now()
-	return e != nil && !now.Before(e.from) && (limit == 0 || e.end.Sub(now) < limit)
+	return e != nil && !now.Before(e.from) && (deadline.IsZero() || e.end.Before(deadline))
+}
+
+// refuseEnding returns the refusal of a request that may outlast the host.
+func refuseEnding(w http.ResponseWriter, forwarded bool) refusal {
+	if forwarded {
+		w.Header().Set(headerUnreached, "1")
+	}
+	return refusal{status: http.StatusServiceUnavailable, reason: "this host ends before the request's time", retryAfter: startRetryAfter}
 }
 
 // ServeHTTP implements http.Handler.
@@ -160,20 +170,27 @@
 		r.refuseUnread(w, hr, req, refusal{status: http.StatusServiceUnavailable, reason: "this host has more requests than it can carry", retryAfter: retryAfter})
 		return
 	}
-	if r.endsBefore(shorter(route.Timeout, req.Timeout)) {
-		if forwarded {
-			w.Header().Set(headerUnreached, "1")
-		}
-		r.refuseUnread(w, hr, req, refusal{status: http.StatusServiceUnavailable, reason: "this host ends before the request's time", retryAfter: startRetryAfter})
+	limit := shorter(route.Timeout, req.Timeout)
+	var deadline time.Time
+	if limit > 0 {
+		deadline = req.Arrived.Add(limit)
+	}
+	if r.endsBefore(deadline) {
+		r.refuseUnread(w, hr, req, refuseEnding(w, forwarded))
 		return
 	}
-	if f := r.readBody(w, hr, req, table.Limits.BodyBytes, shorter(route.Timeout, req.Timeout), accountName(account)); f.status != 0 {
+	if f := r.readBody(w, hr, req, table.Limits.BodyBytes, limit, accountName(account)); f.status != 0 {
 		if forwarded && f.status == http.StatusServiceUnavailable {
 			w.Header().Set(headerUnreached, "1")
 		}
 		r.refuse(w, req, f)
 		return
 	}
+	if r.endsBefore(deadline) {
+		req.body.release()
+		r.refuse(w, req, refuseEnding(w, forwarded))
+		return
+	}
 	p.reach(stageWaiting)
 	if req.ResumeAfter != "" {
 		r.log.Info("Caller takes up a stream.", "request", req.ID, "resumes", req.Resumes, "after_event", req.ResumeAfter)
