--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -103,14 +103,14 @@
 type ending struct{ from, end time.Time }
 
 // SetEnd sets the time at which the host ends. Requests that have not arrived whole by a time and may last
-// longer are rejected.
+// longer are rejected, and forwarded ones from now on: the host that forwards them has no need of this one.
 func (r *Relay) SetEnd(from, end time.Time) { r.ending.Store(&ending{from, end}) }
 
 // endsBefore reports whether the host may end before a request of which a part arrives now, and which may
 // last until a time. That is zero if there is no limit.
-func (r *Relay) endsBefore(deadline time.Time) bool {
+func (r *Relay) endsBefore(deadline time.Time, forwarded bool) bool {
 	e, now := r.ending.Load(), time.Now()
-	return e != nil && !now.Before(e.from) && (deadline.IsZero() || e.end.Before(deadline))
+	return e != nil && (forwarded || !now.Before(e.from)) && (deadline.IsZero() || e.end.Before(deadline))
 }
 
 // refuseEnding returns the refusal of a request that may outlast the host.
@@ -175,7 +175,7 @@
 	if limit > 0 {
 		deadline = req.Arrived.Add(limit)
 	}
-	if r.endsBefore(deadline) {
+	if r.endsBefore(deadline, forwarded) {
 		r.refuseUnread(w, hr, req, refuseEnding(w, forwarded))
 		return
 	}
@@ -186,7 +186,7 @@
 		r.refuse(w, req, f)
 		return
 	}
-	if r.endsBefore(deadline) {
+	if r.endsBefore(deadline, forwarded) {
 		req.body.release()
 		r.refuse(w, req, refuseEnding(w, forwarded))
 		return
