--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -431,7 +431,7 @@
 	case resultNotSent, resultNotRun:
 		return true
 	}
-	if c.answerStarted && c.route.Kind != routes.KindStream {
+	if c.dropped || c.answerStarted && c.route.Kind != routes.KindStream {
 		return false
 	}
 	if knownfault.RepeatUnsafe {
