--- a/fleet/relay/answer.go
+++ b/fleet/relay/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -84,7 +85,7 @@
 
 // forwardWhole forwards an answer that is not a stream once it is complete, or as it comes
 // if it is too long to be buffered.
-func (c *call) forwardWhole(resp *exchange.Response, lease *balancer.Lease) sendResult {
+func (c *call) forwardWhole(ctx context.Context, resp *exchange.Response, lease *balancer.Lease) sendResult {
 	body, taken, whole, err := c.r.buffers.readAnswer(resp)
 	defer c.r.buffers.giveBack(taken)
 	if err != nil {
@@ -93,7 +94,7 @@
 	}
 	started := (!whole || isSuccess(resp.StatusCode)) && c.recordFirstEvent(lease)
 	if !whole {
-		if !started {
+		if !started || ctx.Err() != nil {
 			return resultLost // the rest of it won't come
 		}
 		return c.forwardLarge(resp, body)
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -214,7 +214,7 @@
 	if c.answerStarted {
 		return resultLost // a stream can't continue with another kind of answer
 	}
-	return c.forwardWhole(resp, lease)
+	return c.forwardWhole(ctx, resp, lease)
 }
 
 // errPromisesTooMuch reports that the status of an upstream's answer would tell the caller that the
