--- a/fleet/balancer/lease.go
+++ b/fleet/balancer/lease.go
@@ -25,7 +25,9 @@
 	startedAt time.Time
 	ended     bool
 	// givenUp is true once the attempt is cancelled because its answer has not started.
-	givenUp    bool
+	givenUp bool
+	// passedOn is true once the caller has a part of the answer, which may be before its first event.
+	passedOn   bool
 	stallTimer *time.Timer
 }
 
@@ -87,10 +89,19 @@
 func (l *Lease) markGivenUp() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.givenUp = !l.started && !l.ended
+	l.givenUp = !l.started && !l.passedOn && !l.ended
 	return l.givenUp
 }
 
+// PassOn records that a part of the answer without an event is passed on. It returns false if the attempt
+// was given up before.
+func (l *Lease) PassOn() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.passedOn = !l.givenUp
+	return l.passedOn
+}
+
 // FirstEvent records the start of the answer. It returns false if the attempt was given up before.
 func (l *Lease) FirstEvent() bool {
 	l.mu.Lock()
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -43,7 +43,7 @@
 		buf = buf[:len(buf)+n]
 		before := run.Events()
 		if end := run.Scan(buf); end > 0 {
-			if run.Events() > 0 && !c.recordFirstEvent(lease) || !c.answerStarted && ctx.Err() != nil {
+			if !c.mayPassOn(run.Events() > 0, lease) || !c.answerStarted && ctx.Err() != nil {
 				return resultLost // the rest of it won't come
 			}
 			if c.unsafe = c.recordOrigin(ctx, resp, lease); c.unsafe != nil {
@@ -75,6 +75,22 @@
 	}
 }
 
+// mayPassOn reports whether a part of the stream may be passed on, after which the attempt is not given up.
+// The first part may be a comment, without an event.
+func (c *call) mayPassOn(hasEvent bool, lease *balancer.Lease) bool {
+	if hasEvent {
+		return c.recordFirstEvent(lease)
+	}
+	if c.answerStarted {
+		return true
+	}
+	if !lease.PassOn() {
+		return false
+	}
+	c.flight.Leave()
+	return true
+}
+
 // endsWithConnection reports whether only the end of the connection ends an answer. If it has
 // no event, the upstream has broken it off.
 func endsWithConnection(resp *exchange.Response) bool {
