--- a/fleet/relay/forward.go
+++ b/fleet/relay/forward.go
@@ -241,11 +241,11 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxNotRunBytes))
 		return forwardNotRun, nil
 	}
-	return c.passOn(resp)
+	return c.passOn(ctx, resp)
 }
 
 // passOn passes the answer of another host on to the caller as it comes.
-func (c *call) passOn(resp *exchange.Response) (forwardResult, error) {
+func (c *call) passOn(ctx context.Context, resp *exchange.Response) (forwardResult, error) {
 	if notrun.States(resp.StatusCode) {
 		switch {
 		case resp.Header.Get(headerForwardNotRun) == "":
@@ -256,6 +256,10 @@
 			return forwardAnswered, nil
 		}
 	}
+	c.flight.Leave() // the answer has begun without a crash
+	if ctx.Err() != nil {
+		return forwardLost, context.Cause(ctx) // the rest of it won't come
+	}
 	copyHeader(c.w.Header(), resp.Header)
 	if resp.ContentLength >= 0 {
 		c.w.Header().Set("Content-Length", resp.Header.Get("Content-Length"))
--- a/fleet/relay/forward_test.go
+++ b/fleet/relay/forward_test.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hazelworks/hazelworks/core/roster"
 	"github.com/hazelworks/hazelworks/core/routes"
+	"github.com/hazelworks/hazelworks/fleet/quarantine"
 )
 
 // headerDecoder passes no header on.
@@ -69,7 +71,8 @@
 			r := &Relay{opt: Options{Decoder: headerDecoder{}, Logger: logr.Discard()}, helpers: newHelpers(ForwardOptions{Dial: (&net.Dialer{}).DialContext})}
 			w := httptest.NewRecorder()
 			call := &call{r: r, w: w, table: &routes.Table{}, route: &routes.Route{}, req: &Request{ID: "r1", Method: http.MethodPost, Target: "/book/1"},
-				hr: httptest.NewRequest(http.MethodPost, "/book/1", nil), runs: c.lost}
+				hr: httptest.NewRequest(http.MethodPost, "/book/1", nil), runs: c.lost,
+				flight: quarantine.New(quarantine.Options{Logger: logr.Discard(), Metrics: metrics.NewRegistry()}).Enter(nil, 0, nil)}
 			result, err := call.forwardTo(t.Context(), roster.Host{ID: "h2", Peer: netip.MustParseAddrPort(server.Listener.Addr().String())})
 			require.Equal(t, c.want, result, "%v", err)
 			require.Equal(t, c.code, w.Code)
