--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -479,6 +479,11 @@
 			return
 		}
 		// All that wait look at the upstreams, at most a thousand times a second together.
-		time.Sleep(max(roomPollInterval, delay, time.Duration(b.awaiting.Load())*time.Millisecond))
+		pause := time.NewTimer(max(roomPollInterval, delay, time.Duration(b.awaiting.Load())*time.Millisecond))
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+		}
 	}
 }
