--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -158,7 +158,9 @@
 	peers   *callerserver.Server
 	load    *hostmeter.Meter
 	leaving atomic.Bool
-	stop    chan struct{}
+	// stop is closed once the host is to stop, after leave is set.
+	stop  chan struct{}
+	leave leaveTimes
 	// announceAgain asks for another write of this host's entry.
 	announceAgain chan struct{}
 }
@@ -397,7 +399,7 @@
 	if h.cfg.Listen.Metrics.IsValid() {
 		add(h.serveQueries("metrics", h.cfg.Listen.Metrics, h.operatorHandler()))
 	}
-	add(h.leave)
+	add(h.awaitLeave)
 	err := group.Run()
 	_ = h.callers.Close()
 	_ = h.peers.Close()
--- a/fleet/relayhost/leave.go
+++ b/fleet/relayhost/leave.go
@@ -12,9 +12,24 @@
 
 // Stop starts a graceful stop; Run returns when it is complete.
 func (h *Host) Stop() {
-	if h.leaving.CompareAndSwap(false, true) {
-		close(h.stop)
+	if !h.leaving.CompareAndSwap(false, true) {
+		return
 	}
+	limit := h.bounds.Load().Grace - graceMargin
+	h.leave = leaveTimes{began: time.Now(), limit: limit, stay: min(lingerTTLs*directoryTTL, time.Duration(maxLingerShare*float64(limit)))}
+	// Set now, since timers and goroutines of a host at its limit are late too.
+	h.relay.SetEnd(h.leave.began.Add(h.leave.stay-signalDelay), h.leave.began.Add(limit))
+	close(h.stop)
+}
+
+// leaveTimes are the times of a stop.
+type leaveTimes struct {
+	// began is when the signal was noticed.
+	began time.Time
+	// limit is the time from there to the last answer.
+	limit time.Duration
+	// stay is the time for which callers may take the host for a sound one.
+	stay time.Duration
 }
 
 // Parts of the time between the signal to stop and the forced kill.
@@ -47,31 +62,27 @@
 	h.log.Info("Leave announced.", "took", time.Since(began))
 }
 
-// leave waits for a call of Stop, then until callers no longer use this host and all
+// awaitLeave waits for a call of Stop, then until callers no longer use this host and all
 // answers are complete.
-func (h *Host) leave(ctx context.Context) error {
+func (h *Host) awaitLeave(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-h.stop:
 	}
-	began := time.Now()
+	began, limit := h.leave.began, h.leave.limit
 	h.log.Info("Leaving.", "grace", h.bounds.Load().Grace, "in_progress", h.relay.LogInProgress(false))
 	if knownfault.CutOnStop {
 		return errStopped
 	}
-	limit := h.bounds.Load().Grace - graceMargin
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithDeadline(ctx, began.Add(limit))
 	defer cancel()
 	h.hosts.mu.Lock()
 	h.hosts.table.SetLeaving()
 	h.hosts.mu.Unlock()
 	h.relay.SetDraining()
 	go h.announceLeave(ctx, began)
-	stay := min(lingerTTLs*directoryTTL, time.Duration(maxLingerShare*float64(limit)))
-	// Set now, since timers of a host at its limit are late too.
-	h.relay.SetEnd(began.Add(stay-signalDelay), began.Add(limit))
-	linger := time.NewTimer(stay)
+	linger := time.NewTimer(time.Until(began.Add(h.leave.stay)))
 	defer linger.Stop()
 	select {
 	case <-linger.C:
