--- a/cmd/internal/crowd/host_test.go
+++ b/cmd/internal/crowd/host_test.go
@@ -53,7 +53,14 @@
 	"calm":  {},
 }
 
+// startHost starts a host that may use as many descriptors as the tests usually set.
 func startHost(t *testing.T, memoryMiB int) *host {
+	t.Helper()
+	return startHostOn(t, bounds{memoryMiB, maxDescriptors})
+}
+
+// startHostOn starts a host on a machine of a size.
+func startHostOn(t *testing.T, machine bounds) *host {
 	t.Helper()
 	h := &host{ip: nextLoopbackIP(), upstreams: make(map[string]*standin.Upstream)}
 	log := memkeyed.New()
@@ -80,12 +87,12 @@
 	path := filepath.Join(t.TempDir(), "boot.conf")
 	settings := standin.HostSettings(standin.HostOptions{
 		Name: "front-1", FailureDomain: "z1", IP: h.ip, Store: storeListener.Addr().String(), Grace: graceTime,
-		MemoryMB: memoryMiB, Descriptors: maxDescriptors,
+		MemoryMB: machine.memoryMiB, Descriptors: machine.descriptors,
 	})
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	cmd := exec.Command(binary("hazelworks"), "platform")
 	cmd.Env = append(os.Environ(), boot.EnvPath+"="+path)
-	h.process = startProcess(t, cmd, bounds{memoryMiB, maxDescriptors})
+	h.process = startProcess(t, cmd, machine)
 	h.requireReachable("after its start")
 	h.requireAnswer("before the crowd")
 	return h
--- a/core/connlimit/share.go
+++ b/core/connlimit/share.go
@@ -45,3 +45,31 @@
 	}
 	return Limits{Callers: callers, Hosts: max(minChecks, callers), Checks: max(minChecks, callers/checksShare)}
 }
+
+// Buffers are the sizes, in bytes, of the kernel's receive buffers of connections at the ports of a host. Zero
+// leaves them to the kernel.
+type Buffers struct{ Callers, Hosts, Checks int }
+
+const (
+	// bufferShare is the part of the memory, as a divisor, for unread bytes of callers. The kernel counts
+	// its own overhead besides, up to as much.
+	bufferShare = 8
+	// hostsBufferShare and checksBufferShare are the parts of a caller's buffer, as divisors, for connections
+	// of other hosts, which are near, and for queries without a body.
+	hostsBufferShare  = 2
+	checksBufferShare = 4
+)
+
+// ReceiveBuffers returns the sizes with which bytes that were received and not yet read fit the memory of a
+// host, whatever callers send on all the connections that [Shares] allows. A caller has 32 KiB at least: twice
+// what a new connection sends before the first acknowledgement, and a body of 4 MiB takes some 130 round trips.
+//
+// The load that it answers: callers who go on to send while the host reads nothing, behind a request whose
+// answer takes long. By default the kernel holds some 100 KiB for each, and megabytes after a fast upload.
+func ReceiveBuffers(r Resources) Buffers {
+	if r.MemoryBytes <= 0 {
+		return Buffers{}
+	}
+	callers := int(r.MemoryBytes / bufferShare / int64(Shares(r).Callers))
+	return Buffers{Callers: callers, Hosts: callers / hostsBufferShare, Checks: callers / checksBufferShare}
+}
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -209,12 +209,6 @@
 	return &http.Client{Transport: &http.Transport{DialContext: h.opt.Network.Dialer(peerSockets), DisableCompression: true}}
 }
 
-// callerSockets are the timeouts of connections from callers, whose paths may be lossy.
-var callerSockets = sockets.Options{
-	UserTimeout: 5 * time.Second,
-	KeepAlive:   5 * time.Second,
-}
-
 // Limits of callers' connections until the first configuration is read.
 const (
 	startHeaderBytes   = 64 << 10
@@ -388,7 +382,7 @@
 	}
 	add(h.budgets.Run)
 	add(h.load.Run)
-	add(h.serve("peers", h.cfg.Listen.Peer, h.peers))
+	add(h.serve("peers", h.cfg.Listen.Peer, h.receiveBuffers().Hosts, h.peers))
 	add(h.runGossip)
 	add(h.announce)
 	add(h.serveCallers)
--- a/fleet/relayhost/ports.go
+++ b/fleet/relayhost/ports.go
@@ -9,6 +9,7 @@
 
 	"github.com/hazelworks/hazelworks/core/connlimit"
 	"github.com/hazelworks/hazelworks/fleet/callerserver"
+	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
 const (
@@ -23,9 +24,20 @@
 	peerBodyTimeout = 3 * time.Second
 )
 
+func (h *Host) resources() connlimit.Resources {
+	return connlimit.Resources{Descriptors: h.cfg.Limits.Descriptors, MemoryBytes: h.cfg.Limits.MemoryBytes}
+}
+
 // connShares returns how many connections may be open at the ports of this host.
-func (h *Host) connShares() connlimit.Limits {
-	return connlimit.Shares(connlimit.Resources{Descriptors: h.cfg.Limits.Descriptors, MemoryBytes: h.cfg.Limits.MemoryBytes})
+func (h *Host) connShares() connlimit.Limits { return connlimit.Shares(h.resources()) }
+
+// receiveBuffers returns the sizes of the receive buffers of those connections.
+func (h *Host) receiveBuffers() connlimit.Buffers { return connlimit.ReceiveBuffers(h.resources()) }
+
+// listenSockets returns the options of connections that others open, whose paths may be lossy, with a receive
+// buffer of a size in bytes.
+func listenSockets(buffer int) sockets.Options {
+	return sockets.Options{UserTimeout: 5 * time.Second, KeepAlive: 5 * time.Second, ReceiveBuffer: buffer}
 }
 
 func (h *Host) connLimit(port string, conns int) callerserver.ConnLimit {
@@ -43,15 +55,15 @@
 	limit := h.connLimit(name, h.connShares().Checks)
 	limit.Interrupt = true
 	limits := callerserver.Limits{HeaderBytes: queryHeaderBytes, HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout}
-	return h.serve(name, addr, callerserver.New(withoutBody(handler), limits,
+	return h.serve(name, addr, h.receiveBuffers().Checks, callerserver.New(withoutBody(handler), limits,
 		func(err error) { h.log.Error(err, "Serving queries failed.", "port", name) }, callerserver.WithConnLimit(limit)))
 }
 
-// serve returns an actor that serves an address.
-func (h *Host) serve(name string, addr netip.AddrPort, server *callerserver.Server) func(context.Context) error {
+// serve returns an actor that serves an address, with a receive buffer of a size for each connection.
+func (h *Host) serve(name string, addr netip.AddrPort, buffer int, server *callerserver.Server) func(context.Context) error {
 	return func(ctx context.Context) error {
 		defer func() { _ = server.Close() }()
-		l, err := h.opt.Network.Listen(ctx, addr.String(), callerSockets)
+		l, err := h.opt.Network.Listen(ctx, addr.String(), listenSockets(buffer))
 		if err != nil {
 			return fmt.Errorf("relayhost: %s: %w", name, err)
 		}
--- a/fleet/relayhost/serve_test.go
+++ b/fleet/relayhost/serve_test.go
@@ -46,7 +46,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		server := callerserver.New(http.NotFoundHandler(), callerserver.Limits{HeaderTimeout: time.Second}, func(error) {})
-		ended <- h.serve("port", netip.MustParseAddrPort("127.0.0.1:0"), server)(ctx)
+		ended <- h.serve("port", netip.MustParseAddrPort("127.0.0.1:0"), 0, server)(ctx)
 	}()
 	select {
 	case err := <-ended:
--- a/fleet/sockets/sockets.go
+++ b/fleet/sockets/sockets.go
@@ -48,7 +48,8 @@
 	return (&net.ListenConfig{}).ListenPacket(ctx, "udp", address)
 }
 
-// Options bounds how long a connection may be silent. Zero values set no bound.
+// Options bounds how long a connection may be silent, and what the kernel holds of it. Zero values set no
+// bound.
 type Options struct {
 	// To names what the connections lead to.
 	To string
@@ -59,6 +60,9 @@
 	UserTimeout time.Duration
 	// KeepAlive is the time between keep-alive probes of an idle connection.
 	KeepAlive time.Duration
+	// ReceiveBuffer is the size, in bytes, of the kernel's receive buffer (SO_RCVBUF), which doesn't grow
+	// then. The kernel doubles it for its overhead, and may have a maximum.
+	ReceiveBuffer int
 }
 
 // keepAliveProbes is the number of unanswered keep-alive probes after which a
@@ -84,17 +88,25 @@
 	}
 }
 
-// control sets TCP_USER_TIMEOUT on a socket.
+// control sets the options of a socket that are set before it connects or listens.
 func (o Options) control(raw syscall.RawConn) error {
-	if o.UserTimeout <= 0 {
-		return nil
-	}
 	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds()))
-	})
+	err := raw.Control(func(fd uintptr) { failed = o.set(int(fd)) })
 	if err != nil {
 		return err
 	}
 	return failed
 }
+
+// set sets TCP_USER_TIMEOUT and SO_RCVBUF. Connections that a listener accepts inherit them.
+func (o Options) set(fd int) error {
+	if o.UserTimeout > 0 {
+		if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds())); err != nil {
+			return err
+		}
+	}
+	if o.ReceiveBuffer > 0 {
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, o.ReceiveBuffer)
+	}
+	return nil
+}
