--- a/cmd/internal/crowd/kernel_test.go
+++ b/cmd/internal/crowd/kernel_test.go
@@ -47,21 +47,33 @@
 	h.check()
 }
 
-// checkQueues fails the test if the memory of the process, and what it has not read of its connections,
+// checkQueues fails the test if the memory of the process, and what the kernel holds of its connections,
 // pass the memory of the machine within a time.
 func (h *host) checkQueues(within time.Duration) {
 	h.t.Helper()
 	most, unread, unacknowledged := 0, 0, 0
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * sampleInterval) {
 		received, sent := h.queuedBytes()
-		most = max(most, h.measure().residentKiB<<10+received)
+		most = max(most, h.measure().residentKiB<<10+received+sent)
 		unread, unacknowledged = max(unread, received), max(unacknowledged, sent)
 	}
-	h.t.Logf("at most %d KiB were received and not read, %d KiB with the memory of the process, and %d KiB written and not acknowledged",
-		unread>>10, most>>10, unacknowledged>>10)
+	h.t.Logf("at most %d KiB were received and not read, %d KiB written and not acknowledged, and %d KiB both with the memory of the process",
+		unread>>10, unacknowledged>>10, most>>10)
 	assert.LessOrEqual(h.t, most, h.bounds.memoryMiB*mib)
 }
 
+// Answers that nobody reads must not fill the memory by what the kernel holds of them.
+func TestUnreadAnswersInTheKernel(t *testing.T) {
+	h := startHostOn(t, bounds{smallMachineMiB, pageDescriptors})
+	c := unreadAnswers
+	c.clients = pipeliners
+	m := h.gather(c)
+	h.checkQueues(sendTime + quietTime)
+	m.leave()
+	h.requireAnswer("after the crowd has left")
+	h.check()
+}
+
 // pipeline uploads some bodies, sends a request whose answer takes long, and goes on to send.
 func pipeline(m *members, address string) {
 	conn, err := (&net.Dialer{}).DialContext(m.ctx, "tcp", address)
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -75,18 +75,18 @@
 	}
 }
 
-// Unread bytes of all connections fit a part of the memory, and a caller can still upload.
-func TestReceiveBuffersFitMemory(t *testing.T) {
+// Unread and unsent bytes of all connections fit a part of the memory, and a caller can still upload.
+func TestKernelBuffersFitMemory(t *testing.T) {
 	for _, c := range []struct {
 		r    Resources
 		want Buffers
 	}{
-		{Resources{Descriptors: 4100, MemoryBytes: 112 << 20}, Buffers{Callers: 32 << 10, Hosts: 16 << 10, Checks: 8 << 10}},
-		{Resources{Descriptors: 4100, MemoryBytes: 284 << 20}, Buffers{Callers: 32 << 10, Hosts: 16 << 10, Checks: 8 << 10}},
-		{Resources{MemoryBytes: 1 << 20}, Buffers{Callers: 32 << 10, Hosts: 16 << 10, Checks: 8 << 10}},
-		{Resources{Descriptors: 1024, MemoryBytes: 284 << 20}, Buffers{Callers: 90350, Hosts: 45175, Checks: 22587}},
+		{Resources{Descriptors: 4100, MemoryBytes: 112 << 20}, Buffers{Callers: 32 << 10, Hosts: 16 << 10, Checks: 8 << 10, Upstreams: 16 << 10}},
+		{Resources{Descriptors: 4100, MemoryBytes: 284 << 20}, Buffers{Callers: 32 << 10, Hosts: 16 << 10, Checks: 8 << 10, Upstreams: 16 << 10}},
+		{Resources{MemoryBytes: 1 << 20}, Buffers{Callers: 32 << 10, Hosts: 16 << 10, Checks: 8 << 10, Upstreams: 16 << 10}},
+		{Resources{Descriptors: 1024, MemoryBytes: 284 << 20}, Buffers{Callers: 90350, Hosts: 45175, Checks: 22587, Upstreams: 45175}},
 		{Resources{Descriptors: 4100}, Buffers{}},
 	} {
-		require.Equal(t, c.want, ReceiveBuffers(c.r), "%+v", c.r)
+		require.Equal(t, c.want, KernelBuffers(c.r), "%+v", c.r)
 	}
 }
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -24,13 +24,16 @@
 	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
-// upstreamSockets are the timeouts of connections to upstreams, which are a millisecond
-// away.
-var upstreamSockets = sockets.Options{
-	To:             "upstreams",
-	ConnectTimeout: 300 * time.Millisecond,
-	UserTimeout:    2 * time.Second,
-	KeepAlive:      3 * time.Second,
+// upstreamSockets returns the options of connections to upstreams, which are a millisecond away. Answers wait
+// in their receive buffers while callers don't read.
+func (h *Host) upstreamSockets() sockets.Options {
+	return sockets.Options{
+		To:             "upstreams",
+		ConnectTimeout: 300 * time.Millisecond,
+		UserTimeout:    2 * time.Second,
+		KeepAlive:      3 * time.Second,
+		ReceiveBuffer:  h.kernelBuffers().Upstreams,
+	}
 }
 
 func (h *Host) build() {
@@ -40,7 +43,7 @@
 		lowestBuild: metrics.GetOrRegisterGauge("hosts.lowest_build", h.opt.Metrics)}
 	metrics.GetOrRegisterGauge("hosts.own_build", h.opt.Metrics).Update(int64(h.self.Build.Level))
 	h.reach = reach.New(reach.Options{
-		Self: h.self, Alive: h.hosts.others, Dial: h.opt.Network.Dialer(upstreamSockets), Client: h.peerClient(), Logger: h.opt.Logger,
+		Self: h.self, Alive: h.hosts.others, Dial: h.opt.Network.Dialer(h.upstreamSockets()), Client: h.peerClient(), Logger: h.opt.Logger,
 		ReachedAgo: func(service string) (time.Duration, bool) { return h.balancer.ReachedAgo(service) },
 	})
 	h.balancer = balancer.New(balancer.Options{
@@ -49,7 +52,7 @@
 		FailureDomain: h.cfg.FailureDomain,
 		Retries:       h.retryLimits,
 		Hosts:         func() int { n, _ := h.hosts.count(); return n },
-		Dial:          h.opt.Network.Dialer(upstreamSockets),
+		Dial:          h.opt.Network.Dialer(h.upstreamSockets()),
 		Dialect:       p.Dialect,
 		ClosedByPeer:  func(up catalog.Upstream) { h.origins.Doubt(up) },
 		Logger:        h.opt.Logger,
--- a/fleet/relayhost/host.go
+++ b/fleet/relayhost/host.go
@@ -382,7 +382,7 @@
 	}
 	add(h.budgets.Run)
 	add(h.load.Run)
-	add(h.serve("peers", h.cfg.Listen.Peer, h.receiveBuffers().Hosts, h.peers))
+	add(h.serve("peers", h.cfg.Listen.Peer, h.kernelBuffers().Hosts, h.peers))
 	add(h.runGossip)
 	add(h.announce)
 	add(h.serveCallers)
--- a/fleet/relayhost/load.go
+++ b/fleet/relayhost/load.go
@@ -53,7 +53,7 @@
 
 // listenCallers opens the listener for callers.
 func (h *Host) listenCallers() (net.Listener, error) {
-	l, err := h.opt.Network.Listen(context.Background(), h.cfg.Listen.Caller.String(), listenSockets(h.receiveBuffers().Callers))
+	l, err := h.opt.Network.Listen(context.Background(), h.cfg.Listen.Caller.String(), listenSockets(h.kernelBuffers().Callers))
 	if err != nil {
 		return nil, fmt.Errorf("relayhost: callers: %w", err)
 	}
--- a/fleet/relayhost/ports.go
+++ b/fleet/relayhost/ports.go
@@ -31,13 +31,13 @@
 // connShares returns how many connections may be open at the ports of this host.
 func (h *Host) connShares() connlimit.Limits { return connlimit.Shares(h.resources()) }
 
-// receiveBuffers returns the sizes of the receive buffers of those connections.
-func (h *Host) receiveBuffers() connlimit.Buffers { return connlimit.ReceiveBuffers(h.resources()) }
+// kernelBuffers returns the sizes of the kernel's buffers of those connections.
+func (h *Host) kernelBuffers() connlimit.Buffers { return connlimit.KernelBuffers(h.resources()) }
 
-// listenSockets returns the options of connections that others open, whose paths may be lossy, with a receive
-// buffer of a size in bytes.
+// listenSockets returns the options of connections that others open, whose paths may be lossy. The kernel
+// holds about as many bytes of each, unread and unsent, as the size of the buffer.
 func listenSockets(buffer int) sockets.Options {
-	return sockets.Options{UserTimeout: 5 * time.Second, KeepAlive: 5 * time.Second, ReceiveBuffer: buffer}
+	return sockets.Options{UserTimeout: 5 * time.Second, KeepAlive: 5 * time.Second, ReceiveBuffer: buffer, Unsent: buffer}
 }
 
 func (h *Host) connLimit(port string, conns int) callerserver.ConnLimit {
@@ -55,11 +55,11 @@
 	limit := h.connLimit(name, h.connShares().Checks)
 	limit.Interrupt = true
 	limits := callerserver.Limits{HeaderBytes: queryHeaderBytes, HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout}
-	return h.serve(name, addr, h.receiveBuffers().Checks, callerserver.New(withoutBody(handler), limits,
+	return h.serve(name, addr, h.kernelBuffers().Checks, callerserver.New(withoutBody(handler), limits,
 		func(err error) { h.log.Error(err, "Serving queries failed.", "port", name) }, callerserver.WithConnLimit(limit)))
 }
 
-// serve returns an actor that serves an address, with a receive buffer of a size for each connection.
+// serve returns an actor that serves an address, with buffers of a size for each connection.
 func (h *Host) serve(name string, addr netip.AddrPort, buffer int, server *callerserver.Server) func(context.Context) error {
 	return func(ctx context.Context) error {
 		defer func() { _ = server.Close() }()
--- a/fleet/relayhost/ports_test.go
+++ b/fleet/relayhost/ports_test.go
@@ -98,7 +98,7 @@
 func TestBodiesOfOtherHostsAreBounded(t *testing.T) {
 	read := make(chan int64, 1)
 	address := serveOnLoopback(t, func(h *Host, addr netip.AddrPort) func(context.Context) error {
-		return h.serve("peers", addr, h.receiveBuffers().Hosts, callerserver.New(callerserver.LimitBodies(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		return h.serve("peers", addr, h.kernelBuffers().Hosts, callerserver.New(callerserver.LimitBodies(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			n, _ := io.Copy(io.Discard, r.Body)
 			read <- n
 		}), peerBodyBytes, peerBodyTimeout), peerLimits(0), func(error) {}))
