--- a/cmd/internal/crowd/host_test.go
+++ b/cmd/internal/crowd/host_test.go
@@ -41,6 +41,7 @@
 	*process
 	ip        string
 	upstreams map[string]*standin.Upstream
+	store     *http.Server
 	runs      standin.RunRecorder
 	refusals  refusals
 }
@@ -66,7 +67,8 @@
 	log := memkeyed.New()
 	require.NoError(t, standin.Configure(log, configuration()))
 	storeListener := listen(t, h.ip, storePort)
-	go func() { _ = http.Serve(storeListener, standin.NewStore(log)) }()
+	h.store = &http.Server{Handler: standin.NewStore(log)}
+	go func() { _ = h.store.Serve(storeListener) }()
 	for service, behaviour := range behaviours {
 		l := listen(t, nextLoopbackIP(), upstreamPort)
 		u := &standin.Upstream{
