--- a/cmd/internal/crowd/host_test.go
+++ b/cmd/internal/crowd/host_test.go
@@ -41,6 +41,7 @@
 	*process
 	ip        string
 	upstreams map[string]*standin.Upstream
+	store     *http.Server
 	runs      standin.RunRecorder
 	refusals  refusals
 }
@@ -53,13 +54,21 @@
 	"calm":  {},
 }
 
+// startHost starts a host that may use as many descriptors as the tests usually set.
 func startHost(t *testing.T, memoryMiB int) *host {
+	t.Helper()
+	return startHostOn(t, bounds{memoryMiB, maxDescriptors})
+}
+
+// startHostOn starts a host on a machine of a size.
+func startHostOn(t *testing.T, machine bounds) *host {
 	t.Helper()
 	h := &host{ip: nextLoopbackIP(), upstreams: make(map[string]*standin.Upstream)}
 	log := memkeyed.New()
 	require.NoError(t, standin.Configure(log, configuration()))
 	storeListener := listen(t, h.ip, storePort)
-	go func() { _ = http.Serve(storeListener, standin.NewStore(log)) }()
+	h.store = &http.Server{Handler: standin.NewStore(log)}
+	go func() { _ = h.store.Serve(storeListener) }()
 	for service, behaviour := range behaviours {
 		l := listen(t, nextLoopbackIP(), upstreamPort)
 		u := &standin.Upstream{
@@ -80,12 +89,12 @@
 	path := filepath.Join(t.TempDir(), "boot.conf")
 	settings := standin.HostSettings(standin.HostOptions{
 		Name: "front-1", FailureDomain: "z1", IP: h.ip, Store: storeListener.Addr().String(), Grace: graceTime,
-		MemoryMB: memoryMiB, Descriptors: maxDescriptors,
+		MemoryMB: machine.memoryMiB, Descriptors: machine.descriptors,
 	})
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	cmd := exec.Command(binary("hazelworks"), "platform")
 	cmd.Env = append(os.Environ(), boot.EnvPath+"="+path)
-	h.process = startProcess(t, cmd, bounds{memoryMiB, maxDescriptors})
+	h.process = startProcess(t, cmd, machine)
 	h.requireReachable("after its start")
 	h.requireAnswer("before the crowd")
 	return h
