--- a/fleet/host/fleet_test.go
+++ b/fleet/host/fleet_test.go
@@ -75,6 +75,8 @@
 	engine *engine.Engine
 	plain  *plain.Service
 	hosts  []*testHost
+	// wrap changes the listeners of the hosts that are started; nil means not at all.
+	wrap func(net.Listener) net.Listener
 }
 
 type testHost struct {
@@ -130,8 +132,14 @@
 	})
 	h.Host = New(Options{
 		Config: &cfg, Log: h.link, Hosts: f.list, Logger: logr.Discard(), Seed: uint64(number + 1),
-		Dial:   f.net.Dialer(name),
-		Listen: func(_, addr string) (net.Listener, error) { return f.net.Listen(name, addr) },
+		Dial: f.net.Dialer(name),
+		Listen: func(_, addr string) (net.Listener, error) {
+			l, err := f.net.Listen(name, addr)
+			if err == nil && f.wrap != nil {
+				l = f.wrap(l)
+			}
+			return l, err
+		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
--- a/fleet/host/host.go
+++ b/fleet/host/host.go
@@ -87,7 +87,10 @@
 	gateway  *gateway.Gateway
 	callers  *callerserver.Server
 	admin    *admin.Server
-	drained  chan struct{} // closed when Shutdown has finished
+	// hosts and operators serve calls of other hosts and of operators.
+	hosts     *peer.Server
+	operators *callerserver.Server
+	drained   chan struct{} // closed when Shutdown has finished
 }
 
 // New returns a host that is not running yet.
@@ -105,6 +108,7 @@
 	h.buildRequests()
 	h.buildPlacement()
 	h.buildAdmin()
+	h.buildServers()
 	return h
 }
 
--- a/fleet/host/servers.go
+++ b/fleet/host/servers.go
@@ -30,21 +30,27 @@
 // writeStall bounds how long a caller may take nothing of its answer.
 const writeStall = 15 * time.Second
 
-// openServers opens all listeners. If one fails, it closes the others.
-func (h *Host) openServers() ([]server, error) {
+// buildServers builds the servers of other hosts and operators.
+func (h *Host) buildServers() {
 	cfg := h.opts.Config
-	operators := callerserver.New(callerserver.LimitBodies(h.admin.Handler(), adminBodyBytes, cfg.Timeouts.BodyRead),
+	h.hosts = peer.NewServer(peer.NewHandler(h.peerServices(), string(cfg.Secrets.Peer)), cfg.Timeouts.HeaderRead)
+	h.operators = callerserver.New(callerserver.LimitBodies(h.admin.Handler(), adminBodyBytes, cfg.Timeouts.BodyRead),
 		callerserver.Limits{HeaderBytes: cfg.Limits.HeaderBytes, HeaderTimeout: cfg.Timeouts.HeaderRead, IdleTimeout: cfg.Timeouts.Idle},
 		func(err error) { h.logger.WithName("host").Error(err, "serving operators failed") },
 		callerserver.WithWriteStall(writeStall), callerserver.WithConnLimit(h.connLimit("admin", adminConns)))
+}
+
+// openServers opens all listeners. If one fails, it closes the others.
+func (h *Host) openServers() ([]server, error) {
+	cfg := h.opts.Config
 	specs := []struct {
 		name string
 		addr netip.AddrPort
 		http httpServer
 	}{
 		{"caller", cfg.Listen.Caller, h.callers},
-		{"peer", cfg.Listen.Peer, peer.NewServer(peer.NewHandler(h.peerServices(), string(cfg.Secrets.Peer)), cfg.Timeouts.HeaderRead)},
-		{"admin", cfg.Listen.Admin, operators},
+		{"peer", cfg.Listen.Peer, h.hosts},
+		{"admin", cfg.Listen.Admin, h.operators},
 	}
 	var opened []server
 	for _, p := range specs {
--- a/fleet/member/fixture_test.go
+++ b/fleet/member/fixture_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -38,7 +37,7 @@
 
 type fixtureHost struct {
 	members *Members
-	server  *http.Server
+	server  *peer.Server
 	stop    context.CancelFunc
 	host    platform.Host
 }
--- a/fleet/peer/client.go
+++ b/fleet/peer/client.go
@@ -41,19 +41,3 @@
 		},
 	}
 }
-
-// NewServer returns the server of a peer address. headerTimeout limits the time to
-// read the headers of a request.
-func NewServer(handler http.Handler, headerTimeout time.Duration) *http.Server {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           handler,
-		Protocols:         protocols,
-		ReadHeaderTimeout: headerTimeout,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingAfter,
-			PingTimeout:     pingTimeout,
-		},
-	}
-}
--- /dev/null
+++ b/fleet/peer/conn.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// settleTime is the time without calls and writes after which a connection counts as unused. The last part
+// of an answer is written after its call has ended.
+const settleTime = time.Second
+
+// serverConn is a connection to a [Server] that knows whether calls of another host use it.
+type serverConn struct {
+	net.Conn
+	server *Server
+
+	mu sync.Mutex
+	// calls is the number of calls with the secret that are handled.
+	calls int
+	// writes is the number of writes in progress.
+	writes int
+	// usedAt is when the last call or write ended.
+	usedAt time.Time
+	// closing is true once the server has decided to close the connection. No call of it is handled then.
+	closing bool
+}
+
+// connKey is the key of a call's *serverConn in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// beginCall reports whether a call with the secret may be handled; end must be called after it.
+func beginCall(ctx context.Context) (end func(), ok bool) {
+	c, ok := ctx.Value(connKey{}).(*serverConn)
+	if !ok {
+		return func() {}, true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	return c.endCall, !c.closing
+}
+
+func (c *serverConn) endCall() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls--
+	c.usedAt = time.Now()
+}
+
+// Write implements net.Conn.
+func (c *serverConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.writes++
+	c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes--
+	c.usedAt = time.Now()
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	c.server.forget(c)
+	return c.Conn.Close()
+}
+
+// isUsed reports whether a call is handled or its answer may be in the course of being written. The caller
+// holds mu.
+func (c *serverConn) isUsed(now time.Time) bool {
+	return c.calls > 0 || c.writes > 0 || now.Sub(c.usedAt) < settleTime
+}
+
+// closeUnused closes the connection if nothing uses it. From the decision on, no call of it is handled.
+func (c *serverConn) closeUnused(now time.Time) {
+	c.mu.Lock()
+	c.closing = c.closing || !c.isUsed(now)
+	closing := c.closing
+	c.mu.Unlock()
+	if closing {
+		_ = c.Close()
+	}
+}
--- a/fleet/peer/server.go
+++ b/fleet/peer/server.go
@@ -133,6 +133,11 @@
 			http.Error(w, "the peer secret is missing or wrong", http.StatusUnauthorized)
 			return
 		}
+		end, ok := beginCall(r.Context())
+		defer end()
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
