--- a/fleet/host/servers.go
+++ b/fleet/host/servers.go
@@ -33,7 +33,8 @@
 // buildServers builds the servers of other hosts and operators.
 func (h *Host) buildServers() {
 	cfg := h.opts.Config
-	h.hosts = peer.NewServer(peer.NewHandler(h.peerServices(), string(cfg.Secrets.Peer)), cfg.Timeouts.HeaderRead)
+	h.hosts = peer.NewServer(peer.NewHandler(h.peerServices(), string(cfg.Secrets.Peer)), cfg.Timeouts.HeaderRead,
+		peer.WithAcceptErrors(func(err error) { h.logger.WithName("host").Error(err, "serving other hosts failed") }))
 	h.operators = callerserver.New(callerserver.LimitBodies(h.admin.Handler(), adminBodyBytes, cfg.Timeouts.BodyRead),
 		callerserver.Limits{HeaderBytes: cfg.Limits.HeaderBytes, HeaderTimeout: cfg.Timeouts.HeaderRead, IdleTimeout: cfg.Timeouts.Idle},
 		func(err error) { h.logger.WithName("host").Error(err, "serving operators failed") },
--- a/fleet/host/stop_test.go
+++ b/fleet/host/stop_test.go
@@ -55,22 +55,27 @@
 // handler has returned. It waits for that.
 func TestStopWaitsForAnswersToHosts(t *testing.T) {
 	requireAnswerAtStop(t, func(f *testFleet, h *testHost) func() error {
-		protocols := new(http.Protocols)
-		protocols.SetUnencryptedHTTP2(true)
-		transport := &http.Transport{DialContext: f.net.Dialer("other"), Protocols: protocols}
-		f.t.Cleanup(transport.CloseIdleConnections)
-		client := peerpbconnect.NewPeerServiceClient(&http.Client{Transport: transport}, "http://"+h.cfg.Listen.Peer.String())
-		ping := func() error {
-			r := connect.NewRequest(&peerpb.PingRequest{})
-			r.Header().Set("Authorization", "Bearer "+testPeer)
-			_, err := client.Ping(f.t.Context(), r)
-			return err
-		}
+		ping := pingOver(f, h)
 		require.NoError(f.t, ping())
 		return ping
 	})
 }
 
+// pingOver returns a function that pings a host as another host does, over one connection.
+func pingOver(f *testFleet, h *testHost) func() error {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{DialContext: f.net.Dialer("other"), Protocols: protocols}
+	f.t.Cleanup(transport.CloseIdleConnections)
+	client := peerpbconnect.NewPeerServiceClient(&http.Client{Transport: transport}, "http://"+h.cfg.Listen.Peer.String())
+	return func() error {
+		r := connect.NewRequest(&peerpb.PingRequest{})
+		r.Header().Set("Authorization", "Bearer "+testPeer)
+		_, err := client.Ping(f.t.Context(), r)
+		return err
+	}
+}
+
 // The same with an answer to an operator.
 func TestStopWaitsForAnswersToOperators(t *testing.T) {
 	requireAnswerAtStop(t, func(f *testFleet, h *testHost) func() error {
--- a/fleet/peer/listen.go
+++ b/fleet/peer/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"net/http"
@@ -13,17 +14,26 @@
 // Server serves the calls of other hosts on a peer address.
 type Server struct {
 	http *http.Server
+	// onError is called with errors of accepting connections.
+	onError func(error)
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
 }
 
+// Option is an option of [NewServer].
+type Option func(*Server)
+
+// WithAcceptErrors has a function called with errors of accepting connections. The server goes on
+// after them.
+func WithAcceptErrors(f func(error)) Option { return func(s *Server) { s.onError = f } }
+
 // NewServer returns the server of a peer address. headerTimeout limits the time to
 // read the headers of a request.
-func NewServer(handler http.Handler, headerTimeout time.Duration) *Server {
+func NewServer(handler http.Handler, headerTimeout time.Duration, options ...Option) *Server {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Server{
+	s := &Server{
 		http: &http.Server{
 			Handler:           handler,
 			Protocols:         protocols,
@@ -34,8 +44,13 @@
 				PingTimeout:     pingTimeout,
 			},
 		},
-		conns: make(map[*serverConn]struct{}),
+		onError: func(error) {},
+		conns:   make(map[*serverConn]struct{}),
+	}
+	for _, o := range options {
+		o(s)
 	}
+	return s
 }
 
 // Serve accepts connections until the server is closed or shut down. It then returns
@@ -88,7 +103,11 @@
 	delete(s.conns, c)
 }
 
-// listener tracks the connections of a server.
+// acceptRetry is the pause after a failed accept. If there are no free descriptors, some are released in
+// that time.
+const acceptRetry = 20 * time.Millisecond
+
+// listener tracks the connections of a server. Accept fails only once the listener is closed.
 type listener struct {
 	net.Listener
 	server *Server
@@ -96,13 +115,23 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err == nil {
+			return l.server.track(conn), nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		l.server.onError(err)
+		time.Sleep(acceptRetry)
 	}
-	c := &serverConn{Conn: conn, server: l.server, usedAt: time.Now()}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.conns[c] = struct{}{}
-	return c, nil
+}
+
+func (s *Server) track(conn net.Conn) *serverConn {
+	c := &serverConn{Conn: conn, server: s, usedAt: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	return c
 }
