--- a/fleet/gateway/bodies.go
+++ b/fleet/gateway/bodies.go
@@ -25,6 +25,8 @@
 	budget  *intake.Budget
 	// interrupts end the reads of bodies that are arriving.
 	interrupts map[*intake.Body]func()
+	// ended is true once no more bodies are read.
+	ended bool
 }
 
 // newBodies returns the memory of all bodies, of which one has at most maxBody bytes.
@@ -49,6 +51,9 @@
 	b.mu.Lock()
 	share := b.budget.Begin(account, time.Now())
 	b.interrupts[share] = interrupt
+	if b.ended {
+		interrupt()
+	}
 	b.mu.Unlock()
 	data, err := b.readBlocks(r, length, share)
 	b.mu.Lock()
@@ -56,6 +61,9 @@
 	if err == nil && !b.budget.Complete(share) || err != nil && share.Yields() {
 		err = errBodyYields
 	}
+	if err != nil && b.ended {
+		err = errStopping
+	}
 	b.mu.Unlock()
 	if err != nil {
 		b.free(share)
@@ -149,6 +157,16 @@
 	}
 }
 
+// end interrupts the reads of bodies, now and later. Bodies that have arrived are kept.
+func (b *bodies) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	for _, interrupt := range b.interrupts {
+		interrupt()
+	}
+}
+
 func (b *bodies) free(share *intake.Body) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/fleet/gateway/body.go
+++ b/fleet/gateway/body.go
@@ -52,6 +52,8 @@
 func bodyProblem(err error, limit int64, timeout time.Duration) *problem.Problem {
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errStopping):
+		return stoppingProblem()
 	case errors.Is(err, errBodyYields):
 		p := problem.New(http.StatusServiceUnavailable, problem.CodeOverloaded, "too many request bodies are in flight")
 		return p.WithRetryAfter(bodiesRetryAfter)
--- a/fleet/gateway/call.go
+++ b/fleet/gateway/call.go
@@ -218,15 +218,19 @@
 	if p := c.quarantineProblem(); p != nil {
 		return c.giveUp(p)
 	}
-	if err := c.reserve(ctx); err != nil {
-		if end, ok := c.forwardToHolder(ctx, err); ok {
-			return end
+	waiting, stopWaiting := c.g.untilRefused(ctx)
+	defer stopWaiting()
+	if err := c.reserve(waiting); err != nil {
+		if waiting.Err() == nil {
+			if end, ok := c.forwardToHolder(ctx, err); ok {
+				return end
+			}
 		}
-		return c.giveUp(reserveProblem(ctx, err))
+		return c.giveUp(reserveProblem(waiting, err))
 	}
 	c.buildForward = nil // releases the caller's request
 	if c.needsClaim {
-		end, won := c.claim(ctx)
+		end, won := c.claim(ctx, waiting)
 		if !won {
 			return end
 		}
@@ -239,9 +243,9 @@
 			}
 			return c.giveUp(p)
 		}
-		lease, err := c.pick(ctx, n)
+		lease, err := c.pick(waiting, n)
 		if err != nil {
-			return c.giveUp(noUpstreamProblem(ctx, err, failed, n))
+			return c.giveUp(noUpstreamProblem(waiting, err, failed, n))
 		}
 		last := n >= c.g.limits.Attempts
 		res := c.send(ctx, lease, last)
@@ -254,7 +258,7 @@
 		if last || !c.mayRetry(ctx, res) {
 			return c.giveUp(res.problem())
 		}
-		if err := c.backoff(ctx, n); err != nil {
+		if err := c.backoff(waiting, n); err != nil {
 			return c.giveUp(contextProblem(err))
 		}
 		failed = res
--- a/fleet/gateway/claim.go
+++ b/fleet/gateway/claim.go
@@ -38,14 +38,14 @@
 
 // claim claims the right to run the request. It returns false if the request ends
 // here: because the claim failed, or because another host has claimed it; then
-// the end is that of the other host's run, as far as it is known.
-func (c *call) claim(ctx context.Context) (stream.End, bool) {
-	claimCtx, cancel := context.WithTimeout(ctx, c.g.limits.ClaimTimeout)
+// the end is that of the other host's run, as far as it is known. The claim itself ends with waiting.
+func (c *call) claim(ctx, waiting context.Context) (stream.End, bool) {
+	claimCtx, cancel := context.WithTimeout(waiting, c.g.limits.ClaimTimeout)
 	defer cancel()
 	claim, err := c.acquireClaim(claimCtx)
 	if err != nil {
-		if ctx.Err() != nil {
-			return c.giveUp(contextProblem(context.Cause(ctx))), false
+		if waiting.Err() != nil {
+			return c.giveUp(contextProblem(context.Cause(waiting))), false
 		}
 		p := problem.New(http.StatusServiceUnavailable, problem.CodeClaimUnavailable,
 			"the right to run a request that must not repeat could not be recorded: %v", err)
--- a/fleet/gateway/gateway.go
+++ b/fleet/gateway/gateway.go
@@ -30,7 +30,11 @@
 	crashes  *quarantine.Detector
 	draining atomic.Bool
 	inflight inflight
-	mux      *http.ServeMux
+	stop     atomic.Pointer[stopTimes]
+	// waiting ends when requests that wait at this host are refused, by refuseWaiting.
+	waiting       context.Context
+	refuseWaiting context.CancelFunc
+	mux           *http.ServeMux
 }
 
 // New returns a gateway. Limits that are zero in opts take their defaults.
@@ -52,6 +56,7 @@
 		mux:     http.NewServeMux(),
 	}
 	g.bodies = newBodies(limits.BodiesBytes, limits.BodyBytes, g.metrics.bodyBytes, g.metrics.bodiesYielded)
+	g.waiting, g.refuseWaiting = context.WithCancel(context.Background())
 	g.crashes = quarantine.NewDetector(opts.Logger, opts.Metrics, opts.Reach, opts.Quarantine.Crashed)
 	g.routes()
 	return g
--- a/fleet/gateway/handlers.go
+++ b/fleet/gateway/handlers.go
@@ -217,6 +217,11 @@
 		return nil, problem.New(http.StatusInternalServerError, problem.CodeInternal, "%v", err)
 	}
 	cl.hasTicket = issued && !c.forwarded
+	if existing, ok := g.table.Lookup(spec.Account, spec.ID); (!ok || !existing.AnswersDuplicates()) && g.isTooLate(time.Now(), in.timeout) {
+		stop()
+		cl.returnTicket()
+		return nil, stoppingProblem()
+	}
 	req, started, err := g.table.Begin(spec, func() *request.Request { return cl.req })
 	if err != nil {
 		stop()
--- a/fleet/gateway/problems.go
+++ b/fleet/gateway/problems.go
@@ -18,6 +18,7 @@
 	unreachableRetryAfter = 5 * time.Second
 	overloadRetryAfter    = time.Second
 	claimRetryAfter       = 2 * time.Second
+	stoppingRetryAfter    = time.Second
 )
 
 // reserveProblem describes a failed reservation. It distinguishes a budget that is
@@ -84,6 +85,8 @@
 	switch {
 	case errors.Is(cause, quarantine.ErrQuarantined):
 		return quarantinedProblem(cause)
+	case errors.Is(cause, errStopping):
+		return stoppingProblem()
 	case errors.Is(cause, errUpstreamSilent):
 		return problem.New(http.StatusGatewayTimeout, problem.CodeUpstreamTimeout, "the upstream fell silent")
 	case errors.Is(cause, errDeadline), errors.Is(cause, context.DeadlineExceeded):
--- a/fleet/host/stop_test.go
+++ b/fleet/host/stop_test.go
@@ -1,9 +1,13 @@
 package host
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -118,3 +122,76 @@
 		require.NoError(t, <-stopped)
 	})
 }
+
+// sendPart sends a part of a request's head over a connection of its own. The returned function sends the rest and
+// reads the answer's head.
+func sendPart(f *testFleet, h *testHost, part, rest string) func() (*http.Response, error) {
+	conn, err := f.net.Dialer("caller")(f.t.Context(), "tcp", h.cfg.Listen.Caller.String())
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, part)
+	require.NoError(f.t, err)
+	return func() (*http.Response, error) {
+		if _, err := io.WriteString(conn, rest); err != nil {
+			return nil, err
+		}
+		return http.ReadResponse(bufio.NewReader(conn), nil)
+	}
+}
+
+func requireRefusedAsNotRun(t *testing.T, resp *http.Response, err error) {
+	t.Helper()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, "not-run", resp.Header.Get("Hazel-Outcome"))
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+// headOf returns the head of a chat request with a body.
+func headOf(id, body string) string {
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n",
+		testKey, id, len(body))
+}
+
+// A stream of 60 s is asked for when callers were to use other hosts, and 15 s before the end of the stop. It
+// is refused before it is cut; a request that can be answered in time is answered.
+func TestRequestsThatOutlastTheStopAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 100_000)
+		h := f.hosts[0]
+		body := `{"model":"cut","stream":true,"max_tokens":300,"messages":[{"role":"user","content":"tokens=300"}]}`
+		short := strings.ReplaceAll(body, "300", "3")
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		go func() { _ = h.Shutdown(ctx) }()
+		time.Sleep(time.Second)
+		time.Sleep(time.Until(h.entry.AnswersExpireAt()) - time.Second)
+		late := sendPart(f, h, headOf("late", body), body)
+		soon := sendPart(f, h, strings.Replace(headOf("soon", short), "Host: h", "Host: h\r\nHazel-Deadline-Ms: 5000", 1), short)
+		time.Sleep(3 * time.Second)
+		resp, err := late()
+		requireRefusedAsNotRun(t, resp, err)
+		resp, err = soon()
+		require.NoError(t, err)
+		text, answered := readTokens(resp, 0)
+		require.True(t, answered)
+		require.Equal(t, wantedText("soon", 0, 3), text)
+		for _, run := range f.engine.Runs() {
+			require.NotContains(t, run.RequestID, "late")
+		}
+	})
+}
+
+// The body of a request hasn't arrived whole as the stop ends. The request is refused, not cut.
+func TestRequestsThatStillWaitAtTheEndOfTheStopAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 100_000)
+		h := f.hosts[0]
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		go func() { _ = h.Shutdown(ctx) }()
+		time.Sleep(10 * time.Second)
+		resp, err := sendPart(f, h, headOf("r1", strings.Repeat(" ", 100)), "{")()
+		requireRefusedAsNotRun(t, resp, err)
+	})
+}
