--- a/fleet/peer/conn.go
+++ b/fleet/peer/conn.go
@@ -19,6 +19,8 @@
 	mu sync.Mutex
 	// calls is the number of calls with the secret that are handled.
 	calls int
+	// served is true once a call with the secret was handled.
+	served bool
 	// writes is the number of writes in progress.
 	writes int
 	// usedAt is when the last call or write ended.
@@ -43,6 +45,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls++
+	c.served = true
 	return c.endCall, !c.closing
 }
 
@@ -72,10 +75,10 @@
 	return c.Conn.Close()
 }
 
-// isUsed reports whether a call is handled or its answer may be in the course of being written. The caller
-// holds mu.
+// isUsed reports whether a call is handled or its answer may be in the course of being written. What strangers
+// without the secret do doesn't count. The caller holds mu.
 func (c *serverConn) isUsed(now time.Time) bool {
-	return c.calls > 0 || c.writes > 0 || now.Sub(c.usedAt) < settleTime
+	return c.served && (c.calls > 0 || c.writes > 0 || now.Sub(c.usedAt) < settleTime)
 }
 
 // closeUnused closes the connection if nothing uses it. From the decision on, no call of it is handled.
