--- a/fleet/host/connections.go
+++ b/fleet/host/connections.go
@@ -26,6 +26,11 @@
 	return min(setting, share)
 }
 
+// hostConns returns the largest number of open connections of other hosts, or zero for no bound.
+func hostConns(descriptors int) int {
+	return connlimit.Shares(connlimit.Resources{Descriptors: descriptors}).Hosts
+}
+
 // descriptors returns how many files and connections the process may open, or zero if that is not known.
 func descriptors() int {
 	var limit unix.Rlimit
--- a/fleet/host/connections_test.go
+++ b/fleet/host/connections_test.go
@@ -11,5 +11,7 @@
 	require.Equal(t, 412, callerConns(20000, 1024))
 	require.Equal(t, 100, callerConns(100, 1024))
 	require.Equal(t, 20000, callerConns(20000, 0))
+	require.Equal(t, 412, hostConns(1024))
+	require.Zero(t, hostConns(0))
 	require.Positive(t, descriptors())
 }
--- a/fleet/host/servers.go
+++ b/fleet/host/servers.go
@@ -34,7 +34,8 @@
 func (h *Host) buildServers() {
 	cfg := h.opts.Config
 	h.hosts = peer.NewServer(peer.NewHandler(h.peerServices(), string(cfg.Secrets.Peer)), cfg.Timeouts.HeaderRead,
-		peer.WithAcceptErrors(func(err error) { h.logger.WithName("host").Error(err, "serving other hosts failed") }))
+		peer.WithAcceptErrors(func(err error) { h.logger.WithName("host").Error(err, "serving other hosts failed") }),
+		peer.WithConnLimit(peer.ConnLimit{Conns: hostConns(descriptors()), Logger: h.logger, Metrics: h.metrics}))
 	h.operators = callerserver.New(callerserver.LimitBodies(h.admin.Handler(), adminBodyBytes, cfg.Timeouts.BodyRead),
 		callerserver.Limits{HeaderBytes: cfg.Limits.HeaderBytes, HeaderTimeout: cfg.Timeouts.HeaderRead, IdleTimeout: cfg.Timeouts.Idle},
 		func(err error) { h.logger.WithName("host").Error(err, "serving operators failed") },
--- a/fleet/peer/conn.go
+++ b/fleet/peer/conn.go
@@ -3,18 +3,23 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/hazelworks/hazelworks/core/connlimit"
 )
 
-// settleTime is the time without calls and writes after which a connection counts as unused. The last part
+// settleTime is the time without calls, reads and writes after which a connection counts as unused. The last part
 // of an answer is written after its call has ended.
 const settleTime = time.Second
 
 // serverConn is a connection to a [Server] that knows whether calls of another host use it.
 type serverConn struct {
 	net.Conn
-	server *Server
+	server   *Server
+	openedAt time.Time
+	address  netip.Addr
 
 	mu sync.Mutex
 	// calls is the number of calls with the secret that are handled.
@@ -23,12 +28,20 @@
 	served bool
 	// writes is the number of writes in progress.
 	writes int
-	// usedAt is when the last call or write ended.
+	// usedAt is when the last call, read or write ended.
 	usedAt time.Time
 	// closing is true once the server has decided to close the connection. No call of it is handled then.
 	closing bool
 }
 
+func newServerConn(conn net.Conn, s *Server, now time.Time) *serverConn {
+	c := &serverConn{Conn: conn, server: s, openedAt: now, usedAt: now}
+	if tcp, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		c.address = tcp.AddrPort().Addr()
+	}
+	return c
+}
+
 // connKey is the key of a call's *serverConn in its context.
 type connKey struct{}
 
@@ -56,6 +69,17 @@
 	c.usedAt = time.Now()
 }
 
+// Read implements net.Conn.
+func (c *serverConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		c.usedAt = time.Now() // a call may begin
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *serverConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -81,8 +105,23 @@
 	return c.served && (c.calls > 0 || c.writes > 0 || now.Sub(c.usedAt) < settleTime)
 }
 
-// closeUnused closes the connection if nothing uses it. From the decision on, no call of it is handled.
-func (c *serverConn) closeUnused(now time.Time) {
+// describe returns what decides whether the connection yields to others.
+func (c *serverConn) describe(now time.Time) connlimit.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := connlimit.Conn{Phase: connlimit.Unfinished, Since: c.openedAt, Address: c.address}
+	if c.served {
+		d.Phase, d.Since = connlimit.Idle, c.usedAt
+	}
+	if c.isUsed(now) {
+		d.Phase = connlimit.Busy
+	}
+	return d
+}
+
+// closeUnused closes the connection if nothing uses it, and reports whether it did. From the decision on, no
+// call of it is handled.
+func (c *serverConn) closeUnused(now time.Time) bool {
 	c.mu.Lock()
 	c.closing = c.closing || !c.isUsed(now)
 	closing := c.closing
@@ -90,4 +129,5 @@
 	if closing {
 		_ = c.Close()
 	}
+	return closing
 }
--- a/fleet/peer/listen.go
+++ b/fleet/peer/listen.go
@@ -16,6 +16,8 @@
 	http *http.Server
 	// onError is called with errors of accepting connections.
 	onError func(error)
+	// room bounds the open connections. It may be nil.
+	room *room
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
@@ -89,18 +91,29 @@
 }
 
 func (s *Server) closeUnused(now time.Time) {
-	s.mu.Lock()
-	open := slices.Collect(maps.Keys(s.conns))
-	s.mu.Unlock()
-	for _, c := range open {
+	for _, c := range s.openList() {
 		c.closeUnused(now)
 	}
 }
 
+func (s *Server) openList() []*serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 func (s *Server) forget(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.countOpen()
+}
+
+// countOpen updates the number of open connections in the metrics. The caller holds mu.
+func (s *Server) countOpen() {
+	if s.room != nil {
+		s.room.open.Update(int64(len(s.conns)))
+	}
 }
 
 // acceptRetry is the pause after a failed accept. If there are no free descriptors, some are released in
@@ -118,7 +131,10 @@
 	for {
 		conn, err := l.Listener.Accept()
 		if err == nil {
-			return l.server.track(conn), nil
+			if c := l.server.admit(conn, time.Now()); c != nil {
+				return c, nil
+			}
+			continue
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
@@ -128,10 +144,9 @@
 	}
 }
 
-func (s *Server) track(conn net.Conn) *serverConn {
-	c := &serverConn{Conn: conn, server: s, usedAt: time.Now()}
+func (s *Server) track(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
-	return c
+	s.countOpen()
 }
