--- a/cmd/hazelworks/platform.go
+++ b/cmd/hazelworks/platform.go
@@ -66,7 +66,7 @@
 // milliseconds while the store is slow.
 const storeTimeout = time.Second
 
-// memoryLimitFraction is the fraction of Limits.MemoryBytes that is the garbage
+// memoryLimitFraction is the fraction of the machine's memory that is the garbage
 // collector's soft limit. The rest is for memory that the collector doesn't count,
 // such as unread bytes of connections.
 const memoryLimitFraction = 0.6
--- a/cmd/hazelworks/serve.go
+++ b/cmd/hazelworks/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"time"
 
 	"github.com/oklog/run"
@@ -45,6 +46,9 @@
 var errSecondSignal = errors.New("stopped at once by a second signal")
 
 func serve(ctx context.Context, cfg *config.Config, stop <-chan os.Signal) error {
+	if cfg.Limits.MemoryMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.Limits.MemoryMB<<20)))
+	}
 	logger, err := logging.New(os.Stderr, cfg.Log.Format, cfg.Log.Level)
 	if err != nil {
 		return cli.Exit(cli.ExitUsage, err)
--- a/fleet/config/config.go
+++ b/fleet/config/config.go
@@ -130,6 +130,9 @@
 	Connections int `json:"connections" min:"1" max:"1000000"`
 	// InFlight bounds the requests in progress.
 	InFlight int `json:"in_flight" min:"1" max:"1000000"`
+	// MemoryMB is the memory of the machine in MiB, from which the memory of requests' bodies follows;
+	// zero means that it is not known.
+	MemoryMB int64 `json:"memory_mb" min:"0" max:"16777216"`
 }
 
 // Log configures the log of the process.
--- a/fleet/gateway/options.go
+++ b/fleet/gateway/options.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/hazelworks/hazelworks/core/intake"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/settings"
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
@@ -59,8 +60,10 @@
 	// BodyBytes is the maximum size of a model request's body, in bytes. It
 	// applies before the service is known.
 	BodyBytes int64
+	// MemoryBytes is the memory of the machine, or zero if it is not known.
+	MemoryBytes int64
 	// BodiesBytes is the maximum size of all buffered bodies of requests in
-	// flight, in bytes.
+	// flight, in bytes. It defaults to a share of the memory.
 	BodiesBytes int64
 	// BodyTimeout bounds the time to receive a buffered body, and each read of
 	// a streamed one.
@@ -123,6 +126,9 @@
 func (l Limits) withDefaults() Limits {
 	l.Running = cmp.Or(l.Running, 4096)
 	l.BodyBytes = cmp.Or(l.BodyBytes, 4<<20)
+	if l.BodiesBytes == 0 && l.MemoryBytes > 0 {
+		l.BodiesBytes = intake.LimitsFor(l.MemoryBytes, l.BodyBytes).Total
+	}
 	l.BodiesBytes = cmp.Or(l.BodiesBytes, 64<<20)
 	l.BodyTimeout = cmp.Or(l.BodyTimeout, 30*time.Second)
 	l.ReplayBytes = cmp.Or(l.ReplayBytes, 64<<10)
--- a/fleet/host/build.go
+++ b/fleet/host/build.go
@@ -122,6 +122,7 @@
 		Limits: gateway.Limits{
 			Running:     cfg.Limits.InFlight,
 			BodyTimeout: cfg.Timeouts.BodyRead,
+			MemoryBytes: cfg.Limits.MemoryMB << 20,
 		},
 	})
 	limits := callerserver.Limits{HeaderBytes: cfg.Limits.HeaderBytes, HeaderTimeout: cfg.Timeouts.HeaderRead, IdleTimeout: cfg.Timeouts.Idle}
