--- a/cmd/internal/soak/builds.go
+++ b/cmd/internal/soak/builds.go
@@ -104,10 +104,7 @@
 	if opt.Out != nil {
 		_, _ = fmt.Fprintf(opt.Out, "  %s %s replaced by %s\n", time.Now().UTC().Format("15:04:05.000"), h.name, h.build())
 	}
-	err := h.start()
-	tb.mu.Lock()
-	defer tb.mu.Unlock()
-	tb.recordError(err)
+	h.startAgain()
 }
 
 // lacks reports whether a build lacks a feature.
--- a/cmd/internal/soak/crashes.go
+++ b/cmd/internal/soak/crashes.go
@@ -149,10 +149,7 @@
 	for _, h := range tb.hosts {
 		h.waitOrKill(time.Second)
 		h.flip()
-		err := h.start()
-		tb.mu.Lock()
-		tb.recordError(err)
-		tb.mu.Unlock()
+		h.startAgain()
 	}
 	tb.topUpHosts()
 }
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -97,14 +97,18 @@
 	h.tb.goFault(func() {
 		h.waitOrKill(grace + 3*time.Second)
 		time.Sleep(down)
-		if err := h.start(); err != nil {
-			h.tb.mu.Lock()
-			defer h.tb.mu.Unlock()
-			h.tb.recordError(err)
-		}
+		h.startAgain()
 	})
 }
 
+// startAgain starts the next process of the host.
+func (h *host) startAgain() {
+	err := h.start()
+	h.tb.mu.Lock()
+	defer h.tb.mu.Unlock()
+	h.tb.recordError(err)
+}
+
 func killHosts(share float64) func(tb *testbed, rng *rand.Rand) func() {
 	return func(tb *testbed, rng *rand.Rand) func() {
 		for _, h := range tb.hosts {
--- a/cmd/internal/soak/stops.go
+++ b/cmd/internal/soak/stops.go
@@ -73,10 +73,7 @@
 			h.signal(syscall.SIGTERM)
 			h.waitOrKill(grace + time.Second)
 			stops[i] = plannedStop{h, time.Now()}
-			err := h.start()
-			tb.mu.Lock()
-			defer tb.mu.Unlock()
-			tb.recordError(err)
+			h.startAgain()
 		})
 	}
 	group.Wait()
