--- a/cmd/hazelworks/soak.go
+++ b/cmd/hazelworks/soak.go
@@ -57,7 +57,7 @@
 	cmd.Flags().DurationVar(&opt.Length, "length", 10*time.Second, "how long faults are injected, for each seed")
 	cmd.Flags().IntVar(&opt.Hosts, "hosts", 0, "number of host processes; 0 means 4")
 	cmd.Flags().StringVar(&opt.OtherBinary, "other-binary", "", "program of another build; hosts are replaced one after the other from one build to the other and back")
-	cmd.Flags().StringSliceVar(&opt.OtherLacks, "other-lacks", nil, "features that the other build lacks: "+soak.LacksVersions+", "+soak.LacksBrittle+", "+soak.LacksEmptied)
+	cmd.Flags().StringSliceVar(&opt.OtherLacks, "other-lacks", nil, "features that the other build lacks: "+soak.LacksVersions+", "+soak.LacksBrittle+", "+soak.LacksEmptied+", "+soak.LacksLate)
 	cmd.Flags().StringVar(&opt.LogDir, "logs", "", "directory for the hosts' logs of seeds with findings")
 	cmd.Flags().BoolVar(&verbose, "verbose", false, "print each fault")
 	return cmd
--- a/cmd/internal/soak/builds.go
+++ b/cmd/internal/soak/builds.go
@@ -21,6 +21,8 @@
 	LacksBrittle  = "brittle"
 	// LacksEmptied is for emptied failure domains and cold upstreams.
 	LacksEmptied = "emptied"
+	// LacksLate is for the rejection of requests that may outlast a host that stops.
+	LacksLate = "late"
 )
 
 const (
--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -38,8 +38,12 @@
 	// atMostOnce is true if the request must not run twice; stream is true if the
 	// answer is a stream of events, and resumable if that can go on elsewhere.
 	atMostOnce, stream, resumable bool
+	// timeout is the time for which a caller waits for an answer; zero means requestTimeout.
+	timeout time.Duration
 }
 
+func (k *requestKind) limit() time.Duration { return cmp.Or(k.timeout, requestTimeout) }
+
 var requestKinds = []requestKind{
 	{name: "chat", method: http.MethodPost, path: "/chat/1", atMostOnce: true, stream: true},
 	{name: "resume", method: http.MethodPost, path: "/resume/1", stream: true, resumable: true},
@@ -169,7 +173,7 @@
 		o.padding = c.lastID * pieceBytes / 5 % maxBodyBytes
 	}
 	c.mu.Unlock()
-	limit := requestTimeout
+	limit := o.kind.limit()
 	if disconnect {
 		limit = 2 * eventInterval
 	}
@@ -205,7 +209,7 @@
 		req.ContentLength = int64(len(o.content())) // others are sent in chunks
 	}
 	req.GetBody = nil // the client must not retry the request by itself
-	standin.SetCallerHeaders(req, o.id, o.key, requestTimeout)
+	standin.SetCallerHeaders(req, o.id, o.key, o.kind.limit())
 	if o.kind.stream {
 		standin.SetTokenHeaders(req, inputTokens, maxOutput, "aa:400,bb:200")
 	}
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -94,7 +94,11 @@
 	tb.topUpHosts()
 	recoveryFindings := append(checkRecovery(tb, c), tb.checkDirectories()...)
 	tb.breakOffStreams(c)
-	calmFindings := append(checkCalm(ctx, tb, c), tb.checkCrashes()...)
+	calmFindings := checkCalm(ctx, tb, c)
+	if opt.Seed%lateEvery == 0 {
+		calmFindings = append(calmFindings, tb.checkLateStops(c)...)
+	}
+	calmFindings = append(calmFindings, tb.checkCrashes()...)
 	tb.activeFaults.Wait()
 	outcomes := c.recorded()
 	result := Result{Seed: opt.Seed, Requests: len(outcomes), Faults: faultCount, Findings: slices.Concat(checkOutcomes(tb, outcomes), recoveryFindings, calmFindings)}
--- a/cmd/internal/soak/stops.go
+++ b/cmd/internal/soak/stops.go
@@ -31,8 +31,8 @@
 
 // plannedStop is a stop of a host in calm times.
 type plannedStop struct {
-	host  *host
-	ended time.Time
+	host             *host
+	signalled, ended time.Time
 }
 
 // stopRow stops some hosts in a row, beside other faults.
@@ -70,9 +70,10 @@
 				c["limits"].(standin.Config)["idle_timeout_ms"] = (idleTimeout + time.Duration(i)*time.Second).Milliseconds()
 			})
 			h.signal(syscall.SIGHUP)
+			stops[i] = plannedStop{host: h, signalled: time.Now()}
 			h.signal(syscall.SIGTERM)
 			h.waitOrKill(grace + time.Second)
-			stops[i] = plannedStop{h, time.Now()}
+			stops[i].ended = time.Now()
 			h.startAgain()
 		})
 	}
--- a/cmd/internal/soak/testbed.go
+++ b/cmd/internal/soak/testbed.go
@@ -92,6 +92,8 @@
 	ip           string
 	storeProxy   *proxy
 	settingsPath string
+	// grace is the time to stop in its settings.
+	grace time.Duration
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -234,7 +236,7 @@
 }
 
 func (tb *testbed) addHost(i int) error {
-	h := &host{tb: tb, name: fmt.Sprintf("front-%d", i+1), ip: fmt.Sprintf("127.%d.1.%d", tb.netOctet, i+1), binary: tb.binary, logs: &logTail{}}
+	h := &host{tb: tb, name: fmt.Sprintf("front-%d", i+1), ip: fmt.Sprintf("127.%d.1.%d", tb.netOctet, i+1), grace: grace, binary: tb.binary, logs: &logTail{}}
 	var err error
 	if h.storeProxy, err = newProxy(tb.address(4, i, storePort), tb.address(0, 0, storePort)); err != nil {
 		return err
@@ -250,7 +252,7 @@
 
 func (h *host) writeSettings() error {
 	return os.WriteFile(h.settingsPath, []byte(standin.HostSettings(standin.HostOptions{
-		Name: h.name, FailureDomain: hostDomain, IP: h.ip, Store: h.storeProxy.listener.Addr().String(), Grace: grace,
+		Name: h.name, FailureDomain: hostDomain, IP: h.ip, Store: h.storeProxy.listener.Addr().String(), Grace: h.grace,
 	})), 0o600)
 }
 
