--- a/cmd/internal/soak/builds.go
+++ b/cmd/internal/soak/builds.go
@@ -21,6 +21,8 @@
 	LacksBrittle  = "brittle"
 	// LacksEmptied is for emptied failure domains and cold upstreams.
 	LacksEmptied = "emptied"
+	// LacksLate is for the rejection of requests that may outlast a host that stops.
+	LacksLate = "late"
 )
 
 const (
@@ -104,10 +106,7 @@
 	if opt.Out != nil {
 		_, _ = fmt.Fprintf(opt.Out, "  %s %s replaced by %s\n", time.Now().UTC().Format("15:04:05.000"), h.name, h.build())
 	}
-	err := h.start()
-	tb.mu.Lock()
-	defer tb.mu.Unlock()
-	tb.recordError(err)
+	h.startAgain()
 }
 
 // lacks reports whether a build lacks a feature.
