--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -11,6 +11,9 @@
 	usualRate = 4 << 20
 	// usualDelay is how much longer than by usualRate a body may usually take.
 	usualDelay = 250 * time.Millisecond
+	// standstill is the time after which a body that doesn't go on to arrive yields first. It is longer
+	// than a link is silent that callers outlast.
+	standstill = 5 * time.Second
 )
 
 // Verdict is the decision on bytes that a body asks for.
@@ -104,6 +107,7 @@
 //
 //   - Many bodies that stop short of their end, or drip, beside ordinary requests and callers on slow
 //     links: those yield that are late for their size and don't go on.
+//   - The same with the keys of several accounts: those yield first that stand still, whatever their account.
 //   - One account, or strangers without a key, who send more than all others together: theirs yield.
 //   - Many large bodies at full speed: the newest yields, so that those before it are completed.
 type Budget struct {
@@ -260,6 +264,9 @@
 
 // yieldsBefore reports whether x yields rather than y.
 func yieldsBefore(x, y *Body, now time.Time) bool {
+	if sx, sy := x.standsStill(now), y.standsStill(now); sx != sy {
+		return sx
+	}
 	if x.account != y.account {
 		if x.account.arriving.all != y.account.arriving.all {
 			return x.account.arriving.all > y.account.arriving.all
@@ -272,6 +279,9 @@
 	return x.number > y.number
 }
 
+// standsStill reports whether nothing of the body has arrived for long.
+func (x *Body) standsStill(now time.Time) bool { return now.Sub(x.asked) >= standstill }
+
 // cost returns the bytes that a body holds times the seconds by which it is late for its size. A body that
 // goes on to arrive is not late, however slow its link is.
 func (x *Body) cost(now time.Time) float64 {
