--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -145,6 +145,7 @@
 		r.refuseUnread(w, hr, req, r.denial(http.StatusNotFound, "no route", req))
 		return
 	}
+	boundWrites(w, req.Arrived, shorter(route.Timeout, req.Timeout))
 	var account *routes.Account
 	if table.NeedsKey(route) {
 		account = table.ByKey(req.Key)
