--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -194,3 +194,19 @@
 		b.End(ordinary)
 	}
 }
+
+// A body at the limit of the settings fits, and without one the largest size that does is known.
+func TestSingleBodyFits(t *testing.T) {
+	for _, memory := range []int64{0, 1 << 20, 112 << 20, 284 << 20} {
+		for _, maxBody := range []int64{0, 1, 64 << 10, 4 << 20, 64 << 20} {
+			limits := LimitsFor(memory, maxBody)
+			largest := limits.Body()
+			require.GreaterOrEqual(t, largest, maxBody)
+			for size, want := range map[int64]Verdict{largest: Granted, largest + 1: Yield} {
+				b := New(limits)
+				verdict, _ := b.Take(b.Begin("a", time.Time{}), size, time.Time{})
+				require.Equal(t, want, verdict, "%d of %+v", size, limits)
+			}
+		}
+	}
+}
--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -48,6 +48,9 @@
 	return limitsOf(total, min(total, max(int64((1-smallShare)*float64(total)), maxBody)), maxBody)
 }
 
+// Body returns the size up to which a single body fits while there are no others. A larger one never does.
+func (l Limits) Body() int64 { return min(l.Total, l.Large, l.Account, l.AccountTotal) }
+
 func limitsOf(total, large, maxBody int64) Limits {
 	account := min(large, max(int64(accountShare*float64(large)), accountBodies*maxBody))
 	return Limits{Total: total, Large: large, Account: account, AccountTotal: max(account, int64((1-otherShare)*float64(total)))}
--- a/fleet/relay/bodies.go
+++ b/fleet/relay/bodies.go
@@ -48,12 +48,21 @@
 	return b
 }
 
+// largest returns the limit of a body for which the settings state one, or zero if they state none. Then it is
+// what fits while there are no other bodies: a caller who is told to come back with more would do so in vain.
+func (k *bodies) largest(limit int64) int64 {
+	if limit > 0 {
+		return limit
+	}
+	return intake.LimitsFor(k.memory, 0).Body()
+}
+
 // bodySource is where a body comes from.
 type bodySource struct {
 	io.Reader
 	// length is the length that was announced, or negative.
 	length int64
-	// limit is the limit of the body in bytes, or zero.
+	// limit is the limit of the body in bytes that the settings state, or zero.
 	limit   int64
 	account string
 	// interrupt ends a Read that waits.
@@ -64,6 +73,8 @@
 type body struct {
 	keeper *bodies
 	source bodySource
+	// limit is the size in bytes up to which the body is read.
+	limit  int64
 	share  *intake.Body
 	blocks [][]byte
 	size   int64
@@ -75,7 +86,7 @@
 
 // read reads a whole body. The error is errBodyTooLarge, errBodyYields or one of the source.
 func (k *bodies) read(source bodySource) (*body, error) {
-	b := &body{keeper: k, source: source}
+	b := &body{keeper: k, source: source, limit: k.largest(source.limit)}
 	b.users.Store(1)
 	err := b.readAll()
 	if err == nil {
@@ -103,7 +114,7 @@
 		}
 		n, err := b.source.Read(room)
 		if n > 0 && probe {
-			if b.source.limit > 0 && b.size == b.source.limit {
+			if b.size == b.limit {
 				return errBodyTooLarge
 			}
 			var takeErr error
@@ -137,10 +148,7 @@
 	if b.source.length > b.size {
 		size = min(size, b.source.length-b.size)
 	}
-	if b.source.limit > 0 {
-		size = min(size, b.source.limit-b.size)
-	}
-	return int(size)
+	return int(min(size, b.limit-b.size))
 }
 
 // take takes a block for a body. It waits for bodies that yield to it. The error is errBodyYields.
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -222,7 +222,7 @@
 	}
 	req.HasBody = true
 	control := http.NewResponseController(w)
-	if limit > 0 && hr.ContentLength > limit {
+	if hr.ContentLength > r.bodies.largest(limit) {
 		boundRest(w, hr)
 		return refusal{status: http.StatusRequestEntityTooLarge, reason: errBodyTooLarge.Error()}
 	}
