--- a/fleet/gateway/bodies_test.go
+++ b/fleet/gateway/bodies_test.go
@@ -42,7 +42,10 @@
 					_, _ = io.Copy(io.Discard, resp.Body)
 					_ = resp.Body.Close()
 				}
-				require.LessOrEqual(t, f.gateway.bodies.budget.Held(), int64(4*limit))
+				f.gateway.bodies.mu.Lock()
+				held := f.gateway.bodies.budget.Held()
+				f.gateway.bodies.mu.Unlock()
+				require.LessOrEqual(t, held, int64(4*limit))
 			})
 		})
 	}
