--- a/fleet/callerserver/callerserver.go
+++ b/fleet/callerserver/callerserver.go
@@ -129,7 +129,7 @@
 			continue
 		}
 		if err == nil && !s.makeRoom(time.Now()) {
-			_ = c.Close()
+			s.room.refuse(c)
 			continue
 		}
 		if err == nil {
--- a/fleet/callerserver/room.go
+++ b/fleet/callerserver/room.go
@@ -1,6 +1,9 @@
 package callerserver
 
 import (
+	"io"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -18,8 +21,11 @@
 	// Interrupt lets connections yield while a request is handled. It is for requests that have no
 	// effect and are answered at once, where only a caller that doesn't read the answer is met.
 	Interrupt bool
-	Logger    logr.Logger
-	Metrics   metrics.Registry
+	// Refusal is the answer to connections that are not served, whose requests are not handled. A few
+	// at a time get it, others are closed unread, as all are if it is empty.
+	Refusal string
+	Logger  logr.Logger
+	Metrics metrics.Registry
 }
 
 // WithConnLimit bounds the open connections. When all are taken, connections without a request yield
@@ -43,14 +49,23 @@
 	fullLogInterval = time.Second
 )
 
+const (
+	// refusalTime bounds the time in which a refused connection takes its answer.
+	refusalTime = 250 * time.Millisecond
+	// minRefusals is how many connections may be refused with an answer at a time, however small the limit.
+	minRefusals = 8
+)
+
 // room is what a server knows of its limit. Only the goroutine that accepts connections uses it,
-// except for the gauge.
+// except for the gauge and the number of refusals.
 type room struct {
 	limit ConnLimit
 	log   logr.Logger
 	open  metrics.Gauge
 
 	yielded, refused metrics.Counter
+	// refusing is the number of connections that are being refused with an answer.
+	refusing atomic.Int64
 	// nextLook is when connections that yield are looked for again.
 	nextLook time.Time
 	loggedAt time.Time
@@ -85,6 +100,24 @@
 	return yielded > 0
 }
 
+// refuse closes a connection that is not served. It discards what arrives until the other end has closed it:
+// otherwise the answer might be lost with a reset.
+func (r *room) refuse(c net.Conn) {
+	if r.limit.Refusal == "" || r.refusing.Load() >= int64(max(minRefusals, connlimit.Batch(r.limit.Conns))) {
+		_ = c.Close()
+		return
+	}
+	r.refusing.Add(1)
+	go func() {
+		defer r.refusing.Add(-1)
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(refusalTime))
+		if _, err := io.WriteString(c, r.limit.Refusal); err == nil {
+			_, _ = io.Copy(io.Discard, c)
+		}
+	}()
+}
+
 // yield closes some connections to make room for others and returns their number. The caller holds mu.
 func (s *Server) yield(now time.Time) int {
 	open := make([]*trackedConn, 0, len(s.conns))
--- a/fleet/relay/forward.go
+++ b/fleet/relay/forward.go
@@ -62,6 +62,11 @@
 	maxUnreached = 12
 )
 
+// RefusalAtFullPort is the answer of a host at its port for other hosts when all connections are taken. It
+// belongs to whatever request the new connection brings, which the host doesn't handle.
+const RefusalAtFullPort = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n" +
+	headerUnreached + ": 1\r\n\r\n"
+
 // ForwardOptions configure how requests are forwarded to other hosts.
 type ForwardOptions struct {
 	Self roster.Host
@@ -150,8 +155,13 @@
 type helperDialect struct{}
 
 // Belongs implements exchange.Dialect.
-func (helperDialect) Belongs(resp *http.Response, requestID string, _ bool) bool {
-	return resp.Header.Get(headerForwardID) == requestID || isNoForwardPath(resp)
+func (helperDialect) Belongs(resp *http.Response, requestID string, reused bool) bool {
+	return resp.Header.Get(headerForwardID) == requestID || isNoForwardPath(resp) || !reused && isFullPort(resp)
+}
+
+// isFullPort reports whether an answer is [RefusalAtFullPort].
+func isFullPort(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerUnreached) != "" && resp.Header.Get(headerForwardID) == ""
 }
 
 // isNoForwardPath reports whether an answer is that of a host whose build has no [ForwardPath], which
--- a/fleet/relayhost/build.go
+++ b/fleet/relayhost/build.go
@@ -117,8 +117,10 @@
 	h.callers = callerserver.New(h.relay, callerserver.Limits{HeaderBytes: startHeaderBytes, HeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout},
 		func(err error) { h.log.Error(err, "Serving callers failed.") }, callerserver.WithDoor(h.load), callerserver.WithListen(h.listenCallers),
 		callerserver.WithConnLimit(h.connLimit("callers", h.connShares().Callers)))
+	peers := h.connLimit("peers", h.connShares().Hosts)
+	peers.Refusal = relay.RefusalAtFullPort
 	h.peers = callerserver.New(h.peerHandler(), peerLimits(0), func(err error) { h.log.Error(err, "Serving other hosts failed.") },
-		callerserver.WithConnLimit(h.connLimit("peers", h.connShares().Hosts)))
+		callerserver.WithConnLimit(peers))
 }
 
 // peerHandler returns the handler of other hosts' calls.
