--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -87,15 +87,15 @@
 			return true
 		}
 		c.noteBuffered(len(p))
+		if c.endsRetired() {
+			readErr = io.EOF
+			return true
+		}
 		n, readErr = readOnce(int(fd), p)
 		c.waiting = errors.Is(readErr, syscall.EAGAIN)
 		if n > 0 {
 			c.noteArrival()
 		}
-		if c.endsRetired() {
-			readErr = io.EOF
-			return true
-		}
 		return !c.waiting
 	})
 	var opErr *net.OpError
@@ -214,10 +214,11 @@
 	return c.closeIdle(now)
 }
 
-// endsRetired reports whether the connection is closed now because it is retired and has become idle. The
-// caller holds mu.
+// endsRetired reports whether the connection is closed now because it is retired and the server is about to
+// read the head of its next request, or the rest of it. That is not read then: it might be denied by limits
+// that are not in force any more. The caller holds mu.
 func (c *trackedConn) endsRetired() bool {
-	c.closing = c.closing || c.retired && c.waiting && c.state == http.StateIdle && !c.arrived
+	c.closing = c.closing || c.retired && c.state == http.StateIdle
 	return c.closing
 }
 
