--- a/core/connlimit/share.go
+++ b/core/connlimit/share.go
@@ -46,13 +46,13 @@
 	return Limits{Callers: callers, Hosts: max(minChecks, callers), Checks: max(minChecks, callers/checksShare)}
 }
 
-// Buffers are the sizes, in bytes, of the kernel's buffers of a host's connections, for what is
-// unread and for what is unsent. Zero leaves them to the kernel.
+// Buffers are the sizes, in bytes, of the kernel's buffers of a host's connections, for what is unread. Zero
+// leaves them to the kernel.
 type Buffers struct{ Callers, Hosts, Checks, Upstreams int }
 
 const (
-	// bufferShare is the part of the memory, as a divisor, for unread bytes of callers, and as much for
-	// unsent ones. The kernel counts its own overhead besides, up to as much.
+	// bufferShare is the part of the memory, as a divisor, for unread bytes of callers. The kernel counts its own
+	// overhead besides, up to as much.
 	bufferShare = 8
 	// hostsBufferShare, checksBufferShare and upstreamsBufferShare are the parts of a caller's buffer, as
 	// divisors, for connections of other hosts, which are near, for queries without a body, and for
@@ -62,13 +62,12 @@
 	upstreamsBufferShare = 2
 )
 
-// KernelBuffers returns the sizes with which bytes that were received and not yet read, and those that wait
-// for a caller who doesn't read, fit the memory of a host, whatever callers do on all the connections that [Shares] allows. A caller has 32 KiB at least: twice
-// what a new connection sends before the first acknowledgement, and a body of 4 MiB takes some 130 round trips.
+// KernelBuffers returns the sizes with which bytes that were received and not yet read fit the memory of a host,
+// whatever callers do on all the connections that [Shares] allows. A caller has 32 KiB at least: twice what a new
+// connection sends before the first acknowledgement, and a body of 4 MiB takes some 130 round trips.
 //
 // The load that it answers: callers who go on to send while the host reads nothing, behind a request whose
-// answer takes long; and callers who don't read long answers. By default the kernel holds some 100 KiB of
-// each, and megabytes after a fast upload or of an answer.
+// answer takes long. By default the kernel holds some 100 KiB of each, and megabytes after a fast upload.
 func KernelBuffers(r Resources) Buffers {
 	if r.MemoryBytes <= 0 {
 		return Buffers{}
--- a/fleet/relayhost/ports.go
+++ b/fleet/relayhost/ports.go
@@ -35,9 +35,9 @@
 func (h *Host) kernelBuffers() connlimit.Buffers { return connlimit.KernelBuffers(h.resources()) }
 
 // listenSockets returns the options of connections that others open, whose paths may be lossy. The kernel
-// holds about as many bytes of each, unread and unsent, as the size of the buffer.
+// holds about as many unread bytes of each as the size of the buffer.
 func listenSockets(buffer int) sockets.Options {
-	return sockets.Options{UserTimeout: 5 * time.Second, KeepAlive: 5 * time.Second, ReceiveBuffer: buffer, Unsent: buffer}
+	return sockets.Options{UserTimeout: 5 * time.Second, KeepAlive: 5 * time.Second, ReceiveBuffer: buffer}
 }
 
 func (h *Host) connLimit(port string, conns int) callerserver.ConnLimit {
--- a/fleet/sockets/sockets.go
+++ b/fleet/sockets/sockets.go
@@ -63,9 +63,6 @@
 	// ReceiveBuffer is the size, in bytes, of the kernel's receive buffer (SO_RCVBUF), which doesn't grow
 	// then. The kernel doubles it for its overhead, and may have a maximum.
 	ReceiveBuffer int
-	// Unsent is how many bytes, about, a connection takes that its peer has no room for yet
-	// (TCP_NOTSENT_LOWAT). What is on the way is not bounded by it, so that long distances keep their speed.
-	Unsent int
 }
 
 // keepAliveProbes is the number of unanswered keep-alive probes after which a
@@ -101,8 +98,7 @@
 	return failed
 }
 
-// set sets TCP_USER_TIMEOUT, SO_RCVBUF and TCP_NOTSENT_LOWAT. Connections that a listener accepts inherit
-// them.
+// set sets TCP_USER_TIMEOUT and SO_RCVBUF. Connections that a listener accepts inherit them.
 func (o Options) set(fd int) error {
 	if o.UserTimeout > 0 {
 		if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds())); err != nil {
@@ -114,11 +110,5 @@
 			return err
 		}
 	}
-	if o.Unsent > 0 {
-		err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, o.Unsent)
-		if err != nil && !errors.Is(err, unix.ENOPROTOOPT) { // systems without it bound the buffer in their own way
-			return err
-		}
-	}
 	return nil
 }
