--- a/fleet/callerserver/conn.go
+++ b/fleet/callerserver/conn.go
@@ -23,7 +23,9 @@
 type trackedConn struct {
 	net.Conn
 	// raw is the socket of the connection, or nil if it is none.
-	raw      syscall.RawConn
+	raw syscall.RawConn
+	// counter is nil if nobody counts what is read.
+	counter  readCounter
 	openedAt time.Time
 	address  netip.Addr
 	// writeStall bounds how long a write may make no progress. Zero means no bound.
@@ -58,12 +60,16 @@
 	closing bool
 }
 
+// readCounter is a connection that counts what is read from it. Reads from its socket pass it by.
+type readCounter interface{ CountRead(n int) }
+
 func newTrackedConn(c net.Conn) *trackedConn {
 	now := time.Now()
 	tracked := &trackedConn{Conn: c, openedAt: now, since: now}
 	if sys, ok := c.(syscall.Conn); ok {
 		tracked.raw, _ = sys.SyscallConn() // a connection that is closed is read in the usual way
 	}
+	tracked.counter, _ = c.(readCounter)
 	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		tracked.address = tcp.AddrPort().Addr()
 	}
@@ -109,6 +115,9 @@
 	case readErr != nil:
 		return 0, c.readError(os.NewSyscallError("read", readErr))
 	}
+	if c.counter != nil {
+		c.counter.CountRead(n)
+	}
 	return n, nil
 }
 
--- a/fleet/hostmeter/network.go
+++ b/fleet/hostmeter/network.go
@@ -97,11 +97,17 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.CountRead(n)
+	return n, err
+}
+
+// CountRead counts bytes that were read of the connection. What is read from its socket directly has to be
+// counted by the reader.
+func (c *conn) CountRead(n int) {
 	c.meter.addReceived(n)
 	if n > 0 && c.answers != nil {
 		c.answers.Add(1)
 	}
-	return n, err
 }
 
 // Write implements net.Conn.
