--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -1,5 +1,5 @@
-// Command bed plays the cases of a review: it starts the project's own hosts as processes on loopback addresses, beside stand-ins of
-// the store, the workers and the clients.
+// Command bed plays the cases of a review. It starts the project's own hosts as processes on loopback
+// addresses, beside stand-ins of the store, the workers and the clients.
 package main
 
 import (
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -40,15 +39,14 @@
 	conf     string
 	logPath  string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	done    chan struct{}
-	stopped bool
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
 }
 
 // NewBed starts the store of an empty platform with a configuration.
 func NewBed(binary string, config standin.Config) (*Bed, error) {
-	dir, err := os.MkdirTemp("", "lab")
+	dir, err := os.MkdirTemp("", "bed")
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +107,7 @@
 		return err
 	}
 	cmd, done := h.cmd, make(chan struct{})
-	h.done, h.stopped = done, false
+	h.done = done
 	go func() {
 		_ = cmd.Wait()
 		close(done)
@@ -121,7 +119,6 @@
 func (h *Host) Signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.stopped = h.stopped || s == syscall.SIGKILL || s == syscall.SIGTERM
 	_ = h.cmd.Process.Signal(s)
 }
 
@@ -140,18 +137,6 @@
 	}
 }
 
-// Ended reports whether the process has ended by itself.
-func (h *Host) Ended() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	select {
-	case <-h.done:
-		return !h.stopped
-	default:
-		return false
-	}
-}
-
 // Front is the address for clients.
 func (h *Host) Front() string { return fmt.Sprintf("%s:%d", h.IP, standin.CallerPort) }
 
@@ -180,25 +165,6 @@
 	return true
 }
 
-// Logs returns what a host has written.
-func (h *Host) Logs() string {
-	data, _ := os.ReadFile(h.logPath)
-	return string(data)
-}
-
-// Grep returns the lines of all hosts with a text.
-func (b *Bed) Grep(text string) []string {
-	var out []string
-	for _, h := range b.Hosts {
-		for line := range strings.SplitSeq(h.Logs(), "\n") {
-			if strings.Contains(line, text) {
-				out = append(out, h.Name+": "+line)
-			}
-		}
-	}
-	return out
-}
-
 // Close ends all processes.
 func (b *Bed) Close() {
 	close(b.closed)
@@ -213,10 +179,3 @@
 	_ = b.server.Close()
 	_ = os.RemoveAll(b.Dir)
 }
-
-// Pid returns the number of the process.
-func (h *Host) Pid() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.cmd.Process.Pid
-}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -15,7 +15,7 @@
 
 // cases are the cases by name. Each returns held, broken or couldNot.
 var cases = map[string]func(binary string, trouble bool, record *Record) (int, error){
-	"lost-budgets": lostBudgets,
+	"repeats": repeats,
 }
 
 func main() {
--- a/review/bed/record.go
+++ b/review/bed/record.go
@@ -5,7 +5,6 @@
 	"io"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -13,14 +12,20 @@
 type Record struct {
 	began time.Time
 
-	mu   sync.Mutex
-	out  io.WriteCloser
-	runs map[string][]*Run
+	mu  sync.Mutex
+	out io.WriteCloser
+	// sent are the times at which clients have sent requests.
+	sent     []time.Time
+	arrivals []Arrival
+	seen     map[string]bool
 }
 
-// Run is one run of a request at a worker.
-type Run struct {
-	events atomic.Int64
+// Arrival is the arrival of a request at a worker, whatever the worker does with it.
+type Arrival struct {
+	At time.Time
+	ID string
+	// First is true for the first arrival of a request.
+	First bool
 }
 
 // NewRecord returns a record that is written to a file.
@@ -29,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Record{began: time.Now(), out: out, runs: make(map[string][]*Run)}, nil
+	return &Record{began: time.Now(), out: out, seen: make(map[string]bool)}, nil
 }
 
 // Logf writes a line with the seconds since the begin.
@@ -45,24 +50,23 @@
 	fmt.Printf(format+"\n", args...)
 }
 
-// run records that a worker begins to run a request.
-func (r *Record) run(id, tenant, worker string) *Run {
-	run := &Run{}
+// arrive records that a request has reached a worker.
+func (r *Record) arrive(id, worker string) {
+	now := time.Now()
 	r.mu.Lock()
-	r.runs[id] = append(r.runs[id], run)
+	r.arrivals = append(r.arrivals, Arrival{At: now, ID: id, First: !r.seen[id]})
+	r.seen[id] = true
 	r.mu.Unlock()
-	r.Logf("run %s of %s at %s", id, tenant, worker)
-	return run
+	r.Logf("%s reaches %s", id, worker)
 }
 
-// delivered returns the most events that one run of a request has sent, and whether it has run.
-func (r *Record) delivered(id string) (events int64, ran bool) {
+// send records that a client sends a request.
+func (r *Record) send(id, host string) {
+	now := time.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, run := range r.runs[id] {
-		events, ran = max(events, run.events.Load()), true
-	}
-	return events, ran
+	r.sent = append(r.sent, now)
+	r.mu.Unlock()
+	r.Logf("%s is sent to %s", id, host)
 }
 
 // Close closes the file.
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -21,27 +21,28 @@
 
 // Worker is a sound worker: a model engine if its service streams, otherwise a plain service.
 type Worker struct {
-	bed               *Bed
-	id, service, zone string
-	slots             int
-	record            *Record
+	bed                     *Bed
+	id, name, service, zone string
+	slots                   int
+	record                  *Record
 
-	listener net.Listener
 	mu       sync.Mutex
+	address  string
+	listener net.Listener // nil while it is down
+	conns    map[net.Conn]struct{}
 	seq      int
+	starts   int
 }
 
 // AddWorker starts a worker, which registers itself.
-func (b *Bed) AddWorker(service, zone string, slots int, record *Record) error {
+func (b *Bed) AddWorker(service, zone string, slots int, record *Record) (*Worker, error) {
 	b.workers++
-	w := &Worker{bed: b, id: fmt.Sprintf("i-%02x%04x", b.Octet, b.workers), service: service, zone: zone, slots: slots, record: record}
-	var err error
-	if w.listener, err = net.Listen("tcp", b.Addr(2, b.workers, 8080)); err != nil {
-		return err
+	w := &Worker{bed: b, name: fmt.Sprintf("%02x%02x", b.Octet, b.workers), service: service, zone: zone, slots: slots, record: record,
+		address: b.Addr(2, b.workers, 8080)}
+	if err := w.Start(); err != nil {
+		return nil, err
 	}
-	b.closers = append(b.closers, func() { _ = w.listener.Close() })
-	go w.serve()
-	w.beat()
+	b.closers = append(b.closers, w.Crash)
 	go func() {
 		tick := time.NewTicker(heartbeat)
 		defer tick.Stop()
@@ -54,16 +55,61 @@
 			}
 		}
 	}()
+	return w, nil
+}
+
+// Start starts a new incarnation of the worker at its address, with a new ID.
+func (w *Worker) Start() error {
+	l, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.starts++
+	w.seq = 0
+	w.id = fmt.Sprintf("i-%s%04x", w.name, w.starts)
+	w.listener, w.conns = l, make(map[net.Conn]struct{})
+	id := w.id
+	w.mu.Unlock()
+	w.beat()
+	go w.serve(l, id)
 	return nil
 }
 
-// beat writes the worker's entry to the store.
+// expiry is the silence after which the entry of a worker is removed.
+const expiry = 3 * heartbeat
+
+// Crash ends the worker: its connections are reset, its address refuses others, and its entry is removed
+// three heartbeats later.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.listener == nil {
+		return
+	}
+	_ = w.listener.Close()
+	w.listener = nil
+	for c := range w.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	w.conns = nil
+	id := w.id
+	time.AfterFunc(expiry, func() {
+		w.bed.Log.Append(standin.UpstreamStream, platform.KeyedRecord{Key: id})
+	})
+}
+
+// beat writes the worker's entry to the store, unless it is down.
 func (w *Worker) beat() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.listener == nil {
+		return
+	}
 	w.seq++
 	value, err := json.Marshal(map[string]any{
-		"service": w.service, "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1", "slots": w.slots,
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots,
 		"state": "ready", "cold_left_ms": 0, "call_seq": w.seq,
 	})
 	if err != nil {
@@ -72,18 +118,33 @@
 	w.bed.Log.Append(standin.UpstreamStream, platform.KeyedRecord{Key: w.id, Value: value})
 }
 
-func (w *Worker) serve() {
+func (w *Worker) serve(l net.Listener, id string) {
 	for {
-		c, err := w.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go w.serveConn(c)
+		w.mu.Lock()
+		alive := w.listener == l
+		if alive {
+			w.conns[c] = struct{}{}
+		}
+		w.mu.Unlock()
+		if !alive {
+			_ = c.Close()
+			continue
+		}
+		go w.serveConn(c, id)
 	}
 }
 
-func (w *Worker) serveConn(c net.Conn) {
-	defer func() { _ = c.Close() }()
+func (w *Worker) serveConn(c net.Conn, id string) {
+	defer func() {
+		_ = c.Close()
+		w.mu.Lock()
+		delete(w.conns, c)
+		w.mu.Unlock()
+	}()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -93,7 +154,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if !w.answer(c, r) {
+		if !w.answer(c, r, id) {
 			return
 		}
 	}
@@ -107,13 +168,14 @@
 
 // answer answers a request with a stream of as many events as the request's body says, and reports whether
 // the connection is kept.
-func (w *Worker) answer(c net.Conn, r *http.Request) bool {
+func (w *Worker) answer(c net.Conn, r *http.Request, instance string) bool {
 	id := r.Header.Get("Request-Id")
-	if r.Header.Get("Expect-Instance") != w.id {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, w.id)
+	w.record.arrive(id, instance)
+	if r.Header.Get("Expect-Instance") != instance {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, instance)
 		return err == nil
 	}
-	run := w.record.run(id, r.Header.Get("Tenant"), w.id)
+	w.record.Logf("%s runs at %s", id, instance)
 	events, _ := strconv.Atoi(r.Header.Get("X-Events"))
 	time.Sleep(firstEvent)
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: " + seal(id) + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -125,7 +187,6 @@
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return false
 		}
-		run.events.Add(1)
 		time.Sleep(eventGap)
 	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
