--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -30,6 +31,7 @@
 	workers int
 	closers []func()
 	closed  chan struct{}
+	once    sync.Once
 }
 
 // Host is one host process.
@@ -67,9 +69,22 @@
 	b.Store = standin.NewStore(b.Log)
 	b.server = &http.Server{Handler: b.Store, ReadHeaderTimeout: time.Second}
 	go func() { _ = b.server.Serve(l) }()
+	go b.closeOnSignal()
 	return b, nil
 }
 
+// closeOnSignal ends all processes if this one is asked to stop.
+func (b *Bed) closeOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-stop:
+		b.Close()
+		os.Exit(couldNot)
+	case <-b.closed:
+	}
+}
+
 // Addr returns a loopback address of the bed. The third octet is a role, the fourth a number.
 func (b *Bed) Addr(role, n, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", b.Octet, role, n, port)
@@ -167,6 +182,10 @@
 
 // Close ends all processes.
 func (b *Bed) Close() {
+	b.once.Do(b.close)
+}
+
+func (b *Bed) close() {
 	close(b.closed)
 	for _, f := range b.closers {
 		f()
