--- a/fleet/exchange/conn.go
+++ b/fleet/exchange/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -31,6 +32,8 @@
 // net/http does not bound the heads that it reads from a connection of others.
 type headLimit struct {
 	io.Reader
+	// failed is why the connection gave no more bytes, or nil so far.
+	failed error
 	// left is the number of bytes that may be read, if active.
 	left   int
 	active bool
@@ -38,17 +41,31 @@
 
 // Read implements io.Reader.
 func (l *headLimit) Read(p []byte) (int, error) {
-	if !l.active {
-		return l.Reader.Read(p)
+	if l.active {
+		if l.left <= 0 {
+			return 0, errHeadTooLong
+		}
+		p = p[:min(len(p), l.left)]
+	}
+	n, err := l.Reader.Read(p)
+	if l.active {
+		l.left -= n
 	}
-	if l.left <= 0 {
-		return 0, errHeadTooLong
+	if err != nil {
+		l.failed = err
 	}
-	n, err := l.Reader.Read(p[:min(len(p), l.left)])
-	l.left -= n
 	return n, err
 }
 
+// readError returns the error of an answer that could not be read. It wraps broken, or [ErrMalformed] if the
+// connection has not failed.
+func (c *conn) readError(broken, err error) error {
+	if c.head.failed == nil {
+		broken = ErrMalformed
+	}
+	return fmt.Errorf("%w: %w", broken, err)
+}
+
 // usable reports whether an idle connection can be used for a request: it has not
 // expired, and the other end has neither closed it nor sent anything.
 func (c *conn) usable(now time.Time, maxIdle time.Duration) bool {
--- a/fleet/relay/answer.go
+++ b/fleet/relay/answer.go
@@ -89,7 +89,7 @@
 	body, taken, whole, err := c.r.buffers.readAnswer(resp)
 	defer c.r.buffers.giveBack(taken)
 	if err != nil {
-		c.closedByPeer = exchange.IsClosedByPeer(err)
+		c.lostBy, c.closedByPeer = err, exchange.IsClosedByPeer(err)
 		return resultLost
 	}
 	started := (!whole || isSuccess(resp.StatusCode)) && c.recordFirstEvent(lease)
@@ -130,6 +130,7 @@
 		return resultLost
 	}
 	if _, err := io.Copy(c.w, resp); err != nil {
+		c.lostBy = err
 		return resultLost
 	}
 	c.answered = isSuccess(resp.StatusCode)
--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -55,7 +56,7 @@
 		lease.Conns.CloseIdle()
 	}, giveUp)
 	before, goesOn := c.events, c.goesOn()
-	c.closedByPeer, c.attemptStartedAt = false, time.Time{}
+	c.closedByPeer, c.lostBy, c.attemptStartedAt = false, nil, time.Time{}
 	result := c.sendOnce(ctx, lease)
 	lease.ObserveEvents(c.events - before)
 	if result == resultAnswered && c.req.Work != nil && !goesOn {
@@ -130,6 +131,10 @@
 	c.recordReach(ctx, lease, err, time.Since(began))
 	c.notTried = errors.Is(err, sockets.ErrNotTried)
 	result := c.receive(ctx, resp, err, lease)
+	err = cmp.Or(err, c.lostBy)
+	if ctx.Err() == nil {
+		c.r.meters.countLost(err)
+	}
 	c.r.logFor(result != resultAnswered).Info("Request sent.", "request", c.req.ID, "service", c.service, "upstream", lease.Upstream.ID, "version", lease.Upstream.Version, "after_event", c.resume.ID,
 		"delay", lease.Delay, "wait", lease.Wait, "read", lease.Read, "cached", lease.Cached, "fetched", lease.Fetched, "running", lease.Running, "held", lease.Held, "slowness", round2(lease.Slowness), "trouble", lease.FaultCost, "took", time.Since(began), "result", result.String(), "error", errText(err))
 	return result
--- a/fleet/relay/call.go
+++ b/fleet/relay/call.go
@@ -52,6 +52,8 @@
 	flight      *fleetquarantine.Flight
 	// closedByPeer is true if the upstream closed the connection during the last attempt.
 	closedByPeer bool
+	// lostBy is why the rest of the last attempt's answer was lost after its head, if so.
+	lostBy error
 
 	tried []string
 	// staysHere is true if this host sends the request to the best upstream within its reach.
--- a/fleet/relay/meters.go
+++ b/fleet/relay/meters.go
@@ -1,11 +1,14 @@
 package relay
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/hazelworks/hazelworks/fleet/exchange"
 )
 
 // Size and decay of a histogram's reservoir, weighted towards the last five minutes.
@@ -38,6 +41,10 @@
 	// refused because it was needed for others.
 	bodyBytes     metrics.Gauge
 	bodiesYielded metrics.Counter
+	// malformed counts the attempts whose answer was not valid, brokenOff those whose connection failed or
+	// ended before the end of their answer, and after its head.
+	malformed metrics.Counter
+	brokenOff metrics.Counter
 }
 
 func newMeters(r metrics.Registry) *meters {
@@ -57,6 +64,19 @@
 
 		bodyBytes:     metrics.GetOrRegisterGauge("relay.body_bytes", r),
 		bodiesYielded: metrics.GetOrRegisterCounter("relay.bodies_yielded", r),
+
+		malformed: metrics.GetOrRegisterCounter("relay.answers_malformed", r),
+		brokenOff: metrics.GetOrRegisterCounter("relay.answers_broken_off", r),
+	}
+}
+
+// countLost counts an attempt that ended with an error, which may be nil, if its answer was broken.
+func (m *meters) countLost(err error) {
+	switch {
+	case errors.Is(err, exchange.ErrMalformed):
+		m.malformed.Inc(1)
+	case errors.Is(err, exchange.ErrBrokenOff):
+		m.brokenOff.Inc(1)
 	}
 }
 
--- a/fleet/relay/stream.go
+++ b/fleet/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -28,6 +29,9 @@
 // a run that goes on elsewhere would repeat it.
 var errNoResumePoint = errors.New("the stream can't go on after an event without an ID")
 
+// errInsideEvent reports that the answer has ended where a stream can't.
+var errInsideEvent = fmt.Errorf("%w: the stream ends inside an event or without any", exchange.ErrBrokenOff)
+
 // forwardStream forwards a stream of events. It forwards each event as soon as it is
 // complete, and no partial event.
 func (c *call) forwardStream(ctx context.Context, resp *exchange.Response, lease *balancer.Lease) sendResult {
@@ -69,7 +73,10 @@
 			return resultLost
 		}
 		if err != nil {
-			c.closedByPeer = exchange.IsClosedByPeer(err)
+			c.lostBy, c.closedByPeer = err, exchange.IsClosedByPeer(err)
+			if err == io.EOF {
+				c.lostBy = errInsideEvent
+			}
 			return resultLost
 		}
 	}
