--- a/fleet/exchange/conn.go
+++ b/fleet/exchange/conn.go
@@ -14,7 +14,10 @@
 
 // conn is a connection to an upstream, used by one request at a time.
 type conn struct {
+	// Conn is the socket, made to report each failure to its reader: an answer without a length is complete
+	// where the connection ends, unless that has failed.
 	net.Conn
+	socket net.Conn
 	reader *bufio.Reader
 	head   *headLimit
 	// expires is when the idle connection is no longer used, shortly before the
@@ -75,7 +78,7 @@
 	if now.Sub(c.idleAt) >= maxIdle {
 		return false
 	}
-	return c.reader.Buffered() == 0 && nothingToRead(c.Conn)
+	return c.reader.Buffered() == 0 && nothingToRead(c.socket)
 }
 
 // nothingToRead reports whether a connection has neither data nor an end of file to read.
--- a/fleet/exchange/pool.go
+++ b/fleet/exchange/pool.go
@@ -157,8 +157,9 @@
 	if p.opt.Opened != nil {
 		p.opt.Opened()
 	}
-	head := &headLimit{Reader: raw}
-	return &conn{Conn: raw, openedAt: time.Now(), reader: bufio.NewReaderSize(head, readerBytes), head: head}, nil
+	kept := sockets.KeepFailures(raw)
+	head := &headLimit{Reader: kept}
+	return &conn{Conn: kept, socket: raw, openedAt: time.Now(), reader: bufio.NewReaderSize(head, readerBytes), head: head}, nil
 }
 
 // put makes a connection available for the next request. keepFor is the idle timeout
