--- a/fleet/upstream/transport.go
+++ b/fleet/upstream/transport.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
 // HeaderLeaving is the response header in which an upstream reports whether it is
@@ -59,10 +60,17 @@
 
 func newTransport(dial Dialer, onHeaders func(headerReport)) *transport {
 	t := &transport{onHeaders: onHeaders}
+	countWrites := dispatch.CountWrites(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return sockets.KeepFailures(c), nil
+	})
 	t.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
-		return dispatch.CountWrites(dial)(ctx, network, addr)
+		return countWrites(ctx, network, addr)
 	}
 	t.base = t.newBase()
 	return t
