--- a/fleet/relay/attempt.go
+++ b/fleet/relay/attempt.go
@@ -143,12 +143,12 @@
 // round2 rounds a factor for the log.
 func round2(f float64) float64 { return math.Round(f*100) / 100 }
 
-// recordReach records whether the upstream was within reach. err is the error of the attempt
-// before the head of the answer, if any, and took the time until then.
+// recordReach records whether the upstream was within reach, which it also is if what it sends is no valid
+// answer. err is the error of the attempt before the head of the answer, if any, and took the time until then.
 func (c *call) recordReach(ctx context.Context, lease *balancer.Lease, err error, took time.Duration) {
 	var timeout net.Error
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, exchange.ErrMalformed):
 		lease.Reached()
 	case ctx.Err() != nil || errors.Is(err, exchange.ErrTooNew) || errors.Is(err, sockets.ErrNotTried):
 		// It has not been tried, or not for long enough.
