--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"github.com/hazelworks/hazelworks/fleet/heads"
 )
 
 // Dialect interprets the heads of upstreams' answers.
@@ -203,7 +205,10 @@
 		if err != nil {
 			return r.conn.readError(ErrNoAnswer, err)
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		if err := heads.Check(resp); err != nil {
+			return fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.pool.opt.Dialect.Belongs(resp, req.ID, r.conn.reused) {
--- a/fleet/placer/service.go
+++ b/fleet/placer/service.go
@@ -10,6 +10,7 @@
 	"github.com/hazelworks/hazelworks/core/placement"
 	"github.com/hazelworks/hazelworks/core/record"
 	"github.com/hazelworks/hazelworks/core/settings"
+	"github.com/hazelworks/hazelworks/fleet/heads"
 )
 
 // service runs the placement of one service.
@@ -58,7 +59,7 @@
 	return &service{
 		placer:    p,
 		name:      name,
-		client:    client{http: &http.Client{Transport: transport}},
+		client:    client{http: &http.Client{Transport: heads.Checked(transport)}},
 		workers:   make(map[string]*worker),
 		meanLoads: make(map[string]float64),
 		loadTime:  initialLoadTime,
--- a/fleet/upstream/transport.go
+++ b/fleet/upstream/transport.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hazelworks/hazelworks/fleet/dispatch"
+	"github.com/hazelworks/hazelworks/fleet/heads"
 	"github.com/hazelworks/hazelworks/fleet/sockets"
 )
 
@@ -101,7 +102,7 @@
 	t.mu.Lock()
 	base := t.base
 	t.mu.Unlock()
-	resp, err := base.RoundTrip(req)
+	resp, err := heads.Checked(base).RoundTrip(req)
 	if err == nil {
 		t.onHeaders(parseHeaders(resp.Header))
 	}
--- a/fleet/upstream/transport_test.go
+++ b/fleet/upstream/transport_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hazelworks/hazelworks/fleet/dispatch"
 )
 
 // resetConn is a connection to an upstream that answers a request while its body is written, and resets the
@@ -102,3 +104,41 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, "whole", body)
 }
+
+// answerConn is a connection to an upstream that sends an answer, as it is, to the first request.
+func answerConn(answer string) net.Conn {
+	near, far := net.Pipe()
+	go func() {
+		_, _ = far.Read(make([]byte, dispatch.BufferBytes))
+		_, _ = io.WriteString(far, answer)
+		_, _ = io.Copy(io.Discard, far)
+		_ = far.Close()
+	}()
+	return near
+}
+
+// malformedHeads are heads of answers that are not valid.
+var malformedHeads = []string{
+	"HTTP/1.1 000 None\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 099 Almost\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 101 Switching Protocols\r\n",
+	"HTTP/1.1 600 Beyond\r\nContent-Length: 0\r\n",
+}
+
+// TestMalformedHeadsAreNoAnswers guards against heads of answers that package net/http accepts. What they report
+// is not believed either.
+func TestMalformedHeadsAreNoAnswers(t *testing.T) {
+	for _, head := range malformedHeads {
+		conn := answerConn(head + HeaderLeaving + ": true\r\n\r\n")
+		tr := newTransport(func(context.Context, string, string) (net.Conn, error) { return conn, nil },
+			func(headerReport) { t.Errorf("the report of %q is believed", head) })
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://u.test/", nil)
+		require.NoError(t, err)
+		resp, err := tr.RoundTrip(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		require.ErrorContains(t, err, "malformed", "%q", head)
+		_ = conn.Close()
+	}
+}
