--- a/fleet/heads/heads_test.go
+++ b/fleet/heads/heads_test.go
@@ -31,6 +31,24 @@
 	return err
 }
 
+// Each byte in the name of a field is either one of a token (RFC 9110, section 5.6.2) or refused.
+func TestFieldNames(t *testing.T) {
+	const token = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for b := range 256 {
+		c := string([]byte{byte(b)})
+		for _, name := range []string{"X" + c + "Y", "X" + c, c + "Y"} {
+			if c == "\n" || c == "\r" || c == ":" || (c == " " || c == "\t") && name[0] == c[0] {
+				continue // ends the line or the name, or goes on with the line before
+			}
+			err := get(t, "HTTP/1.1 200 OK\r\n"+name+": 1\r\nContent-Length: 0\r\n\r\n")
+			require.Equal(t, strings.Contains(token, c), err == nil, "%q: %v", name, err)
+		}
+	}
+	require.Error(t, get(t, "HTTP/1.1 200 OK\r\n: 1\r\n\r\n"))
+	require.Error(t, get(t, "HTTP/1.1 200 OK\r\n : 1\r\n\r\n"))
+	require.NoError(t, get(t, "HTTP/1.1 200 OK\r\n\r\n"))
+}
+
 // Each status of three digits is either one of HTTP or refused.
 func TestStatuses(t *testing.T) {
 	for status := range 1000 {
--- a/fleet/upstream/transport_test.go
+++ b/fleet/upstream/transport_test.go
@@ -123,6 +123,10 @@
 	"HTTP/1.1 099 Almost\r\nContent-Length: 0\r\n",
 	"HTTP/1.1 101 Switching Protocols\r\n",
 	"HTTP/1.1 600 Beyond\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX Custom: 1\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Custom : 1\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX\x01Custom: 1\r\n",
 }
 
 // TestMalformedHeadsAreNoAnswers guards against heads of answers that package net/http accepts. What they report
