--- a/fleet/exchange/conn.go
+++ b/fleet/exchange/conn.go
@@ -2,14 +2,18 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/hazelworks/hazelworks/fleet/heads"
 )
 
 // conn is a connection to an upstream, used by one request at a time.
@@ -40,6 +44,8 @@
 	// left is the number of bytes that may be read, if active.
 	left   int
 	active bool
+	// raw is what was read since the start of a head of HTTP/1.0, else it is nil.
+	raw []byte
 }
 
 // Read implements io.Reader.
@@ -53,6 +59,9 @@
 	n, err := l.Reader.Read(p)
 	if l.active {
 		l.left -= n
+		if l.raw != nil {
+			l.raw = append(l.raw, p[:n]...)
+		}
 	}
 	if err != nil {
 		l.failed = err
@@ -60,6 +69,44 @@
 	return n, err
 }
 
+const http10 = "HTTP/1.0"
+
+var errCodingInHTTP10 = errors.New("transfer coding in HTTP/1.0")
+
+// readHead reads the head of an answer.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.head.active, c.head.left, c.head.raw = true, maxHeadBytes, nil
+	defer func() { c.head.active, c.head.raw = false, nil }()
+	// An error, also that of a connection which has ended, comes again when the rest is read.
+	if version, _ := c.reader.Peek(len(http10)); string(version) == http10 {
+		lead, _ := c.reader.Peek(c.reader.Buffered()) // has been read
+		c.head.raw = bytes.Clone(lead)
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, c.readError(ErrNoAnswer, err)
+	}
+	if c.head.raw != nil && namesCoding(c.head.raw[:len(c.head.raw)-c.reader.Buffered()]) {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, errCodingInHTTP10)
+	}
+	if err := heads.Check(resp); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return resp, nil
+}
+
+// namesCoding reports whether a head has a field for transfer codings. HTTP/1.0 has none (RFC 9112, section
+// 6.1), and package net/http drops the field there: its body is returned as it was coded.
+func namesCoding(head []byte) bool {
+	for line := range bytes.SplitSeq(head, []byte("\n")) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return true
+		}
+	}
+	return false
+}
+
 // readError returns the error of an answer that could not be read. It wraps broken, or [ErrMalformed] if the
 // connection has not failed.
 func (c *conn) readError(broken, err error) error {
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -11,8 +11,6 @@
 	"strconv"
 	"syscall"
 	"time"
-
-	"github.com/hazelworks/hazelworks/fleet/heads"
 )
 
 // Dialect interprets the heads of upstreams' answers.
@@ -199,14 +197,9 @@
 // readHead reads answers until the head of the request's own answer.
 func (r *Response) readHead(req *Request) error {
 	for range maxForeignAnswers {
-		r.conn.head.active, r.conn.head.left = true, maxHeadBytes
-		resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: req.Method})
-		r.conn.head.active = false
+		resp, err := r.conn.readHead(req.Method)
 		if err != nil {
-			return r.conn.readError(ErrNoAnswer, err)
-		}
-		if err := heads.Check(resp); err != nil {
-			return fmt.Errorf("%w: %w", ErrMalformed, err)
+			return err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
--- a/fleet/upstream/transport_test.go
+++ b/fleet/upstream/transport_test.go
@@ -146,3 +146,18 @@
 		_ = conn.Close()
 	}
 }
+
+// TestCodingInHTTP10IsMalformed guards against the sizes of chunks in a body: HTTP/1.0 has no transfer codings
+// (RFC 9112, section 6.1), and package net/http drops the field that names one.
+func TestCodingInHTTP10IsMalformed(t *testing.T) {
+	conn := answerConn("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 16\r\n\r\n6\r\nanswer\r\n0\r\n\r\n")
+	defer func() { _ = conn.Close() }()
+	tr := newTransport(func(context.Context, string, string) (net.Conn, error) { return conn, nil }, func(headerReport) {})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://u.test/", nil)
+	require.NoError(t, err)
+	resp, err := tr.RoundTrip(req)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	require.Error(t, err)
+}
