--- a/fleet/sockets/failures.go
+++ b/fleet/sockets/failures.go
@@ -51,8 +51,9 @@
 	return n, err
 }
 
-// failsReads reports whether the error of a write means that what was read may be incomplete. The kernel
-// returns EPIPE, and not ECONNRESET, for a reset after the end of the stream (tcp_reset in net/ipv4/tcp_input.c).
+// failsReads reports whether the error of a write means that what was read may be incomplete. EPIPE does not: the
+// kernel returns it for a reset that comes after the end of the stream (tcp_reset in Linux's net/ipv4/tcp_input.c),
+// and after a failure that a read was told of.
 func failsReads(err error) bool {
 	return !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
