--- a/review/bed3/bed.go
+++ b/review/bed3/bed.go
@@ -252,22 +252,6 @@
 	check(fmt.Errorf("%s is not ready: %s", h.name, h.log()))
 }
 
-// metric returns a figure of the process's own metrics.
-func (h *host) rss() int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.SplitSeq(string(data), "\n") {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			n := 0
-			_, _ = fmt.Sscan(rest, &n)
-			return n / 1024
-		}
-	}
-	return 0
-}
-
 // run is a request that a worker has begun to run.
 type run struct {
 	worker, id, method, target, body string
@@ -367,51 +351,11 @@
 	return x
 }
 
-func (w *worker) ran(id string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n := 0
-	for _, x := range w.runs {
-		if x.id == id {
-			n++
-		}
-	}
-	return n
-}
-
 // head returns the head of an answer of the worker to a request.
 func head(id string, status int, more string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%s\r\n", status, http.StatusText(status), id, id, more)
 }
 
-// plain answers as a sound plain worker.
-func plain(w *worker, c net.Conn, _ *bufio.Reader, r *http.Request) bool {
-	x := w.begin(r)
-	text := "answer to " + x.id
-	_, err := io.WriteString(c, head(x.id, 200, fmt.Sprintf("Content-Length: %d\r\n", len(text)))+text)
-	return err == nil
-}
-
-// events answers as a sound model worker, with n events, one each gap.
-func events(n int, gap time.Duration) func(*worker, net.Conn, *bufio.Reader, *http.Request) bool {
-	return func(w *worker, c net.Conn, _ *bufio.Reader, r *http.Request) bool {
-		x := w.begin(r)
-		if _, err := io.WriteString(c, head(x.id, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")); err != nil {
-			return false
-		}
-		from := int(number(r.Header.Get("Last-Event-Id")))
-		for i := from + 1; i <= n; i++ {
-			time.Sleep(gap)
-			text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
-			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
-				return false
-			}
-		}
-		_, err := io.WriteString(c, "0\r\n\r\n")
-		return err == nil
-	}
-}
-
 // answer is what a client has got.
 type answer struct {
 	status int
@@ -444,21 +388,6 @@
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
 }
 
-// send sends a request on a new connection and returns its answer.
-func (h *host) send(text string, limit time.Duration) answer {
-	c, err := net.DialTimeout("tcp", h.ip+":8227", time.Second)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(limit))
-	if _, err := io.WriteString(c, text); err != nil {
-		return answer{err: err}
-	}
-	method, _, _ := strings.Cut(text, " ")
-	return readAnswer(bufio.NewReader(c), method)
-}
-
 // dialSmall opens a connection with a receive buffer of a size.
 func (h *host) dialSmall(size int) (net.Conn, error) {
 	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
--- a/review/bed3/store.go
+++ b/review/bed3/store.go
@@ -34,11 +34,9 @@
 
 // store is a stand-in of the platform's metadata store, for keyed topics, as the page PROTOCOL describes it.
 type store struct {
-	mu      sync.Mutex
-	topics  map[string]*topic
-	changed chan struct{}
-	// fault is called before each call; it returns false if the call was handled.
-	fault    func(w http.ResponseWriter, r *http.Request) bool
+	mu       sync.Mutex
+	topics   map[string]*topic
+	changed  chan struct{}
 	listener net.Listener
 }
 
@@ -78,35 +76,8 @@
 	return offset, len(t.records)
 }
 
-// newest returns the newest value of each key.
-func (s *store) newest(name string) map[string]string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[string]string)
-	for _, r := range s.topic(name).records {
-		if r.value == nil {
-			delete(out, r.key)
-			continue
-		}
-		out[r.key] = string(r.value)
-	}
-	return out
-}
-
-func (s *store) setFault(f func(w http.ResponseWriter, r *http.Request) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-}
-
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	fault := s.fault
-	s.mu.Unlock()
-	if fault != nil && !fault(w, r) {
-		return
-	}
 	time.Sleep(4 * time.Millisecond)
 	switch r.URL.Path {
 	case "/-/log-append":
